--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -134,6 +134,8 @@
         repeatable: true,
         preemptions: 2,
         avoid: None,
+        output: 0,
+        parts: Vec::new(),
     }
 }
 
@@ -318,6 +320,8 @@
             avoid: None,
             server: None,
             redirected: None,
+            output: None,
+            parts: None,
         };
         let grant = peer::Grant::new(id.clone(), "suva-hall-engine-1234".to_string(), 180, 0);
         let finish = peer::Finish::new(id.clone(), pool.clone(), 0, 210, None, Some(9_000));
--- a/crates/drumusher-bench/src/policy/simulation.rs
+++ b/crates/drumusher-bench/src/policy/simulation.rs
@@ -298,6 +298,8 @@
             repeatable: true,
             preemptions: self.preempted[number],
             avoid: self.avoid[number],
+            output: 0,
+            parts: Vec::new(),
         };
         self.tell(Event::Ask(ask));
     }
--- /dev/null
+++ b/crates/drumusher-platform/src/catalog.rs
@@ -0,0 +1,98 @@
+//! The platform's store of small records: the configuration, the backend servers, the instances.
+
+use crate::{
+    Error,
+    routing::{Configuration, Server},
+};
+
+/// What a table of the store holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Table {
+    /// The operators' configuration, one record.
+    Configuration,
+    /// Backend servers by identity.
+    Servers,
+    /// Instances by name.
+    Instances,
+}
+
+impl Table {
+    /// Its word in logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Table::Configuration => "configuration",
+            Table::Servers => "servers",
+            Table::Instances => "instances",
+        }
+    }
+}
+
+/// The newest value of a key, or its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The key.
+    pub key: String,
+    /// The value; `None` if the key is gone.
+    pub value: Option<String>,
+}
+
+/// All keys of a table.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Page {
+    /// The newest record of each key.
+    pub records: Vec<Record>,
+    /// The offset from which to read on.
+    pub end: u64,
+}
+
+/// What a read of changes brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changes {
+    /// Records in their order, and the offset from which to read on.
+    Records(Vec<Record>, u64),
+    /// The records from that offset on are no longer kept: the whole table is to be read.
+    Dropped,
+}
+
+/// The store, and how its values are to be understood.
+pub trait Store {
+    /// Reads a whole table.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    fn newest(&self, table: Table) -> impl Future<Output = Result<Page, Error>>;
+
+    /// Reads the changes from `offset` on; waits up to `wait_ms` for one.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`].
+    fn changes(
+        &self,
+        table: Table,
+        offset: u64,
+        wait_ms: u64,
+    ) -> impl Future<Output = Result<Changes, Error>>;
+
+    /// Writes a record of [`Table::Instances`].
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`]; after [`Error::NoAnswer`] it may have been written.
+    fn put(&self, record: &Record) -> impl Future<Output = Result<(), Error>>;
+
+    /// Understands a value of [`Table::Configuration`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] with the reason.
+    fn configuration(&self, value: &str) -> Result<Configuration, Error>;
+
+    /// Understands a value of [`Table::Servers`].
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] with the reason.
+    fn server(&self, key: &str, value: &str) -> Result<Server, Error>;
+}
--- a/crates/drumusher-platform/src/http.rs
+++ b/crates/drumusher-platform/src/http.rs
@@ -23,10 +23,14 @@
 }
 
 /// An answer: its status and its bytes.
-pub(crate) struct Answer {
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
     pub status: StatusCode,
+    /// When to come back, in seconds, if it says so.
     pub retry_after: Option<u64>,
-    body: Vec<u8>,
+    /// The bytes.
+    pub body: Vec<u8>,
 }
 
 impl Http {
@@ -49,7 +53,12 @@
         Ok(Http { client })
     }
 
-    pub(crate) async fn get(&self, url: &str) -> Result<Answer, Error> {
+    /// Gets `url`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] or [`Error::NoAnswer`].
+    pub async fn get(&self, url: &str) -> Result<Answer, Error> {
         let response = self.client.get(url).send().await.map_err(|e| failed(&e))?;
         answer(response).await
     }
@@ -58,6 +67,16 @@
         let sent = self.client.post(url).send_json(body).await;
         answer(sent.map_err(|e| failed(&e))?).await
     }
+
+    /// Posts bytes to `url`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] or [`Error::NoAnswer`].
+    pub async fn post_bytes(&self, url: &str, body: Vec<u8>) -> Result<Answer, Error> {
+        let sent = self.client.post(url).send_body(body).await;
+        answer(sent.map_err(|e| failed(&e))?).await
+    }
 }
 
 async fn answer(response: ntex::client::ClientResponse) -> Result<Answer, Error> {
@@ -68,7 +87,12 @@
 }
 
 impl Answer {
-    pub(crate) fn json<T: DeserializeOwned>(&self) -> Result<T, Error> {
+    /// The body of a successful answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unavailable`] for any other status, [`Error::Malformed`] if it is not such JSON.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Error> {
         if !self.status.is_success() {
             return Err(Error::Unavailable(self.status.as_u16()));
         }
--- a/crates/drumusher-platform/src/lib.rs
+++ b/crates/drumusher-platform/src/lib.rs
@@ -2,17 +2,22 @@
 //!
 //! [`log`] is the platform's append-only log, [`members`] its list of instances and backend
 //! servers, [`load`] a backend server's own report. A change of an outside protocol is a change of
-//! one of these files. Unknown fields are ignored; missing ones are an [`Error::Malformed`].
+//! one of these files. [`catalog`], [`routing`] and [`dialect`] are the traits and values of a
+//! platform that keeps configuration and servers in one store; the crate in `platform/` implements
+//! them. Unknown fields are ignored; missing ones are an [`Error::Malformed`].
 //!
 //! Futures are not `Send`: each belongs to the thread that made it.
 
+pub mod catalog;
+pub mod dialect;
 mod http;
 pub mod load;
 pub mod log;
 pub mod members;
+pub mod routing;
 pub mod tcp;
 
-pub use http::Http;
+pub use http::{Answer, Http};
 
 use std::fmt;
 
--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -13,6 +13,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Entry(pub u32);
 
+/// One part of a prompt. Parts are shared between requests, so that what a backend server keeps of
+/// one request spares work for the next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its identity.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
 /// What an entry tells the dispatcher about a request it wants to run.
 #[derive(Clone, Debug)]
 pub struct Ask {
@@ -38,6 +48,10 @@
     pub preemptions: u8,
     /// The backend server whose attempt failed last.
     pub avoid: Option<server::Key>,
+    /// Expected tokens of the answer; 0 if the caller gave no hint.
+    pub output: u32,
+    /// The parts of the prompt in order; empty if the caller did not name them.
+    pub parts: Vec<Part>,
 }
 
 /// How an attempt on a backend server ended.
--- a/crates/drumusher-schedule/src/policy.rs
+++ b/crates/drumusher-schedule/src/policy.rs
@@ -95,8 +95,10 @@
     pub deadlines: bool,
     /// Preemption of lower tiers.
     pub preemption: bool,
-    /// Windows and health learned from own streams.
+    /// Health learned from own streams.
     pub learning: bool,
+    /// Windows learned from own streams; otherwise they are as configured.
+    pub windows: bool,
     /// Preference for the backend server that holds the prefix.
     pub affinity: bool,
     /// Refusal of requests that would wait beyond their bound.
@@ -113,6 +115,7 @@
             deadlines: true,
             preemption: true,
             learning: true,
+            windows: true,
             affinity: true,
             shedding: true,
             floor: true,
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -109,6 +109,11 @@
         self.queue.len()
     }
 
+    /// Whether a request waits.
+    pub fn waits(&self, id: Id) -> bool {
+        self.ids.get(&id).is_some_and(|key| self.waiting_at(*key).is_some())
+    }
+
     /// How many requests run.
     pub fn running(&self) -> usize {
         self.asks.len() - self.queue.len()
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -19,11 +19,13 @@
     pub slots: u32,
     /// Requests given to it at once before anything was learned.
     pub first_slots: u32,
+    /// Whether the window is learned; otherwise it is `slots`.
+    pub learned: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { slots: 64, first_slots: 16 }
+        Options { slots: 64, first_slots: 16, learned: true }
     }
 }
 
@@ -122,7 +124,8 @@
     /// Takes a changed configuration; what was learned stays.
     pub fn configure(&mut self, options: Options) {
         self.options = options;
-        self.limit = self.limit.min(f64::from(options.slots));
+        let slots = f64::from(options.slots);
+        self.limit = if options.learned { self.limit.min(slots) } else { slots };
         self.leaving = false;
     }
 
@@ -238,7 +241,9 @@
             Outcome::Failed => self.fail(now),
             Outcome::Full => {
                 self.full_until = now + FULL_FOR;
-                self.limit = (self.limit - 1.0).max(1.0);
+                if self.options.learned {
+                    self.limit = (self.limit - 1.0).max(1.0);
+                }
             }
             Outcome::Cancelled | Outcome::Preempted => {}
         }
@@ -295,6 +300,9 @@
     /// holds. A single one may have caught requests between two steps, and a number that changes
     /// is not its limit.
     fn bound(&mut self, load: &Load, now: Micros) {
+        if !self.options.learned {
+            return;
+        }
         let crowded = load.waiting >= CROWDED_LEAST.max(load.running / CROWDED_PART);
         let before = std::mem::replace(&mut self.crowded, crowded.then_some(load.running));
         let (true, Some(before)) = (crowded, before) else {
@@ -325,7 +333,7 @@
 
     /// Widens the window while it is used and the gap is well within the target, narrows it above.
     fn adjust(&mut self, now: Micros, target: f64) {
-        if now < self.adjusted + ADJUST_EVERY {
+        if !self.options.learned || now < self.adjusted + ADJUST_EVERY {
             return;
         }
         let used = f64::from(self.running) + 1.0 >= self.limit;
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -26,6 +26,12 @@
   1: required binary proof
 }
 
+/* One part of a prompt, in order; parts are shared between requests. */
+struct Part {
+  1: required i64 id
+  2: required i32 tokens
+}
+
 /* A request wants to run in a pool, or is declared as running there (server is set). */
 struct Ask {
   1: required binary id
@@ -41,6 +47,14 @@
   11: optional string avoid
   12: optional string server
   13: optional bool redirected
+  /* expected tokens of the answer */
+  14: optional i32 output
+  15: optional list<Part> parts
+}
+
+/* The dispatcher has the ask and grants it when its turn comes. */
+struct Queued {
+  1: required binary id
 }
 
 struct Withdraw {
@@ -149,4 +163,5 @@
   15: State state
   16: Query query
   17: Answer answer
+  18: Queued queued
 }
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -241,6 +241,74 @@
   }
 }
 
+//
+// Part
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Part {
+  pub id: i64,
+  pub tokens: i32,
+}
+
+impl Part {
+  pub fn new(id: i64, tokens: i32) -> Part {
+    Part {
+      id,
+      tokens,
+    }
+  }
+}
+
+impl TSerializable for Part {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Part> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i32()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Part.id", &f_1)?;
+    verify_required_field_exists("Part.tokens", &f_2)?;
+    let ret = Part {
+      id: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      tokens: f_2.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Part");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("id", TType::I64, 1))?;
+    o_prot.write_i64(self.id)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("tokens", TType::I32, 2))?;
+    o_prot.write_i32(self.tokens)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Ask
 //
@@ -260,10 +328,12 @@
   pub avoid: Option<String>,
   pub server: Option<String>,
   pub redirected: Option<bool>,
+  pub output: Option<i32>,
+  pub parts: Option<Vec<Part>>,
 }
 
 impl Ask {
-  pub fn new<F7, F8, F9, F10, F11, F12, F13>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>> {
+  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>> {
     Ask {
       id,
       pool,
@@ -278,6 +348,8 @@
       avoid: avoid.into(),
       server: server.into(),
       redirected: redirected.into(),
+      output: output.into(),
+      parts: parts.into(),
     }
   }
 }
@@ -298,6 +370,8 @@
     let mut f_11: Option<String> = None;
     let mut f_12: Option<String> = None;
     let mut f_13: Option<bool> = None;
+    let mut f_14: Option<i32> = None;
+    let mut f_15: Option<Vec<Part>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -357,6 +431,20 @@
           let val = i_prot.read_bool()?;
           f_13 = Some(val);
         },
+        14 => {
+          let val = i_prot.read_i32()?;
+          f_14 = Some(val);
+        },
+        15 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Part> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_0 = Part::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_0);
+          }
+          i_prot.read_list_end()?;
+          f_15 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -384,6 +472,8 @@
       avoid: f_11,
       server: f_12,
       redirected: f_13,
+      output: f_14,
+      parts: f_15,
     };
     Ok(ret)
   }
@@ -443,6 +533,76 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.output {
+      o_prot.write_field_begin(&TFieldIdentifier::new("output", TType::I32, 14))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.parts {
+      o_prot.write_field_begin(&TFieldIdentifier::new("parts", TType::List, 15))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Queued
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Queued {
+  pub id: Vec<u8>,
+}
+
+impl Queued {
+  pub fn new(id: Vec<u8>) -> Queued {
+    Queued {
+      id,
+    }
+  }
+}
+
+impl TSerializable for Queued {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Queued> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<u8>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_bytes()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Queued.id", &f_1)?;
+    let ret = Queued {
+      id: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Queued");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("id", TType::String, 1))?;
+    o_prot.write_bytes(&self.id)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -649,8 +809,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Progress> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_0 = Progress::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_0);
+            let list_elem_1 = Progress::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_1);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1225,8 +1385,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_1 = i_prot.read_bytes()?;
-            val.push(list_elem_1);
+            let list_elem_2 = i_prot.read_bytes()?;
+            val.push(list_elem_2);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1235,8 +1395,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_2 = i_prot.read_i64()?;
-            val.push(list_elem_2);
+            let list_elem_3 = i_prot.read_i64()?;
+            val.push(list_elem_3);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -1514,8 +1674,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_3 = i_prot.read_string()?;
-            val.push(list_elem_3);
+            let list_elem_4 = i_prot.read_string()?;
+            val.push(list_elem_4);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1576,6 +1736,7 @@
   State(State),
   Query(Query),
   Answer(Answer),
+  Queued(Queued),
 }
 
 impl TSerializable for Message {
@@ -1709,6 +1870,13 @@
           }
           received_field_count += 1;
         },
+        18 => {
+          let val = Queued::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Message::Queued(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -1828,6 +1996,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Message::Queued(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("queued", TType::Struct, 18))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -2,7 +2,7 @@
 
 use drumusher_wire::{
     frame::{self, Error, LONGEST, PREFIX},
-    peer::{Answer, Ask, Grant, Hello, Message, Progress, ProgressBatch},
+    peer::{Answer, Ask, Grant, Hello, Message, Part, Progress, ProgressBatch},
 };
 use proptest::prelude::*;
 
@@ -21,6 +21,8 @@
         avoid: None,
         server: None,
         redirected: None,
+        output: Some(210),
+        parts: Some(vec![Part::new(-7, 512)]),
     }
 }
 
--- a/crates/drumusher/src/error.rs
+++ b/crates/drumusher/src/error.rs
@@ -42,6 +42,8 @@
     UnknownService,
     /// The body is too long.
     TooLarge,
+    /// The head is too long.
+    HeadTooLarge,
     /// The workspace is at its own limit.
     WorkspaceLimit,
     /// The queue is full and this request was the one to go.
@@ -68,6 +70,8 @@
     BackendFailed,
     /// The backend servers failed and the answer is not whole.
     Incomplete,
+    /// The time that the caller or the route allows ran out while a backend server worked on it.
+    TimedOut,
     /// A fault of drumusher itself.
     Internal,
 }
@@ -85,6 +89,7 @@
             Kind::UnknownClass => Row(400, "unknown_class", Ran::No),
             Kind::UnknownService => Row(404, "unknown_service", Ran::No),
             Kind::TooLarge => Row(413, "too_large", Ran::No),
+            Kind::HeadTooLarge => Row(431, "head_too_large", Ran::No),
             Kind::WorkspaceLimit => Row(429, "workspace_limit", Ran::No),
             Kind::QueueFull => Row(429, "queue_full", Ran::No),
             Kind::WaitBound => Row(503, "wait_bound", Ran::No),
@@ -98,6 +103,7 @@
             Kind::AlreadyRan => Row(409, "already_ran", Ran::Yes),
             Kind::BackendFailed => Row(502, "backend_failed", Ran::Unknown),
             Kind::Incomplete => Row(502, "incomplete", Ran::Unknown),
+            Kind::TimedOut => Row(504, "timed_out", Ran::Unknown),
             Kind::Internal => Row(500, "internal", Ran::Unknown),
         }
     }
--- a/crates/drumusher/src/lib.rs
+++ b/crates/drumusher/src/lib.rs
@@ -3,7 +3,8 @@
 //! This crate is the one shipped binary, split by life span: [`process`] holds what lives as long
 //! as the process, [`version`] what is immutable between two changes of configuration or
 //! membership, [`connection`] what lives as long as a connection to another instance, [`request`]
-//! what lives as long as one caller's request. [`operator`] answers the operators' language.
+//! what lives as long as one caller's request. [`routed`] passes requests through along routes, over
+//! the connections of [`upstream`], where the platform keeps the configuration in a store. [`operator`] answers the operators' language.
 
 pub mod connection;
 pub mod error;
@@ -11,5 +12,7 @@
 pub mod options;
 pub mod process;
 pub mod request;
+pub mod routed;
 pub mod settings;
+pub mod upstream;
 pub mod version;
--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -64,7 +64,15 @@
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
-    match process::run(settings) {
+    let ran = match &settings.store {
+        Some(store) => {
+            let (address, wait_ms) = (store.address, store.wait_ms);
+            let open = async move || drumusher_adapter::Log::new(address, wait_ms).await;
+            process::routes::run(settings, drumusher_adapter::Headers, open)
+        }
+        None => process::run(settings),
+    };
+    match ran {
         Ok(0) => ExitCode::SUCCESS,
         Ok(cut) => {
             log::warn!("ended by a second signal; requests cut: {cut}");
--- a/crates/drumusher/src/options.rs
+++ b/crates/drumusher/src/options.rs
@@ -24,6 +24,8 @@
     },
 }
 
+/// Where `serve` and `check` find the settings file when no option names it.
+pub const SETTINGS_VARIABLE: &str = "DRUMUSHER_SETTINGS";
 /// Where `ask` finds the operator key when no option gives it.
 pub const KEY_VARIABLE: &str = "DRUMUSHER_OPERATOR_KEY";
 /// Where `ask` finds the instance when no option gives it.
@@ -31,13 +33,13 @@
 
 const BRIEF: &str = "\
 Usage:
-    drumusher serve --config FILE
-    drumusher check --config FILE
+    drumusher serve [--config FILE]
+    drumusher check [--config FILE]
     drumusher ask [--address IP:PORT] [--key KEY] 'STATEMENT'";
 
 fn options() -> Options {
     let mut options = Options::new();
-    options.optopt("c", "config", "settings file (TOML)", "FILE");
+    options.optopt("c", "config", "settings file, TOML (default: $DRUMUSHER_SETTINGS)", "FILE");
     options.optopt("a", "address", "instance to ask (default: $DRUMUSHER_ADDRESS)", "IP:PORT");
     options.optopt("k", "key", "operator key (default: $DRUMUSHER_OPERATOR_KEY)", "KEY");
     options.optflag("h", "help", "print this help");
@@ -62,7 +64,10 @@
     if matches.opt_present("version") {
         return Ok(Command::Version);
     }
-    let config = || matches.opt_str("config").ok_or("--config FILE is missing".to_string());
+    let config = || {
+        let file = matches.opt_str("config").or_else(|| variable(SETTINGS_VARIABLE));
+        file.ok_or("--config FILE is missing".to_string())
+    };
     let words: Vec<&str> = matches.free.iter().map(String::as_str).collect();
     match words.as_slice() {
         ["serve"] => config().map(Command::Serve),
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 
-use drumusher_schedule::ask::Id;
+use drumusher_schedule::ask::{Id, Part};
 use drumusher_wire::peer::Message;
 
 pub use table::Table;
@@ -82,6 +82,10 @@
     pub preemptions: u8,
     /// The backend server whose attempt failed last.
     pub avoid: Option<Arc<str>>,
+    /// Expected tokens of the answer; 0 for no hint.
+    pub output: u32,
+    /// The parts of the prompt, in order.
+    pub parts: Vec<Part>,
     /// Where replies go.
     pub replies: async_channel::Sender<Reply>,
 }
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -5,7 +5,10 @@
     sync::Arc,
 };
 
-use drumusher_schedule::{ask::Id, rank};
+use drumusher_schedule::{
+    ask::{Id, Part},
+    rank,
+};
 use drumusher_wire::peer::{self, Message};
 
 use super::{CANCELLED, Input, Own, Reply, Report, Send};
@@ -18,6 +21,10 @@
 /// Time between two signs of life for a running attempt.
 const ALIVE_EVERY: u64 = drumusher_schedule::time::SECOND;
 
+/// A dispatcher answers an ask within this, if only that it waits. A quarter of the tightest target
+/// of today's classes (250 ms); an answer takes 2 ms between availability zones.
+const ANSWER_WITHIN: u64 = 60 * drumusher_schedule::time::MILLISECOND;
+
 struct Held {
     own: Own,
     /// The dispatcher that was asked; `None` if there is none to ask.
@@ -26,6 +33,8 @@
     server: Option<Arc<str>>,
     report: Option<Report>,
     reported: u64,
+    /// Since when the dispatcher owes an answer to the ask; `None` once it gave one.
+    owed: Option<u64>,
 }
 
 /// The asks this instance owns.
@@ -121,7 +130,14 @@
     fn open(&mut self, own: Own, sends: &mut Vec<Send>) {
         let id = own.id;
         let dispatcher = self.dispatcher(&own.pool, &own.availability_zone);
-        let held = Held { own, dispatcher, server: None, report: None, reported: clock::now() };
+        let held = Held {
+            own,
+            dispatcher,
+            server: None,
+            report: None,
+            reported: clock::now(),
+            owed: None,
+        };
         self.held.insert(id, held);
         self.ask(id, false, sends);
     }
@@ -139,6 +155,9 @@
             return;
         };
         let mut ask = write_ask(held);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.owed = held.server.is_none().then(clock::now);
+        }
         ask.redirected = redirected.then_some(true);
         sends.push(Send { to, message: Message::Ask(ask) });
     }
@@ -239,6 +258,7 @@
                 }
             }
             Message::Redirect(redirect) => self.redirect(from, &redirect, sends),
+            Message::Queued(queued) => self.queued(from, &queued),
             _ => {}
         }
     }
@@ -261,6 +281,7 @@
         };
         let server: Arc<str> = grant.server.as_str().into();
         held.server = Some(server.clone());
+        held.owed = None;
         held.reported = clock::now();
         let reply = Reply::Grant { server, dispatcher: from.clone() };
         if held.own.replies.try_send(reply).is_err() {
@@ -283,6 +304,49 @@
         self.ask(id, true, sends);
     }
 
+    fn queued(&mut self, from: &Arc<str>, queued: &peer::Queued) {
+        let Some(id) = id::from_wire(&queued.id) else {
+            return;
+        };
+        if !self.asked(id, from) {
+            return;
+        }
+        if let Some(held) = self.held.get_mut(&id) {
+            held.owed = None;
+        }
+    }
+
+    /// Other instances that have owed an answer for longer than [`ANSWER_WITHIN`]. Their asks are
+    /// asked of the own dispatcher at once, which decides with what it knows.
+    pub fn silent(&mut self, sends: &mut Vec<Send>) -> BTreeSet<Arc<str>> {
+        let now = clock::now();
+        let mut silent = BTreeSet::new();
+        let mut owed = Vec::new();
+        for (id, held) in &self.held {
+            let Some(dispatcher) = held.dispatcher.as_ref().filter(|name| **name != self.name)
+            else {
+                continue;
+            };
+            if held.owed.is_some_and(|since| now > since + ANSWER_WITHIN) {
+                silent.insert(dispatcher.clone());
+                owed.push(*id);
+            }
+        }
+        let name = self.name.clone();
+        for id in owed {
+            self.assign(id, Some(name.clone()), sends);
+        }
+        silent
+    }
+
+    /// After a pause of the own process: nobody is blamed for what was not heard meanwhile.
+    pub fn forgive(&mut self) {
+        let now = clock::now();
+        for held in self.held.values_mut() {
+            held.owed = held.owed.map(|_| now);
+        }
+    }
+
     /// Takes a new directory.
     pub fn adopt(&mut self, directory: Arc<Directory>, sends: &mut Vec<Send>) {
         let listed = &directory.instances;
@@ -385,5 +449,11 @@
         avoid: own.avoid.as_ref().map(|name| name.to_string()),
         server: held.server.as_ref().map(|name| name.to_string()),
         redirected: None,
+        output: (own.output != 0).then_some(own.output as i32),
+        parts: (!own.parts.is_empty()).then(|| own.parts.iter().map(write_part).collect()),
     }
 }
+
+fn write_part(part: &Part) -> peer::Part {
+    peer::Part::new(part.id as i64, part.tokens as i32)
+}
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -8,7 +8,7 @@
 
 use crossbeam_channel::RecvTimeoutError;
 use drumusher_schedule::{
-    ask::{Ask, Entry, Id, Outcome},
+    ask::{Ask, Entry, Id, Outcome, Part},
     event::{Event, Load, Progress},
     order::Order,
     policy::{ClassKey, WorkspaceKey},
@@ -162,6 +162,17 @@
             None => Event::Ask(ask),
         };
         self.handle(&pool, event);
+        self.acknowledge(entry, &wire, &pool);
+    }
+
+    /// Tells the entry that its ask waits, so that it need not take silence for an outage.
+    fn acknowledge(&mut self, entry: Entry, wire: &peer::Ask, pool: &Pool) {
+        let waits = |id| self.hosts.get(pool).is_some_and(|host| host.pool.waits(id));
+        if id::from_wire(&wire.id).is_some_and(waits) {
+            let queued = Message::Queued(peer::Queued::new(wire.id.clone()));
+            self.unsent.push_back((entry, queued));
+            self.flush();
+        }
     }
 
     fn read_ask(&self, entry: Entry, wire: &peer::Ask, pool: &Pool) -> Option<Ask> {
@@ -181,6 +192,8 @@
             repeatable: !wire.unrepeatable.unwrap_or(false),
             preemptions: wire.preemptions.unwrap_or(0).clamp(0, 255) as u8,
             avoid: avoid.and_then(|name| known.get(name).copied()),
+            output: wire.output.unwrap_or(0).max(0) as u32,
+            parts: wire.parts.iter().flatten().map(read_part).collect(),
         })
     }
 
@@ -316,6 +329,7 @@
         let directory = self.shared.directory.load_full();
         let backends = directory.backends(pool, &self.shared.availability_zone);
         let wanted: BTreeMap<Arc<str>, &Backend> = backends.map(|b| (b.name.clone(), b)).collect();
+        let learned = self.shared.version.load().policy.switches.windows;
         let Some(host) = self.hosts.get_mut(pool) else {
             return;
         };
@@ -331,8 +345,7 @@
             events.push(if leaving {
                 Event::Leave(key)
             } else {
-                let first_slots = slots.min(server::Options::default().first_slots);
-                Event::Server(key, server::Options { slots, first_slots })
+                Event::Server(key, options(slots, learned))
             });
         }
         let gone: Vec<Arc<str>> =
@@ -394,6 +407,16 @@
     }
 }
 
+fn options(slots: u32, learned: bool) -> server::Options {
+    let first_slots =
+        if learned { slots.min(server::Options::default().first_slots) } else { slots };
+    server::Options { slots, first_slots, learned }
+}
+
+fn read_part(part: &peer::Part) -> Part {
+    Part { id: part.id as u64, tokens: part.tokens.max(0) as u32 }
+}
+
 fn progress(id: Id, produced: u32, first_token: Option<i64>, gap: Option<i64>) -> Progress {
     Progress {
         id,
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -13,12 +13,14 @@
 //! dropped and counted.
 
 pub mod broker;
+pub mod catalog;
 pub mod clock;
 pub mod dispatch;
 pub mod explain;
 pub mod logs;
 pub mod peers;
 pub mod platform;
+pub mod routes;
 pub mod serve;
 pub mod shared;
 pub mod telemetry;
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -31,6 +31,10 @@
 const SILENCE: u64 = 800 * MILLISECOND;
 /// Time between two batches of reports.
 const REPORTS: Millis = Millis(50);
+/// Time between two looks for asks that are not answered.
+const WATCH: Millis = Millis(32);
+/// A look that comes so late shows that the own process was paused.
+const WATCH_PAUSED: u64 = 100 * MILLISECOND;
 /// Time between two trials to reach an instance again.
 const TRIAL: Millis = Millis(400);
 /// Places in the ring.
@@ -127,6 +131,7 @@
         rt::spawn(peers.clone().own_asks(rings.broker));
         rt::spawn(peers.clone().replies(replies));
         rt::spawn(peers.clone().reports());
+        rt::spawn(peers.clone().watch());
         rt::spawn(peers.clone().heartbeats());
         rt::spawn(peers.clone().trials());
         rt::spawn(peers.clone().queries(rings.peers));
@@ -160,6 +165,43 @@
         }
     }
 
+    /// Takes over the asks that another instance does not answer, and gives its connection up.
+    async fn watch(self) {
+        let mut last = clock::now();
+        loop {
+            sleep(WATCH).await;
+            let now = clock::now();
+            let paused = now > last + WATCH_PAUSED;
+            last = now;
+            if paused {
+                self.inner.borrow_mut().table.forgive();
+                continue;
+            }
+            let mut sends = Vec::new();
+            let silent = self.inner.borrow_mut().table.silent(&mut sends);
+            self.send_all(sends);
+            for instance in silent {
+                self.give_up(&instance);
+            }
+        }
+    }
+
+    /// Closes the connection to an instance that does not answer; it is tried again later.
+    fn give_up(&self, instance: &Arc<str>) {
+        log::warn!(instance = &**instance; "an instance does not answer asks");
+        let up = match self.inner.borrow().links.get(instance) {
+            Some(Link::Up(number)) => Some(*number),
+            _ => None,
+        };
+        let Some(number) = up else {
+            self.unreachable(instance);
+            return;
+        };
+        if let Some(conn) = self.inner.borrow().conns.get(&number) {
+            conn.io.terminate();
+        }
+    }
+
     async fn reports(self) {
         loop {
             sleep(REPORTS).await;
@@ -188,7 +230,7 @@
     }
 
     fn heartbeat(&self, now: u64, paused: bool) {
-        let offset = self.shared.version.load().state.next as i64;
+        let offset = self.shared.position() as i64;
         let leaving = self.shared.stopping().then_some(true);
         let heartbeat = Message::Heartbeat(peer::Heartbeat::new(offset, leaving));
         let mut inner = self.inner.borrow_mut();
@@ -314,7 +356,11 @@
                 let input = dispatch::Input::Message(Entry(number), message);
                 self.dispatch(input);
             }
-            Message::Grant(_) | Message::Refuse(_) | Message::Preempt(_) | Message::Redirect(_) => {
+            Message::Grant(_)
+            | Message::Refuse(_)
+            | Message::Preempt(_)
+            | Message::Redirect(_)
+            | Message::Queued(_) => {
                 let mut sends = Vec::new();
                 self.inner.borrow_mut().table.answer(instance, message, &mut sends);
                 self.send_all(sends);
@@ -372,7 +418,7 @@
     /// longer than the log would explain.
     fn heard(&self, number: u32, instance: &Arc<str>, heartbeat: &peer::Heartbeat) {
         let mut sends = Vec::new();
-        let own = self.shared.version.load().state.next as i64;
+        let own = self.shared.position() as i64;
         let behind = heartbeat.offset < own;
         let before = {
             let mut inner = self.inner.borrow_mut();
@@ -392,6 +438,11 @@
         if !self.shared.configured.load(Ordering::Acquire) {
             return;
         }
+        if let Some(snapshot) = self.shared.snapshot.load_full() {
+            let state = peer::State::new(snapshot.position() as i64, snapshot.to_bytes());
+            self.send_on(number, Message::State(state));
+            return;
+        }
         let recent = platform::recent_from(offset.max(0) as u64);
         let message = match recent {
             Some(records) => Message::Records(records),
--- /dev/null
+++ b/crates/drumusher/src/process/routes.rs
@@ -0,0 +1,147 @@
+//! Running an instance that passes requests through along routes.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::Arc,
+};
+
+use drumusher_platform::{catalog::Store, dialect::Dialect};
+use ntex::{
+    SharedCfg,
+    http::{self, HttpService, HttpServiceConfig, Response, StatusCode},
+    rt, server,
+    time::Seconds,
+};
+
+use super::{
+    Shared, catalog, platform,
+    serve::{self, Parts},
+};
+use crate::{
+    routed::{
+        Worker,
+        entry::{self, Never},
+    },
+    settings::Settings,
+    upstream,
+};
+
+/// Longest time a caller's connection may be idle. Longer than the platform's callers rest, so that
+/// no request crosses the close.
+const IDLE: Seconds = Seconds(60);
+/// The path of the metrics.
+const METRICS: &str = "/metrics";
+
+/// Runs an instance on the platform's store until it is told to stop. Returns how many requests
+/// were cut.
+///
+/// # Errors
+///
+/// A sentence, if it cannot start.
+pub fn run<S, D, F>(settings: Settings, dialect: D, store: F) -> Result<usize, String>
+where
+    S: Store + 'static,
+    D: Dialect + Sync,
+    F: AsyncFnOnce() -> Result<S, drumusher_platform::Error> + Send + 'static,
+{
+    let listeners = Listeners::new(&settings)?;
+    serve::run_with(settings, move |parts| start(parts, listeners, dialect, store))
+}
+
+/// The sockets, bound before anything else.
+struct Listeners {
+    callers: TcpListener,
+    status: Vec<TcpListener>,
+}
+
+impl Listeners {
+    fn new(settings: &Settings) -> Result<Self, String> {
+        let status: Vec<SocketAddr> = settings.status.into_iter().chain(settings.metrics).collect();
+        let status = status.into_iter().map(serve::listen).collect::<Result<_, _>>()?;
+        Ok(Listeners { callers: serve::listen(settings.http)?, status })
+    }
+}
+
+fn start<S, D, F>(
+    parts: Parts,
+    listeners: Listeners,
+    dialect: D,
+    store: F,
+) -> Result<Vec<server::Server>, String>
+where
+    S: Store + 'static,
+    D: Dialect + Sync,
+    F: AsyncFnOnce() -> Result<S, drumusher_platform::Error> + Send + 'static,
+{
+    let Parts { shared, platform } = parts;
+    follow_store(shared.clone(), store, platform);
+    let mut servers = vec![serve_callers(shared.clone(), listeners.callers, dialect)?];
+    for listener in listeners.status {
+        servers.push(serve_status(shared.clone(), listener)?);
+    }
+    Ok(servers)
+}
+
+fn follow_store<S, F>(shared: Arc<Shared>, store: F, receiver: platform::Receiver)
+where
+    S: Store + 'static,
+    F: AsyncFnOnce() -> Result<S, drumusher_platform::Error> + Send + 'static,
+{
+    let thread = rt::Arbiter::with_name("platform".into());
+    thread.handle().spawn(async move {
+        rt::spawn(async move {
+            match store().await {
+                Ok(store) => catalog::run(shared, store, receiver).await,
+                Err(error) => log::error!("no client for the store: {error}"),
+            }
+        });
+    });
+}
+
+fn serve_callers<D: Dialect + Sync>(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    dialect: D,
+) -> Result<server::Server, String> {
+    let header = Seconds(shared.settings.limits.header_seconds);
+    let config =
+        HttpServiceConfig::new().set_headers_read_rate(header, header, 16).set_keepalive(IDLE);
+    let builder = server::build().name("http").workers(1).disable_signals();
+    let builder = builder.listen("callers", listener, async move |_| {
+        let worker = Worker {
+            shared: shared.clone(),
+            dialect: dialect.clone(),
+            conns: upstream::Pool::new(),
+        };
+        let worker = Rc::new(worker);
+        HttpService::h1(ntex::fn_service(move |request: http::Request| {
+            entry::serve(worker.clone(), request)
+        }))
+    });
+    let builder = builder.map_err(|e| e.to_string())?;
+    Ok(builder.config("callers", SharedCfg::new("callers").add(config)).run())
+}
+
+/// Answers the balancer whether the instance is ready, and tells the metrics.
+fn serve_status(shared: Arc<Shared>, listener: TcpListener) -> Result<server::Server, String> {
+    let builder = server::build().name("status").workers(1).disable_signals();
+    let builder = builder.listen("status", listener, async move |_| {
+        let shared = shared.clone();
+        HttpService::h1(ntex::fn_service(move |request: http::Request| {
+            let response = status(&shared, &request);
+            async move { Ok::<Response, Never>(response) }
+        }))
+    });
+    Ok(builder.map_err(|e| e.to_string())?.run())
+}
+
+fn status(shared: &Shared, request: &http::Request) -> Response {
+    if request.path() == METRICS {
+        return Response::Ok()
+            .content_type("text/plain; version=0.0.4")
+            .body(shared.telemetry.text());
+    }
+    let ready = shared.ready();
+    Response::new(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -32,6 +32,9 @@
 
 /// Longest time a graceful end of the HTTP server may take once no request is held.
 const LAST: Seconds = Seconds(2);
+/// Part of the time allowed for a stop after which requests still held are cut, so that the process
+/// ends by itself before it is killed.
+const GRACE_USED: f64 = 0.92;
 /// Time between two looks at whether all requests ended.
 const LOOK: Millis = Millis(20);
 
@@ -41,16 +44,46 @@
 ///
 /// A sentence, if it cannot start.
 pub fn run(settings: Settings) -> Result<usize, String> {
-    let telemetry = Telemetry::new(&settings)?;
     let http = listen(settings.http)?;
+    run_with(settings, move |parts| {
+        let Parts { shared, platform } = parts;
+        follow_platform(shared.clone(), platform);
+        Ok(vec![serve_http(shared, http)?])
+    })
+}
+
+/// What the side towards callers and platform is made of.
+pub struct Parts {
+    /// What the threads share.
+    pub shared: Arc<Shared>,
+    /// The receiving end of the platform ring.
+    pub platform: platform::Receiver,
+}
+
+/// Runs an instance whose side towards callers and platform is started by `start`, which returns
+/// the servers of callers. Returns how many requests were cut.
+///
+/// # Errors
+///
+/// A sentence, if it cannot start.
+pub fn run_with(
+    settings: Settings,
+    start: impl FnOnce(Parts) -> Result<Vec<server::Server>, String> + 'static,
+) -> Result<usize, String> {
+    let telemetry = Telemetry::new(&settings)?;
     let peer = listen(settings.peer)?;
     let (shared, receivers) = Shared::new(settings, telemetry);
     let hurried = watch_signals(shared.clone())?;
     let runner = rt::System::build().name("drumusher").build(rt::DefaultRuntime);
-    runner.block_on(serve(shared, receivers, http, peer, hurried))
+    runner.block_on(serve(shared, receivers, peer, hurried, start))
 }
 
-fn listen(address: std::net::SocketAddr) -> Result<TcpListener, String> {
+/// A socket that takes connections.
+///
+/// # Errors
+///
+/// A sentence, if the address cannot be had.
+pub fn listen(address: std::net::SocketAddr) -> Result<TcpListener, String> {
     TcpListener::bind(address).map_err(|e| format!("cannot listen on {address}: {e}"))
 }
 
@@ -73,29 +106,31 @@
     Ok(hurried)
 }
 
+fn follow_platform(shared: Arc<Shared>, receiver: platform::Receiver) {
+    let thread = rt::Arbiter::with_name("platform".into());
+    thread.handle().spawn(async move {
+        rt::spawn(platform::run(shared, receiver));
+    });
+}
+
 async fn serve(
     shared: Arc<Shared>,
     receivers: Receivers,
-    http: TcpListener,
     peer: TcpListener,
     hurried: Arc<AtomicBool>,
+    start: impl FnOnce(Parts) -> Result<Vec<server::Server>, String>,
 ) -> Result<usize, String> {
     let Receivers { broker, dispatch, peers, platform } = receivers;
     let (replies, replies_receiver) = peers::replies();
     start_dispatch(shared.clone(), dispatch, replies)?;
-    let platform_thread = rt::Arbiter::with_name("platform".into());
-    platform_thread.handle().spawn({
-        let shared = shared.clone();
-        async move {
-            rt::spawn(platform::run(shared, platform));
-        }
-    });
     let peer_server = serve_peers(shared.clone(), peer, (broker, peers), replies_receiver)?;
-    let http_server = serve_http(shared.clone(), http)?;
+    let servers = start(Parts { shared: shared.clone(), platform })?;
     log::info!("instance {} serves {}", shared.name, shared.settings.http);
     let cut = stopped(&shared, &hurried).await;
     if cut == 0 {
-        http_server.stop(true).await;
+        for server in servers {
+            server.stop(true).await;
+        }
     }
     peer_server.stop(false).await;
     shared.telemetry.flush();
@@ -169,10 +204,11 @@
         sleep(LOOK).await;
     }
     let accept = Duration::from_millis(shared.settings.stop_accept_ms);
+    let longest = Duration::from_millis(shared.settings.stop_longest_ms).mul_f64(GRACE_USED);
     let since = Instant::now();
     loop {
         let held = shared.requests.load(Ordering::Acquire);
-        if hurried.load(Ordering::Acquire) {
+        if hurried.load(Ordering::Acquire) || since.elapsed() >= longest {
             return held;
         }
         if held == 0 && since.elapsed() >= accept {
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -1,18 +1,23 @@
 //! What the threads of one process share.
 
 use std::sync::{
-    Arc,
+    Arc, Mutex,
     atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use drumusher_log::config::State;
+use drumusher_platform::routing::Configuration;
+use drumusher_schedule::time::MILLISECOND;
 
-use super::{broker, dispatch, explain::Explanations, peers, platform, telemetry::Telemetry};
+use super::{
+    broker, catalog, dispatch, explain::Explanations, peers, platform, telemetry::Telemetry,
+};
 use crate::{
     request::retry::Budgets,
+    routed::budget::{Bound, Budget},
     settings::Settings,
-    version::{Directory, Pool, Version},
+    version::{Directory, Pool, Routing, Version},
 };
 
 /// What the threads of one process share.
@@ -21,10 +26,15 @@
     pub settings: Settings,
     /// The instance's name.
     pub name: Arc<str>,
-    /// The instance's availability zone.
+    /// The area whose instances and backend servers form one pool: the availability zone, or the
+    /// region where the settings say so.
     pub availability_zone: Arc<str>,
     /// The configuration in force.
     pub version: ArcSwap<Version>,
+    /// The routes in force, where the configuration is one of routes.
+    pub routing: ArcSwapOption<Routing>,
+    /// What other instances may be given of the store's records.
+    pub snapshot: ArcSwapOption<catalog::Snapshot>,
     /// Who is there.
     pub directory: ArcSwap<Directory>,
     /// The pools this instance dispatches.
@@ -45,6 +55,8 @@
     pub platform: platform::Sender,
     /// Retries that may still be made.
     pub budgets: Budgets,
+    /// Repeats that this instance may still send on routes.
+    pub repeats: Mutex<Budget>,
     /// Why each recent request fared as it did.
     pub explanations: Explanations,
     /// Metrics and spans.
@@ -73,8 +85,10 @@
         let version = Version::new(None, State::new(), settings.limits.queue);
         let shared = Shared {
             name: settings.name.as_str().into(),
-            availability_zone: settings.availability_zone.as_str().into(),
+            availability_zone: settings.area.as_str().into(),
             version: ArcSwap::from_pointee(version),
+            routing: ArcSwapOption::empty(),
+            snapshot: ArcSwapOption::empty(),
             directory: ArcSwap::from_pointee(Directory::default()),
             hosted: ArcSwap::default(),
             configured: AtomicBool::new(false),
@@ -85,6 +99,7 @@
             peers,
             platform,
             budgets: Budgets::new(settings.backend.retry_share),
+            repeats: Mutex::new(Budget::new(bound(&settings))),
             explanations: Explanations::new(),
             telemetry,
             settings,
@@ -120,6 +135,30 @@
         let _ = self.dispatch.try_send(dispatch::Input::Changed);
     }
 
+    /// Puts a configuration of routes into force, unless it is not newer. Returns whether it is.
+    pub fn publish_routes(&self, configuration: Configuration) -> bool {
+        let current = self.routing.load();
+        if current.as_ref().is_some_and(|routing| routing.version() >= configuration.version) {
+            return false;
+        }
+        let previous = self.version.load_full();
+        let version =
+            Version::of_routes(Some(&previous), &configuration, self.settings.limits.queue);
+        self.version.store(Arc::new(version));
+        self.routing.store(Some(Arc::new(Routing::new(configuration))));
+        self.configured.store(true, Ordering::Release);
+        let _ = self.dispatch.try_send(dispatch::Input::Changed);
+        true
+    }
+
+    /// How far this instance has followed the configuration and, with a store, the backend servers.
+    pub fn position(&self) -> u64 {
+        match self.snapshot.load().as_ref() {
+            Some(snapshot) => snapshot.position(),
+            None => self.version.load().state.next,
+        }
+    }
+
     /// Replaces the directory if it changed. Returns whether it did.
     pub fn publish_directory(&self, directory: Directory) -> bool {
         if **self.directory.load() == directory {
@@ -131,3 +170,8 @@
         true
     }
 }
+
+fn bound(settings: &Settings) -> Bound {
+    let repeats = &settings.repeats;
+    Bound { ratio: repeats.ratio, slack: repeats.slack, window: repeats.window_ms * MILLISECOND }
+}
--- a/crates/drumusher/src/request/flow.rs
+++ b/crates/drumusher/src/request/flow.rs
@@ -178,6 +178,8 @@
             repeatable: self.repeatable,
             preemptions: self.preemptions,
             avoid: self.avoid.clone(),
+            output: 0,
+            parts: Vec::new(),
             replies: self.sender.clone(),
         };
         self.open = true;
--- /dev/null
+++ b/crates/drumusher/src/routed/entry.rs
@@ -0,0 +1,162 @@
+//! Taking a caller's request: its head, its route, its workspace, its body.
+
+use std::fmt;
+
+use drumusher_platform::{dialect::Dialect, routing::Limits};
+use ntex::{
+    http::{self, HeaderMap, Response, error::PayloadError},
+    time::{Millis, timeout},
+    util::{Bytes, BytesMut, stream_recv},
+};
+
+use super::{
+    Handle,
+    exchange::{Exchange, Request},
+    refusal,
+};
+use crate::{
+    error::{Error, Kind},
+    process::clock,
+    request::hold::Hold,
+    version::Denial,
+};
+
+/// When to come back to an instance that has no configuration yet, in milliseconds: a new process
+/// has one within some hundred milliseconds.
+const NOT_READY_MS: u64 = 300;
+/// Headers that concern one connection only.
+const CONNECTION_ONLY: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "content-length",
+];
+
+/// Whether a header concerns one connection only, so that it is not passed on.
+pub fn concerns_connection(name: &str) -> bool {
+    CONNECTION_ONLY.contains(&name)
+}
+
+/// The service never fails: whatever goes wrong is an answer.
+#[derive(Debug)]
+pub enum Never {}
+
+impl fmt::Display for Never {
+    fn fmt(&self, _: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {}
+    }
+}
+
+impl std::error::Error for Never {}
+
+impl http::ResponseError for Never {}
+
+/// Answers a caller's request.
+///
+/// # Errors
+///
+/// None: whatever goes wrong is an answer.
+pub async fn serve<D: Dialect>(
+    worker: Handle<D>,
+    request: http::Request,
+) -> Result<Response, Never> {
+    let method = request.method().clone();
+    let path = request.path().to_string();
+    match read(&worker, request).await {
+        Ok((hold, request)) => Ok(Exchange::new(worker, hold, request).answer().await),
+        Err(error) => {
+            log::info!(
+                method = method.as_str(), path = path.as_str(), status = error.kind.status();
+                "request turned away: {}", error.message
+            );
+            worker.shared.telemetry.count("drumusher.turned.away", &[("kind", error.kind.code())]);
+            Ok(refusal::response(&error, worker.shared.stopping()))
+        }
+    }
+}
+
+async fn read<D: Dialect>(
+    worker: &Handle<D>,
+    mut request: http::Request,
+) -> Result<(Hold, Request), Error> {
+    let arrived = clock::now();
+    let shared = &worker.shared;
+    let Some(routing) = shared.routing.load_full() else {
+        let message = "this instance has no configuration yet";
+        return Err(Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_MS));
+    };
+    let limits = routing.limits();
+    if head_bytes(&request) > limits.header_bytes {
+        return Err(Error::new(Kind::HeadTooLarge, "the head is too long"));
+    }
+    let head = worker.dialect.read_head(request.headers());
+    let head = head.map_err(|reason| Error::new(Kind::BadRequest, reason))?;
+    let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_string();
+    let host = request.headers().get("host").and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| request.uri().host()).unwrap_or("");
+    let found = routing.find(host, &path, head.key.as_deref(), &head.id);
+    let found = found.map_err(|denial| match denial {
+        Denial::NoRoute => Error::new(Kind::UnknownPath, "no route for this host and path"),
+        Denial::NoKey => Error::new(Kind::Unauthorized, "the key is missing or not known"),
+    })?;
+    let hold = Hold::new(shared.clone())?;
+    let caller = request.io().cloned();
+    let body = body(&mut request, limits, shared.settings.limits.body_ms).await?;
+    let headers = passed(&worker.dialect, request.headers());
+    let method = request.method().clone();
+    Ok((hold, Request { method, path, headers, body, head, found, arrived, caller }))
+}
+
+fn head_bytes(request: &http::Request) -> usize {
+    // Around a name and its value stand a colon, a space and the end of the line.
+    let fields = request.headers().iter();
+    let fields: usize = fields.map(|(n, v)| n.as_str().len() + v.as_bytes().len() + 4).sum();
+    request.uri().path_and_query().map_or(1, |path| path.as_str().len()) + fields
+}
+
+/// Reads the whole body within the limits.
+async fn body(
+    request: &mut http::Request,
+    limits: Limits,
+    longest_ms: u64,
+) -> Result<Bytes, Error> {
+    let mut payload = request.take_payload();
+    let reading = async move {
+        let mut body = BytesMut::new();
+        while let Some(piece) = stream_recv(&mut payload).await {
+            let piece: Result<Bytes, PayloadError> = piece;
+            let piece = piece.map_err(|_| Error::new(Kind::BadRequest, "the body broke off"))?;
+            if body.len() + piece.len() > limits.body_bytes {
+                return Err(Error::new(Kind::TooLarge, "the body is too long"));
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(body.freeze())
+    };
+    let late = |()| Error::new(Kind::BadRequest, "the body did not come in time");
+    timeout(Millis(longest_ms as u32), reading).await.map_err(late)?
+}
+
+/// The caller's headers that go on to a backend server.
+fn passed<D: Dialect>(dialect: &D, headers: &HeaderMap) -> HeaderMap {
+    let named: Vec<String> = headers
+        .get_all("connection")
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    let mut passed = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        let own = concerns_connection(name.as_str()) || named.iter().any(|n| n == name.as_str());
+        if !own && dialect.passes(name) {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -29,6 +29,19 @@
     pub name: String,
     /// Its availability zone.
     pub availability_zone: String,
+    /// The area whose instances and backend servers form one pool; the availability zone unless
+    /// set.
+    pub area: String,
+    /// Where the balancer asks whether it is ready, if not at `http`.
+    pub status: Option<SocketAddr>,
+    /// Where its metrics are read, if not at `http`.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store; with it there is no log service and no list of instances.
+    pub store: Option<Store>,
+    /// Bound on the repeats that all instances send a service.
+    pub repeats: Repeats,
+    /// Longest time from the order to stop until the end, in milliseconds.
+    pub stop_longest_ms: u64,
     /// Where callers and operators reach it.
     pub http: SocketAddr,
     /// Where other instances reach it.
@@ -57,6 +70,26 @@
     pub telemetry: Telemetry,
 }
 
+/// The platform's store of configuration and backend servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Store {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Longest time to wait for a change in one call, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Bound on the repeats that all instances send a service in a window of time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Repeats {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats on top.
+    pub slack: f64,
+    /// The window, in milliseconds.
+    pub window_ms: u64,
+}
+
 /// Bounds on what callers may do.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
@@ -134,16 +167,29 @@
 }
 
 fn read(reader: &mut Reader) -> Settings {
+    let availability_zone = reader.name("instance.availability_zone");
+    let store = reader.optional_address("store.address");
+    let wait_ms = reader.count("store.wait_ms", 4_000, 100, 30_000);
     Settings {
         name: reader.name("instance.name"),
-        availability_zone: reader.name("instance.availability_zone"),
+        area: reader.optional_name("instance.area").unwrap_or(availability_zone.clone()),
+        availability_zone,
+        status: reader.optional_address("instance.status"),
+        metrics: reader.optional_address("instance.metrics"),
+        repeats: Repeats {
+            ratio: reader.number("repeats.ratio", 0.2, 0.0, 10.0),
+            slack: reader.number("repeats.slack", 20.0, 0.0, 1e6),
+            window_ms: (reader.number("repeats.window_seconds", 10.0, 0.1, 3_600.0) * 1e3) as u64,
+        },
+        stop_longest_ms: (reader.number("stop.longest_seconds", 600.0, 1.0, 86_400.0) * 1e3) as u64,
         http: reader.address("instance.http"),
         peer: reader.address("instance.peer"),
         workers: reader.count("instance.workers", 2, 1, 256) as usize,
         fleet_secret: reader.secret("fleet.secret"),
         seeds: reader.addresses("fleet.seeds"),
-        log_service: reader.address("platform.log"),
-        members: reader.address("platform.members"),
+        log_service: reader.address_unless("platform.log", store.is_some()),
+        members: reader.address_unless("platform.members", store.is_some()),
+        store: store.map(|address| Store { address, wait_ms }),
         operators: reader.operators("operators"),
         limits: Limits {
             body_bytes: reader.count("limits.body_bytes", 1_048_576, 1_024, 67_108_864) as usize,
@@ -231,6 +277,40 @@
         text
     }
 
+    fn optional_name(&mut self, key: &str) -> Option<String> {
+        self.left.contains_key(key).then(|| self.name(key))
+    }
+
+    fn optional_address(&mut self, key: &str) -> Option<SocketAddr> {
+        self.left.contains_key(key).then(|| self.address(key))
+    }
+
+    /// An address that is required unless something else takes its place.
+    fn address_unless(&mut self, key: &str, replaced: bool) -> SocketAddr {
+        if replaced && !self.left.contains_key(key) {
+            return SocketAddr::from(([0, 0, 0, 0], 0));
+        }
+        self.address(key)
+    }
+
+    /// A number with or without a fraction.
+    fn number(&mut self, key: &str, default: f64, least: f64, most: f64) -> f64 {
+        let value = match self.left.remove(key) {
+            None => return default,
+            Some(Value::Integer(value)) => value as f64,
+            Some(Value::Float(value)) => value,
+            Some(_) => {
+                self.fault(key, "takes a number");
+                return default;
+            }
+        };
+        if !(least..=most).contains(&value) {
+            self.fault(key, format!("takes a number from {least} to {most}"));
+            return default;
+        }
+        value
+    }
+
     fn address(&mut self, key: &str) -> SocketAddr {
         let text = self.required(key);
         text.parse().unwrap_or_else(|_| {
--- /dev/null
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -0,0 +1,158 @@
+//! One connection to a backend server.
+
+use std::net::SocketAddr;
+
+use drumusher_platform::tcp;
+use drumusher_schedule::time::{MILLISECOND, Micros, SECOND};
+use ntex::{
+    SharedCfg,
+    io::Io,
+    time::{Millis, timeout},
+    util::{Bytes, Either},
+};
+
+use super::{
+    Error,
+    answer::{Codec, Head, Piece},
+};
+use crate::process::clock;
+
+/// A backend server closes an idle connection at the time it names, in whole seconds; it is not
+/// used in the last part of that, so that a request does not cross the close.
+const IDLE_MARGIN: Micros = 500 * MILLISECOND;
+/// A connection whose backend server names no time is kept idle for so long.
+const IDLE_UNNAMED: Micros = 4 * SECOND;
+
+/// One connection to a backend server, with at most one request on it.
+#[derive(Debug)]
+pub struct Conn {
+    io: Io,
+    codec: Codec,
+    /// Whether it may serve another request after this answer.
+    sound: bool,
+    /// How long it may be idle.
+    idle: Micros,
+    idle_since: Micros,
+    /// Whether a request was answered on it before.
+    used: bool,
+}
+
+impl Conn {
+    /// Connects within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotConnected`].
+    pub async fn connect(address: SocketAddr, limit: Millis) -> Result<Conn, Error> {
+        let config = SharedCfg::new("upstream").build();
+        let io = tcp::connect(address, limit, config).await.map_err(|error| {
+            log::debug!("no connection to {address}: {error}");
+            Error::NotConnected
+        })?;
+        let idle_since = clock::now();
+        let codec = Codec::new();
+        Ok(Conn { io, codec, sound: true, idle: IDLE_UNNAMED, idle_since, used: false })
+    }
+
+    /// Whether it may take a request now, one that is handed over at most once if `fresh`: such a
+    /// request does not go on a connection that was idle for long.
+    pub fn usable(&self, fresh: bool) -> bool {
+        let idle = clock::now().saturating_sub(self.idle_since);
+        let most = if fresh { self.idle.min(IDLE_FRESH) } else { self.idle };
+        let silent = self.io.with_read_buf(|buffer| buffer.is_empty());
+        !self.io.is_closed() && silent && idle < most
+    }
+
+    /// Whether a request was answered on it before.
+    pub fn used(&self) -> bool {
+        self.used
+    }
+
+    /// Sends a request: head and body in one go.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Closed`]; part of it may have been sent.
+    pub fn send(&self, head: &[u8], body: &Bytes, bodiless: bool) -> Result<(), Error> {
+        self.codec.expect(bodiless);
+        self.io.encode_slice(head).map_err(|_| Error::Closed)?;
+        if !body.is_empty() {
+            self.io.encode_slice(body).map_err(|_| Error::Closed)?;
+        }
+        Ok(())
+    }
+
+    /// Waits for the next piece of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`] but [`Error::NotConnected`]; the connection is of no use then.
+    pub async fn piece(&mut self, limit: Millis) -> Result<Piece, Error> {
+        let received = timeout(limit, self.io.recv(&self.codec)).await;
+        let piece = match received {
+            Err(()) => Err(Error::Silent),
+            Ok(Ok(Some(piece))) => Ok(piece),
+            Ok(Ok(None)) if self.codec.ends_with_connection() => {
+                self.sound = false;
+                Ok(Piece::End)
+            }
+            Ok(Ok(None)) => Err(Error::Closed),
+            Ok(Err(Either::Left(error))) => Err(error),
+            Ok(Err(Either::Right(_))) => Err(Error::Closed),
+        };
+        match &piece {
+            Ok(Piece::Head(head)) => self.note(head),
+            Ok(_) => {}
+            Err(_) => self.sound = false,
+        }
+        piece
+    }
+
+    /// Learns from a head whether and how long the connection lasts.
+    fn note(&mut self, head: &Head) {
+        // An answer before the request was read: the rest of it may not meet another answer.
+        let unsent = self.io.with_write_buf(|buffer| !buffer.is_empty()).unwrap_or(true);
+        if !head.keep_alive || unsent {
+            self.sound = false;
+        }
+        if let Some(seconds) = keep_alive_seconds(head) {
+            self.idle = (seconds * SECOND).saturating_sub(IDLE_MARGIN);
+        }
+    }
+
+    /// Gives up its use for other requests, because what came on it cannot be trusted.
+    pub fn poison(&mut self) {
+        self.sound = false;
+    }
+
+    /// Expects one more answer, after one that belonged to an earlier request.
+    pub fn expect_another(&mut self) {
+        self.sound = false;
+        self.codec.expect(false);
+    }
+
+    /// After a whole answer: whether it can be kept for another request.
+    pub fn finish(&mut self) -> bool {
+        self.used = true;
+        self.idle_since = clock::now();
+        let silent = self.io.with_read_buf(|buffer| buffer.is_empty());
+        self.sound && self.codec.is_idle() && silent && !self.io.is_closed() && self.idle > 0
+    }
+}
+
+/// A request that may not be repeated goes only on a connection idle for less than this: a backend
+/// server that forgot the connection would reset it, and nobody could tell whether it ran.
+const IDLE_FRESH: Micros = SECOND;
+
+impl Drop for Conn {
+    fn drop(&mut self) {
+        // At once, so that the backend server stops working for a caller that is gone.
+        self.io.terminate();
+    }
+}
+
+fn keep_alive_seconds(head: &Head) -> Option<u64> {
+    let value = head.headers.get("keep-alive")?.to_str().ok()?;
+    let mut words = value.split(',').map(str::trim);
+    words.find_map(|word| word.strip_prefix("timeout=")?.trim().parse().ok())
+}
--- /dev/null
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -0,0 +1,48 @@
+//! Connections to backend servers that are kept between requests.
+//!
+//! The client of the HTTP library hides what at-most-once and whole answers need to know: whether a
+//! connection was new, whether bytes came that belong to no request, and which of two answers on
+//! one connection is whose. So the exchange stands here: [`answer`] cuts bytes into answers (heads
+//! are parsed by `httparse`), [`conn`] is one connection, [`pool`] keeps the idle ones.
+
+pub mod answer;
+pub mod conn;
+pub mod pool;
+
+pub use conn::Conn;
+pub use pool::Pool;
+
+use std::fmt;
+
+/// Why an exchange with a backend server broke.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// No connection came up: nothing was handed over.
+    NotConnected,
+    /// The connection was closed or reset.
+    Closed,
+    /// What came is not an answer.
+    Malformed,
+    /// Nothing came in time.
+    Silent,
+}
+
+impl Error {
+    /// Its word in logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Error::NotConnected => "not connected",
+            Error::Closed => "closed",
+            Error::Malformed => "malformed",
+            Error::Silent => "silent",
+        }
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.word())
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/drumusher/src/upstream/pool.rs
@@ -0,0 +1,87 @@
+//! The idle connections of one HTTP worker.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use ntex::time::Millis;
+
+use super::{Conn, Error};
+
+/// Most idle connections kept to one backend server.
+const MOST_IDLE: usize = 32;
+
+/// The idle connections of one HTTP worker, by backend server. A backend server has a new identity
+/// at each start, so that a connection is never used for another one at the same address.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    idle: Rc<RefCell<HashMap<Arc<str>, Vec<Conn>>>>,
+    made: Rc<Cell<u64>>,
+}
+
+impl Pool {
+    /// No connections yet.
+    pub fn new() -> Self {
+        Pool::default()
+    }
+
+    /// A connection to a backend server: the one used last, or a new one.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::NotConnected`].
+    pub async fn take(
+        &self,
+        server: &Arc<str>,
+        address: SocketAddr,
+        fresh: bool,
+        limit: Millis,
+    ) -> Result<Conn, Error> {
+        if let Some(conn) = self.kept(server, fresh) {
+            return Ok(conn);
+        }
+        self.made.set(self.made.get() + 1);
+        Conn::connect(address, limit).await
+    }
+
+    fn kept(&self, server: &Arc<str>, fresh: bool) -> Option<Conn> {
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.get_mut(server)?;
+        conns.retain(|conn| conn.usable(false));
+        let last = conns.pop()?;
+        if last.usable(fresh) {
+            return Some(last);
+        }
+        conns.push(last);
+        None
+    }
+
+    /// Gives a connection back after a whole answer.
+    pub fn give(&self, server: &Arc<str>, mut conn: Conn) {
+        if !conn.finish() {
+            return;
+        }
+        let mut idle = self.idle.borrow_mut();
+        let conns = idle.entry(server.clone()).or_default();
+        if conns.len() < MOST_IDLE {
+            conns.push(conn);
+        }
+    }
+
+    /// Forgets the backend servers that are not there any more.
+    pub fn retain(&self, there: impl Fn(&str) -> bool) {
+        self.idle.borrow_mut().retain(|server, conns| {
+            conns.retain(|conn| conn.usable(false));
+            there(server) && !conns.is_empty()
+        });
+    }
+
+    /// Connections made so far.
+    pub fn made(&self) -> u64 {
+        self.made.get()
+    }
+}
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
 use drumusher_log::config::State;
-use drumusher_platform::members::{self, Kind, List};
+use drumusher_platform::{
+    members::{self, Kind, List},
+    routing::Server,
+};
 
 /// A pool's name: one model or one plain service. The availability zone is the dispatcher's.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -97,6 +100,36 @@
         directory
     }
 
+    /// The instances, and the backend servers with their services, all in one area.
+    pub fn of_servers<'a>(
+        area: &Arc<str>,
+        instances: impl Iterator<Item = (&'a str, &'a str)>,
+        servers: impl Iterator<Item = &'a Server>,
+    ) -> Self {
+        let mut directory = Directory::default();
+        for (name, address) in instances {
+            let name: Arc<str> = name.into();
+            let instance = Instance {
+                name: name.clone(),
+                availability_zone: area.clone(),
+                address: address.into(),
+                leaving: false,
+            };
+            directory.instances.insert(name, instance);
+        }
+        for server in servers {
+            let backend = Backend {
+                name: server.id.as_str().into(),
+                availability_zone: area.clone(),
+                address: server.address.to_string(),
+                slots: server.slots,
+                leaving: server.leaving,
+            };
+            directory.add_backend(Pool::Service(server.service.as_str().into()), backend);
+        }
+        directory
+    }
+
     fn add_member(&mut self, member: &members::Member, state: &State) {
         let name: Arc<str> = member.name.as_str().into();
         let zone: Arc<str> = member.availability_zone.as_str().into();
--- a/crates/drumusher/src/version/mod.rs
+++ b/crates/drumusher/src/version/mod.rs
@@ -2,6 +2,8 @@
 
 mod directory;
 mod policy;
+mod routing;
 
 pub use directory::{Backend, Directory, Instance, Pool};
 pub use policy::{Version, digest};
+pub use routing::{Denial, Match, Routing};
--- a/crates/drumusher/src/version/policy.rs
+++ b/crates/drumusher/src/version/policy.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use drumusher_log::config::{self, State};
+use drumusher_platform::routing::{Configuration, Route};
 use drumusher_schedule::{
     policy::{self, ClassKey, Policy, WorkspaceKey},
     time::MILLISECOND,
@@ -45,6 +46,26 @@
         }
     }
 
+    /// The version for a configuration of routes: one class for each route and rank of workspaces.
+    pub fn of_routes(
+        previous: Option<&Version>,
+        configuration: &Configuration,
+        queue: usize,
+    ) -> Self {
+        let (classes, class_keys) = route_classes(previous, configuration);
+        let (workspaces, workspace_keys) = named_workspaces(previous, configuration);
+        let mut policy = Policy::new(classes, workspaces);
+        policy.queue = queue;
+        policy.switches.windows = false;
+        Version {
+            state: Arc::new(State::new()),
+            policy: Arc::new(policy),
+            class_keys,
+            workspace_keys,
+            api_keys: HashMap::new(),
+        }
+    }
+
     /// The workspace that `key` opens. The digest finds the candidate; the comparison that decides
     /// takes the same time whatever the key.
     pub fn workspace_of(&self, key: &str) -> Option<&str> {
@@ -135,3 +156,67 @@
         queue: workspace.queue,
     }
 }
+
+/// The class of a route's requests from workspaces of a rank.
+pub(super) fn class_name(route: &str, rank: u8) -> String {
+    format!("{route}/{rank}")
+}
+
+/// Ranks of routes within one rank of workspaces.
+const ROUTE_RANKS: u8 = 16;
+/// A request waits at most for this part of the time that its route may hold it, so that it can
+/// still run in what is left.
+const WAIT_PART: f64 = 0.6;
+
+fn route_classes(
+    previous: Option<&Version>,
+    configuration: &Configuration,
+) -> (Vec<policy::Class>, HashMap<String, ClassKey>) {
+    let mut list = previous.map_or_else(Vec::new, |p| p.policy.classes.clone());
+    let mut keys = previous.map_or_else(HashMap::new, |p| p.class_keys.clone());
+    let workspaces = configuration.workspaces.iter().flatten();
+    let mut ranks: Vec<u8> = workspaces.map(|workspace| workspace.priority).chain([0]).collect();
+    ranks.sort_unstable();
+    ranks.dedup();
+    for route in &configuration.routes {
+        for rank in &ranks {
+            let class = route_class(route, *rank);
+            match keys.get(&class.name) {
+                Some(ClassKey(at)) => list[usize::from(*at)] = class,
+                None => {
+                    keys.insert(class.name.clone(), ClassKey(list.len() as u16));
+                    list.push(class);
+                }
+            }
+        }
+    }
+    if list.is_empty() {
+        list.push(policy::Class::new("none", u8::MAX - 1));
+    }
+    (list, keys)
+}
+
+fn route_class(route: &Route, rank: u8) -> policy::Class {
+    let tier = rank.min(ROUTE_RANKS - 1) * ROUTE_RANKS + route.priority.min(ROUTE_RANKS - 1);
+    policy::Class {
+        first_token: route.first_ms * MILLISECOND,
+        token_gap: route.gap_ms * MILLISECOND,
+        wait: (route.timeout_ms as f64 * WAIT_PART) as u64 * MILLISECOND,
+        ..policy::Class::new(class_name(&route.name, rank), tier)
+    }
+}
+
+fn named_workspaces(
+    previous: Option<&Version>,
+    configuration: &Configuration,
+) -> (Vec<policy::Workspace>, HashMap<String, WorkspaceKey>) {
+    let mut list = previous.map_or_else(Vec::new, |p| p.policy.workspaces.clone());
+    let mut keys = previous.map_or_else(HashMap::new, |p| p.workspace_keys.clone());
+    for workspace in configuration.workspaces.iter().flatten() {
+        if !keys.contains_key(&workspace.name) {
+            keys.insert(workspace.name.clone(), WorkspaceKey(list.len() as u16));
+            list.push(policy::Workspace::new(workspace.name.as_str()));
+        }
+    }
+    (list, keys)
+}
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -50,6 +50,8 @@
         repeatable: true,
         preemptions: 0,
         avoid: None,
+        output: 0,
+        parts: Vec::new(),
         replies,
     };
     let mut sends = Vec::new();
