feat: engines placed by waits, kept parts of prompts and the pauses that classes bear

Cause: every engine ran every class, so that events beside long prompts came later than the pause that pressing classes bear, and shared parts were read anew on each engine.

Change: a model of each engine at its dispatcher: prompts to be read, parts kept, streams that bear no pause; requests go where waiting, reading again and harm to others cost least.

--- /dev/null
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -0,0 +1,197 @@
+//! What a dispatcher believes of an engine that reads prompts piece by piece between the tokens of
+//! others and keeps what it read.
+//!
+//! While an engine reads a long prompt, every stream beside it gets its tokens late. So requests
+//! are told apart by the pause between events that they bear: *patient* ones, which bear at least
+//! twice the tightest target of all classes, and *pressing* ones. Patient requests gather on some
+//! engines and pressing ones on the others; how many engines are on either side follows from the
+//! waits. A part of a prompt that one engine keeps draws the requests that share it there, because
+//! reading it again elsewhere is work for nothing.
+
+use std::collections::HashMap;
+
+use crate::{
+    ask::{Id, Part},
+    time::{MILLISECOND, Micros, SECOND},
+};
+
+/// Time to read a token before one was seen, in microseconds.
+const READ_UNKNOWN: f64 = 20.0;
+/// Weight of a new sample in the mean time to read a token.
+const SMOOTHING: f64 = 0.15;
+/// A prompt with fewer tokens to read says little about the time to read one.
+const ENOUGH_TOKENS: u32 = 1_500;
+/// Bounds of the time to read a token, in microseconds.
+const READ_BOUNDS: (f64, f64) = (1.0, 1_000.0);
+/// What reading a shared token again counts, in microseconds of waiting: much more than the time
+/// it takes, because users count it as waste whether or not somebody waits.
+const AGAIN: f64 = 250.0;
+/// What a pressing stream beside it counts for a patient request, in microseconds of waiting.
+const BESIDE_PRESSING: f64 = 150.0 * MILLISECOND as f64;
+/// For how long patient requests are remembered at an engine, as the time constant of a decay.
+const PATIENT_MEMORY: f64 = 3.0 * SECOND as f64;
+/// What a running stream counts, in microseconds of waiting: tokens come slower beside others.
+const BESIDE: f64 = MILLISECOND as f64;
+/// Parts remembered of an engine.
+const PARTS: usize = 8_192;
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Work<'a> {
+    /// The parts of the prompt.
+    pub parts: &'a [Part],
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Whether it bears long pauses between events.
+    pub patient: bool,
+}
+
+/// What of a prompt an engine has to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// Tokens it does not keep.
+    pub tokens: u32,
+    /// Those among them that belong to shared parts another engine keeps.
+    pub again: u32,
+}
+
+/// A request whose first event did not come yet.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    granted: Micros,
+    tokens: u32,
+    /// Whether others were before it, so that its wait says nothing about the time to read.
+    queued: bool,
+    /// When its prompt is believed to be read.
+    done: Micros,
+}
+
+/// What is believed of one engine.
+#[derive(Debug)]
+pub struct Engine {
+    kept: HashMap<u64, Micros>,
+    pending: HashMap<Id, Pending>,
+    read: f64,
+    pressing: u32,
+    running: u32,
+    /// Time spent on patient prompts lately, decayed to `patient_at`.
+    patient: f64,
+    patient_at: Micros,
+}
+
+impl Default for Engine {
+    fn default() -> Self {
+        Engine::new()
+    }
+}
+
+impl Engine {
+    /// An engine of which nothing is known.
+    pub fn new() -> Self {
+        Engine {
+            kept: HashMap::new(),
+            pending: HashMap::new(),
+            read: READ_UNKNOWN,
+            pressing: 0,
+            running: 0,
+            patient: 0.0,
+            patient_at: 0,
+        }
+    }
+
+    /// Microseconds to read a token.
+    pub fn read_time(&self) -> f64 {
+        self.read
+    }
+
+    /// Whether it keeps a part.
+    pub fn keeps(&self, part: u64) -> bool {
+        self.kept.contains_key(&part)
+    }
+
+    /// Tokens of a prompt that it has to read: from the first part that it does not keep.
+    pub fn to_read(&self, work: &Work<'_>) -> u32 {
+        let kept = work.parts.iter().take_while(|part| self.keeps(part.id));
+        work.prompt.saturating_sub(kept.map(|part| part.tokens).sum())
+    }
+
+    /// Time until the prompts it was given are read.
+    pub fn wait(&self, now: Micros) -> Micros {
+        let done = self.pending.values().map(|pending| pending.done).max().unwrap_or(0);
+        done.saturating_sub(now)
+    }
+
+    /// What placing a request here costs, in microseconds of waiting.
+    pub fn cost(&self, now: Micros, work: &Work<'_>, reading: Reading) -> f64 {
+        let waiting = self.wait(now) as f64 + f64::from(reading.tokens) * self.read;
+        let again = f64::from(reading.again) * AGAIN;
+        let beside = f64::from(self.running) * BESIDE;
+        let apart = if work.patient {
+            f64::from(self.pressing) * BESIDE_PRESSING
+        } else {
+            self.patient_level(now)
+        };
+        waiting + again + beside + apart
+    }
+
+    fn patient_level(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.patient_at) as f64;
+        self.patient * (-age / PATIENT_MEMORY).exp()
+    }
+
+    /// A request was placed here.
+    pub fn start(&mut self, now: Micros, id: Id, work: &Work<'_>) {
+        let tokens = self.to_read(work);
+        let time = (f64::from(tokens) * self.read) as Micros;
+        let wait = self.wait(now);
+        let pending = Pending { granted: now, tokens, queued: wait > 0, done: now + wait + time };
+        self.pending.insert(id, pending);
+        self.running += 1;
+        if work.patient {
+            self.patient = self.patient_level(now) + time as f64;
+            self.patient_at = now;
+        } else {
+            self.pressing += 1;
+        }
+        for part in work.parts {
+            self.kept.insert(part.id, now);
+        }
+        self.forget_oldest();
+    }
+
+    fn forget_oldest(&mut self) {
+        if self.kept.len() <= PARTS {
+            return;
+        }
+        let sum: u128 = self.kept.values().map(|used| u128::from(*used)).sum();
+        let middle = (sum / self.kept.len() as u128) as Micros;
+        self.kept.retain(|_, used| *used >= middle);
+    }
+
+    /// The first event of a request came `first` after it was handed over.
+    pub fn first_event(&mut self, id: Id, first: Micros) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        if pending.queued || pending.tokens < ENOUGH_TOKENS {
+            return;
+        }
+        let seen = first as f64 / f64::from(pending.tokens);
+        let seen = seen.clamp(READ_BOUNDS.0, READ_BOUNDS.1);
+        self.read += (seen - self.read) * SMOOTHING;
+    }
+
+    /// A request ended.
+    pub fn end(&mut self, id: Id, patient: bool) {
+        self.pending.remove(&id);
+        self.running = self.running.saturating_sub(1);
+        if !patient {
+            self.pressing = self.pressing.saturating_sub(1);
+        }
+    }
+
+    /// Since when the request that waits longest for its first event was given to it.
+    pub fn longest_pending(&self) -> Option<Micros> {
+        self.pending.values().map(|pending| pending.granted).min()
+    }
+}
--- a/crates/drumusher-schedule/src/lib.rs
+++ b/crates/drumusher-schedule/src/lib.rs
@@ -10,6 +10,7 @@
 //! Limits: a pool has at most 65,535 backend servers, classes and workspaces.
 
 pub mod ask;
+pub mod engine;
 pub mod event;
 pub mod length;
 pub mod order;
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -3,6 +3,7 @@
 use super::Pool;
 use crate::{
     ask::{Ask, Key, Running, State, Waiting},
+    engine::{Reading, Work},
     order::{Choice, Order},
     policy::{ClassKey, WorkspaceKey},
     server::{self, Server},
@@ -208,6 +209,9 @@
 
     /// The cheapest backend server in scope, another than the one to avoid if there is one.
     fn choose(&self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
+        if !ask.parts.is_empty() {
+            return self.place(now, ask, scope);
+        }
         let prefix = if self.policy.switches.affinity { ask.prefix } else { 0 };
         let usual = self.usual_gap();
         let mut best: Option<(bool, f64, server::Key)> = None;
@@ -225,6 +229,40 @@
         best.map(|(_, _, key)| key)
     }
 
+    /// The engine in scope on which the request costs least, another than the one to avoid if there
+    /// is one.
+    fn place(&self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
+        let work = self.work(ask);
+        let again = self.kept_somewhere(&work);
+        let mut best: Option<(bool, f64, server::Key)> = None;
+        for (key, server) in self.servers() {
+            if !fits(server, now, scope) {
+                continue;
+            }
+            let tokens = server.engine().to_read(&work);
+            let kept = ask.prompt.saturating_sub(tokens);
+            let reading = Reading { tokens, again: again.saturating_sub(kept) };
+            let avoided = ask.avoid == Some(key);
+            let cost = server.engine().cost(now, &work, reading);
+            if best.is_none_or(|(a, c, _)| (avoided, cost) < (a, c)) {
+                best = Some((avoided, cost, key));
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    /// An ask as an engine sees it.
+    fn work<'a>(&self, ask: &'a Ask) -> Work<'a> {
+        Work { parts: &ask.parts, prompt: ask.prompt, patient: self.policy.patient(ask.class) }
+    }
+
+    /// Tokens at the beginning of a prompt that some engine keeps.
+    fn kept_somewhere(&self, work: &Work<'_>) -> u32 {
+        let engines = self.servers().filter(|(_, server)| !server.leaving());
+        let kept = engines.map(|(_, server)| work.prompt - server.engine().to_read(work));
+        kept.max().unwrap_or(0)
+    }
+
     /// Mean time between tokens over the backend servers of which it was seen.
     fn usual_gap(&self) -> f64 {
         let (mut sum, mut count) = (0.0, 0.0);
@@ -252,8 +290,11 @@
         self.share.charge(&policy, tier, ask.workspace, prompt + charged);
         self.share.draw(&policy, ask.workspace, prompt, now);
         self.share.usage(ask.workspace).running += 1;
+        let patient = self.policy.patient(ask.class);
         if let Some(server) = self.server(server) {
             server.start(now, ask.prefix);
+            let work = Work { parts: &ask.parts, prompt: ask.prompt, patient };
+            server.engine_mut().start(now, ask.id, &work);
         }
         let stoppable = ask.repeatable && !reserved && ask.preemptions < policy.preemptions;
         let id = ask.id;
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -56,6 +56,9 @@
         }
         let target = policy.tightest_gap();
         if let Some(server) = self.server(server) {
+            if let Some(first) = progress.first_token {
+                server.engine_mut().first_event(progress.id, first);
+            }
             server.learn(now, progress.first_token, progress.gap, target);
         }
     }
@@ -79,8 +82,10 @@
         if outcome == Outcome::Done {
             self.lengths.record(ask.class, ask.workspace, produced);
         }
+        let patient = policy.patient(ask.class);
         if let Some(server) = self.server(running.server) {
             server.end(now, outcome);
+            server.engine_mut().end(id, patient);
         }
         if let Some(victims) = self.victims.get_mut(&running.tier) {
             victims.remove(&(running.granted, key));
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -4,6 +4,7 @@
 
 use crate::{
     ask::Outcome,
+    engine::Engine,
     event::Load,
     time::{MILLISECOND, Micros, SECOND},
 };
@@ -96,6 +97,8 @@
     /// What it was seen to hold at most, and since when.
     ceiling: Option<(f64, Micros)>,
     prefixes: HashMap<u64, Micros>,
+    /// What is believed of it as an engine.
+    engine: Engine,
 }
 
 impl Server {
@@ -118,6 +121,7 @@
             crowded: None,
             ceiling: None,
             prefixes: HashMap::new(),
+            engine: Engine::new(),
         }
     }
 
@@ -215,6 +219,16 @@
         prefix != 0 && self.prefixes.contains_key(&prefix)
     }
 
+    /// What is believed of it as an engine.
+    pub fn engine(&self) -> &Engine {
+        &self.engine
+    }
+
+    /// The same, to be told of what happens.
+    pub fn engine_mut(&mut self) -> &mut Engine {
+        &mut self.engine
+    }
+
     /// Counts a grant.
     pub fn start(&mut self, now: Micros, prefix: u64) {
         self.running += 1;
