feat: engines divided between patient and pressing classes

Change: each engine is on one side; the border follows the demand of both; classes count only while they are asked for.

--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -107,6 +107,8 @@
     pub reserved: bool,
     /// Whether an order to stop it is on its way.
     pub stopping: bool,
+    /// Whether it was placed as one that bears long pauses.
+    pub patient: bool,
 }
 
 /// Either state of a request known to the dispatcher.
--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -26,8 +26,14 @@
 /// What reading a shared token again counts, in microseconds of waiting: much more than the time
 /// it takes, because users count it as waste whether or not somebody waits.
 const AGAIN: f64 = 250.0;
-/// What a pressing stream beside it counts for a patient request, in microseconds of waiting.
-const BESIDE_PRESSING: f64 = 150.0 * MILLISECOND as f64;
+/// What each pressing stream beside it counts for a patient request, in times that its prompt takes
+/// to read: the longer the prompt, the longer their tokens come late.
+const BESIDE_PRESSING: f64 = 2.0;
+/// What a request counts on the other side of the border, in microseconds of waiting, on top of the
+/// harm: about the tightest target of today's classes.
+const WRONG_SIDE: f64 = 300.0 * MILLISECOND as f64;
+/// What the time spent on patient prompts lately counts for a pressing request.
+const BESIDE_PATIENT: f64 = 2.0;
 /// For how long patient requests are remembered at an engine, as the time constant of a decay.
 const PATIENT_MEMORY: f64 = 3.0 * SECOND as f64;
 /// What a running stream counts, in microseconds of waiting: tokens come slower beside others.
@@ -122,16 +128,18 @@
     }
 
     /// What placing a request here costs, in microseconds of waiting.
-    pub fn cost(&self, now: Micros, work: &Work<'_>, reading: Reading) -> f64 {
+    /// `own_side` tells whether it is on the request's side of the border.
+    pub fn cost(&self, now: Micros, work: &Work<'_>, reading: Reading, own_side: bool) -> f64 {
         let waiting = self.wait(now) as f64 + f64::from(reading.tokens) * self.read;
         let again = f64::from(reading.again) * AGAIN;
         let beside = f64::from(self.running) * BESIDE;
         let apart = if work.patient {
-            f64::from(self.pressing) * BESIDE_PRESSING
+            f64::from(self.pressing) * f64::from(work.prompt) * self.read * BESIDE_PRESSING
         } else {
-            self.patient_level(now)
+            self.patient_level(now) * if own_side { 0.0 } else { BESIDE_PATIENT }
         };
-        waiting + again + beside + apart
+        let side = if own_side { 0.0 } else { WRONG_SIDE };
+        waiting + again + beside + apart + side
     }
 
     fn patient_level(&self, now: Micros) -> f64 {
--- a/crates/drumusher-schedule/src/lib.rs
+++ b/crates/drumusher-schedule/src/lib.rs
@@ -21,4 +21,5 @@
 pub mod retry;
 pub mod server;
 pub mod share;
+pub mod side;
 pub mod time;
--- a/crates/drumusher-schedule/src/policy.rs
+++ b/crates/drumusher-schedule/src/policy.rs
@@ -186,11 +186,6 @@
         self.workspace(key).map_or(1.0, |w| w.weight.max(0.001))
     }
 
-    /// Whether a class bears at least twice the tightest pause between events.
-    pub fn patient(&self, key: ClassKey) -> bool {
-        self.class(key).token_gap >= 2 * self.tightest_gap()
-    }
-
     /// The tightest target between tokens over all classes.
     pub fn tightest_gap(&self) -> Micros {
         let gaps = self.classes.iter().map(|c| c.token_gap).filter(|gap| *gap > 0);
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -17,10 +17,11 @@
     event::Event,
     length::Estimate,
     order::Order,
-    policy::Policy,
+    policy::{ClassKey, Policy},
     queue::{Place, Queue},
     server::{self, Server},
     share::Share,
+    side::Border,
     time::{MILLISECOND, Micros, SECOND},
 };
 
@@ -30,6 +31,8 @@
 const HELD_UNKNOWN: f64 = SECOND as f64;
 /// Weight of a new sample in the mean time that a place is held.
 const HELD_SMOOTHING: f64 = 0.05;
+/// For how long a class that was asked for counts among those in use.
+const ASKED_LATELY: Micros = 30 * SECOND;
 /// Entries report on running attempts more often than this; an attempt not heard of is gone.
 const SILENCE: Micros = 5 * SECOND;
 
@@ -56,6 +59,10 @@
     credit: Vec<f64>,
     /// All grants.
     grants: u64,
+    /// When each class was last asked for.
+    asked: HashMap<ClassKey, Micros>,
+    /// The engines on either side.
+    border: Border,
     /// Mean time that an attempt holds its place, in microseconds.
     held: f64,
     looked: Micros,
@@ -80,6 +87,8 @@
             expiry: BTreeSet::new(),
             credit: vec![0.0; classes],
             grants: 0,
+            asked: HashMap::new(),
+            border: Border::new(),
             held: HELD_UNKNOWN,
             looked: 0,
         }
@@ -251,6 +260,16 @@
         self.held += (time - self.held) * HELD_SMOOTHING;
     }
 
+    /// Whether a class bears at least twice the tightest pause between events of the classes asked
+    /// for lately: classes of other pools and of routes that nobody uses do not count.
+    fn patient(&self, now: Micros, key: ClassKey) -> bool {
+        let lately = self.asked.iter().filter(|(_, at)| now < **at + ASKED_LATELY);
+        let gaps = lately.map(|(class, _)| self.policy.class(*class).token_gap);
+        let tightest = gaps.filter(|gap| *gap > 0).min();
+        let own = self.policy.class(key).token_gap;
+        tightest.is_some_and(|tightest| own >= 2 * tightest)
+    }
+
     /// Time until a place is free for the request behind `ahead` others.
     fn predicted_wait(&self, ahead: usize) -> Micros {
         (ahead as f64 / self.drain_rate() * SECOND as f64) as Micros
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -157,7 +157,8 @@
         let Some(waiting) = self.waiting_at(key) else {
             return false;
         };
-        let Some(server) = self.choose(now, &waiting.ask, scope) else {
+        let ask = waiting.ask.clone();
+        let Some(server) = self.choose(now, &ask, scope) else {
             return false;
         };
         let Some(waiting) = self.remove_waiting(key) else {
@@ -208,7 +209,7 @@
     }
 
     /// The cheapest backend server in scope, another than the one to avoid if there is one.
-    fn choose(&self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
+    fn choose(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
         if !ask.parts.is_empty() {
             return self.place(now, ask, scope);
         }
@@ -231,19 +232,22 @@
 
     /// The engine in scope on which the request costs least, another than the one to avoid if there
     /// is one.
-    fn place(&self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
-        let work = self.work(ask);
+    fn place(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
+        let work =
+            Work { parts: &ask.parts, prompt: ask.prompt, patient: self.patient(now, ask.class) };
         let again = self.kept_somewhere(&work);
+        let border = self.border_rank(now);
         let mut best: Option<(bool, f64, server::Key)> = None;
         for (key, server) in self.servers() {
             if !fits(server, now, scope) {
                 continue;
             }
+            let own_side = border.is_none_or(|border| (server.rank() <= border) == work.patient);
             let tokens = server.engine().to_read(&work);
             let kept = ask.prompt.saturating_sub(tokens);
             let reading = Reading { tokens, again: again.saturating_sub(kept) };
             let avoided = ask.avoid == Some(key);
-            let cost = server.engine().cost(now, &work, reading);
+            let cost = server.engine().cost(now, &work, reading, own_side);
             if best.is_none_or(|(a, c, _)| (avoided, cost) < (a, c)) {
                 best = Some((avoided, cost, key));
             }
@@ -251,9 +255,13 @@
         best.map(|(_, _, key)| key)
     }
 
-    /// An ask as an engine sees it.
-    fn work<'a>(&self, ask: &'a Ask) -> Work<'a> {
-        Work { parts: &ask.parts, prompt: ask.prompt, patient: self.policy.patient(ask.class) }
+    /// The rank of the last engine on the patient side; `None` if there are no sides.
+    fn border_rank(&mut self, now: Micros) -> Option<u64> {
+        let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
+        let mut ranks: Vec<u64> = engines.map(|(_, server)| server.rank()).collect();
+        ranks.sort_unstable();
+        let patient = self.border.patient(now, ranks.len());
+        patient.checked_sub(1).map(|last| ranks[last])
     }
 
     /// Tokens at the beginning of a prompt that some engine keeps.
@@ -290,11 +298,13 @@
         self.share.charge(&policy, tier, ask.workspace, prompt + charged);
         self.share.draw(&policy, ask.workspace, prompt, now);
         self.share.usage(ask.workspace).running += 1;
-        let patient = self.policy.patient(ask.class);
+        let patient = self.patient(now, ask.class);
         if let Some(server) = self.server(server) {
             server.start(now, ask.prefix);
             let work = Work { parts: &ask.parts, prompt: ask.prompt, patient };
+            let time = f64::from(server.engine().to_read(&work)) * server.engine().read_time();
             server.engine_mut().start(now, ask.id, &work);
+            self.border.note(now, patient, time);
         }
         let stoppable = ask.repeatable && !reserved && ask.preemptions < policy.preemptions;
         let id = ask.id;
@@ -308,6 +318,7 @@
             charged,
             reserved,
             stopping: false,
+            patient,
             ask,
         };
         let key = Key(self.asks.insert(State::Running(running)) as u32);
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -82,7 +82,7 @@
         if outcome == Outcome::Done {
             self.lengths.record(ask.class, ask.workspace, produced);
         }
-        let patient = policy.patient(ask.class);
+        let patient = running.patient;
         if let Some(server) = self.server(running.server) {
             server.end(now, outcome);
             server.engine_mut().end(id, patient);
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -22,11 +22,13 @@
     pub first_slots: u32,
     /// Whether the window is learned; otherwise it is `slots`.
     pub learned: bool,
+    /// Its place in an order that all dispatchers of the pool share.
+    pub rank: u64,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { slots: 64, first_slots: 16, learned: true }
+        Options { slots: 64, first_slots: 16, learned: true, rank: 0 }
     }
 }
 
@@ -138,6 +140,11 @@
         self.leaving = true;
     }
 
+    /// Its place in the order of the pool.
+    pub fn rank(&self) -> u64 {
+        self.options.rank
+    }
+
     /// Whether it is leaving.
     pub fn leaving(&self) -> bool {
         self.leaving
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -12,7 +12,7 @@
     event::{Event, Load, Progress},
     order::Order,
     policy::{ClassKey, WorkspaceKey},
-    pool, server,
+    pool, rank, server,
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -345,7 +345,7 @@
             events.push(if leaving {
                 Event::Leave(key)
             } else {
-                Event::Server(key, options(slots, learned))
+                Event::Server(key, options(slots, learned, rank::weight(&pool.to_string(), name)))
             });
         }
         let gone: Vec<Arc<str>> =
@@ -407,10 +407,10 @@
     }
 }
 
-fn options(slots: u32, learned: bool) -> server::Options {
+fn options(slots: u32, learned: bool, rank: u64) -> server::Options {
     let first_slots =
         if learned { slots.min(server::Options::default().first_slots) } else { slots };
-    server::Options { slots, first_slots, learned }
+    server::Options { slots, first_slots, learned, rank }
 }
 
 fn read_part(part: &peer::Part) -> Part {
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -126,6 +126,30 @@
     Stream(Box<Relay<D>>),
 }
 
+/// What a caller saw of a stream, for its log line.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    /// From the arrival to the first event.
+    pub first: Option<Micros>,
+    /// The longest pause between two events.
+    pub longest_gap: Micros,
+    latest: Micros,
+}
+
+impl Pace {
+    /// Events were passed on.
+    pub fn event(&mut self, now: Micros, arrived: Micros) {
+        match self.first {
+            None => self.first = Some(now.saturating_sub(arrived)),
+            Some(_) => {
+                let gap = now.saturating_sub(self.latest);
+                self.longest_gap = self.longest_gap.max(gap);
+            }
+        }
+        self.latest = now;
+    }
+}
+
 /// One request's way to its answer.
 pub struct Exchange<D: Dialect> {
     /// What the worker's requests share.
@@ -138,6 +162,8 @@
     pub due: Micros,
     /// Backend servers it was sent to.
     pub sent: u32,
+    /// What its caller saw of its events.
+    pub pace: Pace,
     avoid: Option<Arc<str>>,
     unconnected: u32,
     may_have_run: bool,
@@ -169,6 +195,7 @@
             ticket,
             due,
             sent: 0,
+            pace: Pace::default(),
             avoid: None,
             unconnected: 0,
             may_have_run: false,
@@ -542,6 +569,8 @@
             server = server,
             attempts = self.sent,
             status = status,
+            first_ms = self.pace.first.unwrap_or(0) / MILLISECOND,
+            gap_ms = self.pace.longest_gap / MILLISECOND,
             lasted_ms = self.age_ms();
             "request ended: {outcome}"
         );
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -185,6 +185,7 @@
     async fn next(&mut self) -> Option<Result<Bytes, Unfinished>> {
         loop {
             if !self.relay.ready.is_empty() {
+                self.exchange.pace.event(clock::now(), self.exchange.request.arrived);
                 return Some(Ok(self.relay.ready.take()));
             }
             if self.relay.whole {
