feat: a planned stop closes callers' connections that rest, and refuses what comes too late

Change: 2.2 s after the order connections without a request under way are closed; after 2.8 s a request is refused as not run, with the time to come back.

--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -7,11 +7,12 @@
 };
 
 use drumusher_platform::{catalog::Store, dialect::Dialect};
+use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
     SharedCfg,
     http::{self, HttpService, HttpServiceConfig, Response, StatusCode},
     rt, server,
-    time::Seconds,
+    time::{Millis, Seconds, sleep},
 };
 
 use super::{
@@ -21,6 +22,7 @@
 use crate::{
     routed::{
         Worker,
+        callers::Callers,
         entry::{self, Never},
     },
     settings::Settings,
@@ -30,6 +32,11 @@
 /// Longest time a caller's connection may be idle. Longer than the platform's callers rest, so that
 /// no request crosses the close.
 const IDLE: Seconds = Seconds(60);
+/// Connections that rest are closed so long after the order to stop: the balancer asks each second
+/// and gives no new ones after two misses.
+const CLOSE_AFTER: Micros = 2_200 * MILLISECOND;
+/// Time between two looks at that.
+const LOOK: Millis = Millis(100);
 /// The path of the metrics.
 const METRICS: &str = "/metrics";
 
@@ -113,7 +120,9 @@
             shared: shared.clone(),
             dialect: dialect.clone(),
             conns: upstream::Pool::new(),
+            callers: Callers::new(),
         };
+        rt::spawn(close_resting(shared.clone(), worker.callers.clone()));
         let worker = Rc::new(worker);
         HttpService::h1(ntex::fn_service(move |request: http::Request| {
             entry::serve(worker.clone(), request)
@@ -123,6 +132,19 @@
     Ok(builder.config("callers", SharedCfg::new("callers").add(config)).run())
 }
 
+/// Closes callers' connections that rest, once a planned stop has lasted for a while.
+async fn close_resting(shared: Arc<Shared>, callers: Callers) {
+    loop {
+        sleep(LOOK).await;
+        if shared.stopping_for().is_some_and(|time| time > CLOSE_AFTER) {
+            let closed = callers.close_resting();
+            if closed > 0 {
+                log::info!(closed = closed; "stopping: connections that rest are closed");
+            }
+        }
+    }
+}
+
 /// Answers the balancer whether the instance is ready, and tells the metrics.
 fn serve_status(shared: Arc<Shared>, listener: TcpListener) -> Result<server::Server, String> {
     let builder = server::build().name("status").workers(1).disable_signals();
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -94,7 +94,7 @@
     let flag = hurried.clone();
     let watch = move || {
         for _ in signals.forever() {
-            if shared.stopping.swap(true, Ordering::AcqRel) {
+            if shared.stop() {
                 flag.store(true, Ordering::Release);
             } else {
                 log::info!("stopping: not ready, requests in flight go on to their end");
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -2,16 +2,16 @@
 
 use std::sync::{
     Arc, Mutex,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use drumusher_log::config::State;
 use drumusher_platform::routing::Configuration;
-use drumusher_schedule::time::MILLISECOND;
+use drumusher_schedule::time::{MILLISECOND, Micros};
 
 use super::{
-    broker, catalog, dispatch, explain::Explanations, peers, platform, telemetry::Telemetry,
+    broker, catalog, clock, dispatch, explain::Explanations, peers, platform, telemetry::Telemetry,
 };
 use crate::{
     request::retry::Budgets,
@@ -43,6 +43,8 @@
     pub configured: AtomicBool,
     /// Whether the instance is stopping.
     pub stopping: AtomicBool,
+    /// Since when, on the process's clock.
+    pub stopping_since: AtomicU64,
     /// Requests held now.
     pub requests: AtomicUsize,
     /// To the asks this instance owns.
@@ -93,6 +95,7 @@
             hosted: ArcSwap::default(),
             configured: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
+            stopping_since: AtomicU64::new(0),
             requests: AtomicUsize::new(0),
             broker,
             dispatch,
@@ -123,6 +126,21 @@
         self.stopping.load(Ordering::Acquire)
     }
 
+    /// Begins the planned stop. Returns whether it had begun before.
+    pub fn stop(&self) -> bool {
+        if self.stopping.swap(true, Ordering::AcqRel) {
+            return true;
+        }
+        self.stopping_since.store(clock::now(), Ordering::Release);
+        false
+    }
+
+    /// How long the instance has been stopping.
+    pub fn stopping_for(&self) -> Option<Micros> {
+        let since = self.stopping_since.load(Ordering::Acquire);
+        (since > 0).then(|| clock::now().saturating_sub(since))
+    }
+
     /// Puts a new state into force, unless it is not newer.
     pub fn publish(&self, state: State) {
         let current = self.version.load_full();
--- a/crates/drumusher/src/routed/entry.rs
+++ b/crates/drumusher/src/routed/entry.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use drumusher_platform::{dialect::Dialect, routing::Limits};
+use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
     http::{self, HeaderMap, Response, error::PayloadError},
     time::{Millis, timeout},
@@ -24,6 +25,10 @@
 /// When to come back to an instance that has no configuration yet, in milliseconds: a new process
 /// has one within some hundred milliseconds.
 const NOT_READY_MS: u64 = 300;
+/// A stopping instance takes no request after this: what comes so late could not be finished.
+const REFUSE_AFTER: Micros = 2_800 * MILLISECOND;
+/// When to come back after that, in milliseconds; on a new connection another instance answers.
+const STOPPING_MS: u64 = 50;
 /// Headers that concern one connection only.
 const CONNECTION_ONLY: [&str; 11] = [
     "connection",
@@ -92,6 +97,10 @@
         let message = "this instance has no configuration yet";
         return Err(Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_MS));
     };
+    if shared.stopping_for().is_some_and(|time| time > REFUSE_AFTER) {
+        let message = "this instance is stopping";
+        return Err(Error::new(Kind::NotReady, message).with_retry_after(STOPPING_MS));
+    }
     let limits = routing.limits();
     if head_bytes(&request) > limits.header_bytes {
         return Err(Error::new(Kind::HeadTooLarge, "the head is too long"));
@@ -108,10 +117,11 @@
     })?;
     let hold = Hold::new(shared.clone())?;
     let caller = request.io().cloned();
+    let in_use = caller.as_ref().map(|io| worker.callers.enter(io));
     let body = body(&mut request, limits, shared.settings.limits.body_ms).await?;
     let headers = passed(&worker.dialect, request.headers());
     let method = request.method().clone();
-    Ok((hold, Request { method, path, headers, body, head, found, arrived, caller }))
+    Ok((hold, Request { method, path, headers, body, head, found, arrived, caller, in_use }))
 }
 
 fn head_bytes(request: &http::Request) -> usize {
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -20,6 +20,7 @@
 
 use super::{
     Handle,
+    callers::Use,
     relay::Relay,
     ticket::{Ask, Decision, Ticket},
 };
@@ -75,6 +76,8 @@
     pub arrived: Micros,
     /// The caller's connection.
     pub caller: Option<IoRef>,
+    /// Marks it as in use.
+    pub in_use: Option<Use>,
 }
 
 /// Why an attempt brought no answer.
--- a/crates/drumusher/src/routed/mod.rs
+++ b/crates/drumusher/src/routed/mod.rs
@@ -4,6 +4,7 @@
 //! | module | duty |
 //! |---|---|
 //! | [`entry`] | takes a caller's request, finds its route and workspace |
+//! | [`callers`] | callers' connections, for a planned stop |
 //! | [`ticket`] | one request's place at the dispatcher: ask, reports, end |
 //! | [`exchange`] | attempts at backend servers until there is an answer or none is possible |
 //! | [`relay`] | passes a stream of events on, and resumes it elsewhere where it may be |
@@ -11,6 +12,7 @@
 //! | [`refusal`] | answers of the instance's own |
 
 pub mod budget;
+pub mod callers;
 pub mod entry;
 pub mod exchange;
 pub mod refusal;
@@ -30,6 +32,8 @@
     pub dialect: D,
     /// Connections to backend servers.
     pub conns: upstream::Pool,
+    /// Connections of callers.
+    pub callers: callers::Callers,
 }
 
 /// A worker as its requests hold it.
