fix: an answer without a length that ends with a reset is not whole

The base library reports a reset and an orderly end alike, so that a cut answer without a length was framed as complete.

Ruled out: the codec (it asks for an end of the connection in the right state).

Change: a second handle of the socket tells how the connection ended.

--- a/crates/drumusher-platform/src/tcp.rs
+++ b/crates/drumusher-platform/src/tcp.rs
@@ -26,14 +26,33 @@
 ///
 /// Any error of the operating system; nothing was sent then.
 pub async fn connect(address: SocketAddr, limit: Millis, config: SharedCfg) -> io::Result<Io> {
+    rt::from_tcp_stream(stream(address, limit).await?, config)
+}
+
+/// The same, with a second handle of the socket, which tells how the connection ended: the base
+/// library reports a reset and an orderly end alike.
+///
+/// # Errors
+///
+/// Any error of the operating system; nothing was sent then.
+pub async fn connect_watched(
+    address: SocketAddr,
+    limit: Millis,
+    config: SharedCfg,
+) -> io::Result<(Io, TcpStream)> {
+    let stream = stream(address, limit).await?;
+    let watch = stream.try_clone()?;
+    Ok((rt::from_tcp_stream(stream, config)?, watch))
+}
+
+async fn stream(address: SocketAddr, limit: Millis) -> io::Result<TcpStream> {
     let limit = Duration::from_millis(u64::from(limit.0).max(1));
     let connecting = rt::spawn_blocking(move || {
         let stream = TcpStream::connect_timeout(&address, limit)?;
         stream.set_nodelay(true)?;
         io::Result::Ok(stream)
     });
-    let stream = connecting.await.map_err(|_| io::Error::other("the pool is closed"))??;
-    rt::from_tcp_stream(stream, config)
+    connecting.await.map_err(|_| io::Error::other("the pool is closed"))?
 }
 
 /// The same for the HTTP client, which names hosts by IP number and port.
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -1,6 +1,6 @@
 //! One connection to a backend server.
 
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 
 use drumusher_platform::tcp;
 use drumusher_schedule::time::{MILLISECOND, Micros, SECOND};
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 pub struct Conn {
     io: Io,
+    /// The same socket, to be asked how it ended.
+    socket: TcpStream,
     codec: Codec,
     /// Whether it may serve another request after this answer.
     sound: bool,
@@ -45,13 +47,14 @@
     /// [`Error::NotConnected`].
     pub async fn connect(address: SocketAddr, limit: Millis) -> Result<Conn, Error> {
         let config = SharedCfg::new("upstream").build();
-        let io = tcp::connect(address, limit, config).await.map_err(|error| {
+        let connected = tcp::connect_watched(address, limit, config).await;
+        let (io, socket) = connected.map_err(|error| {
             log::debug!("no connection to {address}: {error}");
             Error::NotConnected
         })?;
         let idle_since = clock::now();
         let codec = Codec::new();
-        Ok(Conn { io, codec, sound: true, idle: IDLE_UNNAMED, idle_since, used: false })
+        Ok(Conn { io, socket, codec, sound: true, idle: IDLE_UNNAMED, idle_since, used: false })
     }
 
     /// Whether it may take a request now, one that is handed over at most once if `fresh`: such a
@@ -92,7 +95,7 @@
         let piece = match received {
             Err(()) => Err(Error::Silent),
             Ok(Ok(Some(piece))) => Ok(piece),
-            Ok(Ok(None)) if self.codec.ends_with_connection() => {
+            Ok(Ok(None)) if self.codec.ends_with_connection() && self.ended_in_order() => {
                 self.sound = false;
                 Ok(Piece::End)
             }
@@ -108,6 +111,11 @@
         piece
     }
 
+    /// Whether the other side closed the connection, and did not reset it.
+    fn ended_in_order(&self) -> bool {
+        matches!(self.socket.take_error(), Ok(None))
+    }
+
     /// Learns from a head whether and how long the connection lasts.
     fn note(&mut self, head: &Head) {
         // An answer before the request was read: the rest of it may not meet another answer.
