--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -115,7 +115,7 @@
     policy.switches.shedding = false;
     let mut pool = Pool::new(Arc::new(policy), 0);
     for key in 0..servers {
-        let options = server::Options { slots, first_slots: slots };
+        let options = server::Options { slots, first_slots: slots, ..server::Options::default() };
         pool.handle(0, Event::Server(server::Key(key), options), &mut Vec::new());
     }
     pool
--- a/crates/drumusher-bench/src/fleet/instance.rs
+++ b/crates/drumusher-bench/src/fleet/instance.rs
@@ -144,7 +144,7 @@
             .args(["serve", "--config"])
             .arg(&self.settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(lines.try_clone()?)
             .stderr(lines)
             .spawn()?;
         self.child = Some(child);
--- a/crates/drumusher-bench/src/policy/simulation.rs
+++ b/crates/drumusher-bench/src/policy/simulation.rs
@@ -181,7 +181,7 @@
     fn begin(&mut self, learns: bool) {
         let slots = if learns { 64 } else { BATCH as u32 };
         for number in 0..self.engines.len() {
-            let options = server::Options { slots, first_slots: 16 };
+            let options = server::Options { slots, ..server::Options::default() };
             self.tell(Event::Server(server::Key(number as u16), options));
         }
         for number in 0..self.requests.len() {
--- a/crates/drumusher-schedule/tests/schedule/support.rs
+++ b/crates/drumusher-schedule/tests/schedule/support.rs
@@ -64,7 +64,8 @@
         let now = 100 * SECOND;
         let mut bench = Bench { pool: Pool::new(Arc::new(policy), now), now };
         for key in 0..servers {
-            let options = server::Options { slots, first_slots: slots };
+            let options =
+                server::Options { slots, first_slots: slots, ..server::Options::default() };
             bench.tell(Event::Server(server::Key(key), options));
         }
         bench
--- /dev/null
+++ b/crates/drumusher/tests/routes/config.rs
@@ -0,0 +1,103 @@
+//! The configuration and the entries of backend servers: in force soon, never back, kept while the
+//! store is away.
+
+use drumusher_adapter_stand_in::Away;
+use drumusher_bench::fleet::wait_for;
+use rstest::rstest;
+
+use crate::support::{Call, DESK, Deployment, configuration};
+
+fn status(deployment: &Deployment, instance: usize, path: &str) -> u16 {
+    deployment.call(instance, &Call::get(path)).map_or(0, |answer| answer.status)
+}
+
+/// A newer version is put into force; an older one that comes later is not.
+#[test]
+fn versions_only_rise() {
+    let deployment = Deployment::new(1);
+    assert_eq!(status(&deployment, 0, "/extra/"), 404);
+    deployment.store.put("keyed.op", "config", &configuration(7, "extra"));
+    wait_for("the route is there", || status(&deployment, 0, "/extra/") == 200);
+    deployment.store.put("keyed.op", "config", &configuration(6, ""));
+    deployment.store.put("keyed.op", "config", &configuration(8, "other"));
+    wait_for("the next version is in force", || status(&deployment, 0, "/other/") == 200);
+    deployment.store.put("keyed.op", "config", &configuration(5, "extra"));
+    for _ in 0..20 {
+        assert_eq!(status(&deployment, 0, "/extra/"), 404);
+    }
+}
+
+/// A configuration that cannot be read is passed over with a line in the log.
+#[test]
+fn what_cannot_be_read_is_passed_over() {
+    let deployment = Deployment::new(1);
+    deployment.store.put("keyed.op", "config", "{ this is no configuration");
+    deployment.store.put("keyed.servers", "x", "[]");
+    let told = || deployment.instances[0].lines().matches("passed over").count() >= 2;
+    wait_for("both are told", told);
+    assert_eq!(status(&deployment, 0, "/read/"), 200);
+}
+
+/// While the store is away everything goes on, and changes made meanwhile are in force after it
+/// returns, also when the history was dropped.
+#[rstest]
+#[case(Away::Busy)]
+#[case(Away::Reset)]
+#[case(Away::Silent)]
+fn an_outage_of_the_store_changes_nothing(#[case] away: Away) {
+    let deployment = Deployment::new(1);
+    deployment.store.set_away(away);
+    deployment.instances[0].door.set_away(away);
+    for _ in 0..5 {
+        assert_eq!(status(&deployment, 0, "/read/"), 200);
+    }
+    deployment.store.put("keyed.op", "config", &configuration(2, "extra"));
+    deployment.store.forget("keyed.op");
+    deployment.store.set_away(Away::No);
+    deployment.instances[0].door.set_away(Away::No);
+    wait_for("the change is in force", || status(&deployment, 0, "/extra/") == 200);
+}
+
+/// A backend server that is leaving gets no new requests, whether it says so or its entry ends.
+#[rstest]
+#[case::says_so(true)]
+#[case::entry_ends(false)]
+fn a_leaving_server_gets_nothing_new(#[case] says_so: bool) {
+    let deployment = Deployment::new(1);
+    let server = deployment.server("d1");
+    if says_so {
+        deployment.store.put("keyed.servers", "d1", &server.entry(DESK, "draining"));
+    } else {
+        deployment.store.remove("keyed.servers", "d1");
+    }
+    let line = if says_so { "\"leaving\":\"true\"" } else { "server's entry ended" };
+    wait_for("the instance knows", || deployment.instances[0].lines().contains(line));
+    let before = server.runs().len();
+    for _ in 0..12 {
+        assert_eq!(status(&deployment, 0, "/read/"), 200);
+    }
+    assert_eq!(server.runs().len(), before);
+}
+
+/// Entries that lapsed while the store was away and are back after it returned never left.
+#[test]
+fn lapsed_entries_are_held() {
+    let deployment = Deployment::new(1);
+    let door = &deployment.instances[0].door;
+    door.set_away(Away::Reset);
+    wait_for("the outage is known", || deployment.instances[0].lines().contains("the store"));
+    for id in ["d1", "d2"] {
+        deployment.store.remove("keyed.servers", id);
+    }
+    door.set_away(Away::No);
+    wait_for("it is back", || deployment.instances[0].lines().contains("answers again"));
+    assert_eq!(status(&deployment, 0, "/read/"), 200, "the servers are held");
+    let entry = deployment.server("d1").entry(DESK, "ready");
+    deployment.store.put("keyed.servers", "d1", &entry);
+    wait_for("the other one is gone", || deployment.instances[0].lines().contains("still missing"));
+    let before = deployment.server("d2").runs().len();
+    for _ in 0..8 {
+        assert_eq!(status(&deployment, 0, "/read/"), 200);
+    }
+    assert_eq!(deployment.server("d2").runs().len(), before);
+}
--- /dev/null
+++ b/crates/drumusher/tests/routes/main.rs
@@ -0,0 +1,10 @@
+//! Tests of requests along routes, on separate processes: instances and, on threads of the test,
+//! stand-ins of the users' platform.
+
+mod answers;
+mod config;
+mod membership;
+mod path;
+mod stop;
+mod streams;
+mod support;
--- /dev/null
+++ b/crates/drumusher/tests/routes/support.rs
@@ -0,0 +1,402 @@
+//! A deployment on the loopback network: a store, backend servers, instances.
+
+use std::{
+    fs::{self, File},
+    io::{self, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use drumusher_adapter_stand_in::{Server, Store, store::Door};
+use drumusher_bench::fleet::wait_for;
+
+/// The service of plain requests.
+pub const DESK: &str = "desk";
+/// The service of streams.
+pub const MODEL: &str = "model";
+/// A key of workspace `vanua`.
+pub const KEY: &str = "key-of-vanua";
+/// Longest wait for an answer's next byte. Not a bound on speed.
+const LONGEST: Duration = Duration::from_secs(45);
+
+/// One instance as a process of its own.
+pub struct Instance {
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the balancer asks it.
+    pub status: SocketAddr,
+    /// Its way to the store.
+    pub door: Door,
+    lines: PathBuf,
+    child: Child,
+}
+
+/// A store, backend servers and instances. Dropped, its instances are killed.
+pub struct Deployment {
+    /// The store.
+    pub store: Store,
+    /// The backend servers.
+    pub servers: Vec<Server>,
+    /// The instances.
+    pub instances: Vec<Instance>,
+    folder: PathBuf,
+    number: u32,
+}
+
+/// The configuration of tests, as its operators write it.
+pub fn configuration(version: u64, extra: &str) -> String {
+    let route = |name: &str, kind: &str, service: &str, attempts: u32, rest: &str| {
+        format!(
+            r#"{{"Name":"{name}","Host":"host.example","PathPrefix":"/{name}/","RouteType":"{kind}","TimeoutMs":3000,"TargetLatencyMs":300,"Priority":1,"Service":"{service}","MaxAttempts":{attempts}{rest}}}"#
+        )
+    };
+    let mut routes = vec![
+        route("read", "idempotent", DESK, 2, ""),
+        route("book", "non_idempotent", DESK, 2, ""),
+        route("open", "idempotent", DESK, 1, r#","Public":true"#),
+        route("draft", "streaming", MODEL, 2, r#","TargetGapMs":200,"Resumable":false"#),
+        route("talk", "streaming", MODEL, 2, r#","TargetGapMs":200,"Resumable":true"#),
+    ];
+    if !extra.is_empty() {
+        routes.push(route(extra, "idempotent", DESK, 1, ""));
+    }
+    format!(
+        r#"{{"Version":{version},"Routes":[{}],"Services":[{{"Name":"{DESK}","HealthPath":"/health","MaxConns":50}},{{"Name":"{MODEL}","MaxConns":50,"Engine":{{"Slots":8}}}}],"Limits":{{"MaxHeaderBytes":2000,"MaxBodyBytes":5000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}},"Tenants":[{{"Name":"vanua","ApiKeys":["{KEY}"],"Priority":0}}]}}"#,
+        routes.join(",")
+    )
+}
+
+impl Deployment {
+    /// A configured deployment of `instances` instances and two backend servers a service.
+    pub fn new(instances: usize) -> Self {
+        let deployment = Deployment::unconfigured(instances);
+        deployment.store.put("keyed.op", "config", &configuration(1, ""));
+        deployment.wait_serving();
+        deployment
+    }
+
+    /// The same before a configuration is written.
+    pub fn unconfigured(instances: usize) -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("drumusher-routes-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("a folder for the test");
+        let store = Store::start().expect("the store starts");
+        let mut deployment =
+            Deployment { store, servers: Vec::new(), instances: Vec::new(), folder, number };
+        for (id, service) in [("d1", DESK), ("d2", DESK), ("m1", MODEL), ("m2", MODEL)] {
+            deployment.add_server(id, service);
+        }
+        for number in 0..instances {
+            deployment.add_instance(&format!("i{number}"));
+        }
+        deployment
+    }
+
+    /// Starts a backend server and enters it in the store.
+    pub fn add_server(&mut self, id: &str, service: &str) {
+        let server = Server::start(id).expect("the server starts");
+        self.store.put("keyed.servers", id, &server.entry(service, "ready"));
+        self.servers.push(server);
+    }
+
+    /// Starts an instance.
+    pub fn add_instance(&mut self, name: &str) {
+        let at = self.instances.len() as u32;
+        let process = std::process::id();
+        let (high, low) = (1 + (process >> 8) % 250, process & 0xff);
+        let ip = format!("127.{high}.{low}.{}", 1 + (self.number * 8 + at) % 250);
+        let free = || {
+            let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
+            listener.local_addr().expect("its address")
+        };
+        let (callers, status, peer) = (free(), free(), free());
+        let door = self.store.door().expect("a way to the store");
+        let text = format!(
+            "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
+             http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\nworkers = 1\n\
+             [fleet]\nsecret = \"a secret of a test's fleet\"\n\
+             [store]\naddress = \"{}\"\nwait_ms = 1000\n\
+             [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n",
+            door.address
+        );
+        let settings = self.folder.join(format!("{name}.toml"));
+        fs::write(&settings, text).expect("the settings are written");
+        let lines = self.folder.join(format!("{name}.log"));
+        let file = File::create(&lines).expect("a file for log lines");
+        let child = Command::new(env!("CARGO_BIN_EXE_drumusher"))
+            .arg("serve")
+            .env("DRUMUSHER_SETTINGS", &settings)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().expect("a second handle"))
+            .stderr(file)
+            .spawn()
+            .expect("the instance starts");
+        self.instances.push(Instance { callers, status, door, lines, child });
+    }
+
+    /// Waits until every instance is ready and serves both services.
+    pub fn wait_serving(&self) {
+        for at in 0..self.instances.len() {
+            wait_for("the instance is ready", || self.instances[at].ready());
+            for path in ["/read/", "/talk/"] {
+                wait_for("the instance serves", || {
+                    self.call(at, &Call::get(path)).is_ok_and(|answer| answer.status == 200)
+                });
+            }
+        }
+    }
+
+    /// A backend server by identity.
+    pub fn server(&self, id: &str) -> &Server {
+        self.servers.iter().find(|server| server.id == id).expect("there is such a server")
+    }
+
+    /// How often a request was run, over all backend servers.
+    pub fn runs(&self, id: &str) -> usize {
+        let runs = self.servers.iter().flat_map(|server| server.runs());
+        runs.filter(|run| run.id == id).count()
+    }
+
+    /// Sends a request to an instance on a connection of its own and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Any error before the answer's head.
+    pub fn call(&self, instance: usize, call: &Call) -> io::Result<Answer> {
+        let mut conn = self.connect(instance)?;
+        conn.write_all(&call.bytes())?;
+        read(&mut conn)
+    }
+
+    /// A connection to an instance.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the operating system.
+    pub fn connect(&self, instance: usize) -> io::Result<TcpStream> {
+        let conn = TcpStream::connect(self.instances[instance].callers)?;
+        conn.set_read_timeout(Some(LONGEST))?;
+        Ok(conn)
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for instance in &mut self.instances {
+            let _ = instance.child.kill();
+            let _ = instance.child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+impl Instance {
+    /// What the balancer is told.
+    pub fn ready(&self) -> bool {
+        status(self.status, "/drumusher/readiness").is_some_and(|answer| answer.status == 200)
+    }
+
+    /// Its metrics.
+    pub fn metrics(&self) -> String {
+        status(self.status, "/metrics").map(|answer| answer.text()).unwrap_or_default()
+    }
+
+    /// Sends a signal by name.
+    pub fn signal(&self, signal: &str) {
+        let process = self.child.id().to_string();
+        let sent = Command::new("kill").args(["-s", signal, &process]).status();
+        assert!(sent.is_ok_and(|status| status.success()), "kill -s {signal} {process}");
+    }
+
+    /// Whether and how the process ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok()?
+    }
+
+    /// The log lines written so far.
+    pub fn lines(&self) -> String {
+        fs::read_to_string(&self.lines).unwrap_or_default()
+    }
+}
+
+fn status(address: SocketAddr, path: &str) -> Option<Answer> {
+    let mut conn = TcpStream::connect(address).ok()?;
+    conn.set_read_timeout(Some(LONGEST)).ok()?;
+    let head = format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    conn.write_all(head.as_bytes()).ok()?;
+    read(&mut conn).ok()
+}
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// Its identity.
+    pub id: String,
+    /// Further headers.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: String,
+}
+
+impl Call {
+    /// A GET; a stream's path asks for a stream.
+    pub fn get(path: &str) -> Call {
+        static NUMBER: AtomicU32 = AtomicU32::new(1);
+        let id = format!("{:016x}", NUMBER.fetch_add(1, Ordering::Relaxed));
+        let mut call = Call {
+            method: "GET",
+            path: path.into(),
+            id,
+            headers: vec![("Api-Key".into(), KEY.into())],
+            body: String::new(),
+        };
+        if path.starts_with("/draft/") || path.starts_with("/talk/") {
+            call = call
+                .with("Drumusher-Token-Usage", "600,60")
+                .with("Drumusher-Prompt-Prefix", "a1:200,b2:300,c3:100")
+                .with("Drumusher-Model", "m");
+        }
+        call
+    }
+
+    /// A POST with a body.
+    pub fn post(path: &str, body: &str) -> Call {
+        Call { method: "POST", body: body.into(), ..Call::get(path) }
+    }
+
+    /// Adds a header.
+    pub fn with(mut self, name: &str, value: &str) -> Call {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Leaves a header out.
+    pub fn without(mut self, name: &str) -> Call {
+        self.headers.retain(|(n, _)| !n.eq_ignore_ascii_case(name));
+        self
+    }
+
+    /// As it is sent.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut text = format!("{} {} HTTP/1.1\r\nHost: host.example\r\n", self.method, self.path);
+        if !self.id.is_empty() {
+            text.push_str(&format!("Drumusher-Attempt-Id: {}\r\n", self.id));
+        }
+        if !self.headers.iter().any(|(name, _)| name == "Drumusher-Deadline-Ms") {
+            text.push_str("Drumusher-Deadline-Ms: 15000\r\n");
+        }
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !self.body.is_empty() {
+            text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        text.push_str(&self.body);
+        text.into_bytes()
+    }
+}
+
+/// An answer as a caller sees it.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// Headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// The body, as far as it came.
+    pub body: Vec<u8>,
+    /// Whether it came whole.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The first header of a name.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// Reads one answer.
+///
+/// # Errors
+///
+/// Any error before its head.
+pub fn read(conn: &mut TcpStream) -> io::Result<Answer> {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4_096];
+    let length = loop {
+        if let Some(at) = find(&bytes, b"\r\n\r\n") {
+            break at + 4;
+        }
+        match conn.read(&mut piece)? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            count => bytes.extend_from_slice(&piece[..count]),
+        }
+    };
+    let head = String::from_utf8_lossy(&bytes[..length]).into_owned();
+    let mut lines = head.lines();
+    let status = lines.next().and_then(|line| line.split(' ').nth(1)).unwrap_or("");
+    let status = status.parse().map_err(io::Error::other)?;
+    let fields = lines.filter_map(|line| line.split_once(':'));
+    let headers: Vec<(String, String)> =
+        fields.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_string())).collect();
+    let mut answer = Answer { status, headers, body: Vec::new(), whole: false };
+    let mut rest = bytes.split_off(length);
+    let chunked = answer.header("transfer-encoding") == Some("chunked");
+    let sized = answer.header("content-length").and_then(|text| text.parse::<usize>().ok());
+    loop {
+        (answer.body, answer.whole) = match (chunked, sized) {
+            (true, _) => unchunk(&rest),
+            (_, Some(size)) => (rest[..size.min(rest.len())].to_vec(), rest.len() >= size),
+            (_, None) => (rest.clone(), false),
+        };
+        if answer.whole {
+            return Ok(answer);
+        }
+        match conn.read(&mut piece) {
+            Ok(0) | Err(_) => return Ok(answer),
+            Ok(count) => rest.extend_from_slice(&piece[..count]),
+        }
+    }
+}
+
+/// The body of chunks so far, and whether the last one is there.
+fn unchunk(mut bytes: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(end) = find(bytes, b"\r\n") else { return (body, false) };
+        let size = std::str::from_utf8(&bytes[..end]).unwrap_or("");
+        let Ok(size) = usize::from_str_radix(size, 16) else { return (body, false) };
+        bytes = &bytes[end + 2..];
+        if size == 0 {
+            return (body, bytes.starts_with(b"\r\n"));
+        }
+        if bytes.len() < size + 2 {
+            body.extend_from_slice(&bytes[..size.min(bytes.len())]);
+            return (body, false);
+        }
+        body.extend_from_slice(&bytes[..size]);
+        bytes = &bytes[size + 2..];
+    }
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|window| window == what)
+}
