--- /dev/null
+++ b/crates/drumusher-schedule/tests/schedule/engine.rs
@@ -0,0 +1,120 @@
+//! What is believed of engines, and the border between patient and pressing requests.
+
+use drumusher_schedule::{
+    ask::Part,
+    engine::{Engine, Reading, Work},
+    side::Border,
+    time::{MILLISECOND, SECOND},
+};
+use proptest::prelude::*;
+
+const SHARED: [Part; 2] = [Part { id: 1, tokens: 500 }, Part { id: 2, tokens: 4_500 }];
+
+fn work(parts: &[Part], patient: bool) -> Work<'_> {
+    Work { parts, prompt: 6_000, patient }
+}
+
+fn reading(engine: &Engine, work: &Work<'_>, kept_elsewhere: u32) -> Reading {
+    let tokens = engine.to_read(work);
+    Reading { tokens, again: kept_elsewhere.saturating_sub(work.prompt - tokens) }
+}
+
+#[test]
+fn only_the_parts_before_the_first_missing_one_are_kept() {
+    let mut engine = Engine::new();
+    let whole = work(&SHARED, true);
+    assert_eq!(engine.to_read(&whole), 6_000);
+    engine.start(SECOND, 1, &whole);
+    assert_eq!(engine.to_read(&whole), 1_000);
+    let other = [Part { id: 9, tokens: 10 }, SHARED[1]];
+    assert_eq!(engine.to_read(&work(&other, true)), 6_000);
+}
+
+#[test]
+fn the_wait_is_that_of_the_prompts_before() {
+    let mut engine = Engine::new();
+    engine.start(SECOND, 1, &work(&[], true));
+    let wait = engine.wait(SECOND);
+    assert_eq!(wait as f64, 6_000.0 * engine.read_time());
+    engine.start(SECOND, 2, &work(&[], true));
+    assert_eq!(engine.wait(SECOND), 2 * wait);
+    engine.first_event(1, wait);
+    engine.first_event(2, 2 * wait);
+    assert_eq!(engine.wait(SECOND), 0);
+}
+
+#[test]
+fn the_time_to_read_a_token_is_learned_from_prompts_that_did_not_queue() {
+    let mut engine = Engine::new();
+    for id in 0..100 {
+        let now = SECOND * (id as u64 + 1);
+        engine.start(now, id, &work(&[], true));
+        engine.first_event(id, 60 * MILLISECOND);
+        engine.end(id, true);
+    }
+    assert!((engine.read_time() - 10.0).abs() < 0.5, "{}", engine.read_time());
+}
+
+#[test]
+fn an_engine_that_keeps_the_prompt_is_cheaper_even_when_busier() {
+    let (mut keeper, other) = (Engine::new(), Engine::new());
+    keeper.start(SECOND, 1, &work(&SHARED, true));
+    let asked = work(&SHARED, true);
+    let cost = |engine: &Engine| engine.cost(SECOND, &asked, reading(engine, &asked, 5_000), true);
+    assert!(cost(&keeper) < cost(&other));
+}
+
+#[test]
+fn patient_prompts_stay_away_from_pressing_streams() {
+    let (mut pressing, free) = (Engine::new(), Engine::new());
+    for id in 0..5 {
+        pressing.start(SECOND, id, &Work { parts: &[], prompt: 100, patient: false });
+        pressing.first_event(id, MILLISECOND);
+    }
+    let asked = work(&[], true);
+    let cost = |engine: &Engine| engine.cost(SECOND, &asked, reading(engine, &asked, 0), true);
+    assert!(cost(&free) < cost(&pressing));
+    for id in 0..5 {
+        pressing.end(id, false);
+    }
+    assert!((cost(&free) - cost(&pressing)).abs() < 1.0);
+}
+
+#[test]
+fn the_border_follows_the_demand() {
+    let mut border = Border::new();
+    assert_eq!(border.patient(SECOND, 1), 0, "one engine has no sides");
+    for _ in 0..100 {
+        border.note(SECOND, true, 1_000.0);
+        border.note(SECOND, false, 1_000.0);
+    }
+    let even = border.patient(SECOND, 10);
+    assert!((3..=5).contains(&even), "{even}");
+    for _ in 0..1_000 {
+        border.note(SECOND, true, 1_000.0);
+    }
+    assert_eq!(border.patient(SECOND, 10), 9, "one engine is always left for the others");
+    for _ in 0..100 {
+        border.note(20 * SECOND, false, 1_000.0);
+    }
+    assert_eq!(border.patient(20 * SECOND, 10), 1, "old demand is forgotten");
+}
+
+proptest! {
+    /// Both sides always have an engine, and a small change of the demand does not move the border.
+    #[test]
+    fn both_sides_have_an_engine(
+        all in 2_usize..200,
+        notes in proptest::collection::vec((any::<bool>(), 1.0_f64..1e6, 0_u64..SECOND), 1..60),
+    ) {
+        let mut border = Border::new();
+        let mut now = SECOND;
+        for (patient, time, pause) in notes {
+            now += pause;
+            border.note(now, patient, time);
+            let engines = border.patient(now, all);
+            prop_assert!(engines >= 1 && engines < all);
+            prop_assert_eq!(border.patient(now, all), engines);
+        }
+    }
+}
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions.
 
+mod engine;
 mod invariants;
 mod pool;
 mod rank;
--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -72,7 +72,7 @@
         }
         None => process::run(settings),
     };
-    match ran {
+    let code = match ran {
         Ok(0) => ExitCode::SUCCESS,
         Ok(cut) => {
             log::warn!("ended by a second signal; requests cut: {cut}");
@@ -82,7 +82,9 @@
             log::error!("{error}");
             ExitCode::FAILURE
         }
-    }
+    };
+    log::logger().flush();
+    code
 }
 
 fn ask(statement: &str, address: &str, key: &str) -> ExitCode {
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -32,6 +32,8 @@
 /// Longest time a caller's connection may be idle. Longer than the platform's callers rest, so that
 /// no request crosses the close.
 const IDLE: Seconds = Seconds(60);
+/// Longest time the servers may take to end once no request is held.
+const LAST: Seconds = Seconds(1);
 /// Connections that rest are closed so long after the order to stop: the balancer asks each second
 /// and gives no new ones after two misses.
 const CLOSE_AFTER: Micros = 2_200 * MILLISECOND;
@@ -114,7 +116,7 @@
     let header = Seconds(shared.settings.limits.header_seconds);
     let config =
         HttpServiceConfig::new().set_headers_read_rate(header, header, 16).set_keepalive(IDLE);
-    let builder = server::build().name("http").workers(1).disable_signals();
+    let builder = server::build().name("http").workers(1).disable_signals().shutdown_timeout(LAST);
     let builder = builder.listen("callers", listener, async move |_| {
         let worker = Worker {
             shared: shared.clone(),
@@ -147,7 +149,8 @@
 
 /// Answers the balancer whether the instance is ready, and tells the metrics.
 fn serve_status(shared: Arc<Shared>, listener: TcpListener) -> Result<server::Server, String> {
-    let builder = server::build().name("status").workers(1).disable_signals();
+    let builder =
+        server::build().name("status").workers(1).disable_signals().shutdown_timeout(LAST);
     let builder = builder.listen("status", listener, async move |_| {
         let shared = shared.clone();
         HttpService::h1(ntex::fn_service(move |request: http::Request| {
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -196,3 +196,50 @@
         }
     }
 }
+
+/// A dispatcher that does not answer is passed over: the own dispatcher decides at once.
+#[test]
+fn an_ask_that_is_not_answered_goes_to_the_own_dispatcher() {
+    let (mut table, id, first) = asked_of_another();
+    assert!(table.silent(&mut Vec::new()).is_empty(), "it has a little time");
+    let mut sends = Vec::new();
+    drumusher_bench::fleet::wait_for("it is overdue", || table.silent(&mut sends).contains(&first));
+    let (to, ask) = asked(&sends).expect("it is asked again");
+    assert_eq!((&*to, id::from_wire(&ask.id)), ("suva-0", Some(id)));
+    let withdrawn = |send: &Send| matches!(send.message, Message::Withdraw(_)) && send.to == first;
+    assert!(sends.iter().any(withdrawn), "the silent one is told to forget");
+    assert!(table.silent(&mut Vec::new()).is_empty(), "the own one owes nothing");
+}
+
+/// One that says that the ask waits is not passed over, and a pause of the own process is nobody's
+/// silence.
+#[test]
+fn an_ask_that_waits_stays() {
+    let (mut table, id, first) = asked_of_another();
+    let queued = peer::Queued::new(id::to_wire(id));
+    table.answer(&first, Message::Queued(queued), &mut Vec::new());
+    let (mut other, ..) = asked_of_another();
+    let mut overdue = Vec::new();
+    drumusher_bench::fleet::wait_for("the other ask is overdue", || {
+        other.forgive();
+        let forgiven = other.silent(&mut Vec::new()).is_empty();
+        assert!(forgiven);
+        overdue.push(());
+        overdue.len() > 20
+    });
+    assert!(table.silent(&mut Vec::new()).is_empty());
+}
+
+/// A table with an ask that another instance was asked.
+fn asked_of_another() -> (Table, u128, Arc<str>) {
+    let mut table = table();
+    for id in 1.. {
+        let (sends, _replies) = open(&mut table, id);
+        let (first, _) = asked(&sends).expect("it is asked");
+        if &*first != "suva-0" {
+            return (table, id, first);
+        }
+        table.take(Input::Finish(id, 1, 0), &mut Vec::new());
+    }
+    unreachable!("one of many is asked of another instance")
+}
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -1,7 +1,11 @@
 //! Tests of parts of the binary that need no process.
 
+mod answer;
 mod broker;
+mod budget;
+mod catalog;
 mod options;
 mod place;
 mod relay;
+mod routing;
 mod settings;
