--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -41,6 +41,10 @@
 /// Parts remembered of an engine.
 const PARTS: usize = 8_192;
 
+/// A first event is overdue after twice the time that its prompt is believed to take, and this: the
+/// first tokens are made, and reports of them come every 50 ms.
+const TOLERANCE: Micros = 150 * MILLISECOND;
+
 /// What is to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Work<'a> {
@@ -121,10 +125,18 @@
         work.prompt.saturating_sub(kept.map(|part| part.tokens).sum())
     }
 
-    /// Time until the prompts it was given are read.
+    /// Time until the prompts it was given are read. One that is overdue is expected to take as long
+    /// again, so that an engine that became slow or silent draws nothing more.
     pub fn wait(&self, now: Micros) -> Micros {
         let done = self.pending.values().map(|pending| pending.done).max().unwrap_or(0);
-        done.saturating_sub(now)
+        done.saturating_sub(now).max(self.overdue(now))
+    }
+
+    /// For how long the first event of a request has been overdue.
+    fn overdue(&self, now: Micros) -> Micros {
+        let due = |pending: &Pending| pending.done + (pending.done - pending.granted) + TOLERANCE;
+        let first = self.pending.values().map(due).min().unwrap_or(now);
+        now.saturating_sub(first)
     }
 
     /// What placing a request here costs, in microseconds of waiting.
--- a/crates/drumusher-schedule/tests/schedule/engine.rs
+++ b/crates/drumusher-schedule/tests/schedule/engine.rs
@@ -55,6 +55,19 @@
     assert!((engine.read_time() - 10.0).abs() < 0.5, "{}", engine.read_time());
 }
 
+#[test]
+fn an_engine_whose_first_events_are_overdue_draws_nothing_more() {
+    let (mut silent, other) = (Engine::new(), Engine::new());
+    silent.start(SECOND, 1, &work(&SHARED, true));
+    let asked = work(&SHARED, true);
+    let cost =
+        |engine: &Engine, now| engine.cost(now, &asked, reading(engine, &asked, 5_000), true);
+    assert!(cost(&silent, SECOND) < cost(&other, SECOND), "it keeps the prompt");
+    assert!(cost(&silent, 5 * SECOND) > cost(&other, 5 * SECOND), "but says nothing");
+    silent.first_event(1, 4 * SECOND);
+    assert_eq!(silent.wait(5 * SECOND), 0);
+}
+
 #[test]
 fn an_engine_that_keeps_the_prompt_is_cheaper_even_when_busier() {
     let (mut keeper, other) = (Engine::new(), Engine::new());
