fix: no call to the store hangs beyond its return

Ruled out: the instances that are told (the readers did not know the version either).

The test fails with the long wait.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -189,7 +189,7 @@
 
     async fn read_on(&self, table: Table) -> Result<Read, Error> {
         let from = self.shared.records().end(table);
-        let wait = self.shared.settings.store.as_ref().map_or(0, |store| store.wait_ms);
+        let wait = self.wait_ms();
         let changes = self.store.changes(table, from, wait).await?;
         self.answered();
         match changes {
@@ -206,6 +206,16 @@
         }
     }
 
+    /// How long the store may wait for a change. While it is away calls are short, so that its
+    /// return is seen soon and no call hangs beyond it.
+    fn wait_ms(&self) -> u64 {
+        let away = self.shared.store_away.load(Ordering::Acquire);
+        match &self.shared.settings.store {
+            Some(store) if !away => store.wait_ms,
+            _ => 0,
+        }
+    }
+
     fn answered(&self) {
         let now = clock::now();
         if self.state.borrow_mut().entries.store_answered(now) {
--- a/crates/drumusher/tests/routes/config.rs
+++ b/crates/drumusher/tests/routes/config.rs
@@ -103,3 +103,17 @@
     }
     assert_eq!(deployment.server("d2").runs().len(), before);
 }
+
+/// Once the store is known to be away, calls to it are short, so that none hangs beyond its return.
+#[test]
+fn no_call_hangs_beyond_an_outage() {
+    let deployment = Deployment::new(1);
+    let door = &deployment.instances[0].door;
+    door.set_away(Away::Silent);
+    let known = || deployment.instances[0].lines().contains("what is in force stays");
+    wait_for("the outage is known", known);
+    // Calls of the other tables may have been under way.
+    let before = door.failed_waits().len() + 3;
+    wait_for("further calls", || door.failed_waits().len() > before + 3);
+    assert!(door.failed_waits()[before..].iter().all(|wait| *wait == 0));
+}
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -120,7 +120,7 @@
             "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
              http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\nworkers = 1\n\
              [fleet]\nsecret = \"a secret of a test's fleet\"\n\
-             [store]\naddress = \"{}\"\nwait_ms = 1000\n\
+             [store]\naddress = \"{}\"\nwait_ms = 1500\n\
              [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n",
             door.address
         );
