feat: slow engines serve patient requests; a new dispatcher places requests as the last one did

After a change of dispatcher, streams that were declared counted as overdue first events, and prompts went to other engines than before.

Change: engines that read slower than 1.15 times the median come first in the order that the border divides; a prompt that no engine keeps has a usual engine by rank; declared streams owe no first event; the border starts from a prior.

--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -10,6 +10,8 @@
 
 use std::collections::HashMap;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::{
     ask::{Id, Part},
     time::{MILLISECOND, Micros, SECOND},
@@ -21,6 +23,9 @@
 const SMOOTHING: f64 = 0.15;
 /// A prompt with fewer tokens to read says little about the time to read one.
 const ENOUGH_TOKENS: u32 = 1_500;
+/// Growth of the shortest time seen at each sample, so that an engine that became slow is found out
+/// within some tens of prompts.
+const DRIFT: f64 = 1.01;
 /// Bounds of the time to read a token, in microseconds.
 const READ_BOUNDS: (f64, f64) = (1.0, 1_000.0);
 /// What reading a shared token again counts, in microseconds of waiting: much more than the time
@@ -82,6 +87,8 @@
     kept: HashMap<u64, Micros>,
     pending: HashMap<Id, Pending>,
     read: f64,
+    /// The shortest time to read a token that was seen lately: without others beside it.
+    fastest: Option<f64>,
     pressing: u32,
     running: u32,
     /// Time spent on patient prompts lately, decayed to `patient_at`.
@@ -89,6 +96,14 @@
     patient_at: Micros,
 }
 
+impl Work<'_> {
+    /// The longest part that other requests may share: the last one is the request's own.
+    pub fn shared(&self) -> Option<Part> {
+        let shared = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().copied().max_by_key(|part| part.tokens)
+    }
+}
+
 impl Default for Engine {
     fn default() -> Self {
         Engine::new()
@@ -102,6 +117,7 @@
             kept: HashMap::new(),
             pending: HashMap::new(),
             read: READ_UNKNOWN,
+            fastest: None,
             pressing: 0,
             running: 0,
             patient: 0.0,
@@ -114,6 +130,11 @@
         self.read
     }
 
+    /// The shortest time to read a token that was seen lately, in microseconds.
+    pub fn fastest(&self) -> Option<f64> {
+        self.fastest
+    }
+
     /// Whether it keeps a part.
     pub fn keeps(&self, part: u64) -> bool {
         self.kept.contains_key(&part)
@@ -125,6 +146,12 @@
         work.prompt.saturating_sub(kept.map(|part| part.tokens).sum())
     }
 
+    /// The weight of the engine of a rank for a part that none keeps. All dispatchers compute it
+    /// alike, so that a new one places requests as the last one did.
+    pub fn weight(part: u64, rank: u64) -> u64 {
+        xxh3_64_with_seed(&part.to_be_bytes(), rank)
+    }
+
     /// Time until the prompts it was given are read. One that is overdue is expected to take as long
     /// again, so that an engine that became slow or silent draws nothing more.
     pub fn wait(&self, now: Micros) -> Micros {
@@ -199,6 +226,12 @@
         let seen = first as f64 / f64::from(pending.tokens);
         let seen = seen.clamp(READ_BOUNDS.0, READ_BOUNDS.1);
         self.read += (seen - self.read) * SMOOTHING;
+        self.fastest = Some(self.fastest.map_or(seen, |fastest| seen.min(fastest * DRIFT)));
+    }
+
+    /// A request that another dispatcher placed here has its first event already.
+    pub fn begun(&mut self, id: Id) {
+        self.pending.remove(&id);
     }
 
     /// A request ended.
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -3,7 +3,7 @@
 use super::Pool;
 use crate::{
     ask::{Ask, Key, Running, State, Waiting},
-    engine::{Reading, Work},
+    engine::{Engine, Reading, Work},
     order::{Choice, Order},
     policy::{ClassKey, WorkspaceKey},
     server::{self, Server},
@@ -18,6 +18,13 @@
 /// Factor on the expected time to the first token, for a request to count as in time.
 const FIRST_TOKEN_MARGIN: f64 = 2.0;
 
+/// What placing a prompt that no engine keeps elsewhere than on its usual engine counts for each
+/// token of its shared part, in microseconds of waiting: twice the time to read it.
+const ELSEWHERE: f64 = 40.0;
+
+/// An engine is slow if it reads a token in so many times the usual time.
+const SLOW_READ: f64 = 1.15;
+
 /// Which backend servers come into question.
 #[derive(Clone, Copy, PartialEq)]
 enum Scope {
@@ -236,18 +243,25 @@
         let work =
             Work { parts: &ask.parts, prompt: ask.prompt, patient: self.patient(now, ask.class) };
         let again = self.kept_somewhere(&work);
-        let border = self.border_rank(now);
+        let border = self.border_place(now);
+        let usual_read = self.usual_read();
+        let on_side = |server: &Server| {
+            border.is_none_or(|border| (side_place(server, usual_read) <= border) == work.patient)
+        };
+        let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
+        let usual = if again == 0 { self.usual_engine(&work, on_side) } else { None };
         let mut best: Option<(bool, f64, server::Key)> = None;
         for (key, server) in self.servers() {
             if !fits(server, now, scope) {
                 continue;
             }
-            let own_side = border.is_none_or(|border| (server.rank() <= border) == work.patient);
             let tokens = server.engine().to_read(&work);
             let kept = ask.prompt.saturating_sub(tokens);
             let reading = Reading { tokens, again: again.saturating_sub(kept) };
             let avoided = ask.avoid == Some(key);
-            let cost = server.engine().cost(now, &work, reading, own_side);
+            let elsewhere = usual.is_some_and(|usual| usual != key);
+            let strange = if elsewhere { shared * ELSEWHERE } else { 0.0 };
+            let cost = server.engine().cost(now, &work, reading, on_side(server)) + strange;
             if best.is_none_or(|(a, c, _)| (avoided, cost) < (a, c)) {
                 best = Some((avoided, cost, key));
             }
@@ -255,13 +269,36 @@
         best.map(|(_, _, key)| key)
     }
 
-    /// The rank of the last engine on the patient side; `None` if there are no sides.
-    fn border_rank(&mut self, now: Micros) -> Option<u64> {
+    /// The engine on which the shared part of a prompt belongs as long as none keeps it.
+    fn usual_engine(
+        &self,
+        work: &Work<'_>,
+        on_side: impl Fn(&Server) -> bool,
+    ) -> Option<server::Key> {
+        let part = work.shared()?;
+        let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
+        let engines = engines.filter(|(_, server)| on_side(server));
+        let weighed = engines.map(|(key, server)| (Engine::weight(part.id, server.rank()), key));
+        weighed.max().map(|(_, key)| key)
+    }
+
+    /// The place of the last engine on the patient side; `None` if there are no sides.
+    fn border_place(&mut self, now: Micros) -> Option<(bool, u64)> {
+        let usual_read = self.usual_read();
         let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
-        let mut ranks: Vec<u64> = engines.map(|(_, server)| server.rank()).collect();
-        ranks.sort_unstable();
-        let patient = self.border.patient(now, ranks.len());
-        patient.checked_sub(1).map(|last| ranks[last])
+        let mut places: Vec<(bool, u64)> =
+            engines.map(|(_, server)| side_place(server, usual_read)).collect();
+        places.sort_unstable();
+        let patient = self.border.patient(now, places.len());
+        patient.checked_sub(1).map(|last| places[last])
+    }
+
+    /// The median of the engines' shortest times to read a token.
+    fn usual_read(&self) -> Option<f64> {
+        let seen = self.servers().filter_map(|(_, server)| server.engine().fastest());
+        let mut seen: Vec<f64> = seen.collect();
+        seen.sort_by(f64::total_cmp);
+        seen.get(seen.len() / 2).copied()
     }
 
     /// Tokens at the beginning of a prompt that some engine keeps.
@@ -332,6 +369,14 @@
     }
 }
 
+/// An engine's place in the order that the border divides: slow ones first, because on them even a
+/// prompt of a pressing class delays the tokens of others too long.
+fn side_place(server: &Server, usual_read: Option<f64>) -> (bool, u64) {
+    let fastest = server.engine().fastest();
+    let slow = fastest.zip(usual_read).is_some_and(|(own, usual)| own > usual * SLOW_READ);
+    (!slow, server.rank())
+}
+
 fn fits(server: &Server, now: Micros, scope: Scope) -> bool {
     match scope {
         Scope::Free => server.free(now) > 0,
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -23,8 +23,14 @@
         };
         let id = waiting.ask.id;
         self.run(now, waiting, server, false);
-        if let Some((_, running)) = self.running_of(id) {
-            running.started = true;
+        let Some((_, running)) = self.running_of(id) else {
+            return;
+        };
+        running.started = true;
+        if running.produced > 0
+            && let Some(server) = self.server(server)
+        {
+            server.engine_mut().begun(id);
         }
     }
 
--- a/crates/drumusher-schedule/src/side.rs
+++ b/crates/drumusher-schedule/src/side.rs
@@ -11,6 +11,9 @@
 const MEMORY: f64 = 2.0 * SECOND as f64;
 /// What a microsecond of reading counts for the pressing side: its waits are to be shorter.
 const PRESSING_WEIGHT: f64 = 1.6;
+/// Demand of both sides together that is assumed before any was seen, so that the first requests
+/// after a change of dispatcher do not throw the border about.
+const PRIOR: f64 = 0.4 * SECOND as f64;
 /// The border moves when the share that is due is further than this from it, in engines.
 const MARGIN: f64 = 0.65;
 
@@ -59,8 +62,7 @@
         }
         let patient = self.patient.now(now);
         let pressing = self.pressing.now(now) * PRESSING_WEIGHT;
-        let sum = patient + pressing;
-        let due = if sum > 0.0 { all as f64 * patient / sum } else { all as f64 / 2.0 };
+        let due = all as f64 * (patient + PRIOR / 2.0) / (patient + pressing + PRIOR);
         if (due - self.engines as f64).abs() > MARGIN {
             self.engines = due.round() as usize;
         }
