fix: the instances that read the store tell each other

Ruled out: the instances that are told (they learn within a heartbeat).

Change: those that read keep connections with one another; whoever lags behind for two heartbeats is told by anyone.

--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -428,10 +428,8 @@
     /// A heartbeat: whether the other is leaving, and whether it lags behind in configuration for
     /// longer than the log would explain.
     fn heard(&self, number: u32, instance: &Arc<str>, heartbeat: &peer::Heartbeat) {
-        self.store_heard(number, heartbeat);
         let mut sends = Vec::new();
-        let own = self.shared.position() as i64;
-        let behind = heartbeat.offset < own;
+        let behind = heartbeat.offset < self.shared.position() as i64;
         let before = {
             let mut inner = self.inner.borrow_mut();
             let leaving = heartbeat.leaving.unwrap_or(false);
@@ -440,7 +438,9 @@
             conn.is_some_and(|conn| std::mem::replace(&mut conn.behind, behind))
         };
         self.send_all(sends);
-        if behind && before && self.shared.settings.store.is_none() {
+        if self.shared.settings.store.is_some() {
+            self.store_heard(number, heartbeat, behind, before);
+        } else if behind && before {
             self.state_requested(number, heartbeat.offset);
         }
     }
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -23,7 +23,8 @@
         self.shared.reader.load(Ordering::Acquire) && !away
     }
 
-    /// Keeps a connection with the first instance that reads the store, unless this is one.
+    /// Keeps a connection with the first instance that reads the store; one that reads it itself,
+    /// with the other ones, which tell it what it misses while it is turned away.
     pub(super) fn keep_reader(&self) {
         if self.shared.settings.store.is_none() {
             return;
@@ -33,11 +34,11 @@
         if self.shared.reader.swap(own, Ordering::AcqRel) != own {
             log::info!(reads = own; "whether this instance reads the store for others");
         }
-        let Some(reader) = readers.first().filter(|_| !own) else {
-            return;
-        };
-        if !self.inner.borrow().links.contains_key(reader) {
-            self.request(reader);
+        let kept = if own { readers.len() } else { 1 };
+        for reader in readers.iter().take(kept).filter(|reader| **reader != self.shared.name) {
+            if !self.inner.borrow().links.contains_key(reader) {
+                self.request(reader);
+            }
         }
     }
 
@@ -47,12 +48,22 @@
         self.send(reader, Message::StateRequest(request));
     }
 
-    /// A heartbeat of another instance: whether it reads the store, and whether it lags behind.
-    pub(super) fn store_heard(&self, number: u32, heartbeat: &peer::Heartbeat) {
+    /// A heartbeat of another instance: whether it reads the store, and whether it lags behind, now
+    /// and at the heartbeat before.
+    pub(super) fn store_heard(
+        &self,
+        number: u32,
+        heartbeat: &peer::Heartbeat,
+        behind: bool,
+        before: bool,
+    ) {
         if heartbeat.reads == Some(true) {
             self.shared.told.store(clock::now(), Ordering::Release);
         }
-        if self.reads() && heartbeat.reads != Some(true) {
+        // One that is only told learns at once; one that reads, or is told by another, only when it
+        // lags behind for longer than that takes.
+        let at_once = self.reads() && heartbeat.reads != Some(true);
+        if behind && (at_once || before) {
             self.tell(number, heartbeat.ends.as_deref());
         }
     }
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -2,23 +2,33 @@
 
 use drumusher_adapter_stand_in::{Away, server::body};
 use drumusher_bench::fleet::wait_for;
+use rstest::rstest;
 
 use crate::support::{Call, Deployment, configuration};
 
-/// An instance that is turned away from the store learns changes from another one.
-#[test]
-fn changes_are_passed_on_between_instances() {
+/// An instance that is turned away from the store learns changes from the others, whichever it is
+/// and however it is turned away.
+#[rstest]
+fn changes_are_passed_on_between_instances(
+    #[values(0, 1, 2)] turned_away: usize,
+    #[values(Away::Busy, Away::Silent)] away: Away,
+) {
     let deployment = Deployment::new(3);
     wait_for("they know each other", || known(&deployment, 3));
+    let door = &deployment.instances[turned_away].door;
+    door.set_away(away);
+    wait_for("no call of before is under way", || {
+        let reads =
+            last_of(&deployment.instances[turned_away].lines(), "reads the store for others");
+        !reads.contains("\"reads\":\"true\"") || door.failed_waits().len() >= 6
+    });
+    deployment.store.put("keyed.op", "config", &configuration(9, "extra"));
     for at in 0..3 {
-        assert_eq!(deployment.call(at, &Call::get("/read/")).expect("an answer").status, 200);
+        wait_for("the change is in force there", || {
+            let answer = deployment.call(at, &Call::get("/extra/"));
+            answer.is_ok_and(|answer| answer.status == 200)
+        });
     }
-    deployment.instances[1].door.set_away(Away::Busy);
-    deployment.store.put("keyed.op", "config", &configuration(9, "extra"));
-    wait_for("the change is in force there", || {
-        let answer = deployment.call(1, &Call::get("/extra/"));
-        answer.is_ok_and(|answer| answer.status == 200)
-    });
 }
 
 /// Whichever instance is frozen or killed, the others serve every request meanwhile.
@@ -52,3 +62,37 @@
         |at: &usize| deployment.store.newest("keyed.instances", &format!("i{at}")).is_some();
     (0..count).filter(entered).count() == count
 }
+
+/// The same without any request, whose connections would carry the changes too: one of those that
+/// read the store is turned away, and is told by the other one.
+#[rstest]
+fn those_that_read_the_store_tell_each_other(
+    #[values(0, 1)] which: usize,
+    #[values(Away::Busy, Away::Silent)] away: Away,
+) {
+    let deployment = Deployment::unconfigured(4);
+    deployment.store.put("keyed.op", "config", &configuration(1, ""));
+    for instance in &deployment.instances {
+        wait_for("it is ready", || instance.ready());
+    }
+    let readers = || {
+        let reads = |at: &usize| {
+            let line = last_of(&deployment.instances[*at].lines(), "reads the store for others");
+            line.contains("\"reads\":\"true\"")
+        };
+        (0..4).filter(reads).collect::<Vec<usize>>()
+    };
+    wait_for("two instances read the store", || readers().len() == 2);
+    let door = &deployment.instances[readers()[which]].door;
+    door.set_away(away);
+    wait_for("no call of before is under way", || door.failed_waits().len() >= 6);
+    deployment.store.put("keyed.op", "config", &configuration(9, "extra"));
+    for instance in &deployment.instances {
+        wait_for("the change is in force there", || instance.lines().contains("\"version\":\"9\""));
+    }
+}
+
+/// The last log line that contains a text.
+fn last_of(lines: &str, text: &str) -> String {
+    lines.lines().rev().find(|line| line.contains(text)).unwrap_or("").to_string()
+}
