feat: reading a shared part again weighs more; a stop ends within 85 in 100 of the grace time

Cause: a shared part read again costs its users about as much as a whole request is worth; some stopping processes were still there when the grace time was over.

Change: 400 us of waiting a token instead of 250; requests still held are cut at 85 in 100.

--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -30,7 +30,7 @@
 const READ_BOUNDS: (f64, f64) = (1.0, 1_000.0);
 /// What reading a shared token again counts, in microseconds of waiting: much more than the time
 /// it takes, because users count it as waste whether or not somebody waits.
-const AGAIN: f64 = 250.0;
+const AGAIN: f64 = 400.0;
 /// What each pressing stream beside it counts for a patient request, in times that its prompt takes
 /// to read: the longer the prompt, the longer their tokens come late.
 const BESIDE_PRESSING: f64 = 2.0;
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -34,7 +34,7 @@
 const LAST: Seconds = Seconds(2);
 /// Part of the time allowed for a stop after which requests still held are cut, so that the process
 /// ends by itself before it is killed.
-const GRACE_USED: f64 = 0.92;
+const GRACE_USED: f64 = 0.85;
 /// Time between two looks at whether all requests ended.
 const LOOK: Millis = Millis(20);
 
