--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -75,7 +75,7 @@
     let code = match ran {
         Ok(0) => ExitCode::SUCCESS,
         Ok(cut) => {
-            log::warn!("ended by a second signal; requests cut: {cut}");
+            log::warn!("ended before all requests did; requests cut: {cut}");
             ExitCode::FAILURE
         }
         Err(error) => {
--- a/crates/drumusher/tests/routes/stop.rs
+++ b/crates/drumusher/tests/routes/stop.rs
@@ -63,3 +63,22 @@
     assert_eq!(answer.status, 504);
     wait_for("it ended", || deployment.instances[0].ended().is_some());
 }
+
+/// A request that is not finished in time is cut: the process ends by itself and says so.
+#[test]
+fn what_cannot_be_finished_is_cut_and_told() {
+    let mut deployment = Deployment::new(1);
+    for id in ["m1", "m2"] {
+        deployment.server(id).set(Fault::Mute);
+    }
+    let call = Call::post("/draft/", "x");
+    let mut held = deployment.connect(0).expect("a connection");
+    held.write_all(&call.bytes()).expect("sent");
+    wait_for("it runs", || deployment.runs(&call.id) == 1);
+    deployment.instances[0].signal("TERM");
+    wait_for("it is not ready", || !deployment.instances[0].ready());
+    deployment.instances[0].signal("TERM");
+    wait_for("it ended", || deployment.instances[0].ended().is_some());
+    assert!(deployment.instances[0].lines().contains("requests cut: 1"));
+    assert!(read(&mut held).is_err(), "no answer that was made up");
+}
