fix: a hang-up no longer ends the process; it reads the settings again and tells what came of it

Cause: SIGHUP, which says that the settings file changed, had its default action: the end of the process with everything in flight.

Change: the signal is taken; faults are told, a change holds from the next start.

Measured: routes::stop::a_hangup_ends_nothing failed before.

--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -37,7 +37,8 @@
         eprintln!("{file}: {error}");
         ExitCode::from(WRONG_USE)
     })?;
-    settings::parse(&text).map_err(|faults| {
+    let parsed = settings::parse(&text).map(|settings| settings.with_source(file));
+    parsed.map_err(|faults| {
         for fault in faults {
             eprintln!("{file}: {fault}");
         }
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -87,14 +87,37 @@
     TcpListener::bind(address).map_err(|e| format!("cannot listen on {address}: {e}"))
 }
 
+/// Reads the settings file again after a hang-up and tells what came of it. Addresses and bounds are
+/// bound to the process, so that a change is in force after the next start.
+fn reread(settings: &Settings) {
+    let text = match std::fs::read_to_string(&settings.source) {
+        Ok(text) => text,
+        Err(error) => return log::error!("{}: {error}; the settings stay", settings.source),
+    };
+    match crate::settings::parse(&text) {
+        Ok(read) => {
+            let changed = read.with_source(&settings.source) != *settings;
+            log::info!(changed = changed; "settings read again; a change holds from the next start");
+        }
+        Err(faults) => {
+            for fault in faults {
+                log::error!("{}: {fault}; the settings stay", settings.source);
+            }
+        }
+    }
+}
+
 /// The first signal asks for a planned stop, the second one ends at once.
 fn watch_signals(shared: Arc<Shared>) -> Result<Arc<AtomicBool>, String> {
-    let mut signals = Signals::new([signal::SIGTERM, signal::SIGINT]).map_err(|e| e.to_string())?;
+    let mut signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP])
+        .map_err(|e| e.to_string())?;
     let hurried = Arc::new(AtomicBool::new(false));
     let flag = hurried.clone();
     let watch = move || {
-        for _ in signals.forever() {
-            if shared.stop() {
+        for signal in signals.forever() {
+            if signal == signal::SIGHUP {
+                reread(&shared.settings);
+            } else if shared.stop() {
                 flag.store(true, Ordering::Release);
             } else {
                 log::info!("stopping: not ready, requests in flight go on to their end");
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -25,6 +25,8 @@
 /// The settings of one instance.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
+    /// The file they were read from.
+    pub source: String,
     /// Its name, the same as in the platform's list.
     pub name: String,
     /// Its availability zone.
@@ -70,6 +72,14 @@
     pub telemetry: Telemetry,
 }
 
+impl Settings {
+    /// Names the file they were read from.
+    pub fn with_source(mut self, source: &str) -> Self {
+        self.source = source.into();
+        self
+    }
+}
+
 /// The platform's store of configuration and backend servers.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Store {
@@ -171,6 +181,7 @@
     let store = reader.optional_address("store.address");
     let wait_ms = reader.count("store.wait_ms", 4_000, 100, 30_000);
     Settings {
+        source: String::new(),
         name: reader.name("instance.name"),
         area: reader.optional_name("instance.area").unwrap_or(availability_zone.clone()),
         availability_zone,
--- a/crates/drumusher/tests/routes/stop.rs
+++ b/crates/drumusher/tests/routes/stop.rs
@@ -82,3 +82,19 @@
     assert!(deployment.instances[0].lines().contains("requests cut: 1"));
     assert!(read(&mut held).is_err(), "no answer that was made up");
 }
+
+/// A hang-up says that the settings file changed: it is read and checked, and nothing ends.
+#[test]
+fn a_hangup_ends_nothing() {
+    let mut deployment = Deployment::new(1);
+    deployment.instances[0].signal("HUP");
+    wait_for("it is told", || deployment.instances[0].lines().contains("settings read again"));
+    std::fs::write(deployment.settings(0), "[instance]\nname = 5\n").expect("written");
+    deployment.instances[0].signal("HUP");
+    wait_for("the fault is told", || {
+        deployment.instances[0].lines().contains("instance.name: takes a text")
+    });
+    let call = Call::get("/read/");
+    assert_eq!(deployment.call(0, &call).expect("an answer").status, 200);
+    assert!(deployment.instances[0].ended().is_none());
+}
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -173,6 +173,11 @@
         read(&mut conn)
     }
 
+    /// The settings file of an instance.
+    pub fn settings(&self, instance: usize) -> PathBuf {
+        self.folder.join(format!("i{instance}.toml"))
+    }
+
     /// A connection to an instance.
     ///
     /// # Errors
