feat: drumusher explain ID tells from log lines why a request ended as it did

Lines of any number of instances, from files or standard input, in order of time, with the cause in plain words or as JSON. A request that is turned away has its id in its line now.

--- a/crates/drumusher/src/lib.rs
+++ b/crates/drumusher/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod request;
 pub mod routed;
 pub mod settings;
+pub mod story;
 pub mod upstream;
 pub mod version;
--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -1,11 +1,16 @@
 //! The `drumusher` program.
 
-use std::{env, fs, process::ExitCode};
+use std::{
+    env, fs,
+    io::{self, Read},
+    process::ExitCode,
+};
 
 use drumusher::{
     options::{self, Command},
     process,
     settings::{self, Settings},
+    story::Story,
 };
 
 /// Exit code for wrong options or settings.
@@ -24,6 +29,7 @@
         }
         Ok(Command::Check(file)) => check(&file),
         Ok(Command::Serve(file)) => serve(&file),
+        Ok(Command::Explain { id, files, json }) => explain(&id, &files, json),
         Ok(Command::Ask { statement, address, key }) => ask(&statement, &address, &key),
         Err(message) => {
             eprintln!("{message}");
@@ -88,6 +94,30 @@
     code
 }
 
+fn explain(id: &str, files: &[String], json: bool) -> ExitCode {
+    let mut text = String::new();
+    let read = if files.is_empty() {
+        io::stdin().read_to_string(&mut text).map(drop)
+    } else {
+        files.iter().try_for_each(|file| {
+            text.push_str(&fs::read_to_string(file)?);
+            text.push('\n');
+            Ok(())
+        })
+    };
+    if let Err(error) = read {
+        eprintln!("the log lines cannot be read: {error}");
+        return ExitCode::from(WRONG_USE);
+    }
+    let story = Story::new(id, text.lines());
+    if json {
+        println!("{}", story.to_json());
+    } else {
+        print!("{story}");
+    }
+    if story.steps.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+}
+
 fn ask(statement: &str, address: &str, key: &str) -> ExitCode {
     match drumusher::operator::ask(statement, address, key) {
         Ok(answer) => {
--- a/crates/drumusher/src/options.rs
+++ b/crates/drumusher/src/options.rs
@@ -13,6 +13,15 @@
     Serve(String),
     /// Check the settings in a file.
     Check(String),
+    /// Tell what log lines say of a request.
+    Explain {
+        /// The request.
+        id: String,
+        /// Files with log lines; standard input if there are none.
+        files: Vec<String>,
+        /// Whether to answer in JSON.
+        json: bool,
+    },
     /// Send one statement to an instance.
     Ask {
         /// The statement.
@@ -35,6 +44,7 @@
 Usage:
     drumusher serve [--config FILE]
     drumusher check [--config FILE]
+    drumusher explain ID [--json] [FILE...]
     drumusher ask [--address IP:PORT] [--key KEY] 'STATEMENT'";
 
 fn options() -> Options {
@@ -42,6 +52,7 @@
     options.optopt("c", "config", "settings file, TOML (default: $DRUMUSHER_SETTINGS)", "FILE");
     options.optopt("a", "address", "instance to ask (default: $DRUMUSHER_ADDRESS)", "IP:PORT");
     options.optopt("k", "key", "operator key (default: $DRUMUSHER_OPERATOR_KEY)", "KEY");
+    options.optflag("j", "json", "explain: answer in JSON");
     options.optflag("h", "help", "print this help");
     options.optflag("V", "version", "print the version");
     options
@@ -72,6 +83,11 @@
     match words.as_slice() {
         ["serve"] => config().map(Command::Serve),
         ["check"] => config().map(Command::Check),
+        ["explain", id, files @ ..] => Ok(Command::Explain {
+            id: (*id).into(),
+            files: files.iter().map(|file| (*file).into()).collect(),
+            json: matches.opt_present("json"),
+        }),
         ["ask", statement] => {
             let address = matches.opt_str("address").or_else(|| variable(ADDRESS_VARIABLE));
             let key = matches.opt_str("key").or_else(|| variable(KEY_VARIABLE));
--- a/crates/drumusher/src/routed/entry.rs
+++ b/crates/drumusher/src/routed/entry.rs
@@ -74,11 +74,12 @@
 ) -> Result<Response, Never> {
     let method = request.method().clone();
     let path = request.path().to_string();
+    let id = worker.dialect.read_head(request.headers()).map(|head| head.id).unwrap_or_default();
     match read(&worker, request).await {
         Ok((hold, request)) => Ok(Exchange::new(worker, hold, request).answer().await),
         Err(error) => {
             log::info!(
-                method = method.as_str(), path = path.as_str(), status = error.kind.status();
+                request = id.as_str(), method = method.as_str(), path = path.as_str(), status = error.kind.status();
                 "request turned away: {}", error.message
             );
             worker.shared.telemetry.count("drumusher.turned.away", &[("kind", error.kind.code())]);
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -9,3 +9,4 @@
 mod relay;
 mod routing;
 mod settings;
+mod story;
--- /dev/null
+++ b/crates/drumusher/tests/unit/story.rs
@@ -0,0 +1,44 @@
+//! What log lines tell of one request.
+
+use drumusher::story::{Cause, Story};
+use proptest::prelude::*;
+use rstest::rstest;
+
+fn line(time: &str, message: &str, request: &str) -> String {
+    format!(
+        r#"{{"time":"{time}","level":"INFO","message":"{message}","attributes":{{"request":"{request}","server":"s1","attempt":"1"}}}}"#
+    )
+}
+
+#[rstest]
+#[case("request ended: delivered", Cause::Delivered)]
+#[case("request ended: backend_failed", Cause::BackendFailed)]
+#[case("request ended: timed_out", Cause::TimedOut)]
+#[case("request ended: broken off", Cause::BrokenOff)]
+#[case("request ended: no_server", Cause::NotRun)]
+#[case("request ended: wait_bound", Cause::NotRun)]
+#[case("request turned away: no route", Cause::TurnedAway)]
+#[case("attempt ended: closed", Cause::Untold)]
+fn the_cause_follows_from_the_last_line(#[case] message: &str, #[case] cause: Cause) {
+    let lines = [line("2", message, "a"), line("1", "attempt ended: silent", "a")];
+    let story = Story::new("a", lines.iter().map(String::as_str));
+    assert_eq!((story.cause, story.steps.len()), (cause, 2));
+    assert_eq!(story.steps[0].time, "1", "in order of time");
+}
+
+#[test]
+fn lines_of_other_requests_and_other_programs_are_passed_over() {
+    let lines = [line("1", "request ended: delivered", "b"), "no JSON".into(), "{}".into()];
+    let story = Story::new("a", lines.iter().map(String::as_str));
+    assert!(story.steps.is_empty());
+    assert_eq!((story.cause, story.unread), (Cause::Untold, 1));
+    assert!(story.to_string().contains("1 lines could not be read"));
+}
+
+proptest! {
+    #[test]
+    fn any_text_is_a_story(text in "(.|\n){0,300}") {
+        let story = Story::new("a", text.lines());
+        let _ = (story.to_string(), story.to_json());
+    }
+}
