--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -27,9 +27,9 @@
 
 /// What instances are ranked for that read the store.
 const STORE: &str = "store";
-/// Instances that read the store: with two, one can be lost or turned away and the others still
-/// learn each change at once.
-const READERS: usize = 2;
+/// Instances that read the store. The store may turn a third of today's eight or nine instances away
+/// at once, and those that read it before others: with four, one is left that tells the rest.
+const READERS: usize = 4;
 
 struct Held {
     own: Own,
--- a/crates/drumusher/src/story.rs
+++ b/crates/drumusher/src/story.rs
@@ -24,6 +24,8 @@
 pub enum Cause {
     /// It got its answer.
     Delivered,
+    /// A backend server's own failure was delivered.
+    FailureDelivered,
     /// Turned away before it was handed over; the status says why.
     TurnedAway,
     /// No backend server had room or could be reached.
@@ -34,7 +36,9 @@
     TimedOut,
     /// A stream broke off after it began.
     BrokenOff,
-    /// The lines do not tell: the caller left, or the instance ended.
+    /// The caller left before there was an answer.
+    CallerGone,
+    /// The lines do not tell: the instance ended.
     Untold,
 }
 
@@ -43,12 +47,16 @@
     pub fn sentence(self) -> &'static str {
         match self {
             Cause::Delivered => "it got its answer",
+            Cause::FailureDelivered => {
+                "a backend server ran it and answered with a failure of its own"
+            }
             Cause::TurnedAway => "it was turned away before anything ran",
             Cause::NotRun => "no backend server took it; it did not run",
             Cause::BackendFailed => "a backend server failed; it may have run",
             Cause::TimedOut => "its time ran out while a backend server had it",
             Cause::BrokenOff => "its stream broke off after it began",
-            Cause::Untold => "no line tells its end: the caller left, or the instance ended",
+            Cause::CallerGone => "the caller left before there was an answer",
+            Cause::Untold => "no line tells its end: the instance ended, or its lines are missing",
         }
     }
 }
@@ -139,8 +147,14 @@
         let ended = step.message.strip_prefix("request ended: ");
         ended.or_else(|| step.message.strip_prefix("request turned away: ").map(|_| "turned away"))
     });
+    let failed = |step: &Step| {
+        let mut facts = step.facts.iter();
+        facts.any(|(name, value)| name == "status" && value.starts_with('5'))
+    };
     match end {
+        Some("delivered") if steps.last().is_some_and(failed) => Cause::FailureDelivered,
         Some("delivered") => Cause::Delivered,
+        Some("caller gone") => Cause::CallerGone,
         Some("turned away") => Cause::TurnedAway,
         Some("backend_failed") => Cause::BackendFailed,
         Some("timed_out") => Cause::TimedOut,
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -63,14 +63,14 @@
     (0..count).filter(entered).count() == count
 }
 
-/// The same without any request, whose connections would carry the changes too: one of those that
-/// read the store is turned away, and is told by the other one.
+/// The same without any request, whose connections would carry the changes too: all but one of
+/// those that read the store are turned away at once, and the one that is left tells them.
 #[rstest]
 fn those_that_read_the_store_tell_each_other(
-    #[values(0, 1)] which: usize,
+    #[values(0, 3)] left: usize,
     #[values(Away::Busy, Away::Silent)] away: Away,
 ) {
-    let deployment = Deployment::unconfigured(4);
+    let deployment = Deployment::unconfigured(6);
     deployment.store.put("keyed.op", "config", &configuration(1, ""));
     for instance in &deployment.instances {
         wait_for("it is ready", || instance.ready());
@@ -80,12 +80,17 @@
             let line = last_of(&deployment.instances[*at].lines(), "reads the store for others");
             line.contains("\"reads\":\"true\"")
         };
-        (0..4).filter(reads).collect::<Vec<usize>>()
+        (0..6).filter(reads).collect::<Vec<usize>>()
     };
-    wait_for("two instances read the store", || readers().len() == 2);
-    let door = &deployment.instances[readers()[which]].door;
-    door.set_away(away);
-    wait_for("no call of before is under way", || door.failed_waits().len() >= 6);
+    wait_for("four instances read the store", || readers().len() == 4);
+    let readers = readers();
+    for at in readers.iter().filter(|at| **at != readers[left]) {
+        deployment.instances[*at].door.set_away(away);
+    }
+    for at in readers.iter().filter(|at| **at != readers[left]) {
+        let door = &deployment.instances[*at].door;
+        wait_for("no call of before is under way", || door.failed_waits().len() >= 6);
+    }
     deployment.store.put("keyed.op", "config", &configuration(9, "extra"));
     for instance in &deployment.instances {
         wait_for("the change is in force there", || instance.lines().contains("\"version\":\"9\""));
--- a/crates/drumusher/tests/unit/story.rs
+++ b/crates/drumusher/tests/unit/story.rs
@@ -12,6 +12,7 @@
 
 #[rstest]
 #[case("request ended: delivered", Cause::Delivered)]
+#[case("request ended: caller gone", Cause::CallerGone)]
 #[case("request ended: backend_failed", Cause::BackendFailed)]
 #[case("request ended: timed_out", Cause::TimedOut)]
 #[case("request ended: broken off", Cause::BrokenOff)]
@@ -42,3 +43,10 @@
         let _ = (story.to_string(), story.to_json());
     }
 }
+
+#[test]
+fn a_failure_that_was_delivered_is_told_as_one() {
+    let line = line("1", "request ended: delivered", "a")
+        .replace("\"attempt\":\"1\"", "\"status\":\"500\"");
+    assert_eq!(Story::new("a", [line.as_str()].into_iter()).cause, Cause::FailureDelivered);
+}
