fix: an entry that ends is believed as far as whoever read it had no doubt

Ruled out: late news (all instances had the record within 0.3 s).

Change: doubt goes with the records, from the instance that read them; what was read without doubt is believed at once.

test: instances of the routes tests have an address of their own each; two deployments of one process could be given the same port (one test failed once, waiting for an instance that could not listen).

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -222,7 +222,9 @@
             log::info!("the store answers again");
         }
         self.shared.store_away.store(false, Ordering::Release);
-        self.note_doubt();
+        // What is read now is told to others with the doubt of now, until the next records.
+        let doubtful = self.state.borrow().entries.doubtful(now);
+        self.shared.doubtful.store(doubtful, Ordering::Release);
     }
 
     fn failed(&self, table: Table, error: &Error) {
@@ -231,12 +233,6 @@
             log::warn!(table = table.word(); "the store {error}; what is in force stays");
         }
         self.shared.store_away.store(true, Ordering::Release);
-        self.note_doubt();
-    }
-
-    fn note_doubt(&self) {
-        let doubtful = self.state.borrow().entries.doubtful(clock::now());
-        self.shared.doubtful.store(doubtful, Ordering::Release);
     }
 
     fn take(&self, news: News) {
@@ -323,11 +319,17 @@
             Ok(update) => update,
             Err(error) => return log::error!("records of another instance: {error}"),
         };
-        if update.doubtful {
-            let mut state = self.state.borrow_mut();
-            state.entries.store_failed();
-            state.entries.store_answered(clock::now());
+        let doubtful = update.doubtful;
+        {
+            let entries = &mut self.state.borrow_mut().entries;
+            if doubtful {
+                entries.store_failed();
+                entries.store_answered(clock::now());
+            } else {
+                entries.trust();
+            }
         }
+        self.shared.doubtful.store(doubtful, Ordering::Release);
         let news = self.shared.records().take(update);
         news.into_iter().for_each(|news| self.take(news));
     }
--- a/crates/drumusher/src/process/catalog/entries.rs
+++ b/crates/drumusher/src/process/catalog/entries.rs
@@ -42,6 +42,13 @@
         before
     }
 
+    /// Another instance read the store without doubt: what it tells is believed, although the own
+    /// calls may fail.
+    pub fn trust(&mut self) {
+        self.away = false;
+        self.returned = None;
+    }
+
     /// Whether ends of entries are not to be believed yet.
     pub fn doubtful(&self, now: Micros) -> bool {
         self.away || self.returned.is_some_and(|returned| now < returned + LAPSE)
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -41,7 +41,7 @@
     pub told: AtomicU64,
     /// Whether the store did not answer the latest call.
     pub store_away: AtomicBool,
-    /// Whether ends of entries are not to be believed yet.
+    /// Whether ends of entries were not to be believed when the latest records were read.
     pub doubtful: AtomicBool,
     /// Who is there.
     pub directory: ArcSwap<Directory>,
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -95,6 +95,13 @@
     for instance in &deployment.instances {
         wait_for("the change is in force there", || instance.lines().contains("\"version\":\"9\""));
     }
+    // The store is there for one of them, so that an entry that ends has not lapsed.
+    deployment.store.remove("keyed.servers", "d1");
+    for instance in &deployment.instances {
+        let ended = || last_of(&instance.lines(), "server's entry ended");
+        wait_for("the end is known there", || !ended().is_empty());
+        assert!(ended().contains("\"held\":\"false\""), "{}", ended());
+    }
 }
 
 /// The last log line that contains a text.
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -43,7 +43,6 @@
     /// The instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
-    number: u32,
 }
 
 /// The configuration of tests, as its operators write it.
@@ -87,7 +86,7 @@
         fs::create_dir_all(&folder).expect("a folder for the test");
         let store = Store::start().expect("the store starts");
         let mut deployment =
-            Deployment { store, servers: Vec::new(), instances: Vec::new(), folder, number };
+            Deployment { store, servers: Vec::new(), instances: Vec::new(), folder };
         for (id, service) in [("d1", DESK), ("d2", DESK), ("m1", MODEL), ("m2", MODEL)] {
             deployment.add_server(id, service);
         }
@@ -106,10 +105,11 @@
 
     /// Starts an instance.
     pub fn add_instance(&mut self, name: &str) {
-        let at = self.instances.len() as u32;
+        static INSTANCE: AtomicU32 = AtomicU32::new(0);
+        let at = INSTANCE.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         let (high, low) = (1 + (process >> 8) % 250, process & 0xff);
-        let ip = format!("127.{high}.{low}.{}", 1 + (self.number * 8 + at) % 250);
+        let ip = format!("127.{high}.{low}.{}", 1 + at % 250);
         let free = || {
             let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
             listener.local_addr().expect("its address")
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -66,6 +66,15 @@
     assert_eq!(ids(&entries), ["b"]);
 }
 
+#[test]
+fn what_another_instance_read_without_doubt_is_believed() {
+    let mut entries = entries();
+    entries.store_failed();
+    entries.trust();
+    assert!(!entries.end("a", 10));
+    assert_eq!(ids(&entries), ["b"]);
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Put(u8),
