refactor: the area of a pool is called area

The shared state, the table of asks and the directory named a field after the availability zone that with a store holds the area of the settings, which may be a whole region. The field now has the name of what it holds, and the directory says where the area comes from. Names that leave the process (the hello, the operators' rows, spans) stay as they are.

--- a/crates/drumusher/src/operator/rows.rs
+++ b/crates/drumusher/src/operator/rows.rs
@@ -140,7 +140,7 @@
     let requests = shared.requests.load(std::sync::atomic::Ordering::Acquire);
     row(json!({
         "instance": &*shared.name,
-        "availability_zone": &*shared.availability_zone,
+        "availability_zone": &*shared.area,
         "ready": shared.ready(),
         "stopping": shared.stopping(),
         "requests": requests,
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -62,8 +62,8 @@
     pub id: Id,
     /// Its pool.
     pub pool: Pool,
-    /// The availability zone whose dispatcher is asked.
-    pub availability_zone: Arc<str>,
+    /// The area whose dispatcher is asked.
+    pub area: Arc<str>,
     /// Its workspace.
     pub workspace: Arc<str>,
     /// Its class.
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -46,7 +46,7 @@
 /// The asks this instance owns.
 pub struct Table {
     name: Arc<str>,
-    availability_zone: Arc<str>,
+    area: Arc<str>,
     held: HashMap<Id, Held>,
     fresh: BTreeSet<Id>,
     directory: Arc<Directory>,
@@ -59,10 +59,10 @@
 
 impl Table {
     /// An empty table of the instance `name`.
-    pub fn new(name: Arc<str>, availability_zone: Arc<str>) -> Self {
+    pub fn new(name: Arc<str>, area: Arc<str>) -> Self {
         Table {
             name,
-            availability_zone,
+            area,
             held: HashMap::new(),
             fresh: BTreeSet::new(),
             directory: Arc::default(),
@@ -87,40 +87,41 @@
         &self.dead
     }
 
-    /// The instances that may dispatch in an availability zone, as seen from here.
-    fn eligible<'a>(&'a self, zone: &'a str) -> impl Iterator<Item = &'a str> {
+    /// The instances that may dispatch in an area, as seen from here.
+    fn eligible<'a>(&'a self, area: &'a str) -> impl Iterator<Item = &'a str> {
         let listed = self.directory.instances.values().filter(move |instance| {
-            &*instance.availability_zone == zone
+            &*instance.area == area
                 && !instance.leaving
                 && instance.name != self.name
                 && !self.dead.contains(&instance.name)
                 && !self.leaving.contains(&instance.name)
         });
-        let own = (zone == &*self.availability_zone && !self.stopping).then_some(&*self.name);
+        let own = (area == &*self.area && !self.stopping).then_some(&*self.name);
         listed.map(|instance| &*instance.name).chain(own)
     }
 
-    /// The dispatcher of a pool in an availability zone, as seen from here.
-    pub fn dispatcher(&self, pool: &Pool, zone: &str) -> Option<Arc<str>> {
+    /// The dispatcher of a pool in an area, as seen from here.
+    pub fn dispatcher(&self, pool: &Pool, area: &str) -> Option<Arc<str>> {
         let pool = pool.to_string();
-        let first = rank::first(&pool, self.eligible(zone)).map(Arc::from);
-        let own_zone = zone == &*self.availability_zone;
-        first.or_else(|| own_zone.then(|| self.name.clone()))
+        let first = rank::first(&pool, self.eligible(area)).map(Arc::from);
+        let own_area = area == &*self.area;
+        first.or_else(|| own_area.then(|| self.name.clone()))
     }
 
     /// The instances that read the store and tell the others, as seen from here, first one first.
     pub fn readers(&self) -> Vec<Arc<str>> {
-        let ranked = rank::order(STORE, self.eligible(&self.availability_zone));
+        let ranked = rank::order(STORE, self.eligible(&self.area));
         ranked.into_iter().take(READERS).map(Arc::from).collect()
     }
 
-    /// How many instances of the own zone are listed, and whether none of the others is reachable.
+    /// How many instances of the own area are listed, and whether none of the others is reachable.
     pub fn alone(&self) -> (usize, bool) {
-        let zone = &self.availability_zone;
-        let others =
-            self.directory.instances.values().filter(|instance| {
-                instance.availability_zone == *zone && instance.name != self.name
-            });
+        let area = &self.area;
+        let others = self
+            .directory
+            .instances
+            .values()
+            .filter(|instance| instance.area == *area && instance.name != self.name);
         let (mut listed, mut reachable) = (1, 0);
         for other in others {
             listed += 1;
@@ -141,7 +142,7 @@
 
     fn open(&mut self, own: Own, sends: &mut Vec<Send>) {
         let id = own.id;
-        let dispatcher = self.dispatcher(&own.pool, &own.availability_zone);
+        let dispatcher = self.dispatcher(&own.pool, &own.area);
         let held = Held {
             own,
             dispatcher,
@@ -402,7 +403,7 @@
         let ids: Vec<Id> = self.held.keys().copied().collect();
         for id in ids {
             let own = &self.held[&id].own;
-            let place = (own.pool.clone(), own.availability_zone.clone());
+            let place = (own.pool.clone(), own.area.clone());
             let owner = match owners.get(&place) {
                 Some(owner) => owner.clone(),
                 None => {
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -312,7 +312,7 @@
     fn publish(&self) {
         let state = self.state.borrow();
         let instances = state.instances.iter().map(|(name, i)| (name.as_str(), i.address.as_str()));
-        let area = &self.shared.availability_zone;
+        let area = &self.shared.area;
         let directory = Directory::of_servers(area, instances, state.entries.servers());
         self.shared.publish_directory(directory);
     }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -29,7 +29,8 @@
 const RING: usize = 65_536;
 /// How long a pool is kept that nobody asks for.
 const IDLE: u64 = 60 * drumusher_schedule::time::SECOND;
-/// Capacity that an instance uses when all others of its zone are out of reach: its share.
+/// By how much an instance divides each window of requests: the number of instances of its area
+/// while all others are out of reach, else 1.
 pub type Share = u32;
 
 /// What the dispatch thread is told.
@@ -49,7 +50,7 @@
         /// What it said; `None` if it is leaving by its own word.
         report: Option<Report>,
     },
-    /// The instances of the zone among which capacity is divided while they cannot be reached.
+    /// The instances of the area among which capacity is divided while they cannot be reached.
     Divide(Share),
     /// Rows of a table for an operator.
     Rows(rows::Source, async_channel::Sender<Vec<Row>>),
@@ -327,7 +328,7 @@
     /// Brings a pool's backend servers in line with the directory.
     fn refresh(&mut self, pool: &Pool) {
         let directory = self.shared.directory.load_full();
-        let backends = directory.backends(pool, &self.shared.availability_zone);
+        let backends = directory.backends(pool, &self.shared.area);
         let wanted: BTreeMap<Arc<str>, &Backend> = backends.map(|b| (b.name.clone(), b)).collect();
         let learned = self.shared.version.load().policy.switches.windows;
         let Some(host) = self.hosts.get_mut(pool) else {
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -118,7 +118,7 @@
         rings: Rings,
         replies: async_channel::Receiver<(Entry, Message)>,
     ) -> Peers {
-        let table = broker::Table::new(shared.name.clone(), shared.availability_zone.clone());
+        let table = broker::Table::new(shared.name.clone(), shared.area.clone());
         let inner = Inner {
             table,
             links: HashMap::new(),
@@ -413,7 +413,7 @@
         }
         let pool = Pool::parse(&ask.pool)?;
         let inner = self.inner.borrow();
-        let owner = inner.table.dispatcher(&pool, &self.shared.availability_zone)?;
+        let owner = inner.table.dispatcher(&pool, &self.shared.area)?;
         (owner != self.shared.name).then_some(owner)
     }
 
@@ -462,7 +462,7 @@
         self.send_on(number, message);
     }
 
-    /// Tells the decisions by how much to divide capacity: by the instances of the zone while none
+    /// Tells the decisions by how much to divide capacity: by the instances of the area while none
     /// of the others can be reached, else not.
     fn divide(&self) {
         let (listed, alone) = self.inner.borrow().table.alone();
--- a/crates/drumusher/src/process/peers/link.rs
+++ b/crates/drumusher/src/process/peers/link.rs
@@ -106,8 +106,8 @@
             return false;
         };
         let secret = self.shared.settings.fleet_secret.as_bytes();
-        let (name, zone) = (&self.shared.name, &self.shared.availability_zone);
-        match connection::connect(&address, Some(to), name, zone, secret).await {
+        let (name, area) = (&self.shared.name, &self.shared.area);
+        match connection::connect(&address, Some(to), name, area, secret).await {
             Ok((io, instance)) => {
                 rt::spawn(self.clone().serve(io, instance));
                 true
@@ -119,13 +119,13 @@
         }
     }
 
-    /// Asks a few other instances for the configuration, those of the own zone first, and the seeds
+    /// Asks a few other instances for the configuration, those of the own area first, and the seeds
     /// if no instance is listed.
     pub(super) fn seek(&self) {
         let directory = self.shared.directory.load_full();
         let others = directory.instances.values().filter(|other| other.name != self.shared.name);
         let mut others: Vec<&Instance> = others.collect();
-        others.sort_by_key(|other| other.availability_zone != self.shared.availability_zone);
+        others.sort_by_key(|other| other.area != self.shared.area);
         for other in others.iter().take(SOUGHT) {
             self.send(&other.name, Message::StateRequest(peer::StateRequest::new(0, None)));
         }
@@ -139,8 +139,8 @@
 
     async fn seek_at(self, address: String) {
         let secret = self.shared.settings.fleet_secret.as_bytes();
-        let (name, zone) = (&self.shared.name, &self.shared.availability_zone);
-        let connected = connection::connect(&address, None, name, zone, secret).await;
+        let (name, area) = (&self.shared.name, &self.shared.area);
+        let connected = connection::connect(&address, None, name, area, secret).await;
         if let Ok((io, instance)) = connected {
             let request = Message::StateRequest(peer::StateRequest::new(0, None));
             let _ = io.get_ref().encode(request, &Codec);
--- a/crates/drumusher/src/process/platform/load.rs
+++ b/crates/drumusher/src/process/platform/load.rs
@@ -20,8 +20,8 @@
         let pools = context.shared.hosted.load_full();
         // Only engines have a load report; a plain service would take the read for a call.
         for pool in pools.iter().filter(|pool| matches!(pool, Pool::Model(_))) {
-            let zone = &context.shared.availability_zone;
-            for backend in directory.backends(pool, zone) {
+            let area = &context.shared.area;
+            for backend in directory.backends(pool, area) {
                 rt::spawn(read(context.clone(), pool.clone(), backend.clone()));
             }
         }
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -26,9 +26,9 @@
     pub settings: Settings,
     /// The instance's name.
     pub name: Arc<str>,
-    /// The area whose instances and backend servers form one pool: the availability zone, or the
-    /// region where the settings say so.
-    pub availability_zone: Arc<str>,
+    /// The area whose instances and backend servers form one pool: the availability zone, or what
+    /// the settings name instead.
+    pub area: Arc<str>,
     /// The configuration in force.
     pub version: ArcSwap<Version>,
     /// The routes in force, where the configuration is one of routes.
@@ -95,7 +95,7 @@
         let version = Version::new(None, State::new(), settings.limits.queue);
         let shared = Shared {
             name: settings.name.as_str().into(),
-            availability_zone: settings.area.as_str().into(),
+            area: settings.area.as_str().into(),
             version: ArcSwap::from_pointee(version),
             routing: ArcSwapOption::empty(),
             records: Mutex::default(),
--- a/crates/drumusher/src/request/flow.rs
+++ b/crates/drumusher/src/request/flow.rs
@@ -163,12 +163,12 @@
         }
     }
 
-    fn ask(&mut self, availability_zone: Arc<str>) {
+    fn ask(&mut self, area: Arc<str>) {
         while self.replies.try_recv().is_ok() {}
         let own = Own {
             id: self.id,
             pool: self.pool.clone(),
-            availability_zone,
+            area,
             workspace: self.head.workspace.clone(),
             class: self.head.class.clone(),
             arrived: self.head.arrived,
@@ -321,8 +321,8 @@
 /// The availability zones to ask: the own one, then others that have backend servers of the pool,
 /// in an order that differs between requests.
 fn zones(shared: &Shared, pool: &Pool, id: Id) -> Vec<Arc<str>> {
-    let own = shared.availability_zone.clone();
-    let serving = shared.directory.load().zones(pool);
+    let own = shared.area.clone();
+    let serving = shared.directory.load().areas(pool);
     let others = serving.iter().filter(|zone| **zone != own).map(|zone| &**zone);
     let ranked = rank::order(&id::to_text(id), others);
     let mut zones: Vec<Arc<str>> = ranked.into_iter().take(OVERFLOWS).map(Arc::from).collect();
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -107,7 +107,7 @@
         Own {
             id: self.id,
             pool: ask.pool.clone(),
-            availability_zone: self.shared.availability_zone.clone(),
+            area: self.shared.area.clone(),
             workspace: ask.workspace.clone(),
             class: ask.class.clone(),
             arrived: ask.arrived,
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -1,4 +1,9 @@
-//! Who is there: instances and backend servers, from the platform's list and the configuration.
+//! Who is there: instances and backend servers, from the platform's list and the configuration, or
+//! from the platform's store.
+//!
+//! An area is a set of instances and backend servers that form one pool: each area has its own
+//! dispatcher for each pool. From the list it is the availability zone of each member; from the
+//! store it is the one area of the instance's settings.
 
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
@@ -8,7 +13,7 @@
     routing::Server,
 };
 
-/// A pool's name: one model or one plain service. The availability zone is the dispatcher's.
+/// A pool's name: one model or one plain service. The area is the dispatcher's.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Pool {
     /// A model.
@@ -43,8 +48,8 @@
 pub struct Instance {
     /// Its name.
     pub name: Arc<str>,
-    /// Its availability zone.
-    pub availability_zone: Arc<str>,
+    /// The area it belongs to.
+    pub area: Arc<str>,
     /// `ip:port` for other instances.
     pub address: String,
     /// Whether it is leaving.
@@ -56,8 +61,8 @@
 pub struct Backend {
     /// Its name.
     pub name: Arc<str>,
-    /// Its availability zone.
-    pub availability_zone: Arc<str>,
+    /// The area it belongs to.
+    pub area: Arc<str>,
     /// `ip:port`.
     pub address: String,
     /// Most requests at once.
@@ -71,7 +76,7 @@
 pub struct Directory {
     /// All instances, by name.
     pub instances: BTreeMap<Arc<str>, Instance>,
-    /// Backend servers of all availability zones, by pool.
+    /// Backend servers of all areas, by pool.
     pub pools: BTreeMap<Pool, Vec<Backend>>,
 }
 
@@ -90,7 +95,7 @@
             };
             let backend = Backend {
                 name: name.as_str().into(),
-                availability_zone: zone.as_str().into(),
+                area: zone.as_str().into(),
                 address: address.clone(),
                 slots: engine.slots,
                 leaving: engine.drained,
@@ -111,7 +116,7 @@
             let name: Arc<str> = name.into();
             let instance = Instance {
                 name: name.clone(),
-                availability_zone: area.clone(),
+                area: area.clone(),
                 address: address.into(),
                 leaving: false,
             };
@@ -120,7 +125,7 @@
         for server in servers {
             let backend = Backend {
                 name: server.id.as_str().into(),
-                availability_zone: area.clone(),
+                area: area.clone(),
                 address: server.address.to_string(),
                 slots: server.slots,
                 leaving: server.leaving,
@@ -132,12 +137,11 @@
 
     fn add_member(&mut self, member: &members::Member, state: &State) {
         let name: Arc<str> = member.name.as_str().into();
-        let zone: Arc<str> = member.availability_zone.as_str().into();
+        let area: Arc<str> = member.availability_zone.as_str().into();
         let leaving = member.state == members::State::Leaving;
         if member.kind == Kind::Instance {
             let address = member.address.clone();
-            let instance =
-                Instance { name: name.clone(), availability_zone: zone, address, leaving };
+            let instance = Instance { name: name.clone(), area, address, leaving };
             self.instances.insert(name, instance);
             return;
         }
@@ -145,7 +149,7 @@
             let (pool, slots, drained) = self.placed(member, serves, state);
             let backend = Backend {
                 name: name.clone(),
-                availability_zone: zone.clone(),
+                area: area.clone(),
                 address: member.address.clone(),
                 slots,
                 leaving: leaving || drained,
@@ -172,14 +176,14 @@
         }
     }
 
-    /// The backend servers of a pool in one availability zone.
+    /// The backend servers of a pool in one area.
     pub fn backends<'a>(
         &'a self,
         pool: &Pool,
-        availability_zone: &'a str,
+        area: &'a str,
     ) -> impl Iterator<Item = &'a Backend> + use<'a> {
         let backends = self.pools.get(pool).into_iter().flatten();
-        backends.filter(move |backend| &*backend.availability_zone == availability_zone)
+        backends.filter(move |backend| &*backend.area == area)
     }
 
     /// A backend server of a pool by name.
@@ -187,13 +191,13 @@
         self.pools.get(pool)?.iter().find(|backend| &*backend.name == name)
     }
 
-    /// The availability zones that have a backend server of a pool.
-    pub fn zones(&self, pool: &Pool) -> Vec<Arc<str>> {
+    /// The areas that have a backend server of a pool which takes new work.
+    pub fn areas(&self, pool: &Pool) -> Vec<Arc<str>> {
         let backends = self.pools.get(pool).into_iter().flatten();
         let taking = backends.filter(|backend| !backend.leaving);
-        let mut zones: Vec<Arc<str>> = taking.map(|b| b.availability_zone.clone()).collect();
-        zones.sort();
-        zones.dedup();
-        zones
+        let mut areas: Vec<Arc<str>> = taking.map(|b| b.area.clone()).collect();
+        areas.sort();
+        areas.dedup();
+        areas
     }
 }
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -16,7 +16,7 @@
     let instances = listed.iter().map(|name| {
         let instance = Instance {
             name: (*name).into(),
-            availability_zone: "suva".into(),
+            area: "suva".into(),
             address: "127.0.0.1:1".into(),
             leaving: false,
         };
@@ -40,7 +40,7 @@
     let own = Own {
         id,
         pool: pool(),
-        availability_zone: "suva".into(),
+        area: "suva".into(),
         workspace: "vanua".into(),
         class: "pickup".into(),
         arrived: drumusher::process::clock::now(),
