refactor: the peers thread stands in modules of one job each

The refusal of an ask for which the ring has no room stood twice and is one function; the three rings of the thread and the type of an operator's answers have one name each.

--- a/crates/drumusher/src/process/peers/link.rs
+++ b/crates/drumusher/src/process/peers/link.rs
@@ -2,11 +2,10 @@
 
 use std::{collections::hash_map, sync::Arc};
 
-use drumusher_schedule::order::Refusal;
 use drumusher_wire::peer::{self, Message};
 use ntex::{rt, time::sleep};
 
-use super::{Link, PENDING, Peers, TRIAL};
+use super::{Link, PENDING, Peers, TRIAL, messages::queue_full};
 use crate::{
     connection::{self, Codec},
     process::{broker, dispatch},
@@ -63,11 +62,9 @@
             return;
         }
         if let Some(id) = id {
-            let second = drumusher_schedule::time::SECOND as i64;
-            let refuse = peer::Refuse::new(id, Refusal::QueueFull as i16, second);
             let name = self.shared.name.clone();
             let table = &mut self.inner.borrow_mut().table;
-            table.answer(&name, Message::Refuse(refuse), &mut Vec::new());
+            table.answer(&name, queue_full(id), &mut Vec::new());
         }
     }
 
--- a/crates/drumusher/src/process/peers/query.rs
+++ b/crates/drumusher/src/process/peers/query.rs
@@ -8,7 +8,8 @@
     time::{Millis, sleep},
 };
 
-use super::{Input, Peers, Receiver, Row, operator};
+use super::{Answers, Input, Peers, Receiver};
+use crate::operator::{self, rows::Row};
 
 /// Longest time to wait for the others' answers.
 const LONGEST: Millis = Millis(1_500);
@@ -16,7 +17,7 @@
 /// A query that others were asked.
 pub(super) struct Gather {
     open: BTreeSet<Arc<str>>,
-    reply: async_channel::Sender<(Arc<str>, Option<Vec<Row>>)>,
+    reply: Answers,
 }
 
 impl Peers {
@@ -29,11 +30,7 @@
         }
     }
 
-    fn gather(
-        &self,
-        statement: String,
-        reply: async_channel::Sender<(Arc<str>, Option<Vec<Row>>)>,
-    ) {
+    fn gather(&self, statement: String, reply: Answers) {
         rt::spawn(self.clone().own_rows(statement.clone(), reply.clone()));
         let directory = self.shared.directory.load_full();
         let others = directory.instances.keys().filter(|name| **name != self.shared.name);
@@ -56,11 +53,7 @@
         rt::spawn(self.clone().end_gather(id));
     }
 
-    async fn own_rows(
-        self,
-        statement: String,
-        reply: async_channel::Sender<(Arc<str>, Option<Vec<Row>>)>,
-    ) {
+    async fn own_rows(self, statement: String, reply: Answers) {
         let rows = operator::local(&self.shared, &statement).await;
         let _ = reply.try_send((self.shared.name.clone(), Some(rows)));
     }
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -20,7 +20,7 @@
 
 use super::{
     Shared, dispatch,
-    peers::{self, Peers},
+    peers::{self, Peers, Rings},
     platform,
     shared::Receivers,
     telemetry::Telemetry,
@@ -146,7 +146,8 @@
     let Receivers { broker, dispatch, peers, platform } = receivers;
     let (replies, replies_receiver) = peers::replies();
     start_dispatch(shared.clone(), dispatch, replies)?;
-    let peer_server = serve_peers(shared.clone(), peer, (broker, peers), replies_receiver)?;
+    let rings = Rings { broker, peers, replies: replies_receiver };
+    let peer_server = serve_peers(shared.clone(), peer, rings)?;
     let servers = start(Parts { shared: shared.clone(), platform })?;
     log::info!("instance {} serves {}", shared.name, shared.settings.http);
     let cut = stopped(&shared, &hurried).await;
@@ -174,16 +175,11 @@
 fn serve_peers(
     shared: Arc<Shared>,
     listener: TcpListener,
-    (broker, queries): (super::broker::Receiver, peers::Receiver),
-    replies: async_channel::Receiver<(
-        drumusher_schedule::ask::Entry,
-        drumusher_wire::peer::Message,
-    )>,
+    rings: Rings,
 ) -> Result<server::Server, String> {
     let server = server::build().name("peers").workers(1).disable_signals();
     let listening = server.listen("peers", listener, async move |_| {
-        let receivers = peers::Rings { broker: broker.clone(), peers: queries.clone() };
-        let peers = Peers::start(shared.clone(), receivers, replies.clone());
+        let peers = Peers::start(shared.clone(), rings.clone());
         ntex::fn_service(move |io: Io| {
             let peers = peers.clone();
             async move {
