refactor: the dispatch thread hands its pools and its messages to modules

process/dispatch.rs held the thread, the backend servers of each pool, and the translation of messages and orders. The latter two are modules now, so that each part can be read alone. The type called Share was no share but the number that windows are divided by, so it is called Divisor.

--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -1,4 +1,12 @@
 //! The dispatch thread: the pools this instance dispatches.
+//!
+//! | module | duty |
+//! |---|---|
+//! | `host` | one pool with the names of its backend servers |
+//! | `wire` | messages between instances as events, orders as messages |
+
+mod host;
+mod wire;
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -8,14 +16,14 @@
 
 use crossbeam_channel::RecvTimeoutError;
 use drumusher_schedule::{
-    ask::{Ask, Entry, Id, Outcome, Part},
-    event::{Event, Load, Progress},
+    ask::{Ask, Entry},
+    event::{Event, Load},
     order::Order,
-    policy::{ClassKey, WorkspaceKey},
-    pool, rank, server,
+    pool,
 };
 use drumusher_wire::peer::{self, Message};
 
+use self::host::Host;
 use super::{Shared, clock};
 use crate::{
     operator::rows::{self, Row},
@@ -31,7 +39,7 @@
 const IDLE: u64 = 60 * drumusher_schedule::time::SECOND;
 /// By how much an instance divides each window of requests: the number of instances of its area
 /// while all others are out of reach, else 1.
-pub type Share = u32;
+pub type Divisor = u32;
 
 /// What the dispatch thread is told.
 pub enum Input {
@@ -51,7 +59,7 @@
         report: Option<Report>,
     },
     /// The instances of the area among which capacity is divided while they cannot be reached.
-    Divide(Share),
+    Divide(Divisor),
     /// Rows of a table for an operator.
     Rows(rows::Source, async_channel::Sender<Vec<Row>>),
 }
@@ -81,23 +89,12 @@
     crossbeam_channel::bounded(RING)
 }
 
-/// One pool with the names of its backend servers.
-struct Host {
-    pool: pool::Pool,
-    names: Vec<Arc<str>>,
-    known: HashMap<Arc<str>, server::Key>,
-    applied: BTreeMap<Arc<str>, (u32, bool)>,
-    /// Backend servers that said themselves that they are leaving.
-    own_word: BTreeMap<Arc<str>, u64>,
-    used: u64,
-}
-
 /// All pools this instance dispatches.
 struct Dispatch {
     shared: Arc<Shared>,
     replies: Replies,
     hosts: HashMap<Pool, Host>,
-    divide: Share,
+    divide: Divisor,
     orders: Vec<Order>,
     unsent: VecDeque<(Entry, Message)>,
 }
@@ -125,8 +122,8 @@
             Input::Gone(entry) => self.each(|_| Event::EntryGone(entry)),
             Input::Changed => self.changed(),
             Input::Load { pool, server, report } => self.load(&pool, &server, report),
-            Input::Divide(share) => {
-                self.divide = share.max(1);
+            Input::Divide(divisor) => {
+                self.divide = divisor.max(1);
                 self.changed();
             }
             Input::Rows(source, reply) => {
@@ -148,54 +145,39 @@
         }
     }
 
-    fn ask(&mut self, entry: Entry, wire: peer::Ask) {
-        let Some(pool) = Pool::parse(&wire.pool) else {
+    fn ask(&mut self, entry: Entry, asked: peer::Ask) {
+        let Some(pool) = Pool::parse(&asked.pool) else {
             return;
         };
         self.host(&pool);
-        let Some(ask) = self.read_ask(entry, &wire, &pool) else {
+        let Some(ask) = self.read_ask(entry, &asked, &pool) else {
             return;
         };
-        let declared =
-            wire.server.as_deref().and_then(|name| self.hosts.get(&pool)?.known.get(name).copied());
+        let declared = asked
+            .server
+            .as_deref()
+            .and_then(|name| self.hosts.get(&pool)?.known.get(name).copied());
         let event = match declared {
             Some(server) => Event::Declare(ask, server),
             None => Event::Ask(ask),
         };
         self.handle(&pool, event);
-        self.acknowledge(entry, &wire, &pool);
+        self.acknowledge(entry, &asked, &pool);
     }
 
     /// Tells the entry that its ask waits, so that it need not take silence for an outage.
-    fn acknowledge(&mut self, entry: Entry, wire: &peer::Ask, pool: &Pool) {
+    fn acknowledge(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) {
         let waits = |id| self.hosts.get(pool).is_some_and(|host| host.pool.waits(id));
-        if id::from_wire(&wire.id).is_some_and(waits) {
-            let queued = Message::Queued(peer::Queued::new(wire.id.clone()));
+        if id::from_wire(&asked.id).is_some_and(waits) {
+            let queued = Message::Queued(peer::Queued::new(asked.id.clone()));
             self.unsent.push_back((entry, queued));
             self.flush();
         }
     }
 
-    fn read_ask(&self, entry: Entry, wire: &peer::Ask, pool: &Pool) -> Option<Ask> {
+    fn read_ask(&self, entry: Entry, ask: &peer::Ask, pool: &Pool) -> Option<Ask> {
         let version = self.shared.version.load();
-        let lowest = ClassKey(version.policy.classes.len() as u16 - 1);
-        let avoid = wire.avoid.as_deref();
-        let known = &self.hosts.get(pool)?.known;
-        Some(Ask {
-            id: id::from_wire(&wire.id)?,
-            entry,
-            class: version.class(&wire.traffic_class).unwrap_or(lowest),
-            workspace: version.workspace(&wire.workspace).unwrap_or(WorkspaceKey(u16::MAX)),
-            arrived: clock::now().saturating_sub(wire.age.max(0) as u64),
-            prompt: wire.prompt.max(0) as u32,
-            prefix: wire.prefix.unwrap_or(0) as u64,
-            produced: wire.produced.unwrap_or(0).max(0) as u32,
-            repeatable: !wire.unrepeatable.unwrap_or(false),
-            preemptions: wire.preemptions.unwrap_or(0).clamp(0, 255) as u8,
-            avoid: avoid.and_then(|name| known.get(name).copied()),
-            output: wire.output.unwrap_or(0).max(0) as u32,
-            parts: wire.parts.iter().flatten().map(read_part).collect(),
-        })
+        wire::ask(entry, ask, &version, &self.hosts.get(pool)?.known)
     }
 
     /// The end of an attempt, with what was not reported on it yet.
@@ -205,10 +187,10 @@
         };
         let produced = finish.produced.max(0) as u32;
         if finish.first_token.is_some() || finish.gap.is_some() {
-            let progress = progress(id, produced, finish.first_token, finish.gap);
+            let progress = wire::progress(id, produced, finish.first_token, finish.gap);
             self.at(&finish.pool, Event::Progress(progress));
         }
-        let event = Event::Finish(id, outcome(finish.outcome), produced);
+        let event = Event::Finish(id, wire::outcome(finish.outcome), produced);
         self.at(&finish.pool, event);
     }
 
@@ -218,7 +200,7 @@
                 continue;
             };
             let produced = report.produced.max(0) as u32;
-            let progress = progress(id, produced, report.first_token, report.gap);
+            let progress = wire::progress(id, produced, report.first_token, report.gap);
             self.at(&batch.pool, Event::Progress(progress));
         }
     }
@@ -259,7 +241,7 @@
                 break;
             };
             self.shared.telemetry.count_order(order);
-            let (entry, id, message, why) = write_order(order, &host.names);
+            let (entry, id, message, why) = wire::order(order, &host.names);
             self.shared.explanations.add(id, format!("{pool}: {why}"));
             self.unsent.push_back((entry, message));
         }
@@ -303,14 +285,7 @@
             return;
         }
         let policy = self.shared.version.load().policy.clone();
-        let host = Host {
-            pool: pool::Pool::new(policy, clock::now()),
-            names: Vec::new(),
-            known: HashMap::new(),
-            applied: BTreeMap::new(),
-            own_word: BTreeMap::new(),
-            used: clock::now(),
-        };
+        let host = Host::new(policy, clock::now());
         self.hosts.insert(pool.clone(), host);
         self.publish();
         self.refresh(pool);
@@ -334,29 +309,7 @@
         let Some(host) = self.hosts.get_mut(pool) else {
             return;
         };
-        let mut events = Vec::new();
-        for (name, backend) in &wanted {
-            let leaving = backend.leaving || host.own_word.contains_key(name);
-            let slots = (backend.slots / self.divide).max(1);
-            if host.applied.get(name) == Some(&(slots, leaving)) {
-                continue;
-            }
-            host.applied.insert(name.clone(), (slots, leaving));
-            let key = host.key(name);
-            events.push(if leaving {
-                Event::Leave(key)
-            } else {
-                Event::Server(key, options(slots, learned, rank::weight(&pool.to_string(), name)))
-            });
-        }
-        let gone: Vec<Arc<str>> =
-            host.applied.keys().filter(|name| !wanted.contains_key(*name)).cloned().collect();
-        for name in gone {
-            host.applied.remove(&name);
-            host.own_word.remove(&name);
-            events.push(Event::Leave(host.key(&name)));
-        }
-        for event in events {
+        for event in host.refresh(&pool.to_string(), &wanted, learned, self.divide) {
             self.handle(pool, event);
         }
     }
@@ -395,67 +348,3 @@
         rows
     }
 }
-
-impl Host {
-    fn key(&mut self, name: &Arc<str>) -> server::Key {
-        if let Some(key) = self.known.get(name) {
-            return *key;
-        }
-        let key = server::Key(self.names.len() as u16);
-        self.names.push(name.clone());
-        self.known.insert(name.clone(), key);
-        key
-    }
-}
-
-fn options(slots: u32, learned: bool, rank: u64) -> server::Options {
-    let first_slots =
-        if learned { slots.min(server::Options::default().first_slots) } else { slots };
-    server::Options { slots, first_slots, learned, rank }
-}
-
-fn read_part(part: &peer::Part) -> Part {
-    Part { id: part.id as u64, tokens: part.tokens.max(0) as u32 }
-}
-
-fn progress(id: Id, produced: u32, first_token: Option<i64>, gap: Option<i64>) -> Progress {
-    Progress {
-        id,
-        produced,
-        first_token: first_token.map(|time| time.max(0) as u64),
-        gap: gap.unwrap_or(0).max(0) as u64,
-    }
-}
-
-fn outcome(number: i16) -> Outcome {
-    match number {
-        0 => Outcome::Done,
-        1 => Outcome::Cancelled,
-        2 => Outcome::Preempted,
-        4 => Outcome::Full,
-        _ => Outcome::Failed,
-    }
-}
-
-/// An order as a message, with the reason in words.
-fn write_order(order: &Order, names: &[Arc<str>]) -> (Entry, Id, Message, String) {
-    match *order {
-        Order::Grant { id, entry, server, choice, waited } => {
-            let name = names[usize::from(server.0)].to_string();
-            let why = format!("granted {name} after {waited} µs ({choice:?})");
-            let id_bytes = id::to_wire(id);
-            let grant = peer::Grant::new(id_bytes, name, waited as i64, choice as i16);
-            (entry, id, Message::Grant(grant), why)
-        }
-        Order::Refuse { id, entry, refusal, retry_after } => {
-            let why = format!("refused ({refusal:?}), to come back in {retry_after} µs");
-            let refuse = peer::Refuse::new(id::to_wire(id), refusal as i16, retry_after as i64);
-            (entry, id, Message::Refuse(refuse), why)
-        }
-        Order::Preempt { id, entry, stop } => {
-            let why = format!("ordered to stop ({stop:?})");
-            let preempt = peer::Preempt::new(id::to_wire(id), stop as i16);
-            (entry, id, Message::Preempt(preempt), why)
-        }
-    }
-}
--- /dev/null
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -0,0 +1,94 @@
+//! Messages between instances as events of the decisions, and orders as messages.
+
+use std::{collections::HashMap, sync::Arc};
+
+use drumusher_schedule::{
+    ask::{Ask, Entry, Id, Outcome, Part},
+    event::Progress,
+    order::Order,
+    policy::{ClassKey, WorkspaceKey},
+    server,
+};
+use drumusher_wire::peer::{self, Message};
+
+use crate::{process::clock, request::id, version::Version};
+
+/// Reads an ask of an entry. A class that is not known is taken for the lowest; `known` has the keys
+/// of the pool's backend servers.
+pub(super) fn ask(
+    entry: Entry,
+    wire: &peer::Ask,
+    version: &Version,
+    known: &HashMap<Arc<str>, server::Key>,
+) -> Option<Ask> {
+    let lowest = ClassKey(version.policy.classes.len() as u16 - 1);
+    let avoid = wire.avoid.as_deref();
+    Some(Ask {
+        id: id::from_wire(&wire.id)?,
+        entry,
+        class: version.class(&wire.traffic_class).unwrap_or(lowest),
+        workspace: version.workspace(&wire.workspace).unwrap_or(WorkspaceKey(u16::MAX)),
+        arrived: clock::now().saturating_sub(wire.age.max(0) as u64),
+        prompt: wire.prompt.max(0) as u32,
+        prefix: wire.prefix.unwrap_or(0) as u64,
+        produced: wire.produced.unwrap_or(0).max(0) as u32,
+        repeatable: !wire.unrepeatable.unwrap_or(false),
+        preemptions: wire.preemptions.unwrap_or(0).clamp(0, 255) as u8,
+        avoid: avoid.and_then(|name| known.get(name).copied()),
+        output: wire.output.unwrap_or(0).max(0) as u32,
+        parts: wire.parts.iter().flatten().map(read_part).collect(),
+    })
+}
+
+fn read_part(part: &peer::Part) -> Part {
+    Part { id: part.id as u64, tokens: part.tokens.max(0) as u32 }
+}
+
+/// A report on an attempt.
+pub(super) fn progress(
+    id: Id,
+    produced: u32,
+    first_token: Option<i64>,
+    gap: Option<i64>,
+) -> Progress {
+    Progress {
+        id,
+        produced,
+        first_token: first_token.map(|time| time.max(0) as u64),
+        gap: gap.unwrap_or(0).max(0) as u64,
+    }
+}
+
+/// The outcome of an attempt by its number; one that is not known counts as a failure.
+pub(super) fn outcome(number: i16) -> Outcome {
+    match number {
+        0 => Outcome::Done,
+        1 => Outcome::Cancelled,
+        2 => Outcome::Preempted,
+        4 => Outcome::Full,
+        _ => Outcome::Failed,
+    }
+}
+
+/// An order as a message, with the reason in words.
+pub(super) fn order(order: &Order, names: &[Arc<str>]) -> (Entry, Id, Message, String) {
+    match *order {
+        Order::Grant { id, entry, server, choice, waited } => {
+            let name = names[usize::from(server.0)].to_string();
+            let why = format!("granted {name} after {waited} µs ({choice:?})");
+            let id_bytes = id::to_wire(id);
+            let grant = peer::Grant::new(id_bytes, name, waited as i64, choice as i16);
+            (entry, id, Message::Grant(grant), why)
+        }
+        Order::Refuse { id, entry, refusal, retry_after } => {
+            let why = format!("refused ({refusal:?}), to come back in {retry_after} µs");
+            let refuse = peer::Refuse::new(id::to_wire(id), refusal as i16, retry_after as i64);
+            (entry, id, Message::Refuse(refuse), why)
+        }
+        Order::Preempt { id, entry, stop } => {
+            let why = format!("ordered to stop ({stop:?})");
+            let preempt = peer::Preempt::new(id::to_wire(id), stop as i16);
+            (entry, id, Message::Preempt(preempt), why)
+        }
+    }
+}
