refactor: what nobody calls on a connection to a backend server is gone

Conn::used, Conn::poison and Pool::made had no caller, and the fields behind them told nothing. Two constants stood below the code that uses them and now stand with the others of their file.

--- a/crates/drumusher/src/process/logs.rs
+++ b/crates/drumusher/src/process/logs.rs
@@ -11,6 +11,7 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use crossbeam_channel::{Receiver, Sender};
@@ -25,6 +26,8 @@
 
 /// Lines that may wait to be written: some seconds of the busiest instance.
 const RING: usize = 8_192;
+/// Longest wait for the lines of a process that ends.
+const FLUSH: Duration = Duration::from_millis(200);
 
 /// What is to be written.
 enum Item {
@@ -76,9 +79,6 @@
     }
 }
 
-/// Longest wait for the lines of a process that ends.
-const FLUSH: std::time::Duration = std::time::Duration::from_millis(200);
-
 /// Starts writing log lines.
 ///
 /// # Errors
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -22,6 +22,9 @@
 const IDLE_MARGIN: Micros = 500 * MILLISECOND;
 /// A connection whose backend server names no time is kept idle for so long.
 const IDLE_UNNAMED: Micros = 4 * SECOND;
+/// A request that may not be repeated goes only on a connection idle for less than this: a backend
+/// server that forgot the connection would reset it, and nobody could tell whether it ran.
+const IDLE_FRESH: Micros = SECOND;
 
 /// One connection to a backend server, with at most one request on it.
 #[derive(Debug)]
@@ -35,8 +38,6 @@
     /// How long it may be idle.
     idle: Micros,
     idle_since: Micros,
-    /// Whether a request was answered on it before.
-    used: bool,
 }
 
 impl Conn {
@@ -54,7 +55,7 @@
         })?;
         let idle_since = clock::now();
         let codec = Codec::new();
-        Ok(Conn { io, socket, codec, sound: true, idle: IDLE_UNNAMED, idle_since, used: false })
+        Ok(Conn { io, socket, codec, sound: true, idle: IDLE_UNNAMED, idle_since })
     }
 
     /// Whether it may take a request now, one that is handed over at most once if `fresh`: such a
@@ -66,11 +67,6 @@
         !self.io.is_closed() && silent && idle < most
     }
 
-    /// Whether a request was answered on it before.
-    pub fn used(&self) -> bool {
-        self.used
-    }
-
     /// Sends a request: head and body in one go.
     ///
     /// # Errors
@@ -128,11 +124,6 @@
         }
     }
 
-    /// Gives up its use for other requests, because what came on it cannot be trusted.
-    pub fn poison(&mut self) {
-        self.sound = false;
-    }
-
     /// Expects one more answer, after one that belonged to an earlier request.
     pub fn expect_another(&mut self) {
         self.sound = false;
@@ -141,17 +132,12 @@
 
     /// After a whole answer: whether it can be kept for another request.
     pub fn finish(&mut self) -> bool {
-        self.used = true;
         self.idle_since = clock::now();
         let silent = self.io.with_read_buf(|buffer| buffer.is_empty());
         self.sound && self.codec.is_idle() && silent && !self.io.is_closed() && self.idle > 0
     }
 }
 
-/// A request that may not be repeated goes only on a connection idle for less than this: a backend
-/// server that forgot the connection would reset it, and nobody could tell whether it ran.
-const IDLE_FRESH: Micros = SECOND;
-
 impl Drop for Conn {
     fn drop(&mut self) {
         // At once, so that the backend server stops working for a caller that is gone.
--- a/crates/drumusher/src/upstream/pool.rs
+++ b/crates/drumusher/src/upstream/pool.rs
@@ -1,12 +1,6 @@
 //! The idle connections of one HTTP worker.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 use ntex::time::Millis;
 
@@ -20,7 +14,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<Arc<str>, Vec<Conn>>>>,
-    made: Rc<Cell<u64>>,
 }
 
 impl Pool {
@@ -29,7 +22,8 @@
         Pool::default()
     }
 
-    /// A connection to a backend server: the one used last, or a new one.
+    /// A connection to a backend server: the one used last, or a new one. `fresh` asks for one that
+    /// was not idle for long, as [`Conn::usable`] has it.
     ///
     /// # Errors
     ///
@@ -44,7 +38,6 @@
         if let Some(conn) = self.kept(server, fresh) {
             return Ok(conn);
         }
-        self.made.set(self.made.get() + 1);
         Conn::connect(address, limit).await
     }
 
@@ -79,9 +72,4 @@
             there(server) && !conns.is_empty()
         });
     }
-
-    /// Connections made so far.
-    pub fn made(&self) -> u64 {
-        self.made.get()
-    }
 }
