refactor: both kinds of configuration enter their classes by one function

The classes of a log's state and those of a configuration of routes were entered by the same lines, so that a change of the rule for keys had to be made twice. The constants of routes stand at the head of the file as elsewhere.

--- a/crates/drumusher/src/version/policy.rs
+++ b/crates/drumusher/src/version/policy.rs
@@ -11,6 +11,12 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
+/// Ranks of routes within one rank of workspaces.
+const ROUTE_RANKS: u8 = 16;
+/// A request waits at most for this part of the time that its route may hold it, so that it can
+/// still run in what is left.
+const WAIT_PART: f64 = 0.6;
+
 /// The SHA-256 of a key.
 pub fn digest(key: &str) -> [u8; 32] {
     Sha256::digest(key.as_bytes()).into()
@@ -97,15 +103,24 @@
 fn classes(
     previous: Option<&Version>,
     state: &State,
+) -> (Vec<policy::Class>, HashMap<String, ClassKey>) {
+    let named = state.classes.iter();
+    with_classes(previous, named.map(|(name, class)| class_of(name, &class.object)))
+}
+
+/// The classes of `previous` and `classes`, which replace those of the same names. There is at least
+/// one, so that a request whose class is not known has one.
+fn with_classes(
+    previous: Option<&Version>,
+    classes: impl Iterator<Item = policy::Class>,
 ) -> (Vec<policy::Class>, HashMap<String, ClassKey>) {
     let mut list = previous.map_or_else(Vec::new, |p| p.policy.classes.clone());
     let mut keys = previous.map_or_else(HashMap::new, |p| p.class_keys.clone());
-    for (name, class) in &state.classes {
-        let class = class_of(name, &class.object);
-        match keys.get(name) {
+    for class in classes {
+        match keys.get(&class.name) {
             Some(ClassKey(at)) => list[usize::from(*at)] = class,
             None => {
-                keys.insert(name.clone(), ClassKey(list.len() as u16));
+                keys.insert(class.name.clone(), ClassKey(list.len() as u16));
                 list.push(class);
             }
         }
@@ -162,38 +177,17 @@
     format!("{route}/{rank}")
 }
 
-/// Ranks of routes within one rank of workspaces.
-const ROUTE_RANKS: u8 = 16;
-/// A request waits at most for this part of the time that its route may hold it, so that it can
-/// still run in what is left.
-const WAIT_PART: f64 = 0.6;
-
 fn route_classes(
     previous: Option<&Version>,
     configuration: &Configuration,
 ) -> (Vec<policy::Class>, HashMap<String, ClassKey>) {
-    let mut list = previous.map_or_else(Vec::new, |p| p.policy.classes.clone());
-    let mut keys = previous.map_or_else(HashMap::new, |p| p.class_keys.clone());
     let workspaces = configuration.workspaces.iter().flatten();
     let mut ranks: Vec<u8> = workspaces.map(|workspace| workspace.priority).chain([0]).collect();
     ranks.sort_unstable();
     ranks.dedup();
-    for route in &configuration.routes {
-        for rank in &ranks {
-            let class = route_class(route, *rank);
-            match keys.get(&class.name) {
-                Some(ClassKey(at)) => list[usize::from(*at)] = class,
-                None => {
-                    keys.insert(class.name.clone(), ClassKey(list.len() as u16));
-                    list.push(class);
-                }
-            }
-        }
-    }
-    if list.is_empty() {
-        list.push(policy::Class::new("none", u8::MAX - 1));
-    }
-    (list, keys)
+    let routes = configuration.routes.iter();
+    let of_route = |route| ranks.iter().map(move |rank| route_class(route, *rank));
+    with_classes(previous, routes.flat_map(of_route))
 }
 
 fn route_class(route: &Route, rank: u8) -> policy::Class {
