--- a/crates/drumusher/src/routed/entry.rs
+++ b/crates/drumusher/src/routed/entry.rs
@@ -1,6 +1,6 @@
 //! Taking a caller's request: its head, its route, its workspace, its body.
 
-use std::fmt;
+use std::{fmt, sync::Arc};
 
 use drumusher_platform::{dialect::Dialect, routing::Limits};
 use drumusher_schedule::time::{MILLISECOND, Micros};
@@ -17,9 +17,9 @@
 };
 use crate::{
     error::{Error, Kind},
-    process::clock,
+    process::{Shared, clock},
     request::hold::Hold,
-    version::Denial,
+    version::{Denial, Routing},
 };
 
 /// When to come back to an instance that has no configuration yet, in milliseconds: a new process
@@ -88,34 +88,28 @@
     }
 }
 
+/// Reads a request that may be passed on: one within the limits, with a route and, where that needs
+/// one, a key.
+///
+/// # Errors
+///
+/// The answer for the caller.
 async fn read<D: Dialect>(
     worker: &Handle<D>,
     mut request: http::Request,
 ) -> Result<(Hold, Request), Error> {
     let arrived = clock::now();
     let shared = &worker.shared;
-    let Some(routing) = shared.routing.load_full() else {
-        let message = "this instance has no configuration yet";
-        return Err(Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_MS));
-    };
-    if shared.stopping_for().is_some_and(|time| time > REFUSE_AFTER) {
-        let message = "this instance is stopping";
-        return Err(Error::new(Kind::NotReady, message).with_retry_after(STOPPING_MS));
-    }
+    let routing = routing(shared)?;
     let limits = routing.limits();
     if head_bytes(&request) > limits.header_bytes {
         return Err(Error::new(Kind::HeadTooLarge, "the head is too long"));
     }
     let head = worker.dialect.read_head(request.headers());
     let head = head.map_err(|reason| Error::new(Kind::BadRequest, reason))?;
-    let path = request.uri().path_and_query().map_or("/", |path| path.as_str()).to_string();
-    let host = request.headers().get("host").and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| request.uri().host()).unwrap_or("");
-    let found = routing.find(host, &path, head.key.as_deref(), &head.id);
-    let found = found.map_err(|denial| match denial {
-        Denial::NoRoute => Error::new(Kind::UnknownPath, "no route for this host and path"),
-        Denial::NoKey => Error::new(Kind::Unauthorized, "the key is missing or not known"),
-    })?;
+    let path = path(&request).to_string();
+    let found = routing.find(host(&request), &path, head.key.as_deref(), &head.id);
+    let found = found.map_err(denied)?;
     let hold = Hold::new(shared.clone())?;
     let caller = request.io().cloned();
     let in_use = caller.as_ref().map(|io| worker.callers.enter(io));
@@ -125,11 +119,43 @@
     Ok((hold, Request { method, path, headers, body, head, found, arrived, caller, in_use }))
 }
 
+/// The routes in force, unless this instance takes no requests: not yet, or no more.
+fn routing(shared: &Shared) -> Result<Arc<Routing>, Error> {
+    let Some(routing) = shared.routing.load_full() else {
+        let message = "this instance has no configuration yet";
+        return Err(Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_MS));
+    };
+    if shared.stopping_for().is_some_and(|time| time > REFUSE_AFTER) {
+        let message = "this instance is stopping";
+        return Err(Error::new(Kind::NotReady, message).with_retry_after(STOPPING_MS));
+    }
+    Ok(routing)
+}
+
+fn denied(denial: Denial) -> Error {
+    match denial {
+        Denial::NoRoute => Error::new(Kind::UnknownPath, "no route for this host and path"),
+        Denial::NoKey => Error::new(Kind::Unauthorized, "the key is missing or not known"),
+    }
+}
+
+/// The host that the request names, in its header or else in its target.
+fn host(request: &http::Request) -> &str {
+    let host = request.headers().get("host").and_then(|host| host.to_str().ok());
+    host.or_else(|| request.uri().host()).unwrap_or("")
+}
+
+/// The path and query that the request names.
+fn path(request: &http::Request) -> &str {
+    request.uri().path_and_query().map_or("/", |path| path.as_str())
+}
+
+/// The length of the request's head as it counts against the limit.
 fn head_bytes(request: &http::Request) -> usize {
     // Around a name and its value stand a colon, a space and the end of the line.
     let fields = request.headers().iter();
     let fields: usize = fields.map(|(n, v)| n.as_str().len() + v.as_bytes().len() + 4).sum();
-    request.uri().path_and_query().map_or(1, |path| path.as_str().len()) + fields
+    path(request).len() + fields
 }
 
 /// Reads the whole body within the limits.
--- a/crates/drumusher/src/version/routing.rs
+++ b/crates/drumusher/src/version/routing.rs
@@ -10,11 +10,11 @@
 
 /// A route's place in its version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct RouteKey(u32);
+struct RouteKey(u32);
 
 /// A workspace's place in its version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WorkspaceKey(u32);
+struct WorkspaceKey(u32);
 
 /// Why a caller is turned away.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
