docs: the crate's header names the module that tells a request's story

The header lists every other module, so a newcomer would take its absence for a hint that it belongs to none.

--- a/crates/drumusher/src/lib.rs
+++ b/crates/drumusher/src/lib.rs
@@ -6,8 +6,8 @@
 //! what lives as long as one caller's request. Where the platform keeps the configuration in a
 //! store, [`routed`] takes the place of [`request`]: it passes requests through along routes, over
 //! the connections of [`upstream`]. [`operator`] answers the operators' language, [`settings`] and
-//! [`options`] read what an instance is started with, and [`error`] is the closed list of errors
-//! that callers see.
+//! [`options`] read what an instance is started with, [`error`] is the closed list of errors that
+//! callers see, and [`story`] tells from log lines why a request ended as it did.
 
 pub mod connection;
 pub mod error;
