--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -37,6 +37,8 @@
 /// Connections that rest are closed so long after the order to stop: the balancer asks each second
 /// and gives no new ones after two misses.
 const CLOSE_AFTER: Micros = 2_200 * MILLISECOND;
+/// Time between two looks for idle connections to close: they are kept for some seconds.
+const PRUNE: Millis = Millis(5_000);
 /// Time between two looks at that.
 const LOOK: Millis = Millis(100);
 /// The path of the metrics.
@@ -125,6 +127,7 @@
             callers: Callers::new(),
         };
         rt::spawn(close_resting(shared.clone(), worker.callers.clone()));
+        rt::spawn(prune(worker.conns.clone()));
         let worker = Rc::new(worker);
         HttpService::h1(ntex::fn_service(move |request: http::Request| {
             entry::serve(worker.clone(), request)
@@ -134,6 +137,14 @@
     Ok(builder.config("callers", SharedCfg::new("callers").add(config)).run())
 }
 
+/// Closes connections to backend servers that were idle for too long.
+async fn prune(conns: upstream::Pool) {
+    loop {
+        sleep(PRUNE).await;
+        conns.prune();
+    }
+}
+
 /// Closes callers' connections that rest, once a planned stop has lasted for a while.
 async fn close_resting(shared: Arc<Shared>, callers: Callers) {
     loop {
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -19,7 +19,7 @@
 pub use pace::Pace;
 pub use request::Request;
 
-use std::sync::Arc;
+use std::{cell::Cell, sync::Arc};
 
 use drumusher_platform::{dialect::Dialect, routing::Kind};
 use drumusher_schedule::{
@@ -77,6 +77,8 @@
     avoid: Option<Arc<str>>,
     unconnected: u32,
     may_have_run: bool,
+    /// Whether the line of its end was written.
+    told: Cell<bool>,
     _hold: Hold,
 }
 
@@ -109,6 +111,7 @@
             avoid: None,
             unconnected: 0,
             may_have_run: false,
+            told: Cell::new(false),
             _hold: hold,
         }
     }
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -125,6 +125,7 @@
 
     /// Writes the line of a request that ended.
     pub fn ended(&self, server: &str, outcome: &'static str, status: u16) {
+        self.told.set(true);
         let found = &self.request.found;
         log::info!(
             request = self.request.head.id.as_str(),
@@ -166,3 +167,12 @@
         Error::new(kind, message).with_retry_after(retry_after_ms).with_ran(Ran::No)
     }
 }
+
+impl<D: Dialect> Drop for Exchange<D> {
+    /// A request that is dropped without an end was left by its caller.
+    fn drop(&mut self) {
+        if !self.told.get() {
+            self.ended("", "caller gone", 0);
+        }
+    }
+}
--- a/crates/drumusher/src/upstream/pool.rs
+++ b/crates/drumusher/src/upstream/pool.rs
@@ -65,11 +65,12 @@
         }
     }
 
-    /// Forgets the backend servers that are not there any more.
-    pub fn retain(&self, there: impl Fn(&str) -> bool) {
-        self.idle.borrow_mut().retain(|server, conns| {
+    /// Closes connections that were idle for too long, those of backend servers that are gone among
+    /// them.
+    pub fn prune(&self) {
+        self.idle.borrow_mut().retain(|_, conns| {
             conns.retain(|conn| conn.usable(false));
-            there(server) && !conns.is_empty()
+            !conns.is_empty()
         });
     }
 }
--- a/crates/drumusher/tests/routes/answers.rs
+++ b/crates/drumusher/tests/routes/answers.rs
@@ -153,3 +153,19 @@
     assert_eq!(answer.status, 504);
     assert!(answer.text().contains("\"ran\":\"unknown\""), "{}", answer.text());
 }
+
+/// A caller that leaves before there is an answer has its line in the log.
+#[test]
+fn a_caller_that_leaves_is_told() {
+    let deployment = Deployment::new(1);
+    set_desks(&deployment, Fault::Mute);
+    let call = Call::post("/book/", "x");
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&call.bytes()).expect("sent");
+    drumusher_bench::fleet::wait_for("it runs", || deployment.runs(&call.id) == 1);
+    drop(conn);
+    drumusher_bench::fleet::wait_for("its line is written", || {
+        let lines = deployment.instances[0].lines();
+        lines.lines().any(|line| line.contains("caller gone") && line.contains(&call.id))
+    });
+}
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -4,7 +4,7 @@
     fs::{self, File},
     io::{self, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
@@ -19,6 +19,8 @@
 pub const MODEL: &str = "model";
 /// A key of workspace `vanua`.
 pub const KEY: &str = "key-of-vanua";
+/// Trials to start an instance on free ports.
+const START_TRIALS: usize = 20;
 /// Longest wait for an answer's next byte. Not a bound on speed.
 const LONGEST: Duration = Duration::from_secs(45);
 
@@ -110,32 +112,30 @@
         let process = std::process::id();
         let (high, low) = (1 + (process >> 8) % 250, process & 0xff);
         let ip = format!("127.{high}.{low}.{}", 1 + at % 250);
-        let free = || {
-            let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
-            listener.local_addr().expect("its address")
-        };
-        let (callers, status, peer) = (free(), free(), free());
         let door = self.store.door().expect("a way to the store");
-        let text = format!(
-            "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
-             http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\nworkers = 1\n\
-             [fleet]\nsecret = \"a secret of a test's fleet\"\n\
-             [store]\naddress = \"{}\"\nwait_ms = 1500\n\
-             [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n",
-            door.address
-        );
-        let settings = self.folder.join(format!("{name}.toml"));
-        fs::write(&settings, text).expect("the settings are written");
         let lines = self.folder.join(format!("{name}.log"));
-        let file = File::create(&lines).expect("a file for log lines");
-        let child = Command::new(env!("CARGO_BIN_EXE_drumusher"))
-            .arg("serve")
-            .env("DRUMUSHER_SETTINGS", &settings)
-            .stdin(Stdio::null())
-            .stdout(file.try_clone().expect("a second handle"))
-            .stderr(file)
-            .spawn()
-            .expect("the instance starts");
+        // Between the choice of a port and its use another process may take it for a moment.
+        let started = (0..START_TRIALS).find_map(|_| {
+            let [callers, status, peer] = free_ports(&ip);
+            let text = format!(
+                "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
+                 http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\nworkers = 1\n\
+                 [fleet]\nsecret = \"a secret of a test's fleet\"\n\
+                 [store]\naddress = \"{}\"\nwait_ms = 1500\n\
+                 [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n",
+                door.address
+            );
+            let settings = self.folder.join(format!("{name}.toml"));
+            fs::write(&settings, text).expect("the settings are written");
+            let mut child = spawn(&settings, &lines);
+            let mut ended = false;
+            wait_for("the instance listens or ends", || {
+                ended = child.try_wait().expect("its state").is_some();
+                ended || TcpStream::connect(status).is_ok()
+            });
+            (!ended).then_some((callers, status, child))
+        });
+        let (callers, status, child) = started.expect("the instance starts");
         self.instances.push(Instance { callers, status, door, lines, child });
     }
 
@@ -231,6 +231,25 @@
     }
 }
 
+/// Three different ports that are free now.
+fn free_ports(ip: &str) -> [SocketAddr; 3] {
+    let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("its address"))
+}
+
+/// Starts an instance whose log lines go to a file.
+fn spawn(settings: &Path, lines: &Path) -> Child {
+    let file = File::create(lines).expect("a file for log lines");
+    Command::new(env!("CARGO_BIN_EXE_drumusher"))
+        .arg("serve")
+        .env("DRUMUSHER_SETTINGS", settings)
+        .stdin(Stdio::null())
+        .stdout(file.try_clone().expect("a second handle"))
+        .stderr(file)
+        .spawn()
+        .expect("the program starts")
+}
+
 fn status(address: SocketAddr, path: &str) -> Option<Answer> {
     let mut conn = TcpStream::connect(address).ok()?;
     conn.set_read_timeout(Some(LONGEST)).ok()?;
--- a/crates/drumusher/tests/unit/settings.rs
+++ b/crates/drumusher/tests/unit/settings.rs
@@ -23,11 +23,14 @@
         .collect();
     let mut shown = parse(&shown).expect("no fault");
     let plain = parse(EXAMPLE).expect("no fault");
-    // These two have no default; the example shows how they are written.
+    // These have no default; the example shows how they are written.
     assert_eq!(shown.seeds.len(), 1);
     assert!(shown.telemetry.otlp.is_some());
+    assert!(shown.status.is_some() && shown.metrics.is_some());
+    assert_eq!(shown.store.as_ref().map(|store| store.wait_ms), Some(4_000));
     shown.seeds.clear();
     shown.telemetry.otlp = None;
+    (shown.status, shown.metrics, shown.store) = (None, None, None);
     assert_eq!(shown, plain);
 }
 
