--- a/crates/drumusher-schedule/tests/schedule/engine.rs
+++ b/crates/drumusher-schedule/tests/schedule/engine.rs
@@ -103,11 +103,19 @@
     }
     let even = border.patient(SECOND, 10);
     assert!((3..=5).contains(&even), "{even}");
-    for _ in 0..10_000 {
+    for _ in 0..1_000 {
+        border.note(SECOND, true, 1_000.0);
+    }
+    assert_eq!(border.patient(SECOND, 10), 8, "the prior still holds it back a little");
+    for _ in 0..9_000 {
         border.note(SECOND, true, 1_000.0);
     }
     assert_eq!(border.patient(SECOND, 10), 9, "one engine is always left for the others");
-    for _ in 0..10_000 {
+    for _ in 0..100 {
+        border.note(20 * SECOND, false, 1_000.0);
+    }
+    assert_eq!(border.patient(20 * SECOND, 10), 4, "little demand moves it a little");
+    for _ in 0..9_900 {
         border.note(20 * SECOND, false, 1_000.0);
     }
     assert_eq!(border.patient(20 * SECOND, 10), 1, "old demand is forgotten");
