test: a randomized soak of instances behind relays

Relays can now be slowed, silenced one way or both, and reset; an instance can tell others another address than the one it listens on (instance.advertise), so that a relay stands before it.

--- a/crates/drumusher-bench/src/fleet/mod.rs
+++ b/crates/drumusher-bench/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 mod relay;
 
 pub use instance::Instance;
-pub use relay::Relay;
+pub use relay::{Mode, Relay};
 
 use std::{
     io,
--- a/crates/drumusher-bench/src/fleet/relay.rs
+++ b/crates/drumusher-bench/src/fleet/relay.rs
@@ -1,6 +1,7 @@
-//! A dumb TCP relay that can be cut.
+//! A TCP relay that can be cut, reset, slowed and silenced, one way or both.
 
 use std::{
+    collections::HashMap,
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -8,15 +9,51 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
+    time::Duration,
 };
 
+use socket2::SockRef;
+
 /// Bytes passed on at once.
 const PIECE: usize = 16 * 1024;
+/// Time between two looks whether a silenced way speaks again.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// How a relay passes bytes on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// As they come.
+    #[default]
+    Open,
+    /// Each piece so late.
+    Late(Duration),
+    /// Nothing reaches the target until another mode is set.
+    MuteTo,
+    /// Nothing comes back from the target until another mode is set.
+    MuteBack,
+    /// Nothing passes either way until another mode is set.
+    Mute,
+}
+
+/// The way that bytes take through a relay.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Way {
+    To,
+    Back,
+}
+
+/// Both sides of a connection that passes.
+struct Pair {
+    near: TcpStream,
+    far: TcpStream,
+}
 
 #[derive(Default)]
 struct State {
     cut: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
+    mode: Mutex<Mode>,
+    open: Mutex<HashMap<u64, Pair>>,
+    next: AtomicU64,
     bytes: AtomicU64,
 }
 
@@ -40,6 +77,7 @@
         thread::Builder::new().name("relay".into()).spawn(move || {
             for stream in listener.incoming().flatten() {
                 if !shared.cut.load(Ordering::Acquire) {
+                    // A target that is not there ends the caller's connection, as without a relay.
                     let _ = pass(stream, target, &shared);
                 }
             }
@@ -57,6 +95,23 @@
         self.state.bytes.load(Ordering::Relaxed)
     }
 
+    /// Sets how bytes pass from now on, also on connections that are open.
+    pub fn set(&self, mode: Mode) {
+        *self.state.mode.lock().expect("no holder panics") = mode;
+    }
+
+    /// Resets all connections; new ones pass.
+    pub fn reset(&self) {
+        let mut open = self.state.open.lock().expect("no holder panics");
+        for (_, pair) in open.drain() {
+            for stream in [&pair.near, &pair.far] {
+                // A connection that ended by itself meanwhile needs no reset.
+                let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+                let _ = stream.shutdown(Shutdown::Read);
+            }
+        }
+    }
+
     /// Breaks all connections and lets none through, or lets them through again.
     pub fn cut(&self, cut: bool) {
         self.state.cut.store(cut, Ordering::Release);
@@ -64,8 +119,50 @@
             return;
         }
         let mut open = self.state.open.lock().expect("no holder panics");
-        for stream in open.drain(..) {
-            let _ = stream.shutdown(Shutdown::Both);
+        for (_, pair) in open.drain() {
+            pair.end();
+        }
+    }
+}
+
+impl Pair {
+    /// Ends both sides in order.
+    fn end(&self) {
+        let _ = self.near.shutdown(Shutdown::Both);
+        let _ = self.far.shutdown(Shutdown::Both);
+    }
+}
+
+impl State {
+    /// Waits as the mode wants it. Returns whether the connection is still to be passed on.
+    fn hold(&self, number: u64, way: Way) -> bool {
+        loop {
+            let mode = *self.mode.lock().expect("no holder panics");
+            let muted = match mode {
+                Mode::Open => false,
+                Mode::Late(late) => {
+                    thread::sleep(late);
+                    false
+                }
+                Mode::Mute => true,
+                Mode::MuteTo => way == Way::To,
+                Mode::MuteBack => way == Way::Back,
+            };
+            if !self.open.lock().expect("no holder panics").contains_key(&number) {
+                return false;
+            }
+            if !muted {
+                return true;
+            }
+            thread::sleep(LOOK);
+        }
+    }
+
+    /// Ends a connection, unless it was ended by a cut or reset.
+    fn end(&self, number: u64) {
+        let pair = self.open.lock().expect("no holder panics").remove(&number);
+        if let Some(pair) = pair {
+            pair.end();
         }
     }
 }
@@ -74,26 +171,31 @@
     let onward = TcpStream::connect(target)?;
     stream.set_nodelay(true)?;
     onward.set_nodelay(true)?;
-    let mut open = state.open.lock().expect("no holder panics");
-    open.push(stream.try_clone()?);
-    open.push(onward.try_clone()?);
-    drop(open);
+    let number = state.next.fetch_add(1, Ordering::Relaxed);
+    let pair = Pair { near: stream.try_clone()?, far: onward.try_clone()? };
+    state.open.lock().expect("no holder panics").insert(number, pair);
     let back = (onward.try_clone()?, stream.try_clone()?);
-    copy(stream, onward, state.clone())?;
-    copy(back.0, back.1, state.clone())
+    copy(stream, onward, state.clone(), number, Way::To)?;
+    copy(back.0, back.1, state.clone(), number, Way::Back)
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, state: Arc<State>) -> io::Result<()> {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    state: Arc<State>,
+    number: u64,
+    way: Way,
+) -> io::Result<()> {
     let run = move || {
         let mut piece = [0; PIECE];
         while let Ok(length) = from.read(&mut piece) {
-            if length == 0 || to.write_all(&piece[..length]).is_err() {
+            let ended = length == 0 || !state.hold(number, way);
+            if ended || to.write_all(&piece[..length]).is_err() {
                 break;
             }
             state.bytes.fetch_add(length as u64, Ordering::Relaxed);
         }
-        let _ = to.shutdown(Shutdown::Both);
-        let _ = from.shutdown(Shutdown::Both);
+        state.end(number);
     };
     thread::Builder::new().name("relay-copy".into()).spawn(run).map(drop)
 }
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -143,7 +143,7 @@
     let settings = &catalog.shared.settings;
     let instance = Instance {
         availability_zone: settings.availability_zone.clone(),
-        address: settings.peer.to_string(),
+        address: settings.advertise.to_string(),
     };
     let value = serde_json::to_string(&instance).expect("two texts can be written");
     let own = Record { key: settings.name.clone(), value: Some(value) };
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -48,8 +48,11 @@
     pub stop_longest_ms: u64,
     /// Where callers and operators reach it.
     pub http: SocketAddr,
-    /// Where other instances reach it.
+    /// Where it listens for other instances.
     pub peer: SocketAddr,
+    /// The address that other instances are told; `peer` unless set, for instances that are reached
+    /// through a forwarder.
+    pub advertise: SocketAddr,
     /// Threads that serve HTTP.
     pub workers: usize,
     /// Known to all instances, at least 16 characters.
@@ -181,6 +184,7 @@
 fn read(reader: &mut Reader) -> Settings {
     let availability_zone = reader.name("instance.availability_zone");
     let store = reader.optional_address("store.address");
+    let peer = reader.address("instance.peer");
     let wait_ms = reader.count("store.wait_ms", 4_000, 100, 30_000);
     Settings {
         source: String::new(),
@@ -196,7 +200,8 @@
         },
         stop_longest_ms: (reader.number("stop.longest_seconds", 600.0, 1.0, 86_400.0) * 1e3) as u64,
         http: reader.address("instance.http"),
-        peer: reader.address("instance.peer"),
+        advertise: reader.optional_address("instance.advertise").unwrap_or(peer),
+        peer,
         workers: reader.count("instance.workers", 2, 1, 256) as usize,
         fleet_secret: reader.secret("fleet.secret"),
         seeds: reader.addresses("fleet.seeds"),
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod membership;
 mod path;
+mod soak;
 mod stop;
 mod streams;
 mod support;
--- /dev/null
+++ b/crates/drumusher/tests/routes/soak/fault.rs
@@ -0,0 +1,296 @@
+//! Faults drawn from a seed: they come in series, overlap, and each ends by itself.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+use drumusher_adapter_stand_in::{Away, Fault};
+use drumusher_bench::fleet::{Mode, Relay};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use super::promise::{self, Journal};
+use crate::support::{DESK, Deployment, MODEL, Relays, configuration};
+
+/// Time between two faults, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 20..450;
+/// How long a fault lasts, in milliseconds.
+const LASTS_MS: std::ops::Range<u64> = 80..2_500;
+/// Longest delay of a piece by a relay, in milliseconds.
+const LATE_MS: u64 = 120;
+/// Longest series of changes of the configuration.
+const SERIES: u64 = 5;
+/// Time between two looks whether a process ended.
+const LOOK: Duration = Duration::from_millis(50);
+/// Backend servers that may have left for good; replacements make up for them.
+const MOST_LEFT: usize = 4;
+
+/// What backend servers do when they fail.
+const SERVER_FAULTS: [Fault; 11] = [
+    Fault::Full,
+    Fault::Misdirected,
+    Fault::Fails,
+    Fault::Reset,
+    Fault::Mute,
+    Fault::Cut,
+    Fault::Garbled,
+    Fault::Extra,
+    Fault::Crossed,
+    Fault::CutStream,
+    Fault::Slow,
+];
+
+/// How the store may be away.
+const AWAY: [Away; 3] = [Away::Busy, Away::Reset, Away::Silent];
+
+/// The end of a fault.
+#[derive(Clone, Debug, PartialEq)]
+enum Cure {
+    /// The relay at this place passes everything.
+    Open(usize),
+    /// A paused instance goes on.
+    Continue(usize),
+    /// An instance that was killed, or told to stop, is started again once it ended.
+    Restart(usize),
+    /// A backend server is well.
+    Well(usize),
+    /// The store serves an instance.
+    Serve(usize),
+    /// The store serves all, and what lapsed is entered again.
+    Return(Vec<usize>),
+}
+
+/// Applies faults and ends them.
+pub struct Disturber<'a> {
+    random: StdRng,
+    deployment: &'a mut Deployment,
+    journal: &'a Journal,
+    due: Vec<(Instant, Cure)>,
+    /// Instances that are paused, ended or about to end.
+    down: Vec<usize>,
+    replaced: usize,
+}
+
+impl<'a> Disturber<'a> {
+    /// A disturber with the luck of a seed.
+    pub fn new(seed: u64, deployment: &'a mut Deployment, journal: &'a Journal) -> Disturber<'a> {
+        let random = StdRng::seed_from_u64(seed);
+        Disturber { random, deployment, journal, due: Vec::new(), down: Vec::new(), replaced: 0 }
+    }
+
+    /// One fault, a pause, and the cures that are due.
+    pub fn step(&mut self) {
+        self.fault();
+        let until = Instant::now() + Duration::from_millis(self.random.random_range(PAUSE_MS));
+        while Instant::now() < until {
+            let next = self.due.iter().map(|(at, _)| *at).min().unwrap_or(until);
+            thread::sleep(next.min(until).saturating_duration_since(Instant::now()));
+            self.cure(Instant::now());
+        }
+    }
+
+    /// Ends all faults.
+    pub fn heal(&mut self) {
+        while !self.due.is_empty() {
+            let latest = self.due.iter().map(|(at, _)| *at).max().expect("one is due");
+            self.cure(latest);
+            thread::sleep(LOOK);
+        }
+    }
+
+    fn fault(&mut self) {
+        self.journal.disturbs();
+        match self.random.random_range(0..100) {
+            0..28 => self.relay(),
+            28..36 => self.reset(),
+            36..46 => self.signal("STOP", Cure::Continue),
+            46..54 => self.signal("KILL", Cure::Restart),
+            54..62 => self.signal("TERM", Cure::Restart),
+            62..65 => self.hang_up(),
+            65..79 => self.server(),
+            79..84 => self.door(),
+            84..88 => self.store(),
+            88..91 => self.deployment.store.forget("keyed.servers"),
+            91..94 => self.leave(),
+            _ => self.configure(),
+        }
+    }
+
+    fn later(&mut self, cure: Cure) {
+        let at = Instant::now() + Duration::from_millis(self.random.random_range(LASTS_MS));
+        self.due.retain(|(_, other)| *other != cure);
+        self.due.push((at, cure));
+    }
+
+    /// Any relay: of callers, other instances or the store, by instance.
+    fn any_relay(&mut self) -> usize {
+        self.random.random_range(0..3 * self.deployment.instances.len())
+    }
+
+    fn relay_at(&self, place: usize) -> &Relay {
+        let relays = self.deployment.instances[place / 3].relays.as_ref();
+        let Relays { callers, peers, store } = relays.expect("the soak has relays");
+        [callers, peers, store][place % 3]
+    }
+
+    fn relay(&mut self) {
+        let place = self.any_relay();
+        let late = Duration::from_millis(self.random.random_range(1..LATE_MS));
+        let modes = [Mode::Late(late), Mode::MuteTo, Mode::MuteBack, Mode::Mute];
+        let mode = modes[self.random.random_range(0..modes.len())];
+        self.relay_at(place).set(mode);
+        self.later(Cure::Open(place));
+    }
+
+    fn reset(&mut self) {
+        let place = self.any_relay();
+        self.relay_at(place).reset();
+    }
+
+    /// Sends a signal to an instance that is up.
+    fn signal(&mut self, signal: &str, cure: fn(usize) -> Cure) {
+        let at = self.random.random_range(0..self.deployment.instances.len());
+        if self.down.contains(&at) {
+            return;
+        }
+        self.down.push(at);
+        self.deployment.instances[at].signal(signal);
+        self.later(cure(at));
+    }
+
+    fn hang_up(&mut self) {
+        let at = self.random.random_range(0..self.deployment.instances.len());
+        if !self.down.contains(&at) {
+            self.deployment.instances[at].signal("HUP");
+        }
+    }
+
+    fn server(&mut self) {
+        let at = self.random.random_range(0..self.deployment.servers.len());
+        let fault = SERVER_FAULTS[self.random.random_range(0..SERVER_FAULTS.len())];
+        self.deployment.servers[at].set(fault);
+        self.later(Cure::Well(at));
+    }
+
+    /// The store turns one instance away.
+    fn door(&mut self) {
+        let at = self.random.random_range(0..self.deployment.instances.len());
+        let away = AWAY[self.random.random_range(0..AWAY.len())];
+        self.deployment.instances[at].door.set_away(away);
+        self.later(Cure::Serve(at));
+    }
+
+    /// The store is away for all, and some entries of backend servers lapse meanwhile.
+    fn store(&mut self) {
+        let outage = |(_, cure): &(Instant, Cure)| matches!(cure, Cure::Return(_));
+        if self.due.iter().any(outage) {
+            return;
+        }
+        let away = AWAY[self.random.random_range(0..AWAY.len())];
+        for instance in &self.deployment.instances {
+            instance.door.set_away(away);
+        }
+        let left = self.journal.left();
+        let mut lapsed = Vec::new();
+        for (at, server) in self.deployment.servers.iter().enumerate() {
+            if !left.contains(&server.id) && self.random.random_bool(0.3) {
+                self.deployment.store.remove("keyed.servers", &server.id);
+                lapsed.push(at);
+            }
+        }
+        self.later(Cure::Return(lapsed));
+    }
+
+    /// A backend server leaves for good and another one takes its place.
+    fn leave(&mut self) {
+        let left = self.journal.left();
+        let there = self.deployment.servers.iter().filter(|server| !left.contains(&server.id));
+        let there: Vec<(String, String)> = there
+            .map(|server| (server.id.clone(), server.entry(service_of(&server.id), "draining")))
+            .collect();
+        if left.len() >= MOST_LEFT {
+            return;
+        }
+        let (id, entry) = &there[self.random.random_range(0..there.len())];
+        self.replaced += 1;
+        let service = service_of(id);
+        self.deployment.add_server(&format!("{}r{}", &id[..1], self.replaced), service);
+        self.deployment.store.put("keyed.servers", id, entry);
+        self.journal.leaves(id);
+    }
+
+    /// A series of changes of the configuration.
+    fn configure(&mut self) {
+        for _ in 0..self.random.random_range(1..=SERIES) {
+            let version = self.journal.next_version();
+            let text = configuration(version, &promise::route(version));
+            self.deployment.store.put("keyed.op", "config", &text);
+        }
+    }
+
+    /// Ends the faults that are due at `now`.
+    fn cure(&mut self, now: Instant) {
+        let (due, later) =
+            std::mem::take(&mut self.due).into_iter().partition(|(at, _)| *at <= now);
+        self.due = later;
+        let due: Vec<(Instant, Cure)> = due;
+        for (_, cure) in due {
+            self.end(cure);
+        }
+    }
+
+    fn end(&mut self, cure: Cure) {
+        match cure {
+            Cure::Open(place) => self.relay_at(place).set(Mode::Open),
+            Cure::Continue(at) => {
+                self.deployment.instances[at].signal("CONT");
+                self.down.retain(|down| *down != at);
+            }
+            Cure::Restart(at) => self.restart(at),
+            Cure::Well(at) => self.deployment.servers[at].set(Fault::None),
+            Cure::Serve(at) => self.deployment.instances[at].door.set_away(Away::No),
+            Cure::Return(lapsed) => self.store_returns(&lapsed),
+        }
+    }
+
+    /// Starts an instance again, once it ended: one that was told to stop takes its time.
+    fn restart(&mut self, at: usize) {
+        if self.deployment.instances[at].ended().is_none() {
+            self.due.push((Instant::now() + LOOK, Cure::Restart(at)));
+            return;
+        }
+        self.journal.restarts(at);
+        self.deployment.instances[at].restart();
+        self.down.retain(|down| *down != at);
+    }
+
+    fn store_returns(&mut self, lapsed: &[usize]) {
+        for instance in &self.deployment.instances {
+            instance.door.set_away(Away::No);
+        }
+        let left = self.journal.left();
+        for at in lapsed {
+            let server = &self.deployment.servers[*at];
+            if !left.contains(&server.id) {
+                let entry = server.entry(service_of(&server.id), "ready");
+                self.deployment.store.put("keyed.servers", &server.id, &entry);
+            }
+        }
+    }
+}
+
+impl Drop for Disturber<'_> {
+    /// A paused process could not be ended in order.
+    fn drop(&mut self) {
+        for (_, cure) in std::mem::take(&mut self.due) {
+            if let Cure::Continue(at) = cure {
+                self.deployment.instances[at].signal("CONT");
+            }
+        }
+    }
+}
+
+/// The service of a backend server, by its identity.
+fn service_of(id: &str) -> &'static str {
+    if id.starts_with('d') { DESK } else { MODEL }
+}
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -11,7 +11,7 @@
 };
 
 use drumusher_adapter_stand_in::{Server, Store, store::Door};
-use drumusher_bench::fleet::wait_for;
+use drumusher_bench::fleet::{Relay, wait_for};
 
 /// The service of plain requests.
 pub const DESK: &str = "desk";
@@ -32,10 +32,25 @@
     pub status: SocketAddr,
     /// Its way to the store.
     pub door: Door,
+    /// What can be done to its connections, if the deployment has relays.
+    pub relays: Option<Relays>,
+    /// How often it was started.
+    pub starts: u32,
+    settings: PathBuf,
     lines: PathBuf,
     child: Child,
 }
 
+/// Relays before an instance, through which faults reach its connections.
+pub struct Relays {
+    /// From callers.
+    pub callers: Relay,
+    /// From other instances.
+    pub peers: Relay,
+    /// To the store.
+    pub store: Relay,
+}
+
 /// A store, backend servers and instances. Dropped, its instances are killed.
 pub struct Deployment {
     /// The store.
@@ -45,6 +60,8 @@
     /// The instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
+    relayed: bool,
+    kept: bool,
 }
 
 /// The configuration of tests, as its operators write it.
@@ -81,14 +98,7 @@
 
     /// The same before a configuration is written.
     pub fn unconfigured(instances: usize) -> Self {
-        static NUMBER: AtomicU32 = AtomicU32::new(0);
-        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-        let name = format!("drumusher-routes-{}-{number}", std::process::id());
-        let folder = std::env::temp_dir().join(name);
-        fs::create_dir_all(&folder).expect("a folder for the test");
-        let store = Store::start().expect("the store starts");
-        let mut deployment =
-            Deployment { store, servers: Vec::new(), instances: Vec::new(), folder };
+        let mut deployment = Deployment::empty(false);
         for (id, service) in [("d1", DESK), ("d2", DESK), ("m1", MODEL), ("m2", MODEL)] {
             deployment.add_server(id, service);
         }
@@ -98,6 +108,24 @@
         deployment
     }
 
+    /// A store alone; instances that are added have relays before them if `relayed`.
+    pub fn empty(relayed: bool) -> Self {
+        static NUMBER: AtomicU32 = AtomicU32::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("drumusher-routes-{}-{number}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("a folder for the test");
+        let store = Store::start().expect("the store starts");
+        Deployment {
+            store,
+            servers: Vec::new(),
+            instances: Vec::new(),
+            folder,
+            relayed,
+            kept: false,
+        }
+    }
+
     /// Starts a backend server and enters it in the store.
     pub fn add_server(&mut self, id: &str, service: &str) {
         let server = Server::start(id).expect("the server starts");
@@ -115,28 +143,36 @@
         let door = self.store.door().expect("a way to the store");
         let lines = self.folder.join(format!("{name}.log"));
         // Between the choice of a port and its use another process may take it for a moment.
+        let settings = self.folder.join(format!("{name}.toml"));
         let started = (0..START_TRIALS).find_map(|_| {
             let [callers, status, peer] = free_ports(&ip);
+            let relays = self.relayed.then(|| Relays::new(callers, peer, door.address));
+            let store = relays.as_ref().map_or(door.address, |relays| relays.store.address());
+            let advertise = relays.as_ref().map_or(peer, |relays| relays.peers.address());
             let text = format!(
                 "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
-                 http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\nworkers = 1\n\
+                 http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\n\
+                 advertise = \"{advertise}\"\nworkers = 1\n\
                  [fleet]\nsecret = \"a secret of a test's fleet\"\n\
-                 [store]\naddress = \"{}\"\nwait_ms = 1500\n\
-                 [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n",
-                door.address
+                 [store]\naddress = \"{store}\"\nwait_ms = 1500\n\
+                 [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n"
             );
-            let settings = self.folder.join(format!("{name}.toml"));
             fs::write(&settings, text).expect("the settings are written");
-            let mut child = spawn(&settings, &lines);
-            let mut ended = false;
-            wait_for("the instance listens or ends", || {
-                ended = child.try_wait().expect("its state").is_some();
-                ended || TcpStream::connect(status).is_ok()
-            });
-            (!ended).then_some((callers, status, child))
+            let child = start(&settings, &lines, status)?;
+            Some((callers, status, relays, child))
+        });
+        let (callers, status, relays, child) = started.expect("the instance starts");
+        let starts = 1;
+        self.instances.push(Instance {
+            callers,
+            status,
+            door,
+            relays,
+            starts,
+            settings,
+            lines,
+            child,
         });
-        let (callers, status, child) = started.expect("the instance starts");
-        self.instances.push(Instance { callers, status, door, lines, child });
     }
 
     /// Waits until every instance is ready and serves both services.
@@ -173,6 +209,12 @@
         read(&mut conn)
     }
 
+    /// Keeps the folder with the log lines when the deployment is dropped, and tells where it is.
+    pub fn keep(&mut self) {
+        self.kept = true;
+        println!("  log lines are kept in {}", self.folder.display());
+    }
+
     /// The settings file of an instance.
     pub fn settings(&self, instance: usize) -> PathBuf {
         self.folder.join(format!("i{instance}.toml"))
@@ -190,13 +232,21 @@
     }
 }
 
+impl Relays {
+    fn new(callers: SocketAddr, peers: SocketAddr, store: SocketAddr) -> Relays {
+        let [callers, peers, store] =
+            [callers, peers, store].map(|target| Relay::new(target).expect("a relay"));
+        Relays { callers, peers, store }
+    }
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         for instance in &mut self.instances {
             let _ = instance.child.kill();
             let _ = instance.child.wait();
         }
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.kept {
             let _ = fs::remove_dir_all(&self.folder);
         }
     }
@@ -225,6 +275,14 @@
         self.child.try_wait().ok()?
     }
 
+    /// Starts it again at its addresses, after its process ended.
+    pub fn restart(&mut self) {
+        self.starts += 1;
+        let started =
+            (0..START_TRIALS).find_map(|_| start(&self.settings, &self.lines, self.status));
+        self.child = started.expect("the instance starts again");
+    }
+
     /// The log lines written so far.
     pub fn lines(&self) -> String {
         fs::read_to_string(&self.lines).unwrap_or_default()
@@ -237,9 +295,21 @@
     listeners.map(|listener| listener.local_addr().expect("its address"))
 }
 
-/// Starts an instance whose log lines go to a file.
+/// Starts an instance and waits until it listens; `None` if it ended instead.
+fn start(settings: &Path, lines: &Path, status: SocketAddr) -> Option<Child> {
+    let mut child = spawn(settings, lines);
+    let mut ended = false;
+    wait_for("the instance listens or ends", || {
+        ended = child.try_wait().expect("its state").is_some();
+        ended || TcpStream::connect(status).is_ok()
+    });
+    (!ended).then_some(child)
+}
+
+/// Starts an instance whose log lines are added to a file.
 fn spawn(settings: &Path, lines: &Path) -> Child {
-    let file = File::create(lines).expect("a file for log lines");
+    let file = File::options().create(true).append(true).open(lines);
+    let file = file.expect("a file for log lines");
     Command::new(env!("CARGO_BIN_EXE_drumusher"))
         .arg("serve")
         .env("DRUMUSHER_SETTINGS", settings)
@@ -299,6 +369,11 @@
         Call { method: "POST", body: body.into(), ..Call::get(path) }
     }
 
+    /// The same request once more, with an identity of its own.
+    pub fn anew(&self) -> Call {
+        Call { id: Call::get(&self.path).id, ..self.clone() }
+    }
+
     /// Adds a header.
     pub fn with(mut self, name: &str, value: &str) -> Call {
         self.headers.push((name.into(), value.into()));
