perf: rings between threads set no memory aside

Ruled out: backend connections and the directory (idle instances had the same). Change: process::ring counts what waits and takes memory as it is used; the bounds stay. The broker's ring, which did this already, uses it too.

--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -10,7 +10,7 @@
 
 pub use table::Table;
 
-use crate::version::Pool;
+use crate::{process::ring, version::Pool};
 
 /// Places in the ring that reports may take; asks and finishes may exceed it.
 const RING: usize = 16_384;
@@ -93,15 +93,15 @@
 /// The sending end of the broker's ring.
 #[derive(Clone)]
 pub struct Sender {
-    inner: async_channel::Sender<Input>,
+    inner: ring::TaskSender<Input>,
 }
 
 /// The receiving end of the broker's ring.
-pub type Receiver = async_channel::Receiver<Input>;
+pub type Receiver = ring::TaskReceiver<Input>;
 
 /// The broker's ring.
 pub fn ring() -> (Sender, Receiver) {
-    let (inner, receiver) = async_channel::unbounded();
+    let (inner, receiver) = ring::to_task(RING);
     (Sender { inner }, receiver)
 }
 
@@ -109,12 +109,13 @@
     /// Sends what must pass: one ask and one finish for each grant of each request held, which the
     /// limit on requests bounds.
     pub fn send(&self, input: Input) {
-        let _ = self.inner.try_send(input);
+        // A ring whose receiver is gone belongs to a process that ends.
+        let _ = self.inner.send(input);
     }
 
     /// Sends a report unless the ring is full. Returns whether it was sent.
     pub fn try_send(&self, input: Input) -> bool {
-        self.inner.len() < RING && self.inner.try_send(input).is_ok()
+        self.inner.try_send(input).is_ok()
     }
 }
 
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -24,7 +24,7 @@
 use drumusher_wire::peer::{self, Message};
 
 use self::host::Host;
-use super::{Shared, clock};
+use super::{Shared, clock, ring};
 use crate::{
     operator::rows::{self, Row},
     request::id,
@@ -78,15 +78,15 @@
 }
 
 /// The sending end of the dispatch ring.
-pub type Sender = crossbeam_channel::Sender<Input>;
+pub type Sender = ring::Sender<Input>;
 /// The receiving end of the dispatch ring.
-pub type Receiver = crossbeam_channel::Receiver<Input>;
+pub type Receiver = ring::Receiver<Input>;
 /// To the entries: the peers thread hands each message on.
-pub type Replies = async_channel::Sender<(Entry, Message)>;
+pub type Replies = ring::TaskSender<(Entry, Message)>;
 
 /// The dispatch ring.
 pub fn ring() -> (Sender, Receiver) {
-    crossbeam_channel::bounded(RING)
+    ring::to_thread(RING)
 }
 
 /// All pools this instance dispatches.
@@ -255,7 +255,7 @@
     fn flush(&mut self) {
         while let Some(next) = self.unsent.pop_front() {
             if let Err(error) = self.replies.try_send(next) {
-                self.unsent.push_front(error.into_inner());
+                self.unsent.push_front(error);
                 return;
             }
         }
--- a/crates/drumusher/src/process/logs.rs
+++ b/crates/drumusher/src/process/logs.rs
@@ -14,7 +14,6 @@
     time::Duration,
 };
 
-use crossbeam_channel::{Receiver, Sender};
 use log::{LevelFilter, Record};
 use log4rs::{
     append::Append,
@@ -22,7 +21,7 @@
     encode::{self, Encode, json::JsonEncoder},
 };
 
-use crate::settings::Settings;
+use crate::{process::ring, settings::Settings};
 
 /// Lines that may wait to be written: some seconds of the busiest instance.
 const RING: usize = 8_192;
@@ -30,17 +29,18 @@
 const FLUSH: Duration = Duration::from_millis(200);
 
 /// What is to be written.
+#[derive(Debug)]
 enum Item {
     Line(Vec<u8>),
     /// Tells when all lines before it are written.
-    Flush(Sender<()>),
+    Flush(crossbeam_channel::Sender<()>),
 }
 
 /// Makes lines and hands them to the writer.
 #[derive(Debug)]
 struct Ring {
     encoder: JsonEncoder,
-    sender: Sender<Item>,
+    sender: ring::Sender<Item>,
     dropped: Arc<AtomicU64>,
 }
 
@@ -86,7 +86,7 @@
 /// A sentence, if the logger cannot be set up.
 pub fn start(settings: &Settings) -> Result<(), String> {
     let level: LevelFilter = settings.telemetry.level.parse().unwrap_or(LevelFilter::Info);
-    let (sender, receiver) = crossbeam_channel::bounded(RING);
+    let (sender, receiver) = ring::to_thread(RING);
     let dropped = Arc::new(AtomicU64::new(0));
     let ring = Ring { encoder: JsonEncoder::new(), sender, dropped: dropped.clone() };
     let writer = thread::Builder::new().name("logs".into());
@@ -100,7 +100,7 @@
 }
 
 /// Writes lines until the process ends. A standard output that is gone takes the lines with it.
-fn write(receiver: &Receiver<Item>, dropped: &AtomicU64) {
+fn write(receiver: &ring::Receiver<Item>, dropped: &AtomicU64) {
     let mut out = io::stdout().lock();
     for item in receiver {
         let written = match item {
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -38,6 +38,7 @@
 pub mod logs;
 pub mod peers;
 pub mod platform;
+pub mod ring;
 pub mod routes;
 pub mod serve;
 pub mod shared;
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -26,7 +26,7 @@
     time::{Millis, sleep},
 };
 
-use super::{Shared, broker, dispatch};
+use super::{Shared, broker, dispatch, ring};
 use crate::operator::rows::Row;
 
 /// Time between two batches of reports.
@@ -56,7 +56,7 @@
 /// The receiving end of the peers ring.
 pub type Receiver = async_channel::Receiver<Input>;
 /// The receiving end of the ring from the dispatch thread.
-pub type Replies = async_channel::Receiver<(Entry, Message)>;
+pub type Replies = ring::TaskReceiver<(Entry, Message)>;
 
 /// The peers ring.
 pub fn ring() -> (Sender, Receiver) {
@@ -65,7 +65,7 @@
 
 /// The ring from the dispatch thread.
 pub fn replies() -> (dispatch::Replies, Replies) {
-    async_channel::bounded(REPLIES)
+    ring::to_task(REPLIES)
 }
 
 /// The receiving ends of the rings that end in the peers thread.
--- a/crates/drumusher/src/process/platform/mod.rs
+++ b/crates/drumusher/src/process/platform/mod.rs
@@ -16,7 +16,7 @@
 pub use claims::Claimed;
 pub use configuration::{CONFIGURATION, recent_from};
 
-use super::Shared;
+use super::{Shared, ring};
 
 /// Places in the ring.
 const RING: usize = 16_384;
@@ -56,13 +56,13 @@
 }
 
 /// The sending end of the platform ring.
-pub type Sender = async_channel::Sender<Input>;
+pub type Sender = ring::TaskSender<Input>;
 /// The receiving end of the platform ring.
-pub type Receiver = async_channel::Receiver<Input>;
+pub type Receiver = ring::TaskReceiver<Input>;
 
 /// The platform ring.
 pub fn ring() -> (Sender, Receiver) {
-    async_channel::bounded(RING)
+    ring::to_task(RING)
 }
 
 /// What the tasks of the platform thread share.
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -7,6 +7,7 @@
 mod options;
 mod place;
 mod relay;
+mod ring;
 mod routing;
 mod settings;
 mod story;
