perf: roles on instances with more processor time, fewer calls to the store

Cause: on the grown sites most instances have an eighth of a core and a link of 10 Mbit/s. Change: rank is weighted by processor time (instance.cores, told in the entry of the store); the four readers share the telling; an instance expects to be told for two seconds after its start and one second later on; a process reads a table at its start only if it is a reader or is not told; entries that say nothing new have no log line.

--- a/crates/drumusher-schedule/tests/schedule/rank.rs
+++ b/crates/drumusher-schedule/tests/schedule/rank.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use drumusher_schedule::rank::{first, order};
+use drumusher_schedule::rank::{Candidate, first, order};
 
 const INSTANCES: [&str; 5] = ["suva-1", "suva-2", "suva-3", "suva-4", "suva-5"];
 
@@ -34,3 +34,33 @@
     }
     assert!(counts.values().all(|count| (140..=260).contains(count)), "{counts:?}");
 }
+
+/// Instances with more processor time have most of the roles, and hand them on to each other first.
+#[test]
+fn roles_go_to_instances_with_more_processor_time() {
+    let capacity = |name: &str| if name.starts_with("large") { 500 } else { 120 };
+    let names: Vec<String> =
+        (0..8).map(|n| format!("large-{n}")).chain((0..53).map(|n| format!("small-{n}"))).collect();
+    let candidates = || {
+        names.iter().map(|name| Candidate { name, capacity: capacity(name) }).collect::<Vec<_>>()
+    };
+    let mut large = 0;
+    for pool in 0..1_000 {
+        let pool = format!("model:{pool}");
+        let order = order(&pool, candidates());
+        large += usize::from(order[0].starts_with("large"));
+        let without = candidates().into_iter().filter(|candidate| candidate.name != order[0]);
+        assert_eq!(first(&pool, without), Some(order[1]), "the next one takes over");
+    }
+    assert!((880..=960).contains(&large), "{large} of 1,000 roles are on large instances");
+}
+
+/// An instance of which nothing is known is one among equals.
+#[test]
+fn an_unknown_capacity_is_one_core() {
+    let named = INSTANCES.map(|name| Candidate { name, capacity: 1_000 });
+    for pool in 0..100 {
+        let pool = format!("model:{pool}");
+        assert_eq!(order(&pool, INSTANCES), order(&pool, named));
+    }
+}
--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -73,8 +73,8 @@
     }
     let ran = match &settings.store {
         Some(store) => {
-            let (address, wait_ms) = (store.address, store.wait_ms);
-            let open = async move || drumusher_adapter::Log::new(address, wait_ms).await;
+            let address = store.address;
+            let open = async move || drumusher_adapter::Log::new(address).await;
             process::routes::run(settings, drumusher_adapter::Headers, open)
         }
         None => process::run(settings),
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -7,7 +7,7 @@
 
 use drumusher_schedule::{
     ask::{Id, Part},
-    rank,
+    rank::{self, Candidate},
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -47,6 +47,8 @@
 pub struct Table {
     name: Arc<str>,
     area: Arc<str>,
+    /// The own processor time, in thousandths of a core.
+    capacity: u32,
     held: HashMap<Id, Held>,
     fresh: BTreeSet<Id>,
     directory: Arc<Directory>,
@@ -63,6 +65,7 @@
         Table {
             name,
             area,
+            capacity: rank::CAPACITY,
             held: HashMap::new(),
             fresh: BTreeSet::new(),
             directory: Arc::default(),
@@ -72,6 +75,12 @@
         }
     }
 
+    /// Sets the own processor time, in thousandths of a core.
+    pub fn with_capacity(mut self, capacity: u32) -> Self {
+        self.capacity = capacity;
+        self
+    }
+
     /// How many asks are owned.
     pub fn len(&self) -> usize {
         self.held.len()
@@ -88,7 +97,7 @@
     }
 
     /// The instances that may dispatch in an area, as seen from here.
-    fn eligible<'a>(&'a self, area: &'a str) -> impl Iterator<Item = &'a str> {
+    fn eligible<'a>(&'a self, area: &'a str) -> impl Iterator<Item = Candidate<'a>> {
         let listed = self.directory.instances.values().filter(move |instance| {
             &*instance.area == area
                 && !instance.leaving
@@ -96,8 +105,11 @@
                 && !self.dead.contains(&instance.name)
                 && !self.leaving.contains(&instance.name)
         });
-        let own = (area == &*self.area && !self.stopping).then_some(&*self.name);
-        listed.map(|instance| &*instance.name).chain(own)
+        let own = (area == &*self.area && !self.stopping)
+            .then_some(Candidate { name: &self.name, capacity: self.capacity });
+        let listed =
+            listed.map(|instance| Candidate { name: &instance.name, capacity: instance.capacity });
+        listed.chain(own)
     }
 
     /// The dispatcher of a pool in an area, as seen from here.
@@ -114,6 +126,14 @@
         ranked.into_iter().take(READERS).map(Arc::from).collect()
     }
 
+    /// The instance that reads the store and is to tell this one, unless this one reads it itself. The
+    /// readers share the work: telling all others at their start is more than one of them can send.
+    pub fn teller(&self) -> Option<Arc<str>> {
+        let readers = self.readers();
+        let mine = rank::first(&self.name, readers.iter().map(|reader| &**reader));
+        mine.filter(|_| !readers.contains(&self.name)).map(Arc::from)
+    }
+
     /// How many instances of the own area are listed, and whether none of the others is reachable.
     pub fn alone(&self) -> (usize, bool) {
         let area = &self.area;
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -26,7 +26,10 @@
     Error,
     catalog::{Changes, Record, Store, Table},
 };
-use drumusher_schedule::time::{MILLISECOND, Micros};
+use drumusher_schedule::{
+    rank,
+    time::{MILLISECOND, Micros},
+};
 use ntex::{
     rt,
     time::{Millis, sleep},
@@ -34,21 +37,32 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Shared, clock, platform};
-use crate::version::Directory;
+use crate::version::{self, Directory};
 
 /// Pause after a call that failed, doubled up to [`PAUSE_MOST`].
 const PAUSE: Millis = Millis(60);
 /// Longest pause after calls that failed: a change is to be in force within two seconds.
 const PAUSE_MOST: Millis = Millis(400);
-/// Pause after a change, which gathers its neighbours into one call.
-const GATHER: Millis = Millis(40);
+/// Pause after a change, which gathers its neighbours into one call. The first reader tells the others
+/// within a heartbeat, so that they can gather for longer.
+const GATHER: Millis = Millis(100);
+/// The same at readers that are not the first. A backend server that is leaving must get nothing new
+/// after two seconds, also when the first reader was turned away.
+const GATHER_OTHERS: Millis = Millis(400);
+/// The readers that are not the first wait for a change so many times longer in one call. Should the
+/// first one be gone when a call is lost, they find out in three seconds.
+const WAIT_OTHERS: u64 = 2;
+/// Longest wait for a change of the table of instances, in milliseconds: a new instance connects to
+/// a reader by itself, so that a lost call does no harm here.
+const WAIT_INSTANCES: u64 = 10_000;
 /// Time between two looks at entries held back.
 const LOOK: Millis = Millis(100);
-/// One whom no reader told that it reads the store within this reads it itself: two heartbeats and
-/// a half.
-const TOLD_WITHIN: Micros = 650 * MILLISECOND;
-/// All instances start within a third of a second; only then the first by rank are known.
-const START: Micros = 450 * MILLISECOND;
+/// One whom no reader told that it reads the store within this reads it itself: four heartbeats, half
+/// of the time within which a change has to be in force.
+const TOLD_WITHIN: Micros = 1_000 * MILLISECOND;
+/// How long after its start an instance expects to be told by those that read the store. When 84
+/// instances started at once on an eighth of a core each, most of them were told within two seconds.
+const START: Micros = 2_000 * MILLISECOND;
 /// Time between two looks whether to read.
 const IDLE: Millis = Millis(50);
 
@@ -60,6 +74,14 @@
 struct Instance {
     availability_zone: String,
     address: String,
+    /// Its processor time, in thousandths of a core.
+    #[serde(default = "usual_capacity")]
+    capacity: u32,
+}
+
+/// The capacity of an instance that does not tell its own.
+fn usual_capacity() -> u32 {
+    rank::CAPACITY
 }
 
 /// What the tasks of the catalog share.
@@ -81,10 +103,7 @@
 pub async fn run<S: Store + 'static>(shared: Arc<Shared>, store: S, receiver: platform::Receiver) {
     let catalog =
         Rc::new(Catalog { shared, began: clock::now(), store, state: RefCell::default() });
-    rt::spawn(enter(catalog.clone()));
-    for table in TABLES {
-        rt::spawn(follow(catalog.clone(), table));
-    }
+    rt::spawn(begin(catalog.clone()));
     rt::spawn(release(catalog.clone()));
     while let Ok(input) = receiver.recv().await {
         if let platform::Input::State(snapshot) = input {
@@ -96,11 +115,9 @@
 /// Reads a table whole and then its changes, for ever, as far as nobody else tells them.
 async fn follow<S: Store>(catalog: Rc<Catalog<S>>, table: Table) {
     let mut pause = PAUSE;
-    let mut known = false;
-    let mut first = true;
+    let mut known = catalog.shared.records().end(table) > 0;
     loop {
-        // A new process reads each table once by itself, so that it is ready soon.
-        if !std::mem::take(&mut first) && catalog.is_told() {
+        if catalog.is_told() {
             known = catalog.shared.records().end(table) > 0;
             sleep(IDLE).await;
             continue;
@@ -110,7 +127,7 @@
             Ok(Read::Changed) => {
                 known = true;
                 pause = PAUSE;
-                sleep(GATHER).await;
+                sleep(catalog.gather()).await;
             }
             Ok(Read::Unchanged) => pause = PAUSE,
             Ok(Read::Dropped) => known = false,
@@ -138,12 +155,25 @@
     Dropped,
 }
 
-/// Tells the others of this instance, and reads who else is there.
+/// Tells the others of this instance, reads who else is there, and follows the tables. Who reads them
+/// follows from who is there; until the store answers, each looks for itself.
+async fn begin<S: Store + 'static>(catalog: Rc<Catalog<S>>) {
+    rt::spawn(enter(catalog.clone()));
+    if let Err(error) = catalog.read(Table::Instances).await {
+        catalog.failed(Table::Instances, &error);
+    }
+    for table in TABLES {
+        rt::spawn(follow(catalog.clone(), table));
+    }
+}
+
+/// Tells the others of this instance.
 async fn enter<S: Store>(catalog: Rc<Catalog<S>>) {
     let settings = &catalog.shared.settings;
     let instance = Instance {
         availability_zone: settings.availability_zone.clone(),
         address: settings.advertise.to_string(),
+        capacity: settings.capacity,
     };
     let value = serde_json::to_string(&instance).expect("two texts can be written");
     let own = Record { key: settings.name.clone(), value: Some(value) };
@@ -153,10 +183,6 @@
         sleep(pause).await;
         pause = longer(pause);
     }
-    // Once more, with those that started at the same time.
-    if let Err(error) = catalog.read(Table::Instances).await {
-        catalog.failed(Table::Instances, &error);
-    }
 }
 
 /// Drops entries whose end was held back, when it is certain.
@@ -201,7 +227,7 @@
     /// Reads the changes of a table since the known end.
     async fn read_on(&self, table: Table) -> Result<Read, Error> {
         let from = self.shared.records().end(table);
-        let wait = self.wait_ms();
+        let wait = self.wait_ms(table);
         let changes = self.store.changes(table, from, wait).await?;
         self.answered();
         match changes {
@@ -220,14 +246,23 @@
 
     /// How long the store may wait for a change. While it is away calls are short, so that its
     /// return is seen soon and no call hangs beyond it.
-    fn wait_ms(&self) -> u64 {
+    fn wait_ms(&self, table: Table) -> u64 {
         let away = self.shared.store_away.load(Ordering::Acquire);
+        let first = self.shared.first_reader.load(Ordering::Acquire);
         match &self.shared.settings.store {
-            Some(store) if !away => store.wait_ms,
+            Some(_) if !away && table == Table::Instances => WAIT_INSTANCES,
+            Some(store) if !away && first => store.wait_ms,
+            Some(store) if !away => store.wait_ms * WAIT_OTHERS,
             _ => 0,
         }
     }
 
+    /// How long to gather the neighbours of a change.
+    fn gather(&self) -> Millis {
+        let first = self.shared.first_reader.load(Ordering::Acquire);
+        if first { GATHER } else { GATHER_OTHERS }
+    }
+
     /// The store answered a call.
     fn answered(&self) {
         let now = clock::now();
@@ -296,11 +331,13 @@
         };
         match self.store.server(&record.key, &value) {
             Ok(server) => {
-                log::info!(
-                    server = server.id.as_str(), service = server.service.as_str(),
-                    leaving = server.leaving; "server's entry"
-                );
-                entries.put(server);
+                let (service, leaving) = (server.service.clone(), server.leaving);
+                if entries.put(server) {
+                    log::info!(
+                        server = record.key.as_str(), service = service.as_str(),
+                        leaving = leaving; "server's entry"
+                    );
+                }
             }
             Err(error) => log::error!("the entry of a server was passed over: {error}"),
         }
@@ -322,8 +359,14 @@
     /// Makes what is known known to the process.
     fn publish(&self) {
         let state = self.state.borrow();
-        let instances = state.instances.iter().map(|(name, i)| (name.as_str(), i.address.as_str()));
         let area = &self.shared.area;
+        let instances = state.instances.iter().map(|(name, instance)| version::Instance {
+            name: name.as_str().into(),
+            area: area.clone(),
+            address: instance.address.clone(),
+            leaving: false,
+            capacity: instance.capacity,
+        });
         let directory = Directory::of_servers(area, instances, state.entries.servers());
         self.shared.publish_directory(directory);
     }
--- a/crates/drumusher/src/process/catalog/entries.rs
+++ b/crates/drumusher/src/process/catalog/entries.rs
@@ -57,10 +57,12 @@
         self.away || self.returned.is_some_and(|returned| now < returned + LAPSE)
     }
 
-    /// An entry is there.
-    pub fn put(&mut self, server: Server) {
-        self.held.remove(&server.id);
+    /// An entry is there. Returns whether that says anything new.
+    pub fn put(&mut self, server: Server) -> bool {
+        let held = self.held.remove(&server.id);
+        let same = self.servers.get(&server.id) == Some(&server);
         self.servers.insert(server.id.clone(), server);
+        held || !same
     }
 
     /// An entry ended. Returns whether it is held back.
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -118,7 +118,8 @@
 impl Peers {
     /// Begins on the current thread, which has a runtime.
     pub fn start(shared: Arc<Shared>, rings: Rings) -> Peers {
-        let table = broker::Table::new(shared.name.clone(), shared.area.clone());
+        let table = broker::Table::new(shared.name.clone(), shared.area.clone())
+            .with_capacity(shared.settings.capacity);
         let inner = Inner {
             table,
             links: HashMap::new(),
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -23,7 +23,7 @@
         self.shared.reader.load(Ordering::Acquire) && !away
     }
 
-    /// Keeps a connection with the first instance that reads the store; one that reads it itself,
+    /// Keeps a connection with one of the instances that read the store; one that reads it itself,
     /// with the other ones, which tell it what it misses while it is turned away.
     pub(super) fn keep_reader(&self) {
         if self.shared.settings.store.is_none() {
@@ -31,11 +31,14 @@
         }
         let readers = self.inner.borrow().table.readers();
         let own = readers.contains(&self.shared.name);
+        let first = readers.first() == Some(&self.shared.name);
+        self.shared.first_reader.store(first, Ordering::Release);
         if self.shared.reader.swap(own, Ordering::AcqRel) != own {
             log::info!(reads = own; "whether this instance reads the store for others");
         }
-        let kept = if own { readers.len() } else { 1 };
-        for reader in readers.iter().take(kept).filter(|reader| **reader != self.shared.name) {
+        let teller = self.inner.borrow().table.teller();
+        let kept = if own { readers } else { teller.into_iter().collect() };
+        for reader in kept.iter().filter(|reader| **reader != self.shared.name) {
             if !self.inner.borrow().links.contains_key(reader) {
                 self.request(reader);
             }
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -37,6 +37,8 @@
     records: Mutex<catalog::Records>,
     /// Whether this instance is one of those that read the store and tell the others.
     pub reader: AtomicBool,
+    /// Whether it is the first of them.
+    pub first_reader: AtomicBool,
     /// When another instance last told that it reads the store.
     pub told: AtomicU64,
     /// Whether the store did not answer the latest call.
@@ -100,6 +102,7 @@
             routing: ArcSwapOption::empty(),
             records: Mutex::default(),
             reader: AtomicBool::new(false),
+            first_reader: AtomicBool::new(false),
             told: AtomicU64::new(0),
             store_away: AtomicBool::new(true),
             doubtful: AtomicBool::new(false),
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -53,6 +53,8 @@
     /// The address that other instances are told; `peer` unless set, for instances that are reached
     /// through a forwarder.
     pub advertise: SocketAddr,
+    /// Its processor time in thousandths of a core: roles are rather given to instances with more.
+    pub capacity: u32,
     /// Threads that serve HTTP.
     pub workers: usize,
     /// Known to all instances, at least 16 characters.
@@ -202,6 +204,7 @@
         http: reader.address("instance.http"),
         advertise: reader.optional_address("instance.advertise").unwrap_or(peer),
         peer,
+        capacity: (reader.number("instance.cores", 1.0, 0.001, 1_024.0) * 1e3) as u32,
         workers: reader.count("instance.workers", 2, 1, 256) as usize,
         fleet_secret: reader.secret("fleet.secret"),
         seeds: reader.addresses("fleet.seeds"),
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -12,6 +12,7 @@
     members::{self, Kind, List},
     routing::Server,
 };
+use drumusher_schedule::rank;
 
 /// A pool's name: one model or one plain service. The area is the dispatcher's.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -54,6 +55,8 @@
     pub address: String,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Its processor time, in thousandths of a core.
+    pub capacity: u32,
 }
 
 /// A backend server in a pool.
@@ -108,19 +111,12 @@
     /// The instances, and the backend servers with their services, all in one area.
     pub fn of_servers<'a>(
         area: &Arc<str>,
-        instances: impl Iterator<Item = (&'a str, &'a str)>,
+        instances: impl Iterator<Item = Instance>,
         servers: impl Iterator<Item = &'a Server>,
     ) -> Self {
         let mut directory = Directory::default();
-        for (name, address) in instances {
-            let name: Arc<str> = name.into();
-            let instance = Instance {
-                name: name.clone(),
-                area: area.clone(),
-                address: address.into(),
-                leaving: false,
-            };
-            directory.instances.insert(name, instance);
+        for instance in instances {
+            directory.instances.insert(instance.name.clone(), instance);
         }
         for server in servers {
             let backend = Backend {
@@ -141,7 +137,8 @@
         let leaving = member.state == members::State::Leaving;
         if member.kind == Kind::Instance {
             let address = member.address.clone();
-            let instance = Instance { name: name.clone(), area, address, leaving };
+            let capacity = rank::CAPACITY;
+            let instance = Instance { name: name.clone(), area, address, leaving, capacity };
             self.instances.insert(name, instance);
             return;
         }
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -19,6 +19,7 @@
             area: "suva".into(),
             address: "127.0.0.1:1".into(),
             leaving: false,
+            capacity: 1_000,
         };
         (Arc::from(*name), instance)
     });
@@ -243,3 +244,29 @@
     }
     unreachable!("one of many is asked of another instance")
 }
+
+/// Those that are told of the store are spread over the four that read it, and all agree who those
+/// are; when one of the four is gone, its share goes to the others.
+#[test]
+fn readers_share_the_telling() {
+    let names: Vec<String> = (0..40).map(|number| format!("suva-{number}")).collect();
+    let listed: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut told: BTreeMap<Arc<str>, usize> = BTreeMap::new();
+    let mut readers = Vec::new();
+    for name in &listed {
+        let mut table = Table::new((*name).into(), "suva".into());
+        table.adopt(directory(&listed), &mut Vec::new());
+        readers.push(table.readers());
+        let Some(teller) = table.teller() else {
+            assert!(table.readers().iter().any(|reader| &**reader == *name));
+            continue;
+        };
+        assert!(table.readers().contains(&teller));
+        table.reachable(&teller, false, &mut Vec::new());
+        assert_ne!(table.teller(), Some(teller.clone()));
+        *told.entry(teller).or_default() += 1;
+    }
+    assert!(readers.windows(2).all(|pair| pair[0] == pair[1]));
+    assert_eq!(told.len(), 4);
+    assert!(told.values().all(|count| (4..=16).contains(count)), "{told:?}");
+}
