feat: outlier detection of backend servers

Cause: a backend server that fails part of its requests while others pass was never taken out: each success cleared the failures in a row, and its own error answers counted as done. Ruled out: a bound on failures alone; some classes rightly have 14 errors in 100, so the share is compared with the pool's median and with what chance explains. Change: schedule::outlier keeps a decayed tally per backend server; one that stands out gets probes until four in a row went well; at most a third of a pool. The outcome 'erred' tells an answer with an error from a delivered one; among servers as busy, the one that fails less is chosen. Test: schedule::outlier, which failed before (nothing was an outlier).

--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -67,6 +67,8 @@
     Failed,
     /// The backend server refused because it takes no more.
     Full,
+    /// The backend server ran it and answered with an error of its own, rightly or not.
+    Erred,
 }
 
 /// A request that waits for its turn.
--- a/crates/drumusher-schedule/src/lib.rs
+++ b/crates/drumusher-schedule/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event;
 pub mod length;
 pub mod order;
+pub mod outlier;
 pub mod policy;
 pub mod pool;
 pub mod queue;
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -22,6 +22,10 @@
 /// token of its shared part, in microseconds of waiting: twice the time to read it.
 const ELSEWHERE: f64 = 40.0;
 
+/// What failing all of its requests lately adds to the cost of a backend server, as a part of it: it
+/// loses to one that is as busy, and not to one that is half as busy again.
+const FAILING: f64 = 1.0;
+
 /// An engine is slow if it reads a token in so many times the usual time.
 const SLOW_READ: f64 = 1.15;
 
@@ -228,7 +232,8 @@
                 continue;
             }
             let avoided = ask.avoid == Some(key);
-            let cost = server.cost(ask.prompt, prefix, usual);
+            let failing = server.failing(now).unwrap_or(0.0);
+            let cost = server.cost(ask.prompt, prefix, usual) * (1.0 + FAILING * failing);
             let better = best.is_none_or(|(a, c, _)| (avoided, cost) < (a, c));
             if better {
                 best = Some((avoided, cost, key));
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -6,6 +6,7 @@
     ask::Outcome,
     engine::Engine,
     event::Load,
+    outlier::Tally,
     time::{MILLISECOND, Micros, SECOND},
 };
 
@@ -39,6 +40,8 @@
     Good,
     /// Its streams are much slower than the pool's: one probe from the given time on.
     Slow(Micros),
+    /// It fails far more of its requests than the pool: one probe from the given time on.
+    Erring(Micros),
     /// It failed: nothing until the given time, then one probe. The second value is the pause.
     Down(Micros, Micros),
 }
@@ -101,6 +104,7 @@
     prefixes: HashMap<u64, Micros>,
     /// What is believed of it as an engine.
     engine: Engine,
+    tally: Tally,
 }
 
 impl Server {
@@ -124,6 +128,7 @@
             ceiling: None,
             prefixes: HashMap::new(),
             engine: Engine::new(),
+            tally: Tally::new(),
         }
     }
 
@@ -197,7 +202,7 @@
     pub fn next_probe(&self) -> Option<Micros> {
         match self.health {
             Health::Good => None,
-            Health::Slow(due) | Health::Down(due, _) => Some(due),
+            Health::Slow(due) | Health::Erring(due) | Health::Down(due, _) => Some(due),
         }
     }
 
@@ -240,7 +245,7 @@
     pub fn start(&mut self, now: Micros, prefix: u64) {
         self.running += 1;
         self.note(now);
-        if let Health::Slow(due) = &mut self.health {
+        if let Health::Slow(due) | Health::Erring(due) = &mut self.health {
             *due = now + PROBE_PAUSE;
         }
         if prefix == 0 {
@@ -258,7 +263,14 @@
         self.running = self.running.saturating_sub(1);
         self.note(now);
         match outcome {
-            Outcome::Done => self.succeed(),
+            Outcome::Done | Outcome::Failed | Outcome::Erred => {
+                self.tally.note(now, outcome != Outcome::Done);
+            }
+            Outcome::Cancelled | Outcome::Preempted | Outcome::Full => {}
+        }
+        match outcome {
+            // One that answers is there, whatever it answers.
+            Outcome::Done | Outcome::Erred => self.succeed(),
             Outcome::Failed => self.fail(now),
             Outcome::Full => {
                 self.full_until = now + FULL_FOR;
@@ -379,6 +391,26 @@
         }
     }
 
+    /// The share of requests that failed lately, when there were enough.
+    pub fn failing(&self, now: Micros) -> Option<f64> {
+        self.tally.share(now)
+    }
+
+    /// Compares it with the pool's median share of failures; `spare` tells whether the pool can do
+    /// without it.
+    pub fn compare(&mut self, now: Micros, median: f64, spare: bool) {
+        match self.health {
+            Health::Good if spare && self.tally.stands_out(now, median) => {
+                self.health = Health::Erring(now + PROBE_PAUSE);
+            }
+            Health::Erring(_) if self.tally.passed() => {
+                self.health = Health::Good;
+                self.tally = Tally::new();
+            }
+            _ => {}
+        }
+    }
+
     /// Compares it with the pool's median gap. Returns whether it has just become slow.
     pub fn judge(&mut self, now: Micros, median: f64) -> bool {
         let Some(gap) = self.known_gap() else {
--- a/crates/drumusher-schedule/tests/schedule/invariants.rs
+++ b/crates/drumusher-schedule/tests/schedule/invariants.rs
@@ -60,8 +60,14 @@
 }
 
 fn outcome(number: u8) -> Outcome {
-    [Outcome::Done, Outcome::Cancelled, Outcome::Preempted, Outcome::Failed, Outcome::Full]
-        [usize::from(number)]
+    [
+        Outcome::Done,
+        Outcome::Cancelled,
+        Outcome::Preempted,
+        Outcome::Failed,
+        Outcome::Full,
+        Outcome::Erred,
+    ][usize::from(number)]
 }
 
 impl Entries {
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -2,6 +2,7 @@
 
 mod engine;
 mod invariants;
+mod outlier;
 mod pool;
 mod rank;
 mod retry;
--- a/crates/drumusher/src/operator/rows.rs
+++ b/crates/drumusher/src/operator/rows.rs
@@ -94,6 +94,7 @@
     let health = match server.health() {
         Health::Good => "good",
         Health::Slow(_) => "slow",
+        Health::Erring(_) => "erring",
         Health::Down(..) => "down",
     };
     row(json!({
--- a/crates/drumusher/src/routed/exchange/failure.rs
+++ b/crates/drumusher/src/routed/exchange/failure.rs
@@ -33,7 +33,7 @@
     pub(super) fn outcome(&self) -> Outcome {
         match self {
             Failure::NotRun(429 | 503) => Outcome::Full,
-            Failure::Failed(_) => Outcome::Done,
+            Failure::Failed(_) => Outcome::Erred,
             _ => Outcome::Failed,
         }
     }
