feat: instances that are gone for good are forgotten; the view of others is a module

Cause: nobody took an instance that was replaced off the store's table. Tests: unit::broker::absent_instances_are_tried_more_and_more_rarely and routes::membership::instances_that_are_gone_are_forgotten, neither of which could pass before.

--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -2,6 +2,7 @@
 //! it and carries out what it says.
 
 mod table;
+mod view;
 
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
 use drumusher_wire::peer::Message;
 
 pub use table::Table;
+pub use view::View;
 
 use crate::{process::ring, version::Pool};
 
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -5,13 +5,10 @@
     sync::Arc,
 };
 
-use drumusher_schedule::{
-    ask::{Id, Part},
-    rank::{self, Candidate},
-};
+use drumusher_schedule::ask::{Id, Part};
 use drumusher_wire::peer::{self, Message};
 
-use super::{CANCELLED, Input, Own, Reply, Report, Send};
+use super::{CANCELLED, Input, Own, Reply, Report, Send, View};
 use crate::{
     process::clock,
     request::id,
@@ -25,12 +22,6 @@
 /// of today's classes (250 ms); an answer takes 2 ms between availability zones.
 const ANSWER_WITHIN: u64 = 60 * drumusher_schedule::time::MILLISECOND;
 
-/// What instances are ranked for that read the store.
-const STORE: &str = "store";
-/// Instances that read the store. The store may turn a third of today's eight or nine instances away
-/// at once, and those that read it before others: with four, one is left that tells the rest.
-const READERS: usize = 4;
-
 struct Held {
     own: Own,
     /// The dispatcher that was asked; `None` if there is none to ask.
@@ -45,40 +36,25 @@
 
 /// The asks this instance owns.
 pub struct Table {
-    name: Arc<str>,
-    area: Arc<str>,
-    /// The own processor time, in thousandths of a core.
-    capacity: u32,
     held: HashMap<Id, Held>,
     fresh: BTreeSet<Id>,
-    directory: Arc<Directory>,
-    /// Instances that cannot be reached now, by own experience.
-    dead: BTreeSet<Arc<str>>,
-    /// Instances that said they are leaving.
-    leaving: BTreeSet<Arc<str>>,
-    stopping: bool,
+    view: View,
 }
 
 impl Table {
-    /// An empty table of the instance `name`.
-    pub fn new(name: Arc<str>, area: Arc<str>) -> Self {
-        Table {
-            name,
-            area,
-            capacity: rank::CAPACITY,
-            held: HashMap::new(),
-            fresh: BTreeSet::new(),
-            directory: Arc::default(),
-            dead: BTreeSet::new(),
-            leaving: BTreeSet::new(),
-            stopping: false,
-        }
+    /// An empty table of the instance that has this view of the others.
+    pub fn new(view: View) -> Self {
+        Table { held: HashMap::new(), fresh: BTreeSet::new(), view }
+    }
+
+    /// The other instances as seen from here.
+    pub fn view(&self) -> &View {
+        &self.view
     }
 
-    /// Sets the own processor time, in thousandths of a core.
-    pub fn with_capacity(mut self, capacity: u32) -> Self {
-        self.capacity = capacity;
-        self
+    /// The absent instances that are to be tried now.
+    pub fn trials(&mut self) -> Vec<Arc<str>> {
+        self.view.trials(clock::now())
     }
 
     /// How many asks are owned.
@@ -91,65 +67,6 @@
         self.held.is_empty()
     }
 
-    /// Instances that cannot be reached now.
-    pub fn dead(&self) -> &BTreeSet<Arc<str>> {
-        &self.dead
-    }
-
-    /// The instances that may dispatch in an area, as seen from here.
-    fn eligible<'a>(&'a self, area: &'a str) -> impl Iterator<Item = Candidate<'a>> {
-        let listed = self.directory.instances.values().filter(move |instance| {
-            &*instance.area == area
-                && !instance.leaving
-                && instance.name != self.name
-                && !self.dead.contains(&instance.name)
-                && !self.leaving.contains(&instance.name)
-        });
-        let own = (area == &*self.area && !self.stopping)
-            .then_some(Candidate { name: &self.name, capacity: self.capacity });
-        let listed =
-            listed.map(|instance| Candidate { name: &instance.name, capacity: instance.capacity });
-        listed.chain(own)
-    }
-
-    /// The dispatcher of a pool in an area, as seen from here.
-    pub fn dispatcher(&self, pool: &Pool, area: &str) -> Option<Arc<str>> {
-        let pool = pool.to_string();
-        let first = rank::first(&pool, self.eligible(area)).map(Arc::from);
-        let own_area = area == &*self.area;
-        first.or_else(|| own_area.then(|| self.name.clone()))
-    }
-
-    /// The instances that read the store and tell the others, as seen from here, first one first.
-    pub fn readers(&self) -> Vec<Arc<str>> {
-        let ranked = rank::order(STORE, self.eligible(&self.area));
-        ranked.into_iter().take(READERS).map(Arc::from).collect()
-    }
-
-    /// The instance that reads the store and is to tell this one, unless this one reads it itself. The
-    /// readers share the work: telling all others at their start is more than one of them can send.
-    pub fn teller(&self) -> Option<Arc<str>> {
-        let readers = self.readers();
-        let mine = rank::first(&self.name, readers.iter().map(|reader| &**reader));
-        mine.filter(|_| !readers.contains(&self.name)).map(Arc::from)
-    }
-
-    /// How many instances of the own area are listed, and whether none of the others is reachable.
-    pub fn alone(&self) -> (usize, bool) {
-        let area = &self.area;
-        let others = self
-            .directory
-            .instances
-            .values()
-            .filter(|instance| instance.area == *area && instance.name != self.name);
-        let (mut listed, mut reachable) = (1, 0);
-        for other in others {
-            listed += 1;
-            reachable += usize::from(!self.dead.contains(&other.name));
-        }
-        (listed, listed > 1 && reachable == 0)
-    }
-
     /// Takes what a request says.
     pub fn take(&mut self, input: Input, sends: &mut Vec<Send>) {
         match input {
@@ -162,7 +79,7 @@
 
     fn open(&mut self, own: Own, sends: &mut Vec<Send>) {
         let id = own.id;
-        let dispatcher = self.dispatcher(&own.pool, &own.area);
+        let dispatcher = self.view.dispatcher(&own.pool, &own.area);
         let held = Held {
             own,
             dispatcher,
@@ -330,7 +247,7 @@
             return;
         }
         let owner: Arc<str> = redirect.owner.as_str().into();
-        let reachable = !self.dead.contains(&owner);
+        let reachable = !self.view.is_absent(&owner);
         if let Some(held) = self.held.get_mut(&id) {
             held.dispatcher = Some(if reachable { owner } else { from.clone() });
         }
@@ -356,7 +273,8 @@
         let mut silent = BTreeSet::new();
         let mut owed = Vec::new();
         for (id, held) in &self.held {
-            let Some(dispatcher) = held.dispatcher.as_ref().filter(|name| **name != self.name)
+            let Some(dispatcher) =
+                held.dispatcher.as_ref().filter(|name| *name != self.view.name())
             else {
                 continue;
             };
@@ -365,7 +283,7 @@
                 owed.push(*id);
             }
         }
-        let name = self.name.clone();
+        let name = self.view.name().clone();
         for id in owed {
             self.assign(id, Some(name.clone()), sends);
         }
@@ -382,37 +300,27 @@
 
     /// Takes a new directory.
     pub fn adopt(&mut self, directory: Arc<Directory>, sends: &mut Vec<Send>) {
-        let listed = &directory.instances;
-        self.dead.retain(|name| listed.contains_key(name));
-        self.leaving.retain(|name| listed.contains_key(name));
-        self.directory = directory;
+        self.view.adopt(directory);
         self.reassign(sends);
     }
 
     /// An instance cannot be reached, or can again.
     pub fn reachable(&mut self, instance: &Arc<str>, reachable: bool, sends: &mut Vec<Send>) {
-        let changed =
-            if reachable { self.dead.remove(instance) } else { self.dead.insert(instance.clone()) };
-        if changed {
+        if self.view.reachable(clock::now(), instance, reachable) {
             self.reassign(sends);
         }
     }
 
     /// An instance says whether it is leaving.
     pub fn leaves(&mut self, instance: &Arc<str>, leaving: bool, sends: &mut Vec<Send>) {
-        let changed = if leaving {
-            self.leaving.insert(instance.clone())
-        } else {
-            self.leaving.remove(instance)
-        };
-        if changed {
+        if self.view.leaves(instance, leaving) {
             self.reassign(sends);
         }
     }
 
     /// The own instance is stopping: it hands its roles over.
     pub fn stop(&mut self, sends: &mut Vec<Send>) {
-        self.stopping = true;
+        self.view.stop();
         self.reassign(sends);
     }
 
@@ -427,7 +335,7 @@
             let owner = match owners.get(&place) {
                 Some(owner) => owner.clone(),
                 None => {
-                    let owner = self.dispatcher(&place.0, &place.1);
+                    let owner = self.view.dispatcher(&place.0, &place.1);
                     owners.insert(place, owner.clone());
                     owner
                 }
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -66,6 +66,10 @@
 /// Time between two looks whether to read.
 const IDLE: Millis = Millis(50);
 
+/// Time between two looks at the entries of instances: the own one, and those of instances that are
+/// gone. Both matter after minutes.
+const ENTRY_LOOK: Millis = Millis(5_000);
+
 /// The key of the configuration in its table.
 const CONFIGURATION: &str = "config";
 
@@ -158,7 +162,8 @@
 /// Tells the others of this instance, reads who else is there, and follows the tables. Who reads them
 /// follows from who is there; until the store answers, each looks for itself.
 async fn begin<S: Store + 'static>(catalog: Rc<Catalog<S>>) {
-    rt::spawn(enter(catalog.clone()));
+    rt::spawn(stay_entered(catalog.clone()));
+    rt::spawn(forget(catalog.clone()));
     if let Err(error) = catalog.read(Table::Instances).await {
         catalog.failed(Table::Instances, &error);
     }
@@ -167,8 +172,45 @@
     }
 }
 
+/// Keeps this instance entered in the store. Another one may have dropped the entry, because this one
+/// was out of reach for long.
+async fn stay_entered<S: Store>(catalog: Rc<Catalog<S>>) {
+    let name = catalog.shared.settings.name.clone();
+    enter(&catalog).await;
+    loop {
+        sleep(ENTRY_LOOK).await;
+        let known = catalog.shared.records().end(Table::Instances) > 0;
+        let entered = catalog.shared.records().keys(Table::Instances).any(|(key, _)| key == name);
+        if known && !entered && !catalog.shared.stopping() {
+            log::warn!("the own entry is gone from the store; it is written again");
+            enter(&catalog).await;
+        }
+    }
+}
+
+/// Drops the entries of instances that are gone for good, as the first reader.
+async fn forget<S: Store>(catalog: Rc<Catalog<S>>) {
+    loop {
+        sleep(ENTRY_LOOK).await;
+        let shared = &catalog.shared;
+        let away = shared.store_away.load(Ordering::Acquire);
+        if away || !shared.first_reader.load(Ordering::Acquire) {
+            continue;
+        }
+        for name in shared.lost.load_full().iter() {
+            let end = Record { key: name.to_string(), value: None };
+            match catalog.store.put(&end).await {
+                Ok(()) => {
+                    log::info!(instance = &**name; "an instance out of reach for long is off the list")
+                }
+                Err(error) => catalog.failed(Table::Instances, &error),
+            }
+        }
+    }
+}
+
 /// Tells the others of this instance.
-async fn enter<S: Store>(catalog: Rc<Catalog<S>>) {
+async fn enter<S: Store>(catalog: &Catalog<S>) {
     let settings = &catalog.shared.settings;
     let instance = Instance {
         availability_zone: settings.availability_zone.clone(),
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -31,8 +31,8 @@
 
 /// Time between two batches of reports.
 const REPORTS: Millis = Millis(50);
-/// Time between two trials to reach an instance again.
-const TRIAL: Millis = Millis(400);
+/// Time between two looks for instances that are to be tried again; the shortest time between trials.
+const TRIAL_LOOK: Millis = Millis(400);
 /// Places in the ring of operators' queries.
 const RING: usize = 1_024;
 /// Places in the ring from the dispatch thread.
@@ -118,8 +118,9 @@
 impl Peers {
     /// Begins on the current thread, which has a runtime.
     pub fn start(shared: Arc<Shared>, rings: Rings) -> Peers {
-        let table = broker::Table::new(shared.name.clone(), shared.area.clone())
+        let view = broker::View::new(shared.name.clone(), shared.area.clone())
             .with_capacity(shared.settings.capacity);
+        let table = broker::Table::new(view);
         let inner = Inner {
             table,
             links: HashMap::new(),
@@ -192,7 +193,7 @@
     /// Tells the decisions by how much to divide capacity: by the instances of the area while none
     /// of the others can be reached, else not.
     fn divide(&self) {
-        let (listed, alone) = self.inner.borrow().table.alone();
+        let (listed, alone) = self.inner.borrow().table.view().alone();
         let divide = if alone { listed as u32 } else { 1 };
         let before = std::mem::replace(&mut self.inner.borrow_mut().divide, divide);
         if before == divide {
--- a/crates/drumusher/src/process/peers/alive.rs
+++ b/crates/drumusher/src/process/peers/alive.rs
@@ -35,6 +35,7 @@
             }
             self.heartbeat(now, paused);
             self.keep_reader();
+            self.tell_lost(now);
         }
     }
 
@@ -60,6 +61,15 @@
         }
     }
 
+    /// Tells which instances have been out of reach for so long that they count as gone.
+    fn tell_lost(&self, now: u64) {
+        let after = self.shared.settings.forget_ms * MILLISECOND;
+        let lost = self.inner.borrow().table.view().lost(now, after);
+        if **self.shared.lost.load() != lost {
+            self.shared.lost.store(Arc::new(lost));
+        }
+    }
+
     fn stop(&self) {
         let mut sends = Vec::new();
         self.inner.borrow_mut().table.stop(&mut sends);
--- a/crates/drumusher/src/process/peers/link.rs
+++ b/crates/drumusher/src/process/peers/link.rs
@@ -5,7 +5,7 @@
 use drumusher_wire::peer::{self, Message};
 use ntex::{rt, time::sleep};
 
-use super::{Link, PENDING, Peers, TRIAL, messages::queue_full};
+use super::{Link, PENDING, Peers, TRIAL_LOOK, messages::queue_full};
 use crate::{
     connection::{self, Codec},
     process::{broker, dispatch},
@@ -148,9 +148,9 @@
     /// Tries to reach again the instances that could not be reached.
     pub(super) async fn trials(self) {
         loop {
-            sleep(TRIAL).await;
-            let dead: Vec<Arc<str>> = self.inner.borrow().table.dead().iter().cloned().collect();
-            for instance in dead {
+            sleep(TRIAL_LOOK).await;
+            let due = self.inner.borrow_mut().table.trials();
+            for instance in due {
                 rt::spawn(self.clone().trial(instance));
             }
         }
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -82,7 +82,7 @@
         }
         let pool = Pool::parse(&ask.pool)?;
         let inner = self.inner.borrow();
-        let owner = inner.table.dispatcher(&pool, &self.shared.area)?;
+        let owner = inner.table.view().dispatcher(&pool, &self.shared.area)?;
         (owner != self.shared.name).then_some(owner)
     }
 
--- a/crates/drumusher/src/process/peers/query.rs
+++ b/crates/drumusher/src/process/peers/query.rs
@@ -42,9 +42,8 @@
             inner.gathers.insert(id, Gather { open: others.clone(), reply });
             id
         };
-        let dead = self.inner.borrow().table.dead().clone();
         for other in others {
-            if dead.contains(&other) {
+            if self.inner.borrow().table.view().is_absent(&other) {
                 self.settle(id, &other, None);
             } else {
                 self.send(&other, Message::Query(peer::Query::new(id, statement.clone())));
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -29,14 +29,14 @@
         if self.shared.settings.store.is_none() {
             return;
         }
-        let readers = self.inner.borrow().table.readers();
+        let readers = self.inner.borrow().table.view().readers();
         let own = readers.contains(&self.shared.name);
         let first = readers.first() == Some(&self.shared.name);
         self.shared.first_reader.store(first, Ordering::Release);
         if self.shared.reader.swap(own, Ordering::AcqRel) != own {
             log::info!(reads = own; "whether this instance reads the store for others");
         }
-        let teller = self.inner.borrow().table.teller();
+        let teller = self.inner.borrow().table.view().teller();
         let kept = if own { readers } else { teller.into_iter().collect() };
         for reader in kept.iter().filter(|reader| **reader != self.shared.name) {
             if !self.inner.borrow().links.contains_key(reader) {
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -47,6 +47,8 @@
     pub doubtful: AtomicBool,
     /// Who is there.
     pub directory: ArcSwap<Directory>,
+    /// Instances that have been out of reach for so long that they count as gone.
+    pub lost: ArcSwap<Vec<Arc<str>>>,
     /// The pools this instance dispatches.
     pub hosted: ArcSwap<Vec<Pool>>,
     /// Whether a configuration was read.
@@ -107,6 +109,7 @@
             store_away: AtomicBool::new(true),
             doubtful: AtomicBool::new(false),
             directory: ArcSwap::from_pointee(Directory::default()),
+            lost: ArcSwap::default(),
             hosted: ArcSwap::default(),
             configured: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -59,6 +59,9 @@
     pub workers: usize,
     /// Known to all instances, at least 16 characters.
     pub fleet_secret: String,
+    /// With a store: an instance that was out of reach for so long, in milliseconds, is taken off the
+    /// table of instances. It enters itself again when it is back.
+    pub forget_ms: u64,
     /// Instances to ask for the configuration when the platform is away.
     pub seeds: Vec<SocketAddr>,
     /// The platform's log service.
@@ -207,6 +210,7 @@
         capacity: (reader.number("instance.cores", 1.0, 0.001, 1_024.0) * 1e3) as u32,
         workers: reader.count("instance.workers", 2, 1, 256) as usize,
         fleet_secret: reader.secret("fleet.secret"),
+        forget_ms: (reader.number("fleet.forget_seconds", 600.0, 1.0, 86_400.0) * 1e3) as u64,
         seeds: reader.addresses("fleet.seeds"),
         log_service: reader.address_unless("platform.log", store.is_some()),
         members: reader.address_unless("platform.members", store.is_some()),
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -104,6 +104,23 @@
     }
 }
 
+/// An instance that is gone for good is taken off the list; one whose entry was dropped although it is
+/// there enters itself again.
+#[test]
+fn instances_that_are_gone_are_forgotten() {
+    let mut deployment = Deployment::unconfigured(3);
+    deployment.store.put("keyed.op", "config", &configuration(1, ""));
+    wait_for("they know each other", || known(&deployment, 3));
+    deployment.instances[2].signal("KILL");
+    wait_for("it is gone", || deployment.instances[2].ended().is_some());
+    wait_for("it is off the list", || deployment.store.newest("keyed.instances", "i2").is_none());
+    assert!(known(&deployment, 2));
+    deployment.instances[2].restart();
+    wait_for("it is back", || known(&deployment, 3));
+    deployment.store.remove("keyed.instances", "i1");
+    wait_for("it enters itself again", || known(&deployment, 3));
+}
+
 /// The last log line that contains a text.
 fn last_of(lines: &str, text: &str) -> String {
     lines.lines().rev().find(|line| line.contains(text)).unwrap_or("").to_string()
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -153,7 +153,7 @@
                 "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
                  http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\n\
                  advertise = \"{advertise}\"\nworkers = 1\n\
-                 [fleet]\nsecret = \"a secret of a test's fleet\"\n\
+                 [fleet]\nsecret = \"a secret of a test's fleet\"\nforget_seconds = 2\n\
                  [store]\naddress = \"{store}\"\nwait_ms = 1500\n\
                  [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n"
             );
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use drumusher::{
-    process::broker::{Input, Own, Reply, Report, Send, Table},
+    process::broker::{Input, Own, Reply, Report, Send, Table, View},
     request::id,
     version::{Directory, Instance, Pool},
 };
@@ -27,7 +27,7 @@
 }
 
 fn table() -> Table {
-    let mut table = Table::new("suva-0".into(), "suva".into());
+    let mut table = Table::new(View::new("suva-0".into(), "suva".into()));
     table.adopt(directory(&NAMES), &mut Vec::new());
     table
 }
@@ -143,13 +143,13 @@
 #[test]
 fn alone_an_instance_dispatches_itself_and_knows_it() {
     let mut table = table();
-    assert_eq!(table.alone(), (4, false));
+    assert_eq!(table.view().alone(), (4, false));
     for name in &NAMES[1..] {
         table.reachable(&Arc::from(*name), false, &mut Vec::new());
     }
-    assert_eq!(table.alone(), (4, true));
-    assert_eq!(table.dispatcher(&pool(), "suva").as_deref(), Some("suva-0"));
-    assert_eq!(table.dispatcher(&pool(), "nadi"), None);
+    assert_eq!(table.view().alone(), (4, true));
+    assert_eq!(table.view().dispatcher(&pool(), "suva").as_deref(), Some("suva-0"));
+    assert_eq!(table.view().dispatcher(&pool(), "nadi"), None);
 }
 
 #[test]
@@ -159,7 +159,7 @@
         table.reachable(&Arc::from(*name), false, &mut Vec::new());
     }
     table.stop(&mut Vec::new());
-    assert_eq!(table.dispatcher(&pool(), "suva").as_deref(), Some("suva-1"));
+    assert_eq!(table.view().dispatcher(&pool(), "suva").as_deref(), Some("suva-1"));
 }
 
 proptest! {
@@ -192,7 +192,7 @@
                     with.insert(id::from_wire(&ask.id).expect("an identity"), send.to.clone());
                 }
             }
-            let dispatcher = table.dispatcher(&pool(), "suva").expect("oneself at least");
+            let dispatcher = table.view().dispatcher(&pool(), "suva").expect("oneself at least");
             prop_assert!(with.values().all(|to| *to == dispatcher));
         }
     }
@@ -254,19 +254,42 @@
     let mut told: BTreeMap<Arc<str>, usize> = BTreeMap::new();
     let mut readers = Vec::new();
     for name in &listed {
-        let mut table = Table::new((*name).into(), "suva".into());
+        let mut table = Table::new(View::new((*name).into(), "suva".into()));
         table.adopt(directory(&listed), &mut Vec::new());
-        readers.push(table.readers());
-        let Some(teller) = table.teller() else {
-            assert!(table.readers().iter().any(|reader| &**reader == *name));
+        readers.push(table.view().readers());
+        let Some(teller) = table.view().teller() else {
+            assert!(table.view().readers().iter().any(|reader| &**reader == *name));
             continue;
         };
-        assert!(table.readers().contains(&teller));
+        assert!(table.view().readers().contains(&teller));
         table.reachable(&teller, false, &mut Vec::new());
-        assert_ne!(table.teller(), Some(teller.clone()));
+        assert_ne!(table.view().teller(), Some(teller.clone()));
         *told.entry(teller).or_default() += 1;
     }
     assert!(readers.windows(2).all(|pair| pair[0] == pair[1]));
     assert_eq!(told.len(), 4);
     assert!(told.values().all(|count| (4..=16).contains(count)), "{told:?}");
 }
+
+/// An instance that is out of reach is tried soon at first, and rarely after a long time; it counts as
+/// lost after the time that is set, and not any more once it was reached.
+#[test]
+fn absent_instances_are_tried_more_and_more_rarely() {
+    const SECOND: u64 = 1_000_000;
+    let mut view = View::new("suva-0".into(), "suva".into());
+    view.adopt(directory(&NAMES));
+    let other: Arc<str> = "suva-1".into();
+    assert!(view.reachable(0, &other, false));
+    assert!(!view.reachable(SECOND, &other, false), "it is known; the time of its loss stays");
+    let mut tried = |from: u64, to: u64| -> usize {
+        (from * 10..to * 10).map(|tenth| view.trials(tenth * SECOND / 10).len()).sum()
+    };
+    assert_eq!(tried(0, 3), 7, "each 0.4 s");
+    assert!((20..=40).contains(&tried(3, 120)));
+    assert_eq!(tried(1_000, 1_060), 4, "each 15 s");
+    assert_eq!(view.lost(600 * SECOND, 600 * SECOND), []);
+    assert_eq!(view.lost(601 * SECOND, 600 * SECOND), std::slice::from_ref(&other));
+    assert!(view.reachable(602 * SECOND, &other, true));
+    assert_eq!(view.lost(9_999 * SECOND, 600 * SECOND), []);
+    assert_eq!(view.trials(9_999 * SECOND), []);
+}
