fix: engines are not taken for slow because they read long prompts

Its pauses were compared with the median of the pool, but engines on the patient side read long prompts, and their streams bear pauses four times as long. So they were taken out by turns, got probes alone, and their kept parts were read again elsewhere. Change: pauses are kept by kind of stream and compared within the kind; a mean pause below half of the kind's target is never slow. Test: schedule::sides, which fails with one pace for both kinds (mutant played).

--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -20,7 +20,7 @@
     outlier,
     policy::{ClassKey, Policy},
     queue::{Place, Queue},
-    server::{self, Server},
+    server::{self, Kind, Server},
     share::Share,
     side::Border,
     time::{MILLISECOND, Micros, SECOND},
@@ -282,11 +282,21 @@
         self.held += (time - self.held) * HELD_SMOOTHING;
     }
 
+    /// The classes that were asked for lately.
+    fn asked_lately(&self, now: Micros) -> impl Iterator<Item = ClassKey> {
+        let lately = self.asked.iter().filter(move |(_, at)| now < **at + ASKED_LATELY);
+        lately.map(|(class, _)| *class)
+    }
+
+    /// What streams of a class bear.
+    fn kind(&self, now: Micros, class: ClassKey) -> Kind {
+        if self.patient(now, class) { Kind::Patient } else { Kind::Pressing }
+    }
+
     /// Whether a class bears at least twice the tightest pause between events of the classes asked
     /// for lately: classes of other pools and of routes that nobody uses do not count.
     fn patient(&self, now: Micros, key: ClassKey) -> bool {
-        let lately = self.asked.iter().filter(|(_, at)| now < **at + ASKED_LATELY);
-        let gaps = lately.map(|(class, _)| self.policy.class(*class).token_gap);
+        let gaps = self.asked_lately(now).map(|class| self.policy.class(class).token_gap);
         let tightest = gaps.filter(|gap| *gap > 0).min();
         let own = self.policy.class(key).token_gap;
         tightest.is_some_and(|tightest| own >= 2 * tightest)
--- a/crates/drumusher-schedule/src/pool/preempt.rs
+++ b/crates/drumusher-schedule/src/pool/preempt.rs
@@ -5,11 +5,14 @@
     ask::{Id, Key, State},
     order::{Order, Stop},
     policy::ClassKey,
+    server::{Kind, Usual},
     time::Micros,
 };
 
 /// Waiting requests of a class that are looked at, oldest first.
 const LOOK: usize = 32;
+/// A mean pause up to this part of the target of its kind is not slow, whatever others need.
+const BORNE: f64 = 0.5;
 /// Most attempts stopped by one event.
 const STOPS: usize = 8;
 
@@ -72,22 +75,37 @@
         self.stopping += 1;
     }
 
-    /// Finds backend servers much slower than the pool's median and moves their repeatable
-    /// attempts elsewhere, as far as there is room.
+    /// Finds backend servers much slower than the pool's median and moves their repeatable attempts
+    /// elsewhere, as far as there is room. Patient and pressing streams are compared apart: long
+    /// prompts beside them make the pauses of patient ones longer, and their classes bear that.
     pub(super) fn judge(&mut self, now: Micros, orders: &mut Vec<Order>) {
-        let mut gaps: Vec<f64> = self.servers().filter_map(|(_, s)| s.known_gap()).collect();
+        for kind in Kind::ALL {
+            let usual = self.usual(now, kind);
+            let Some(usual) = usual else { continue };
+            let servers = self.servers.iter_mut().enumerate();
+            let judged = servers
+                .filter_map(|(at, server)| Some((at, server.as_mut()?.judge(now, kind, usual))));
+            let slow: Vec<usize> = judged.filter(|(_, slow)| *slow).map(|(at, _)| at).collect();
+            for at in slow {
+                self.move_off(now, at, orders);
+            }
+        }
+    }
+
+    /// What is usual between the tokens of streams of a kind; `None` if fewer than two backend
+    /// servers had some lately.
+    fn usual(&self, now: Micros, kind: Kind) -> Option<Usual> {
+        let known = self.servers().filter_map(|(_, server)| server.pace(now, kind));
+        let mut gaps: Vec<f64> = known.collect();
         if gaps.len() < 2 {
-            return;
+            return None;
         }
         gaps.sort_by(f64::total_cmp);
         let median = gaps[(gaps.len() - 1) / 2];
-        let servers = self.servers.iter_mut().enumerate();
-        let judged =
-            servers.filter_map(|(at, server)| Some((at, server.as_mut()?.judge(now, median))));
-        let slow: Vec<usize> = judged.filter(|(_, slow)| *slow).map(|(at, _)| at).collect();
-        for at in slow {
-            self.move_off(now, at, orders);
-        }
+        let of_kind = self.asked_lately(now).filter(|class| self.kind(now, *class) == kind);
+        let targets = of_kind.map(|class| self.policy.class(class).token_gap);
+        let target = targets.filter(|gap| *gap > 0).min().unwrap_or(0);
+        Some(Usual { median, borne: target as f64 * BORNE })
     }
 
     fn move_off(&mut self, now: Micros, server: usize, orders: &mut Vec<Order>) {
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -4,7 +4,7 @@
 use crate::{
     ask::{Ask, Id, Outcome, State, Waiting},
     event::Progress,
-    server,
+    server::{self, Kind},
     time::Micros,
 };
 
@@ -52,6 +52,7 @@
         let beyond = (own - running.charged).max(0.0);
         running.charged += beyond;
         let (tier, workspace, server) = (running.tier, running.ask.workspace, running.server);
+        let kind = if running.patient { Kind::Patient } else { Kind::Pressing };
         let policy = self.policy.clone();
         if beyond > 0.0 {
             self.share.charge(&policy, tier, workspace, beyond);
@@ -65,7 +66,7 @@
             if let Some(first) = progress.first_token {
                 server.engine_mut().first_event(progress.id, first);
             }
-            server.learn(now, progress.first_token, progress.gap, target);
+            server.learn(now, kind, progress.first_token, progress.gap, target);
         }
     }
 
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -46,6 +46,48 @@
     Down(Micros, Micros),
 }
 
+/// What a stream bears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// No long pauses between events.
+    Pressing,
+    /// Long pauses.
+    Patient,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Kind; 2] = [Kind::Pressing, Kind::Patient];
+}
+
+/// The pauses between the tokens of a backend server's streams of one kind.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    gap: f64,
+    samples: u32,
+    at: Micros,
+}
+
+impl Pace {
+    fn note(&mut self, now: Micros, gap: Micros) {
+        if now > self.at + PACE_FOR {
+            *self = Pace::default();
+        }
+        self.gap = if self.samples == 0 { gap as f64 } else { mean(self.gap, gap as f64) };
+        self.samples = self.samples.saturating_add(1);
+        self.at = now;
+    }
+}
+
+/// What is usual among the backend servers of a pool, in microseconds between tokens.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Usual {
+    /// The median.
+    pub median: f64,
+    /// What is not slow in any case.
+    pub borne: f64,
+}
+
 /// Weight of a new sample in the running means.
 const SMOOTHING: f64 = 0.2;
 /// Samples before a mean is compared with the pool's.
@@ -56,6 +98,8 @@
 const DOWN_PAUSE: Micros = 500 * MILLISECOND;
 /// Longest pause after failures.
 const DOWN_PAUSE_MOST: Micros = 15 * SECOND;
+/// How long the pace of streams is believed after the last one reported on it.
+const PACE_FOR: Micros = 4 * SECOND;
 /// Pause before a slow backend server is tried, and between two trials.
 const PROBE_PAUSE: Micros = SECOND;
 /// A probe that found no request of a lower tier for so long takes one of the highest.
@@ -105,6 +149,10 @@
     /// What is believed of it as an engine.
     engine: Engine,
     tally: Tally,
+    /// The kind of streams in which it was found slow last.
+    slow_in: Kind,
+    /// By [`Kind`].
+    paces: [Pace; Kind::ALL.len()],
 }
 
 impl Server {
@@ -129,6 +177,8 @@
             prefixes: HashMap::new(),
             engine: Engine::new(),
             tally: Tally::new(),
+            slow_in: Kind::Pressing,
+            paces: Default::default(),
         }
     }
 
@@ -300,6 +350,7 @@
         };
         self.health = Health::Down(now + pause, pause);
         self.gap_samples = 0;
+        self.paces = Default::default();
     }
 
     fn note(&mut self, now: Micros) {
@@ -350,7 +401,14 @@
     }
 
     /// Learns from a stream: time to the first token and mean time between tokens.
-    pub fn learn(&mut self, now: Micros, first_token: Option<Micros>, gap: Micros, target: Micros) {
+    pub fn learn(
+        &mut self,
+        now: Micros,
+        kind: Kind,
+        first_token: Option<Micros>,
+        gap: Micros,
+        target: Micros,
+    ) {
         if let Some(first) = first_token {
             self.first_token = mean(self.first_token, first as f64);
         }
@@ -361,6 +419,7 @@
         self.failures = 0;
         self.gap = if self.gap_samples == 0 { gap as f64 } else { mean(self.gap, gap as f64) };
         self.gap_samples = self.gap_samples.saturating_add(1);
+        self.paces[kind as usize].note(now, gap);
         self.adjust(now, target as f64);
     }
 
@@ -411,17 +470,28 @@
         }
     }
 
-    /// Compares it with the pool's median gap. Returns whether it has just become slow.
-    pub fn judge(&mut self, now: Micros, median: f64) -> bool {
-        let Some(gap) = self.known_gap() else {
+    /// Mean time between the tokens of its streams of a kind, in microseconds, if enough was seen
+    /// lately.
+    pub fn pace(&self, now: Micros, kind: Kind) -> Option<f64> {
+        let pace = &self.paces[kind as usize];
+        let known = pace.samples >= ENOUGH_SAMPLES && now <= pace.at + PACE_FOR;
+        known.then_some(pace.gap)
+    }
+
+    /// Compares its streams of a kind with what is usual. Returns whether it has just become slow.
+    pub fn judge(&mut self, now: Micros, kind: Kind, usual: Usual) -> bool {
+        let Some(gap) = self.pace(now, kind) else {
             return false;
         };
+        let least = (usual.median + MILLISECOND as f64).max(usual.borne);
         match self.health {
-            Health::Good if gap > median * SLOW_FACTOR && gap > median + MILLISECOND as f64 => {
+            Health::Good if gap > usual.median * SLOW_FACTOR && gap > least => {
                 self.health = Health::Slow(now + PROBE_PAUSE);
+                self.slow_in = kind;
                 true
             }
-            Health::Slow(_) if gap < median * GOOD_FACTOR => {
+            Health::Slow(_) if kind != self.slow_in => false,
+            Health::Slow(_) if gap < usual.median * GOOD_FACTOR || gap < usual.borne => {
                 self.health = Health::Good;
                 false
             }
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -6,4 +6,5 @@
 mod pool;
 mod rank;
 mod retry;
+mod sides;
 mod support;
--- /dev/null
+++ b/crates/drumusher-schedule/tests/schedule/sides.rs
@@ -0,0 +1,106 @@
+//! Engines that do different work are not measured by each other.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use drumusher_schedule::{
+    ask::{Ask, Outcome, Part},
+    event::Event,
+    policy::Policy,
+    server::{Health, Key, Options},
+    time::{MILLISECOND, Micros},
+};
+use rstest::rstest;
+
+use crate::support::{BULK, Bench, URGENT, ask, granted, policy};
+
+const ENGINES: u16 = 8;
+/// Tokens of a prompt.
+const PROMPT: u32 = 5_000;
+/// What the classes bear between two events.
+const PRESSING_GAP: Micros = 150 * MILLISECOND;
+const PATIENT_GAP: Micros = 600 * MILLISECOND;
+
+fn divided() -> Policy {
+    let mut policy = policy();
+    policy.classes[usize::from(URGENT)].token_gap = PRESSING_GAP;
+    policy.classes[usize::from(BULK)].token_gap = PATIENT_GAP;
+    policy
+}
+
+/// A pool whose engines have an order, by which they are divided.
+fn divided_bench() -> Bench {
+    let mut bench = Bench::new(divided(), ENGINES, 16);
+    for key in 0..ENGINES {
+        let options = Options { slots: 16, first_slots: 16, rank: u64::from(key), learned: true };
+        bench.tell(Event::Server(Key(key), options));
+    }
+    bench
+}
+
+/// All prompts are as long, so that the time to read a token is the same everywhere.
+fn prompt(id: u128, class: u16, now: Micros) -> Ask {
+    let parts = vec![Part { id: id as u64, tokens: PROMPT }];
+    Ask { prompt: PROMPT, parts, ..ask(id, class, now) }
+}
+
+/// What a run showed.
+#[derive(Default)]
+struct Seen {
+    /// Streams by whether they are patient, and by engine.
+    streams: BTreeMap<(bool, u16), usize>,
+    /// Engines that were taken for slow at any time.
+    slow: BTreeSet<u16>,
+}
+
+/// Runs streams of both kinds for some seconds, so many that two engines serve the patient ones; `gap`
+/// tells the mean pause of a stream by whether it is patient and by its engine.
+fn run(bench: &mut Bench, from: u128, gap: impl Fn(bool, u16) -> Micros) -> Seen {
+    let mut seen = Seen::default();
+    for round in from..from + 12 {
+        let now = bench.now;
+        let mut grants = Vec::new();
+        for id in round * 20..round * 20 + 18 {
+            let patient = id % 20 < 4;
+            let class = if patient { BULK } else { URGENT };
+            let orders = bench.ask(prompt(id, class, now));
+            grants.extend(granted(&orders).into_iter().map(|(id, server)| (id, server, patient)));
+        }
+        for report in 1..8 {
+            bench.pass(100 * MILLISECOND);
+            for (id, server, patient) in &grants {
+                bench.progress(*id, report, gap(*patient, *server));
+            }
+            let servers = bench.pool.servers();
+            let slow = servers.filter(|(_, s)| matches!(s.health(), Health::Slow(_)));
+            seen.slow.extend(slow.map(|(key, _)| key.0));
+        }
+        for (id, server, patient) in grants {
+            *seen.streams.entry((patient, server)).or_default() += 1;
+            bench.finish(id, Outcome::Done);
+        }
+    }
+    seen
+}
+
+/// Long prompts beside them make the pauses of patient streams longer; their engines are not slow.
+#[test]
+fn pauses_that_patient_streams_bear_are_not_slow() {
+    let mut bench = divided_bench();
+    let usual = |patient, _| if patient { 120 * MILLISECOND } else { 30 * MILLISECOND };
+    let seen = run(&mut bench, 0, usual);
+    assert_eq!(seen.slow, BTreeSet::new());
+}
+
+/// An engine that is slow among its like is found on either side.
+#[rstest]
+#[case::pressing(false, 160 * MILLISECOND)]
+#[case::patient(true, 700 * MILLISECOND)]
+fn an_engine_that_is_slow_among_its_like_is_found(#[case] patient: bool, #[case] pause: Micros) {
+    let mut bench = divided_bench();
+    let usual = |patient| if patient { 100 * MILLISECOND } else { 30 * MILLISECOND };
+    let seen = run(&mut bench, 0, |patient, _| usual(patient));
+    let streams = |server: &u16| seen.streams.get(&(patient, *server)).copied();
+    let victim = (0..ENGINES).max_by_key(streams).expect("there are engines");
+    let seen = run(&mut bench, 100, |p, server| if server == victim { pause } else { usual(p) });
+    assert!(seen.slow.contains(&victim), "{:?}", seen.slow);
+}
