feat: what the decisions believe of a backend server's health is logged

Change: the dispatcher writes 'backend server is HEALTH' with the pause, the share of failures and what runs there; a request's last line names the dispatcher that granted it. Test: routes::answers::the_health_of_a_server_is_told, which waited in vain before.

--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -88,6 +88,18 @@
     pub borne: f64,
 }
 
+impl Health {
+    /// Its word in logs and for operators.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Health::Good => "good",
+            Health::Slow(_) => "slow",
+            Health::Erring(_) => "erring",
+            Health::Down(..) => "down",
+        }
+    }
+}
+
 /// Weight of a new sample in the running means.
 const SMOOTHING: f64 = 0.2;
 /// Samples before a mean is compared with the pool's.
--- a/crates/drumusher/src/operator/rows.rs
+++ b/crates/drumusher/src/operator/rows.rs
@@ -3,11 +3,7 @@
 use std::{sync::Arc, time::UNIX_EPOCH};
 
 use drumusher_log::config::{State, Verdict};
-use drumusher_schedule::{
-    ask::Ask,
-    pool,
-    server::{Health, Server},
-};
+use drumusher_schedule::{ask::Ask, pool, server::Server};
 use serde_json::{Value as Json, json};
 
 use crate::{
@@ -91,16 +87,10 @@
 }
 
 fn backend(name: &str, server: &Server, pool: &Pool, now: u64) -> Row {
-    let health = match server.health() {
-        Health::Good => "good",
-        Health::Slow(_) => "slow",
-        Health::Erring(_) => "erring",
-        Health::Down(..) => "down",
-    };
     row(json!({
         "server": name,
         "pool": pool.to_string(),
-        "health": health,
+        "health": server.health().word(),
         "leaving": server.leaving(),
         "running": server.running(),
         "window": server.window(),
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -265,6 +265,9 @@
         self.flush();
         self.each(|_| Event::Tick);
         let now = clock::now();
+        for (pool, host) in &mut self.hosts {
+            host.tell_health(pool, now);
+        }
         let before = self.hosts.len();
         self.hosts.retain(|_, host| {
             let busy = host.pool.waiting() + host.pool.running() > 0;
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -5,10 +5,15 @@
     sync::Arc,
 };
 
-use drumusher_schedule::{event::Event, policy::Policy, pool, rank, server};
+use drumusher_schedule::{
+    event::Event, policy::Policy, pool, rank, server, server::Health, time::MILLISECOND,
+};
 
 use super::Divisor;
-use crate::version::Backend;
+use crate::version::{Backend, Pool};
+
+/// What is believed of a backend server before anything was learned.
+const GOOD: &str = Health::Good.word();
 
 /// One pool with the names of its backend servers.
 pub(super) struct Host {
@@ -22,6 +27,10 @@
     applied: BTreeMap<Arc<str>, (u32, bool)>,
     /// Backend servers that said themselves that they are leaving, and when.
     pub(super) own_word: BTreeMap<Arc<str>, u64>,
+    /// The health of each backend server as it was logged last, by key.
+    told: Vec<&'static str>,
+    /// When that was looked at last.
+    looked: u64,
     /// When it was asked for last.
     pub(super) used: u64,
 }
@@ -35,6 +44,8 @@
             known: HashMap::new(),
             applied: BTreeMap::new(),
             own_word: BTreeMap::new(),
+            told: Vec::new(),
+            looked: now,
             used: now,
         }
     }
@@ -50,6 +61,31 @@
         key
     }
 
+    /// Logs what the decisions newly believe of the health of backend servers, with what led to it.
+    pub(super) fn tell_health(&mut self, pool: &Pool, now: u64) {
+        if now < self.looked + pool::TICK {
+            return;
+        }
+        self.looked = now;
+        self.told.resize(self.names.len(), GOOD);
+        for (key, server) in self.pool.servers() {
+            let word = server.health().word();
+            let before = std::mem::replace(&mut self.told[usize::from(key.0)], word);
+            if before == word {
+                continue;
+            }
+            log::info!(
+                server = &*self.names[usize::from(key.0)],
+                pool = pool.to_string().as_str(),
+                before = before,
+                gap_ms = server.seen_gap().unwrap_or(0.0) as u64 / MILLISECOND,
+                failing = server.failing(now).unwrap_or(0.0),
+                running = server.running();
+                "backend server is {word}"
+            );
+        }
+    }
+
     /// The events that bring the decisions in line with the backend servers `wanted`, by name, with
     /// windows divided by `divide`.
     pub(super) fn refresh(
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -75,6 +75,8 @@
     /// What its caller saw of its events.
     pub pace: Pace,
     avoid: Option<Arc<str>>,
+    /// The instance that granted the latest attempt.
+    dispatcher: Option<Arc<str>>,
     unconnected: u32,
     may_have_run: bool,
     /// Whether the line of its end was written.
@@ -109,6 +111,7 @@
             sent: 0,
             pace: Pace::default(),
             avoid: None,
+            dispatcher: None,
             unconnected: 0,
             may_have_run: false,
             told: Cell::new(false),
@@ -161,6 +164,7 @@
                             request = self.request.head.id.as_str(), server = &*server,
                             dispatcher = &*dispatcher; "granted"
                         );
+                        self.dispatcher = Some(dispatcher);
                         return Ok(backend);
                     }
                     self.avoid = Some(server);
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -134,6 +134,7 @@
             route = &*found.route,
             version = found.version,
             server = server,
+            dispatcher = self.dispatcher.as_deref().unwrap_or(""),
             attempts = self.sent,
             status = status,
             first_ms = self.pace.first.unwrap_or(0) / MILLISECOND,
--- a/crates/drumusher/tests/routes/answers.rs
+++ b/crates/drumusher/tests/routes/answers.rs
@@ -3,6 +3,7 @@
 use std::io::Write;
 
 use drumusher_adapter_stand_in::{Fault, server::body};
+use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
 use crate::support::{Call, Deployment, read};
@@ -135,9 +136,9 @@
     let call = Call::post("/book/", "x");
     let mut conn = deployment.connect(0).expect("a connection");
     conn.write_all(&call.bytes()).expect("sent");
-    drumusher_bench::fleet::wait_for("it runs", || deployment.runs(&call.id) == 1);
+    wait_for("it runs", || deployment.runs(&call.id) == 1);
     drop(conn);
-    drumusher_bench::fleet::wait_for("the server sees the close", || {
+    wait_for("the server sees the close", || {
         deployment.server("d1").gone() + deployment.server("d2").gone() == 1
     });
 }
@@ -162,10 +163,32 @@
     let call = Call::post("/book/", "x");
     let mut conn = deployment.connect(0).expect("a connection");
     conn.write_all(&call.bytes()).expect("sent");
-    drumusher_bench::fleet::wait_for("it runs", || deployment.runs(&call.id) == 1);
+    wait_for("it runs", || deployment.runs(&call.id) == 1);
     drop(conn);
-    drumusher_bench::fleet::wait_for("its line is written", || {
+    wait_for("its line is written", || {
         let lines = deployment.instances[0].lines();
         lines.lines().any(|line| line.contains("caller gone") && line.contains(&call.id))
     });
 }
+
+/// What is believed of a backend server that fails, and that it is well again, is told with what led to
+/// it.
+#[test]
+fn the_health_of_a_server_is_told() {
+    let deployment = Deployment::new(1);
+    let told = |word: &str| {
+        let line = format!("backend server is {word}");
+        let lines = deployment.instances[0].lines();
+        lines.lines().any(|l| l.contains(&line) && l.contains("d1") && l.contains("failing"))
+    };
+    deployment.server("d1").set(Fault::Reset);
+    wait_for("it is told to be down", || {
+        let _ = deployment.call(0, &Call::get("/read/"));
+        told("down")
+    });
+    deployment.server("d1").set(Fault::None);
+    wait_for("it is told to be good", || {
+        let _ = deployment.call(0, &Call::get("/read/"));
+        told("good")
+    });
+}
