--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -235,9 +235,9 @@
 
     async fn connect(&mut self, backend: &Backend) -> Result<Conn, Failure> {
         let address = backend.address.parse().map_err(|_| Failure::NotConnected)?;
-        let once = !self.request.found.kind.repeatable();
+        let fresh = !self.request.found.kind.repeatable();
         let limit = Millis(self.left_ms().clamp(1, u64::from(CONNECT.0)) as u32);
-        let taken = self.worker.conns.take(&backend.name, address, once, limit).await;
+        let taken = self.worker.conns.take(&backend.name, address, fresh, limit).await;
         taken.map_err(|_| Failure::NotConnected)
     }
 
--- a/crates/drumusher/src/routed/exchange/answer.rs
+++ b/crates/drumusher/src/routed/exchange/answer.rs
@@ -43,18 +43,11 @@
     ) -> Result<(answer::Head, Answer), Failure> {
         for _ in 0..=MOST_CROSSED {
             let head = loop {
-                match conn.piece(left(until)).await {
-                    Ok(Piece::Head(head)) => break head,
-                    Ok(Piece::Data(_) | Piece::End) => {}
-                    Err(error) => {
-                        if error == upstream::Error::Closed {
-                            self.worker.conns.broke(conn);
-                        }
-                        return Err(Failure::Broken(error));
-                    }
+                match conn.piece(left(until)).await.map_err(Failure::Broken)? {
+                    Piece::Head(head) => break head,
+                    Piece::Data(_) | Piece::End => {}
                 }
             };
-            self.worker.conns.answered(conn);
             let answer = self.worker.dialect.read_answer(head.status, &head.headers);
             let own = answer.id.as_deref() == Some(self.request.head.id.as_str());
             if own || (answer.id.is_none() && answer.not_run) {
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -22,6 +22,9 @@
 const IDLE_MARGIN: Micros = 500 * MILLISECOND;
 /// A connection whose backend server names no time is kept idle for so long.
 const IDLE_UNNAMED: Micros = 4 * SECOND;
+/// A request that may not be repeated goes only on a connection idle for less than this: a backend
+/// server that forgot the connection would reset it, and nobody could tell whether it ran.
+const IDLE_FRESH: Micros = SECOND;
 
 /// One connection to a backend server, with at most one request on it.
 #[derive(Debug)]
@@ -35,8 +38,6 @@
     /// How long it may be idle.
     idle: Micros,
     idle_since: Micros,
-    /// How long it had been idle when it was taken for its request; `None` for a new one.
-    rested: Option<Micros>,
 }
 
 impl Conn {
@@ -54,24 +55,16 @@
         })?;
         let idle_since = clock::now();
         let codec = Codec::new();
-        Ok(Conn { io, socket, codec, sound: true, idle: IDLE_UNNAMED, idle_since, rested: None })
+        Ok(Conn { io, socket, codec, sound: true, idle: IDLE_UNNAMED, idle_since })
     }
 
-    /// Whether it may take a request now, if that goes only on a connection idle for less than `most`.
-    pub fn usable(&self, most: Micros) -> bool {
+    /// Whether it may take a request now, one that is handed over at most once if `fresh`: such a
+    /// request does not go on a connection that was idle for long.
+    pub fn usable(&self, fresh: bool) -> bool {
         let idle = clock::now().saturating_sub(self.idle_since);
+        let most = if fresh { self.idle.min(IDLE_FRESH) } else { self.idle };
         let silent = self.io.with_read_buf(|buffer| buffer.is_empty());
-        !self.io.is_closed() && silent && idle < self.idle.min(most)
-    }
-
-    /// Notes that it is taken for a request after a rest.
-    pub fn take(&mut self) {
-        self.rested = Some(clock::now().saturating_sub(self.idle_since));
-    }
-
-    /// How long it had been idle before its request; `None` for a new one.
-    pub fn rested(&self) -> Option<Micros> {
-        self.rested
+        !self.io.is_closed() && silent && idle < most
     }
 
     /// Sends a request: head and body in one go.
--- a/crates/drumusher/src/upstream/mod.rs
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -3,13 +3,11 @@
 //! The client of the HTTP library hides what at-most-once and whole answers need to know: whether a
 //! connection was new, whether bytes came that belong to no request, and which of two answers on
 //! one connection is whose. So the exchange stands here: [`answer`] cuts bytes into answers (heads
-//! are parsed by `httparse`), [`conn`] is one connection, [`pool`] keeps the idle ones, [`trust`] learns for
-//! how long they may rest.
+//! are parsed by `httparse`), [`conn`] is one connection, [`pool`] keeps the idle ones.
 
 pub mod answer;
 pub mod conn;
 pub mod pool;
-pub mod trust;
 
 pub use conn::Conn;
 pub use pool::Pool;
--- a/crates/drumusher/src/upstream/pool.rs
+++ b/crates/drumusher/src/upstream/pool.rs
@@ -1,19 +1,10 @@
 //! The idle connections of one HTTP worker.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-};
-
-use drumusher_schedule::time::{MILLISECOND, Micros};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
 
 use ntex::time::Millis;
 
-use super::{Conn, Error, trust::Trust};
-use crate::process::clock;
+use super::{Conn, Error};
 
 /// Most idle connections kept to one backend server.
 const MOST_IDLE: usize = 32;
@@ -23,7 +14,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Rc<RefCell<HashMap<Arc<str>, Vec<Conn>>>>,
-    trust: Rc<Cell<Trust>>,
 }
 
 impl Pool {
@@ -32,8 +22,8 @@
         Pool::default()
     }
 
-    /// A connection to a backend server: the one used last, or a new one. `once` tells that the request
-    /// is handed over at most once, so that it goes on no connection that may have been forgotten.
+    /// A connection to a backend server: the one used last, or a new one. `fresh` asks for one that
+    /// was not idle for long, as [`Conn::usable`] has it.
     ///
     /// # Errors
     ///
@@ -42,52 +32,27 @@
         &self,
         server: &Arc<str>,
         address: SocketAddr,
-        once: bool,
+        fresh: bool,
         limit: Millis,
     ) -> Result<Conn, Error> {
-        if let Some(conn) = self.kept(server, once) {
+        if let Some(conn) = self.kept(server, fresh) {
             return Ok(conn);
         }
         Conn::connect(address, limit).await
     }
 
-    fn kept(&self, server: &Arc<str>, once: bool) -> Option<Conn> {
+    fn kept(&self, server: &Arc<str>, fresh: bool) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(server)?;
-        conns.retain(|conn| conn.usable(Micros::MAX));
-        let mut last = conns.pop()?;
-        let trust = self.trust.get();
-        let most = if once { trust.limit() } else { trust.limit_repeatable(clock::now()) };
-        if last.usable(most) {
-            last.take();
+        conns.retain(|conn| conn.usable(false));
+        let last = conns.pop()?;
+        if last.usable(fresh) {
             return Some(last);
         }
         conns.push(last);
         None
     }
 
-    /// A connection brought the beginning of an answer.
-    pub fn answered(&self, conn: &Conn) {
-        if let Some(rested) = conn.rested() {
-            let mut trust = self.trust.get();
-            trust.answered(rested);
-            self.trust.set(trust);
-        }
-    }
-
-    /// A connection broke before any answer: if it had rested, it may have been forgotten.
-    pub fn broke(&self, conn: &Conn) {
-        if let Some(rested) = conn.rested() {
-            let mut trust = self.trust.get();
-            trust.forgotten(clock::now(), rested);
-            log::info!(
-                rested_ms = rested / MILLISECOND, limit_ms = trust.limit() / MILLISECOND;
-                "a connection that had rested broke before an answer"
-            );
-            self.trust.set(trust);
-        }
-    }
-
     /// Gives a connection back after a whole answer.
     pub fn give(&self, server: &Arc<str>, mut conn: Conn) {
         if !conn.finish() {
@@ -104,7 +69,7 @@
     /// them.
     pub fn prune(&self) {
         self.idle.borrow_mut().retain(|_, conns| {
-            conns.retain(|conn| conn.usable(Micros::MAX));
+            conns.retain(|conn| conn.usable(false));
             !conns.is_empty()
         });
     }
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -11,4 +11,3 @@
 mod routing;
 mod settings;
 mod story;
-mod trust;
