--- /dev/null
+++ b/crates/drumusher-schedule/src/server/health.rs
@@ -0,0 +1,152 @@
+//! Whether a backend server is fit for work: what makes it slow, erring or down, and the probes that
+//! make it good again.
+
+use super::{
+    Server,
+    pace::{Kind, Usual},
+};
+use crate::{
+    outlier::Tally,
+    time::{MILLISECOND, Micros, SECOND},
+};
+
+/// Failures in a row before a backend server counts as down.
+const FAILURES_TO_DOWN: u32 = 2;
+/// Shortest pause after a failure.
+const DOWN_PAUSE: Micros = 500 * MILLISECOND;
+/// Longest pause after failures.
+const DOWN_PAUSE_MOST: Micros = 15 * SECOND;
+/// Pause before a slow backend server is tried, and between two trials.
+const PROBE_PAUSE: Micros = SECOND;
+/// A probe that found no request of a lower tier for so long takes one of the highest.
+const PROBE_ANYWAY: Micros = 5 * SECOND;
+/// A backend server is slow at this many times the pool's median gap…
+const SLOW_FACTOR: f64 = 2.5;
+/// …and good again at this many times.
+const GOOD_FACTOR: f64 = 1.6;
+
+/// Whether a backend server is fit for work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Health {
+    /// It is.
+    Good,
+    /// Its streams are much slower than the pool's: one probe from the given time on.
+    Slow(Micros),
+    /// It fails far more of its requests than the pool: one probe from the given time on.
+    Erring(Micros),
+    /// It failed: nothing until the given time, then one probe. The second value is the pause.
+    Down(Micros, Micros),
+}
+
+impl Health {
+    /// Its word in logs and for operators.
+    pub const fn word(self) -> &'static str {
+        match self {
+            Health::Good => "good",
+            Health::Slow(_) => "slow",
+            Health::Erring(_) => "erring",
+            Health::Down(..) => "down",
+        }
+    }
+}
+
+impl Server {
+    /// Its health.
+    pub fn health(&self) -> Health {
+        self.health
+    }
+
+    /// Whether one repeatable request may be sent to try it.
+    pub fn may_probe(&self, now: Micros) -> bool {
+        self.probe_due(now).is_some() && !self.leaving && self.running == 0
+    }
+
+    /// Whether a probe is overdue, so that even a request of the highest tier may be it.
+    pub fn probe_overdue(&self, now: Micros) -> bool {
+        self.probe_due(now).is_some_and(|due| now >= due + PROBE_ANYWAY)
+    }
+
+    /// Since when, or from when on, a probe is due; `None` if it needs none.
+    pub fn next_probe(&self) -> Option<Micros> {
+        match self.health {
+            Health::Good => None,
+            Health::Slow(due) | Health::Erring(due) | Health::Down(due, _) => Some(due),
+        }
+    }
+
+    /// Since when a probe is due.
+    fn probe_due(&self, now: Micros) -> Option<Micros> {
+        self.next_probe().filter(|due| now >= *due)
+    }
+
+    /// A probe was sent to it, if it needs any: the next one is due later.
+    pub(super) fn probed(&mut self, now: Micros) {
+        if let Health::Slow(due) | Health::Erring(due) = &mut self.health {
+            *due = now + PROBE_PAUSE;
+        }
+    }
+
+    /// It answered a request.
+    pub(super) fn succeed(&mut self) {
+        self.failures = 0;
+        if let Health::Down(..) = self.health {
+            self.health = Health::Good;
+        }
+    }
+
+    /// It failed a request.
+    pub(super) fn fail(&mut self, now: Micros) {
+        self.failures += 1;
+        if self.failures < FAILURES_TO_DOWN {
+            return;
+        }
+        let pause = match self.health {
+            Health::Down(_, pause) => (pause * 2).min(DOWN_PAUSE_MOST),
+            _ => DOWN_PAUSE,
+        };
+        self.health = Health::Down(now + pause, pause);
+        self.gap_samples = 0;
+        self.paces = Default::default();
+    }
+
+    /// The share of requests that failed lately, when there were enough.
+    pub fn failing(&self, now: Micros) -> Option<f64> {
+        self.tally.share(now)
+    }
+
+    /// Compares it with the pool's median share of failures; `spare` tells whether the pool can do
+    /// without it.
+    pub fn compare(&mut self, now: Micros, median: f64, spare: bool) {
+        match self.health {
+            Health::Good if spare && self.tally.stands_out(now, median) => {
+                self.health = Health::Erring(now + PROBE_PAUSE);
+            }
+            Health::Erring(_) if self.tally.passed() => {
+                self.health = Health::Good;
+                self.tally = Tally::new();
+            }
+            _ => {}
+        }
+    }
+
+    /// Compares its streams of a kind with what is usual. Returns whether it has just become slow.
+    pub fn judge(&mut self, now: Micros, kind: Kind, usual: Usual) -> bool {
+        let Some(gap) = self.pace(now, kind) else {
+            return false;
+        };
+        let least = (usual.median + MILLISECOND as f64).max(usual.borne);
+        match self.health {
+            Health::Good if gap > usual.median * SLOW_FACTOR && gap > least => {
+                self.health = Health::Slow(now + PROBE_PAUSE);
+                self.slow_in = kind;
+                true
+            }
+            Health::Slow(_) if kind != self.slow_in => false,
+            Health::Slow(_) if gap < usual.median * GOOD_FACTOR || gap < usual.borne => {
+                self.health = Health::Good;
+                false
+            }
+            _ => false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/drumusher-schedule/src/server/window.rs
@@ -0,0 +1,111 @@
+//! How many requests a backend server is given at once: learned from the pauses between its tokens,
+//! its reports of load and its refusals.
+
+use super::Server;
+use crate::{
+    event::Load,
+    time::{MILLISECOND, Micros, SECOND},
+};
+
+/// Time between two changes of the window.
+const ADJUST_EVERY: Micros = 100 * MILLISECOND;
+/// How long a refusal for lack of room is believed.
+const FULL_FOR: Micros = 200 * MILLISECOND;
+/// Fewest requests waiting in a backend server for it to count as crowded…
+const CROWDED_LEAST: u32 = 2;
+/// …and the part of those running that must wait.
+const CROWDED_PART: u32 = 8;
+/// How long a backend server is believed to hold no more than it was seen to.
+const CEILING_FOR: Micros = 30 * SECOND;
+/// How many changes of the number of own grants are remembered, to compare with a lagging report.
+pub(super) const HISTORY: usize = 128;
+
+impl Server {
+    /// The learned window, in requests.
+    pub fn window(&self) -> u32 {
+        self.limit as u32
+    }
+
+    /// Remembers the number of own grants, which has just changed.
+    pub(super) fn note(&mut self, now: Micros) {
+        if self.history.len() == HISTORY {
+            self.history.pop_front();
+        }
+        self.history.push_back((now, self.running));
+    }
+
+    /// Own grants that ran at `as_of`.
+    fn running_at(&self, as_of: Micros) -> u32 {
+        let before = self.history.iter().rev().find(|(at, _)| *at <= as_of);
+        match (before, self.history.front()) {
+            (Some((_, running)), _) => *running,
+            (None, Some((_, oldest))) => *oldest,
+            (None, None) => self.running,
+        }
+    }
+
+    /// Takes a lagging report: what it shows beyond the own grants of that time is others' work.
+    pub fn report(&mut self, load: &Load, now: Micros) {
+        let reported = load.running + load.waiting;
+        self.foreign = reported.saturating_sub(self.running_at(load.as_of));
+        if load.full {
+            self.full_until = now + FULL_FOR;
+        }
+        self.bound(load, now);
+    }
+
+    /// It refused a request for lack of room.
+    pub(super) fn refuse(&mut self, now: Micros) {
+        self.full_until = now + FULL_FOR;
+        if self.options.learned {
+            self.limit = (self.limit - 1.0).max(1.0);
+        }
+    }
+
+    /// Two reports in a row with a crowd waiting beside the same number running show how many it
+    /// holds. A single one may have caught requests between two steps, and a number that changes
+    /// is not its limit.
+    fn bound(&mut self, load: &Load, now: Micros) {
+        if !self.options.learned {
+            return;
+        }
+        let crowded = load.waiting >= CROWDED_LEAST.max(load.running / CROWDED_PART);
+        let before = std::mem::replace(&mut self.crowded, crowded.then_some(load.running));
+        let (true, Some(before)) = (crowded, before) else {
+            return;
+        };
+        if before.abs_diff(load.running) > load.running / CROWDED_PART {
+            return;
+        }
+        let held = f64::from(before.max(load.running).max(1));
+        self.ceiling = Some((held, now));
+        self.limit = self.limit.min(held);
+    }
+
+    /// Widens the window while it is used and the gap is well within the target, narrows it above.
+    pub(super) fn adjust(&mut self, now: Micros, target: f64) {
+        if !self.options.learned || now < self.adjusted + ADJUST_EVERY {
+            return;
+        }
+        let used = f64::from(self.running) + 1.0 >= self.limit;
+        if self.gap > target * 0.95 {
+            self.limit = (self.limit * 0.9).max(1.0);
+        } else if self.gap < target * 0.8 && used {
+            let part = if self.gap < target * 0.5 { 0.25 } else { 0.05 };
+            let wider = self.limit + 1.0 + self.limit * part;
+            self.limit = wider.min(self.most(now));
+        } else {
+            return;
+        }
+        self.adjusted = now;
+    }
+
+    /// The widest window: as configured, and for a while no wider than what it was seen to hold.
+    fn most(&self, now: Micros) -> f64 {
+        let slots = f64::from(self.options.slots);
+        match self.ceiling {
+            Some((held, since)) if now < since + CEILING_FOR => held.min(slots),
+            _ => slots,
+        }
+    }
+}
