--- /dev/null
+++ b/crates/drumusher/tests/routes/support/call.rs
@@ -0,0 +1,84 @@
+//! Requests as callers send them.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use super::KEY;
+
+/// A caller's request.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// The method.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// Its identity.
+    pub id: String,
+    /// Further headers.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: String,
+}
+
+impl Call {
+    /// A GET; a stream's path asks for a stream.
+    pub fn get(path: &str) -> Call {
+        static NUMBER: AtomicU32 = AtomicU32::new(1);
+        let id = format!("{:016x}", NUMBER.fetch_add(1, Ordering::Relaxed));
+        let mut call = Call {
+            method: "GET",
+            path: path.into(),
+            id,
+            headers: vec![("Api-Key".into(), KEY.into())],
+            body: String::new(),
+        };
+        if path.starts_with("/draft/") || path.starts_with("/talk/") {
+            call = call
+                .with("Drumusher-Token-Usage", "600,60")
+                .with("Drumusher-Prompt-Prefix", "a1:200,b2:300,c3:100")
+                .with("Drumusher-Model", "m");
+        }
+        call
+    }
+
+    /// A POST with a body.
+    pub fn post(path: &str, body: &str) -> Call {
+        Call { method: "POST", body: body.into(), ..Call::get(path) }
+    }
+
+    /// The same request once more, with an identity of its own.
+    pub fn anew(&self) -> Call {
+        Call { id: Call::get(&self.path).id, ..self.clone() }
+    }
+
+    /// Adds a header.
+    pub fn with(mut self, name: &str, value: &str) -> Call {
+        self.headers.push((name.into(), value.into()));
+        self
+    }
+
+    /// Leaves a header out.
+    pub fn without(mut self, name: &str) -> Call {
+        self.headers.retain(|(n, _)| !n.eq_ignore_ascii_case(name));
+        self
+    }
+
+    /// As it is sent.
+    pub fn bytes(&self) -> Vec<u8> {
+        let mut text = format!("{} {} HTTP/1.1\r\nHost: host.example\r\n", self.method, self.path);
+        if !self.id.is_empty() {
+            text.push_str(&format!("Drumusher-Attempt-Id: {}\r\n", self.id));
+        }
+        if !self.headers.iter().any(|(name, _)| name == "Drumusher-Deadline-Ms") {
+            text.push_str("Drumusher-Deadline-Ms: 15000\r\n");
+        }
+        for (name, value) in &self.headers {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !self.body.is_empty() {
+            text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
+        }
+        text.push_str("\r\n");
+        text.push_str(&self.body);
+        text.into_bytes()
+    }
+}
