refactor: the soak's checks are told in shorter steps

What backend servers ran is counted in one step and compared with the promises in another, and the check of those that left has a name. Every fault says in a line what it does.

--- a/crates/drumusher/tests/routes/soak/caller.rs
+++ b/crates/drumusher/tests/routes/soak/caller.rs
@@ -114,6 +114,7 @@
         }
     }
 
+    /// A kept connection to an instance, or a new one.
     fn connection(&mut self, at: usize) -> Option<TcpStream> {
         let kept = self.kept.remove(&at).filter(|_| self.random.random_bool(KEPT));
         if kept.is_some() {
--- a/crates/drumusher/tests/routes/soak/fault.rs
+++ b/crates/drumusher/tests/routes/soak/fault.rs
@@ -98,6 +98,7 @@
         }
     }
 
+    /// Draws a fault and applies it.
     fn fault(&mut self) {
         self.journal.disturbs();
         match self.random.random_range(0..100) {
@@ -116,6 +117,7 @@
         }
     }
 
+    /// Ends a fault after a while. The same one that was to end at another time ends with it.
     fn later(&mut self, cure: Cure) {
         let at = Instant::now() + Duration::from_millis(self.random.random_range(LASTS_MS));
         self.due.retain(|(_, other)| *other != cure);
@@ -127,12 +129,14 @@
         self.random.random_range(0..3 * self.deployment.instances.len())
     }
 
+    /// The relay at a place.
     fn relay_at(&self, place: usize) -> &Relay {
         let relays = self.deployment.instances[place / 3].relays.as_ref();
         let Relays { callers, peers, store } = relays.expect("the soak has relays");
         [callers, peers, store][place % 3]
     }
 
+    /// A relay passes late, or nothing.
     fn relay(&mut self) {
         let place = self.any_relay();
         let late = Duration::from_millis(self.random.random_range(1..LATE_MS));
@@ -142,6 +146,7 @@
         self.later(Cure::Open(place));
     }
 
+    /// A relay resets its connections.
     fn reset(&mut self) {
         let place = self.any_relay();
         self.relay_at(place).reset();
@@ -158,6 +163,7 @@
         self.later(cure(at));
     }
 
+    /// An instance gets the signal on which it reads its settings again.
     fn hang_up(&mut self) {
         let at = self.random.random_range(0..self.deployment.instances.len());
         if !self.down.contains(&at) {
@@ -165,6 +171,7 @@
         }
     }
 
+    /// A backend server fails in some way.
     fn server(&mut self) {
         let at = self.random.random_range(0..self.deployment.servers.len());
         let fault = SERVER_FAULTS[self.random.random_range(0..SERVER_FAULTS.len())];
@@ -239,6 +246,7 @@
         }
     }
 
+    /// Ends one fault.
     fn end(&mut self, cure: Cure) {
         match cure {
             Cure::Open(place) => self.relay_at(place).set(Mode::Open),
@@ -264,6 +272,7 @@
         self.down.retain(|down| *down != at);
     }
 
+    /// The store serves all again, and owners enter what lapsed.
     fn store_returns(&mut self, lapsed: &[usize]) {
         for instance in &self.deployment.instances {
             instance.door.set_away(Away::No);
--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -141,11 +141,16 @@
             });
         }
     }
+    check_left(deployment, journal, &calls);
+}
+
+/// Backend servers that left get nothing of what instances are sent from now on.
+fn check_left(deployment: &Deployment, journal: &Journal, calls: &[Call]) {
     let runs = |id: &String| deployment.server(id).runs().len();
     let left = journal.left();
     let before: Vec<usize> = left.iter().map(runs).collect();
     for at in 0..deployment.instances.len() {
-        for call in calls.iter().chain(&calls) {
+        for call in calls.iter().chain(calls) {
             let _ = deployment.call(at, &call.anew());
         }
     }
--- a/crates/drumusher/tests/routes/soak/promise.rs
+++ b/crates/drumusher/tests/routes/soak/promise.rs
@@ -24,6 +24,7 @@
     version: u64,
 }
 
+/// What the journal holds.
 #[derive(Default)]
 struct Inner {
     sent: BTreeMap<String, Call>,
@@ -171,34 +172,48 @@
 
     /// The promises that were broken, by what the backend servers ran too.
     pub fn broken(&self, servers: &[Server]) -> Vec<String> {
-        let mut inner = self.inner.lock().expect("no holder panics");
+        self.with(|inner| {
+            let runs = inner.count_runs(servers);
+            inner.compare_runs(runs);
+            inner.broken.truncate(TOLD);
+            inner.broken.clone()
+        })
+    }
+}
+
+impl Inner {
+    /// How often each request ran. Each run has to be as the caller sent it.
+    fn count_runs(&mut self, servers: &[Server]) -> BTreeMap<String, usize> {
         let mut runs: BTreeMap<String, usize> = BTreeMap::new();
         for run in servers.iter().flat_map(Server::runs) {
             // Requests of the harness itself are not entered.
-            let Some(call) = inner.sent.get(&run.id) else { continue };
+            let Some(call) = self.sent.get(&run.id) else { continue };
             let request = &run.request;
             let same = request.target == call.path && request.body == call.body.as_bytes();
             let workspace = request.header("drumusher-tenant");
             if !same || request.method != call.method || workspace != Some("vanua") {
                 let what = format!("{} {} ran changed: {request:?}", call.path, run.id);
-                inner.broken.push(what);
+                self.broken.push(what);
             }
             *runs.entry(run.id).or_default() += 1;
         }
+        runs
+    }
+
+    /// A request runs as often as its route allows, and not at all once it was refused.
+    fn compare_runs(&mut self, runs: BTreeMap<String, usize>) {
         for (id, count) in runs {
-            let call = &inner.sent[&id];
+            let call = &self.sent[&id];
             let repeatable = call.path != "/book/" && call.path != "/draft/";
             let most = if repeatable { MOST_RUNS } else { 1 };
             let path = call.path.clone();
             if count > most {
-                inner.broken.push(format!("{path} {id} ran {count} times"));
+                self.broken.push(format!("{path} {id} ran {count} times"));
             }
-            if inner.promised.contains(&id) {
-                inner.broken.push(format!("{path} {id} ran although it was refused"));
+            if self.promised.contains(&id) {
+                self.broken.push(format!("{path} {id} ran although it was refused"));
             }
         }
-        inner.broken.truncate(TOLD);
-        inner.broken.clone()
     }
 }
 
