refactor: finding slow and failing backend servers is a module of the pool

Both findings compare a backend server with the others of its pool, but stood in two files, beside preemption and bookkeeping, each with a median of its own. They share health.rs and one median now.

--- a/crates/drumusher-schedule/src/outlier.rs
+++ b/crates/drumusher-schedule/src/outlier.rs
@@ -72,16 +72,16 @@
         self.share(now).is_some_and(|share| share > bound)
     }
 
-    /// Whether it passed its probes.
+    /// Whether so many outcomes in a row were good that an outlier counts as good again.
     pub fn passed(&self) -> bool {
         self.passed >= PASSED
     }
 }
 
-/// The median of the shares of a pool; 0 for an empty one.
-pub fn median(shares: impl Iterator<Item = f64>) -> f64 {
-    let mut shares: Vec<f64> = shares.collect();
-    shares.sort_by(f64::total_cmp);
+/// The median of what the backend servers of a pool show; 0 for an empty pool.
+pub fn median(values: impl Iterator<Item = f64>) -> f64 {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
     // The lower of two in the middle: with two backend servers the better one is the measure.
-    shares.get(shares.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
+    values.get(values.len().saturating_sub(1) / 2).copied().unwrap_or(0.0)
 }
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -2,6 +2,7 @@
 
 mod admit;
 mod grant;
+mod health;
 mod preempt;
 mod track;
 
@@ -17,7 +18,6 @@
     event::Event,
     length::Estimate,
     order::Order,
-    outlier,
     policy::{ClassKey, Policy},
     queue::{Place, Queue},
     server::{self, Kind, Server},
@@ -248,26 +248,6 @@
         self.expire(now, orders);
     }
 
-    /// Takes backend servers that fail far more of their requests than the others for outliers, as
-    /// far as the pool can do without them.
-    fn compare(&mut self, now: Micros) {
-        let serving = self.servers().filter(|(_, server)| !server.leaving());
-        let (mut all, mut outliers) = (0, 0);
-        let mut shares = Vec::new();
-        for (_, server) in serving {
-            all += 1;
-            outliers += usize::from(matches!(server.health(), server::Health::Erring(_)));
-            shares.extend(server.failing(now));
-        }
-        let median = outlier::median(shares.into_iter());
-        for server in self.servers.iter_mut().flatten() {
-            let spare = outliers < all / outlier::MOST_PART;
-            let before = server.health();
-            server.compare(now, median, spare);
-            outliers += usize::from(before == server::Health::Good && server.health() != before);
-        }
-    }
-
     /// Requests that get a place each second while all places are taken: places over the mean
     /// time that one is held. A count of ends would say little after the pool was idle.
     fn drain_rate(&self) -> f64 {
--- /dev/null
+++ b/crates/drumusher-schedule/src/pool/health.rs
@@ -0,0 +1,84 @@
+//! Finding backend servers that are slow or fail, by comparing each with the others of the pool.
+
+use super::Pool;
+use crate::{
+    ask::{Key, State},
+    order::{Order, Stop},
+    outlier,
+    server::{Health, Kind, Usual},
+    time::Micros,
+};
+
+/// A mean pause up to this part of the target of its kind is not slow, whatever others need.
+const BORNE: f64 = 0.5;
+
+impl Pool {
+    /// Finds backend servers much slower than the pool's median and moves their repeatable attempts
+    /// elsewhere, as far as there is room. Patient and pressing streams are compared apart: long
+    /// prompts beside them make the pauses of patient ones longer, and their classes bear that.
+    pub(super) fn judge(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        for kind in Kind::ALL {
+            let usual = self.usual(now, kind);
+            let Some(usual) = usual else { continue };
+            let servers = self.servers.iter_mut().enumerate();
+            let judged = servers
+                .filter_map(|(at, server)| Some((at, server.as_mut()?.judge(now, kind, usual))));
+            let slow: Vec<usize> = judged.filter(|(_, slow)| *slow).map(|(at, _)| at).collect();
+            for at in slow {
+                self.move_off(now, at, orders);
+            }
+        }
+    }
+
+    /// What is usual between the tokens of streams of a kind; `None` if fewer than two backend
+    /// servers had some lately.
+    fn usual(&self, now: Micros, kind: Kind) -> Option<Usual> {
+        let known = self.servers().filter_map(|(_, server)| server.pace(now, kind));
+        let gaps: Vec<f64> = known.collect();
+        if gaps.len() < 2 {
+            return None;
+        }
+        let median = outlier::median(gaps.into_iter());
+        let of_kind = self.asked_lately(now).filter(|class| self.kind(now, *class) == kind);
+        let targets = of_kind.map(|class| self.policy.class(class).token_gap);
+        let target = targets.filter(|gap| *gap > 0).min().unwrap_or(0);
+        Some(Usual { median, borne: target as f64 * BORNE })
+    }
+
+    /// Orders the repeatable attempts on a backend server stopped, as many as have room elsewhere.
+    fn move_off(&mut self, now: Micros, server: usize, orders: &mut Vec<Order>) {
+        let room = self.free(now) as usize;
+        let movable = |(key, state): (usize, &State)| match state {
+            State::Running(r) if usize::from(r.server.0) == server => {
+                let moves = r.ask.repeatable && !r.stopping;
+                moves.then_some((r.tier, Key(key as u32)))
+            }
+            _ => None,
+        };
+        let mut attempts: Vec<(u8, Key)> = self.asks.iter().filter_map(movable).collect();
+        attempts.sort();
+        for (_, key) in attempts.into_iter().take(room) {
+            self.stop(key, Stop::SlowServer, orders);
+        }
+    }
+
+    /// Takes backend servers that fail far more of their requests than the others for outliers, as
+    /// far as the pool can do without them.
+    pub(super) fn compare(&mut self, now: Micros) {
+        let serving = self.servers().filter(|(_, server)| !server.leaving());
+        let (mut all, mut outliers) = (0, 0);
+        let mut shares = Vec::new();
+        for (_, server) in serving {
+            all += 1;
+            outliers += usize::from(matches!(server.health(), Health::Erring(_)));
+            shares.extend(server.failing(now));
+        }
+        let median = outlier::median(shares.into_iter());
+        for server in self.servers.iter_mut().flatten() {
+            let spare = outliers < all / outlier::MOST_PART;
+            let before = server.health();
+            server.compare(now, median, spare);
+            outliers += usize::from(before == Health::Good && server.health() != before);
+        }
+    }
+}
--- a/crates/drumusher-schedule/src/pool/preempt.rs
+++ b/crates/drumusher-schedule/src/pool/preempt.rs
@@ -1,18 +1,15 @@
-//! Stopping attempts: of a lower tier for a higher one, and on backend servers that are slow.
+//! Stopping attempts of a lower tier for a higher one, and forgetting those that nobody reports on.
 
 use super::Pool;
 use crate::{
     ask::{Id, Key, State},
     order::{Order, Stop},
     policy::ClassKey,
-    server::{Kind, Usual},
     time::Micros,
 };
 
 /// Waiting requests of a class that are looked at, oldest first.
 const LOOK: usize = 32;
-/// A mean pause up to this part of the target of its kind is not slow, whatever others need.
-const BORNE: f64 = 0.5;
 /// Most attempts stopped by one event.
 const STOPS: usize = 8;
 
@@ -62,7 +59,8 @@
         latest.next().map(|(_, key)| *key)
     }
 
-    fn stop(&mut self, key: Key, stop: Stop, orders: &mut Vec<Order>) {
+    /// Orders one attempt stopped.
+    pub(super) fn stop(&mut self, key: Key, stop: Stop, orders: &mut Vec<Order>) {
         let Some(State::Running(running)) = self.asks.get_mut(key.0 as usize) else {
             return;
         };
@@ -75,55 +73,6 @@
         self.stopping += 1;
     }
 
-    /// Finds backend servers much slower than the pool's median and moves their repeatable attempts
-    /// elsewhere, as far as there is room. Patient and pressing streams are compared apart: long
-    /// prompts beside them make the pauses of patient ones longer, and their classes bear that.
-    pub(super) fn judge(&mut self, now: Micros, orders: &mut Vec<Order>) {
-        for kind in Kind::ALL {
-            let usual = self.usual(now, kind);
-            let Some(usual) = usual else { continue };
-            let servers = self.servers.iter_mut().enumerate();
-            let judged = servers
-                .filter_map(|(at, server)| Some((at, server.as_mut()?.judge(now, kind, usual))));
-            let slow: Vec<usize> = judged.filter(|(_, slow)| *slow).map(|(at, _)| at).collect();
-            for at in slow {
-                self.move_off(now, at, orders);
-            }
-        }
-    }
-
-    /// What is usual between the tokens of streams of a kind; `None` if fewer than two backend
-    /// servers had some lately.
-    fn usual(&self, now: Micros, kind: Kind) -> Option<Usual> {
-        let known = self.servers().filter_map(|(_, server)| server.pace(now, kind));
-        let mut gaps: Vec<f64> = known.collect();
-        if gaps.len() < 2 {
-            return None;
-        }
-        gaps.sort_by(f64::total_cmp);
-        let median = gaps[(gaps.len() - 1) / 2];
-        let of_kind = self.asked_lately(now).filter(|class| self.kind(now, *class) == kind);
-        let targets = of_kind.map(|class| self.policy.class(class).token_gap);
-        let target = targets.filter(|gap| *gap > 0).min().unwrap_or(0);
-        Some(Usual { median, borne: target as f64 * BORNE })
-    }
-
-    fn move_off(&mut self, now: Micros, server: usize, orders: &mut Vec<Order>) {
-        let room = self.free(now) as usize;
-        let movable = |(key, state): (usize, &State)| match state {
-            State::Running(r) if usize::from(r.server.0) == server => {
-                let moves = r.ask.repeatable && !r.stopping;
-                moves.then_some((r.tier, Key(key as u32)))
-            }
-            _ => None,
-        };
-        let mut attempts: Vec<(u8, Key)> = self.asks.iter().filter_map(movable).collect();
-        attempts.sort();
-        for (_, key) in attempts.into_iter().take(room) {
-            self.stop(key, Stop::SlowServer, orders);
-        }
-    }
-
     /// Forgets attempts whose entry does not report on them any more.
     pub(super) fn release_silent(&mut self, now: Micros) {
         let expiry = self.policy.grant_expiry * 2;
