refactor: the ranking speaks of roles throughout

Not only the dispatchers of pools are ranked but also who reads the store, backend servers and others, and the parameters still said pool and instance.

--- a/crates/drumusher-schedule/src/rank.rs
+++ b/crates/drumusher-schedule/src/rank.rs
@@ -31,37 +31,37 @@
 }
 
 impl Candidate<'_> {
-    /// What decides its place for `pool`; the smallest is first. The logarithm of a random fraction
+    /// What decides its place for `role`; the smallest is first. The logarithm of a random fraction
     /// over a weight makes the chance of being first proportional to that weight.
-    fn distance(&self, pool: &str) -> f64 {
-        let random = (weight(pool, self.name) >> (u64::BITS - FRACTION_BITS)) + 1;
+    fn distance(&self, role: &str) -> f64 {
+        let random = (weight(role, self.name) >> (u64::BITS - FRACTION_BITS)) + 1;
         let fraction = random as f64 / (1_u64 << FRACTION_BITS) as f64;
         let capacity = f64::from(self.capacity.max(1)) / f64::from(CAPACITY);
         -fraction.ln() / capacity.powi(PREFERENCE)
     }
 }
 
-/// The weight of `instance` for `pool`. All instances compute the same one.
-pub fn weight(pool: &str, instance: &str) -> u64 {
-    let seed = xxh3_64_with_seed(pool.as_bytes(), 0);
-    xxh3_64_with_seed(instance.as_bytes(), seed)
+/// The weight of `name` for `role`. All instances compute the same one.
+pub fn weight(role: &str, name: &str) -> u64 {
+    let seed = xxh3_64_with_seed(role.as_bytes(), 0);
+    xxh3_64_with_seed(name.as_bytes(), seed)
 }
 
-/// The candidate that is first for `pool`, or `None` if there is none.
-pub fn first<'a, C>(pool: &str, candidates: impl IntoIterator<Item = C>) -> Option<&'a str>
+/// The candidate that is first for `role`, or `None` if there is none.
+pub fn first<'a, C>(role: &str, candidates: impl IntoIterator<Item = C>) -> Option<&'a str>
 where
     C: Into<Candidate<'a>>,
 {
-    order(pool, candidates).into_iter().next()
+    order(role, candidates).into_iter().next()
 }
 
-/// All candidates, the first one for `pool` first.
-pub fn order<'a, C>(pool: &str, candidates: impl IntoIterator<Item = C>) -> Vec<&'a str>
+/// All candidates, the first one for `role` first.
+pub fn order<'a, C>(role: &str, candidates: impl IntoIterator<Item = C>) -> Vec<&'a str>
 where
     C: Into<Candidate<'a>>,
 {
     let candidates = candidates.into_iter().map(Into::into);
-    let placed = candidates.map(|candidate| (candidate.distance(pool), candidate.name));
+    let placed = candidates.map(|candidate| (candidate.distance(role), candidate.name));
     let mut placed: Vec<(f64, &str)> = placed.collect();
     placed.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
     placed.into_iter().map(|(_, name)| name).collect()
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -6,7 +6,11 @@
 };
 
 use drumusher_schedule::{
-    event::Event, policy::Policy, pool, rank, server, server::Health, time::MILLISECOND,
+    event::Event,
+    policy::Policy,
+    pool, rank,
+    server::{self, Health},
+    time::MILLISECOND,
 };
 
 use super::Divisor;
