--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -141,11 +141,7 @@
 
     /// Starts an instance.
     pub fn add_instance(&mut self, name: &str) {
-        static INSTANCE: AtomicU32 = AtomicU32::new(0);
-        let at = INSTANCE.fetch_add(1, Ordering::Relaxed);
-        let process = std::process::id();
-        let (high, low) = (1 + (process >> 8) % 250, process & 0xff);
-        let ip = format!("127.{high}.{low}.{}", 1 + at % 250);
+        let ip = own_ip();
         let door = self.store.door().expect("a way to the store");
         let lines = self.folder.join(format!("{name}.log"));
         // Between the choice of a port and its use another process may take it for a moment.
@@ -155,14 +151,7 @@
             let relays = self.relayed.then(|| Relays::new(callers, peer, door.address));
             let store = relays.as_ref().map_or(door.address, |relays| relays.store.address());
             let advertise = relays.as_ref().map_or(peer, |relays| relays.peers.address());
-            let text = format!(
-                "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
-                 http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\n\
-                 advertise = \"{advertise}\"\nworkers = 1\n\
-                 [fleet]\nsecret = \"a secret of a test's fleet\"\nforget_seconds = 2\n\
-                 [store]\naddress = \"{store}\"\nwait_ms = 1500\n\
-                 [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n"
-            );
+            let text = settings_text(name, [callers, status, peer], advertise, store);
             fs::write(&settings, text).expect("the settings are written");
             let child = start(&settings, &lines, status)?;
             Some((callers, status, relays, child))
@@ -295,6 +284,32 @@
     }
 }
 
+/// The settings of an instance that listens for callers, the balancer and other instances.
+fn settings_text(
+    name: &str,
+    [callers, status, peer]: [SocketAddr; 3],
+    advertise: SocketAddr,
+    store: SocketAddr,
+) -> String {
+    format!(
+        "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
+         http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\n\
+         advertise = \"{advertise}\"\nworkers = 1\n\
+         [fleet]\nsecret = \"a secret of a test's fleet\"\nforget_seconds = 2\n\
+         [store]\naddress = \"{store}\"\nwait_ms = 1500\n\
+         [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n"
+    )
+}
+
+/// An address of the loopback network for one instance of this process.
+fn own_ip() -> String {
+    static INSTANCE: AtomicU32 = AtomicU32::new(0);
+    let at = INSTANCE.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let (high, low) = (1 + (process >> 8) % 250, process & 0xff);
+    format!("127.{high}.{low}.{}", 1 + at % 250)
+}
+
 /// Three different ports that are free now.
 fn free_ports(ip: &str) -> [SocketAddr; 3] {
     let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
@@ -326,6 +341,7 @@
         .expect("the program starts")
 }
 
+/// Asks where the balancer asks; `None` if no answer begins.
 fn status(address: SocketAddr, path: &str) -> Option<Answer> {
     let mut conn = TcpStream::connect(address).ok()?;
     conn.set_read_timeout(Some(LONGEST)).ok()?;
