--- a/crates/drumusher-bench/src/fleet/relay.rs
+++ b/crates/drumusher-bench/src/fleet/relay.rs
@@ -48,11 +48,14 @@
     far: TcpStream,
 }
 
+/// What a relay shares with the threads of its connections.
 #[derive(Default)]
 struct State {
     cut: AtomicBool,
     mode: Mutex<Mode>,
+    /// The connections that pass, by number.
     open: Mutex<HashMap<u64, Pair>>,
+    /// The number of the next connection.
     next: AtomicU64,
     bytes: AtomicU64,
 }
@@ -167,6 +170,7 @@
     }
 }
 
+/// Opens the far side of a connection and passes bytes on, both ways, on two threads.
 fn pass(stream: TcpStream, target: SocketAddr, state: &Arc<State>) -> io::Result<()> {
     let onward = TcpStream::connect(target)?;
     stream.set_nodelay(true)?;
@@ -179,6 +183,7 @@
     copy(back.0, back.1, state.clone(), number, Way::Back)
 }
 
+/// Passes bytes on one way, on a thread of its own, until either side or the relay ends the connection.
 fn copy(
     mut from: TcpStream,
     mut to: TcpStream,
