--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -1,8 +1,14 @@
 //! A deployment on the loopback network: a store, backend servers, instances.
 
+mod answer;
+mod call;
+
+pub use answer::{Answer, read};
+pub use call::Call;
+
 use std::{
     fs::{self, File},
-    io::{self, Read, Write},
+    io::{self, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
@@ -135,11 +141,7 @@
 
     /// Starts an instance.
     pub fn add_instance(&mut self, name: &str) {
-        static INSTANCE: AtomicU32 = AtomicU32::new(0);
-        let at = INSTANCE.fetch_add(1, Ordering::Relaxed);
-        let process = std::process::id();
-        let (high, low) = (1 + (process >> 8) % 250, process & 0xff);
-        let ip = format!("127.{high}.{low}.{}", 1 + at % 250);
+        let ip = own_ip();
         let door = self.store.door().expect("a way to the store");
         let lines = self.folder.join(format!("{name}.log"));
         // Between the choice of a port and its use another process may take it for a moment.
@@ -149,14 +151,7 @@
             let relays = self.relayed.then(|| Relays::new(callers, peer, door.address));
             let store = relays.as_ref().map_or(door.address, |relays| relays.store.address());
             let advertise = relays.as_ref().map_or(peer, |relays| relays.peers.address());
-            let text = format!(
-                "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
-                 http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\n\
-                 advertise = \"{advertise}\"\nworkers = 1\n\
-                 [fleet]\nsecret = \"a secret of a test's fleet\"\nforget_seconds = 2\n\
-                 [store]\naddress = \"{store}\"\nwait_ms = 1500\n\
-                 [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n"
-            );
+            let text = settings_text(name, [callers, status, peer], advertise, store);
             fs::write(&settings, text).expect("the settings are written");
             let child = start(&settings, &lines, status)?;
             Some((callers, status, relays, child))
@@ -289,6 +284,32 @@
     }
 }
 
+/// The settings of an instance that listens for callers, the balancer and other instances.
+fn settings_text(
+    name: &str,
+    [callers, status, peer]: [SocketAddr; 3],
+    advertise: SocketAddr,
+    store: SocketAddr,
+) -> String {
+    format!(
+        "[instance]\nname = \"{name}\"\navailability_zone = \"z\"\narea = \"r\"\n\
+         http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\n\
+         advertise = \"{advertise}\"\nworkers = 1\n\
+         [fleet]\nsecret = \"a secret of a test's fleet\"\nforget_seconds = 2\n\
+         [store]\naddress = \"{store}\"\nwait_ms = 1500\n\
+         [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n"
+    )
+}
+
+/// An address of the loopback network for one instance of this process.
+fn own_ip() -> String {
+    static INSTANCE: AtomicU32 = AtomicU32::new(0);
+    let at = INSTANCE.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let (high, low) = (1 + (process >> 8) % 250, process & 0xff);
+    format!("127.{high}.{low}.{}", 1 + at % 250)
+}
+
 /// Three different ports that are free now.
 fn free_ports(ip: &str) -> [SocketAddr; 3] {
     let listeners = [(); 3].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
@@ -320,6 +341,7 @@
         .expect("the program starts")
 }
 
+/// Asks where the balancer asks; `None` if no answer begins.
 fn status(address: SocketAddr, path: &str) -> Option<Answer> {
     let mut conn = TcpStream::connect(address).ok()?;
     conn.set_read_timeout(Some(LONGEST)).ok()?;
@@ -327,175 +349,3 @@
     conn.write_all(head.as_bytes()).ok()?;
     read(&mut conn).ok()
 }
-
-/// A caller's request.
-#[derive(Clone, Debug)]
-pub struct Call {
-    /// The method.
-    pub method: &'static str,
-    /// Path and query.
-    pub path: String,
-    /// Its identity.
-    pub id: String,
-    /// Further headers.
-    pub headers: Vec<(String, String)>,
-    /// The body.
-    pub body: String,
-}
-
-impl Call {
-    /// A GET; a stream's path asks for a stream.
-    pub fn get(path: &str) -> Call {
-        static NUMBER: AtomicU32 = AtomicU32::new(1);
-        let id = format!("{:016x}", NUMBER.fetch_add(1, Ordering::Relaxed));
-        let mut call = Call {
-            method: "GET",
-            path: path.into(),
-            id,
-            headers: vec![("Api-Key".into(), KEY.into())],
-            body: String::new(),
-        };
-        if path.starts_with("/draft/") || path.starts_with("/talk/") {
-            call = call
-                .with("Drumusher-Token-Usage", "600,60")
-                .with("Drumusher-Prompt-Prefix", "a1:200,b2:300,c3:100")
-                .with("Drumusher-Model", "m");
-        }
-        call
-    }
-
-    /// A POST with a body.
-    pub fn post(path: &str, body: &str) -> Call {
-        Call { method: "POST", body: body.into(), ..Call::get(path) }
-    }
-
-    /// The same request once more, with an identity of its own.
-    pub fn anew(&self) -> Call {
-        Call { id: Call::get(&self.path).id, ..self.clone() }
-    }
-
-    /// Adds a header.
-    pub fn with(mut self, name: &str, value: &str) -> Call {
-        self.headers.push((name.into(), value.into()));
-        self
-    }
-
-    /// Leaves a header out.
-    pub fn without(mut self, name: &str) -> Call {
-        self.headers.retain(|(n, _)| !n.eq_ignore_ascii_case(name));
-        self
-    }
-
-    /// As it is sent.
-    pub fn bytes(&self) -> Vec<u8> {
-        let mut text = format!("{} {} HTTP/1.1\r\nHost: host.example\r\n", self.method, self.path);
-        if !self.id.is_empty() {
-            text.push_str(&format!("Drumusher-Attempt-Id: {}\r\n", self.id));
-        }
-        if !self.headers.iter().any(|(name, _)| name == "Drumusher-Deadline-Ms") {
-            text.push_str("Drumusher-Deadline-Ms: 15000\r\n");
-        }
-        for (name, value) in &self.headers {
-            text.push_str(&format!("{name}: {value}\r\n"));
-        }
-        if !self.body.is_empty() {
-            text.push_str(&format!("Content-Length: {}\r\n", self.body.len()));
-        }
-        text.push_str("\r\n");
-        text.push_str(&self.body);
-        text.into_bytes()
-    }
-}
-
-/// An answer as a caller sees it.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    /// The status.
-    pub status: u16,
-    /// Headers, names in lower case.
-    pub headers: Vec<(String, String)>,
-    /// The body, as far as it came.
-    pub body: Vec<u8>,
-    /// Whether it came whole.
-    pub whole: bool,
-}
-
-impl Answer {
-    /// The first header of a name.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
-    }
-
-    /// The body as text.
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
-}
-
-/// Reads one answer.
-///
-/// # Errors
-///
-/// Any error before its head.
-pub fn read(conn: &mut TcpStream) -> io::Result<Answer> {
-    let mut bytes = Vec::new();
-    let mut piece = [0; 4_096];
-    let length = loop {
-        if let Some(at) = find(&bytes, b"\r\n\r\n") {
-            break at + 4;
-        }
-        match conn.read(&mut piece)? {
-            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
-            count => bytes.extend_from_slice(&piece[..count]),
-        }
-    };
-    let head = String::from_utf8_lossy(&bytes[..length]).into_owned();
-    let mut lines = head.lines();
-    let status = lines.next().and_then(|line| line.split(' ').nth(1)).unwrap_or("");
-    let status = status.parse().map_err(io::Error::other)?;
-    let fields = lines.filter_map(|line| line.split_once(':'));
-    let headers: Vec<(String, String)> =
-        fields.map(|(n, v)| (n.to_ascii_lowercase(), v.trim().to_string())).collect();
-    let mut answer = Answer { status, headers, body: Vec::new(), whole: false };
-    let mut rest = bytes.split_off(length);
-    let chunked = answer.header("transfer-encoding") == Some("chunked");
-    let sized = answer.header("content-length").and_then(|text| text.parse::<usize>().ok());
-    loop {
-        (answer.body, answer.whole) = match (chunked, sized) {
-            (true, _) => unchunk(&rest),
-            (_, Some(size)) => (rest[..size.min(rest.len())].to_vec(), rest.len() >= size),
-            (_, None) => (rest.clone(), false),
-        };
-        if answer.whole {
-            return Ok(answer);
-        }
-        match conn.read(&mut piece) {
-            Ok(0) | Err(_) => return Ok(answer),
-            Ok(count) => rest.extend_from_slice(&piece[..count]),
-        }
-    }
-}
-
-/// The body of chunks so far, and whether the last one is there.
-fn unchunk(mut bytes: &[u8]) -> (Vec<u8>, bool) {
-    let mut body = Vec::new();
-    loop {
-        let Some(end) = find(bytes, b"\r\n") else { return (body, false) };
-        let size = std::str::from_utf8(&bytes[..end]).unwrap_or("");
-        let Ok(size) = usize::from_str_radix(size, 16) else { return (body, false) };
-        bytes = &bytes[end + 2..];
-        if size == 0 {
-            return (body, bytes.starts_with(b"\r\n"));
-        }
-        if bytes.len() < size + 2 {
-            body.extend_from_slice(&bytes[..size.min(bytes.len())]);
-            return (body, false);
-        }
-        body.extend_from_slice(&bytes[..size]);
-        bytes = &bytes[size + 2..];
-    }
-}
-
-fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
-    bytes.windows(what.len()).position(|window| window == what)
-}
