--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -211,8 +211,8 @@
     }
 
     /// The settings file of an instance.
-    pub fn settings(&self, instance: usize) -> PathBuf {
-        self.folder.join(format!("i{instance}.toml"))
+    pub fn settings(&self, instance: usize) -> &Path {
+        &self.instances[instance].settings
     }
 
     /// A connection to an instance.
