--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -22,6 +22,7 @@
 /// of today's classes (250 ms); an answer takes 2 ms between availability zones.
 const ANSWER_WITHIN: u64 = 60 * drumusher_schedule::time::MILLISECOND;
 
+/// An ask that is owned, and what became of it so far.
 struct Held {
     own: Own,
     /// The dispatcher that was asked; `None` if there is none to ask.
@@ -37,6 +38,7 @@
 /// The asks this instance owns.
 pub struct Table {
     held: HashMap<Id, Held>,
+    /// The asks of which the next batch of reports tells.
     fresh: BTreeSet<Id>,
     view: View,
 }
@@ -77,6 +79,7 @@
         }
     }
 
+    /// Owns an ask and sends it.
     fn open(&mut self, own: Own, sends: &mut Vec<Send>) {
         let id = own.id;
         let dispatcher = self.view.dispatcher(&own.pool, &own.area);
@@ -112,6 +115,7 @@
         sends.push(Send { to, message: Message::Ask(ask) });
     }
 
+    /// A request is over, or needs its grant no longer: its dispatcher is told.
     fn finish(&mut self, id: Id, outcome: i16, produced: u32, sends: &mut Vec<Send>) {
         let Some(held) = self.held.remove(&id) else {
             return;
@@ -213,11 +217,13 @@
         }
     }
 
+    /// Whether an ask is owned and `from` is the dispatcher that was asked.
     fn asked(&self, id: Id, from: &Arc<str>) -> bool {
         let held = self.held.get(&id);
         held.is_some_and(|held| held.dispatcher.as_ref() == Some(from))
     }
 
+    /// Hands a grant to its request, unless that has one or another dispatcher is asked by now.
     fn grant(&mut self, from: &Arc<str>, grant: &peer::Grant, sends: &mut Vec<Send>) {
         let Some(id) = id::from_wire(&grant.id) else {
             return;
@@ -239,6 +245,7 @@
         }
     }
 
+    /// Asks the dispatcher that another one names, if it can be reached; else the same one again.
     fn redirect(&mut self, from: &Arc<str>, redirect: &peer::Redirect, sends: &mut Vec<Send>) {
         let Some(id) = id::from_wire(&redirect.id) else {
             return;
@@ -254,6 +261,7 @@
         self.ask(id, true, sends);
     }
 
+    /// The dispatcher has the ask, which waits.
     fn queued(&mut self, from: &Arc<str>, queued: &peer::Queued) {
         let Some(id) = id::from_wire(&queued.id) else {
             return;
@@ -344,6 +352,7 @@
         }
     }
 
+    /// Gives an ask to another dispatcher and tells the old one to forget it.
     fn assign(&mut self, id: Id, owner: Option<Arc<str>>, sends: &mut Vec<Send>) {
         let Some(held) = self.held.get_mut(&id) else {
             return;
