--- a/crates/drumusher/tests/routes/config.rs
+++ b/crates/drumusher/tests/routes/config.rs
@@ -25,6 +25,16 @@
     for _ in 0..20 {
         assert_eq!(status(&deployment, 0, "/extra/"), 404);
     }
+    // Once a later version is in force the older ones were read; none of them ever was.
+    deployment.store.put("keyed.op", "config", &configuration(9, "latest"));
+    wait_for("the latest version is in force", || status(&deployment, 0, "/latest/") == 200);
+    let lines = deployment.instances[0].lines();
+    let in_force = lines.lines().filter(|line| line.contains("configuration in force"));
+    let versions: Vec<bool> = in_force
+        .map(|line| ["5", "6"].iter().any(|v| line.contains(&format!("\"version\":\"{v}\""))))
+        .collect();
+    assert!(versions.len() >= 4, "each version has its line: {lines}");
+    assert!(!versions.contains(&true), "an older version was in force: {lines}");
 }
 
 /// A configuration that cannot be read is passed over with a line in the log.
