feat: an engine takes over what another keeps of a prompt

Cause: a shared part lies on one engine. Change: the dispatcher's book tells which parts an engine has read whole. Where another engine is cheaper with the part taken over, the grant names the source, and the entry tells the engine. A part that is being read is waited for; engines that leave, are under trial or have just failed the request are no sources; after a failed attempt with a source the next has none. What an attempt did not read before it ended is no longer believed to be kept. Tests: schedule::source, routes::streams::a_busy_server_is_named_as_the_source.

--- a/crates/drumusher-bench/src/policy/baseline.rs
+++ b/crates/drumusher-bench/src/policy/baseline.rs
@@ -44,7 +44,14 @@
             self.running.insert(ask.id, (server, tier));
             self.servers.entry(server).and_modify(|(running, _)| *running += 1);
             let choice = Choice::LeastLoaded;
-            orders.push(Order::Grant { id: ask.id, entry: ask.entry, server, choice, waited: 0 });
+            orders.push(Order::Grant {
+                id: ask.id,
+                entry: ask.entry,
+                server,
+                source: None,
+                choice,
+                waited: 0,
+            });
         }
     }
 
@@ -115,7 +122,7 @@
                     return;
                 };
                 let (id, entry, choice) = (ask.id, ask.entry, Choice::LeastLoaded);
-                orders.push(Order::Grant { id, entry, server, choice, waited: 0 });
+                orders.push(Order::Grant { id, entry, server, source: None, choice, waited: 0 });
             }
             Event::Server(key, _) => {
                 self.reported.insert(key, 0);
--- a/crates/drumusher-platform/src/dialect.rs
+++ b/crates/drumusher-platform/src/dialect.rs
@@ -39,6 +39,8 @@
     pub deadline_ms: u64,
     /// The backend server that is meant.
     pub server: &'a str,
+    /// The address of an engine whose kept parts of the prompt this one takes over first.
+    pub source: Option<&'a str>,
     /// The caller's workspace.
     pub workspace: Option<&'a str>,
     /// How urgent it is in the engine, 0 (first) to 9; `None` where that has no meaning.
--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -6,7 +6,8 @@
 //! twice the tightest target of all classes, and *pressing* ones. Patient requests gather on some
 //! engines and pressing ones on the others; how many engines are on either side follows from the
 //! waits. A part of a prompt that one engine keeps draws the requests that share it there, because
-//! reading it again elsewhere is work for nothing.
+//! reading it again elsewhere is work for nothing. Where the wait there is long, another engine takes
+//! over what the first one keeps, which is much faster than reading it again.
 
 use std::collections::HashMap;
 
@@ -28,6 +29,15 @@
 const DRIFT: f64 = 1.01;
 /// Bounds of the time to read a token, in microseconds.
 const READ_BOUNDS: (f64, f64) = (1.0, 1_000.0);
+/// Time to take a token over from another engine before that was seen, in microseconds.
+const MOVE_UNKNOWN: f64 = 5.0;
+/// Bounds of that time, in microseconds.
+const MOVE_BOUNDS: (f64, f64) = (0.5, 1_000.0);
+/// Tokens that take less than this to read, in microseconds, are not taken over: beginning to does
+/// not take less.
+const MOVE_LEAST: f64 = 10.0 * MILLISECOND as f64;
+/// What taking a token over counts, in times that it takes: the links of two engines are in use.
+const MOVE_COUNTS: f64 = 2.0;
 /// What reading a shared token again counts, in microseconds of waiting: much more than the time
 /// it takes, because users count it as waste whether or not somebody waits.
 const AGAIN: f64 = 400.0;
@@ -61,20 +71,33 @@
     pub patient: bool,
 }
 
-/// What of a prompt an engine has to read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// How an engine comes by the tokens of a prompt that it does not keep.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Reading {
-    /// Tokens it does not keep.
+    /// Tokens it reads.
     pub tokens: u32,
     /// Those among them that belong to shared parts another engine keeps.
     pub again: u32,
+    /// Tokens it takes over from another engine.
+    pub moved: u32,
 }
 
-/// A request whose first event did not come yet.
+/// A part of a prompt at an engine.
 #[derive(Clone, Copy, Debug)]
+struct Kept {
+    /// When a request with it was placed here last.
+    used: Micros,
+    /// Whether it was read whole, so that another engine can take it over.
+    whole: bool,
+}
+
+/// A request whose first event did not come yet.
+#[derive(Clone, Debug)]
 struct Pending {
     granted: Micros,
-    tokens: u32,
+    reading: Reading,
+    /// The parts of its prompt.
+    parts: Vec<u64>,
     /// Whether others were before it, so that its wait says nothing about the time to read.
     queued: bool,
     /// When its prompt is believed to be read.
@@ -84,9 +107,11 @@
 /// What is believed of one engine.
 #[derive(Debug)]
 pub struct Engine {
-    kept: HashMap<u64, Micros>,
+    kept: HashMap<u64, Kept>,
     pending: HashMap<Id, Pending>,
     read: f64,
+    /// Time to take over a token.
+    moving: f64,
     /// The shortest time to read a token that was seen lately: without others beside it.
     fastest: Option<f64>,
     pressing: u32,
@@ -117,6 +142,7 @@
             kept: HashMap::new(),
             pending: HashMap::new(),
             read: READ_UNKNOWN,
+            moving: MOVE_UNKNOWN,
             fastest: None,
             pressing: 0,
             running: 0,
@@ -140,12 +166,42 @@
         self.kept.contains_key(&part)
     }
 
-    /// Tokens of a prompt that it has to read: from the first part that it does not keep.
+    /// Tokens of a prompt that it does not keep: from the first part that it does not keep.
     pub fn to_read(&self, work: &Work<'_>) -> u32 {
         let kept = work.parts.iter().take_while(|part| self.keeps(part.id));
         work.prompt.saturating_sub(kept.map(|part| part.tokens).sum())
     }
 
+    /// Tokens at the beginning of a prompt that another engine can take over from here, and when the
+    /// last of their parts was used.
+    pub fn offers(&self, work: &Work<'_>) -> (u32, Micros) {
+        let kept = work.parts.iter().map_while(|part| {
+            let kept = self.kept.get(&part.id).filter(|kept| kept.whole)?;
+            Some((part.tokens, kept.used))
+        });
+        kept.fold((0, Micros::MAX), |(sum, oldest), (tokens, used)| {
+            (sum + tokens, oldest.min(used))
+        })
+    }
+
+    /// How it comes by a prompt of which other engines keep `again` tokens and one offers `offered`.
+    pub fn reading(&self, work: &Work<'_>, again: u32, offered: u32) -> Reading {
+        let missing = self.to_read(work);
+        let kept = work.prompt.saturating_sub(missing);
+        let moved = offered.saturating_sub(kept);
+        let moved = if f64::from(moved) * self.read < MOVE_LEAST { 0 } else { moved };
+        Reading {
+            tokens: missing.saturating_sub(moved),
+            again: again.saturating_sub(kept + moved),
+            moved,
+        }
+    }
+
+    /// The time that takes, in microseconds.
+    pub fn reading_time(&self, reading: Reading) -> f64 {
+        f64::from(reading.tokens) * self.read + f64::from(reading.moved) * self.moving
+    }
+
     /// The weight of the engine of a rank for a part that none keeps. All dispatchers compute it
     /// alike, so that a new one places requests as the last one did.
     pub fn weight(part: u64, rank: u64) -> u64 {
@@ -169,8 +225,9 @@
     /// What placing a request here costs, in microseconds of waiting.
     /// `own_side` tells whether it is on the request's side of the border.
     pub fn cost(&self, now: Micros, work: &Work<'_>, reading: Reading, own_side: bool) -> f64 {
-        let waiting = self.wait(now) as f64 + f64::from(reading.tokens) * self.read;
+        let waiting = self.wait(now) as f64 + self.reading_time(reading);
         let again = f64::from(reading.again) * AGAIN;
+        let moved = f64::from(reading.moved) * self.moving * (MOVE_COUNTS - 1.0);
         let beside = f64::from(self.running) * BESIDE;
         let apart = if work.patient {
             f64::from(self.pressing) * f64::from(work.prompt) * self.read * BESIDE_PRESSING
@@ -178,7 +235,7 @@
             self.patient_level(now) * if own_side { 0.0 } else { BESIDE_PATIENT }
         };
         let side = if own_side { 0.0 } else { WRONG_SIDE };
-        waiting + again + beside + apart + side
+        waiting + again + moved + beside + apart + side
     }
 
     fn patient_level(&self, now: Micros) -> f64 {
@@ -187,12 +244,12 @@
     }
 
     /// A request was placed here.
-    pub fn start(&mut self, now: Micros, id: Id, work: &Work<'_>) {
-        let tokens = self.to_read(work);
-        let time = (f64::from(tokens) * self.read) as Micros;
+    pub fn start(&mut self, now: Micros, id: Id, work: &Work<'_>, reading: Reading) {
+        let time = self.reading_time(reading) as Micros;
         let wait = self.wait(now);
-        let pending = Pending { granted: now, tokens, queued: wait > 0, done: now + wait + time };
-        self.pending.insert(id, pending);
+        let parts = work.parts.iter().map(|part| part.id).collect();
+        let (queued, done) = (wait > 0, now + wait + time);
+        self.pending.insert(id, Pending { granted: now, reading, parts, queued, done });
         self.running += 1;
         if work.patient {
             self.patient = self.patient_level(now) + time as f64;
@@ -201,7 +258,8 @@
             self.pressing += 1;
         }
         for part in work.parts {
-            self.kept.insert(part.id, now);
+            let whole = self.kept.get(&part.id).is_some_and(|kept| kept.whole);
+            self.kept.insert(part.id, Kept { used: now, whole });
         }
         self.forget_oldest();
     }
@@ -210,33 +268,62 @@
         if self.kept.len() <= PARTS {
             return;
         }
-        let sum: u128 = self.kept.values().map(|used| u128::from(*used)).sum();
+        let sum: u128 = self.kept.values().map(|kept| u128::from(kept.used)).sum();
         let middle = (sum / self.kept.len() as u128) as Micros;
-        self.kept.retain(|_, used| *used >= middle);
+        self.kept.retain(|_, kept| kept.used >= middle);
     }
 
     /// The first event of a request came `first` after it was handed over.
     pub fn first_event(&mut self, id: Id, first: Micros) {
-        let Some(pending) = self.pending.remove(&id) else {
+        let Some(pending) = self.read_whole(id) else {
             return;
         };
-        if pending.queued || pending.tokens < ENOUGH_TOKENS {
+        let Reading { tokens, moved, .. } = pending.reading;
+        if pending.queued {
             return;
         }
-        let seen = first as f64 / f64::from(pending.tokens);
+        if moved > 0 {
+            self.learn_move(first as f64 - f64::from(tokens) * self.read, moved);
+            return;
+        }
+        if tokens < ENOUGH_TOKENS {
+            return;
+        }
+        let seen = first as f64 / f64::from(tokens);
         let seen = seen.clamp(READ_BOUNDS.0, READ_BOUNDS.1);
         self.read += (seen - self.read) * SMOOTHING;
         self.fastest = Some(self.fastest.map_or(seen, |fastest| seen.min(fastest * DRIFT)));
     }
 
+    /// Taking over `moved` tokens took `time` microseconds.
+    fn learn_move(&mut self, time: f64, moved: u32) {
+        let seen = (time / f64::from(moved)).clamp(MOVE_BOUNDS.0, MOVE_BOUNDS.1);
+        self.moving += (seen - self.moving) * SMOOTHING;
+    }
+
+    /// The prompt of a request was read.
+    fn read_whole(&mut self, id: Id) -> Option<Pending> {
+        let pending = self.pending.remove(&id)?;
+        for part in &pending.parts {
+            self.kept.insert(*part, Kept { used: pending.granted, whole: true });
+        }
+        Some(pending)
+    }
+
     /// A request that another dispatcher placed here has its first event already.
     pub fn begun(&mut self, id: Id) {
-        self.pending.remove(&id);
+        self.read_whole(id);
     }
 
-    /// A request ended.
+    /// A request ended. What was not read until then may be missing.
     pub fn end(&mut self, id: Id, patient: bool) {
-        self.pending.remove(&id);
+        if let Some(pending) = self.pending.remove(&id) {
+            for part in &pending.parts {
+                if self.kept.get(part).is_some_and(|kept| !kept.whole) {
+                    self.kept.remove(part);
+                }
+            }
+        }
         self.running = self.running.saturating_sub(1);
         if !patient {
             self.pressing = self.pressing.saturating_sub(1);
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -52,6 +52,8 @@
         entry: Entry,
         /// Where to run it.
         server: server::Key,
+        /// The engine from which it takes over what that one keeps of the prompt.
+        source: Option<server::Key>,
         /// Why there.
         choice: Choice,
         /// How long it waited at this dispatcher.
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -29,6 +29,15 @@
 /// An engine is slow if it reads a token in so many times the usual time.
 const SLOW_READ: f64 = 1.15;
 
+/// Where a request is to run.
+struct Place {
+    server: server::Key,
+    /// How the engine comes by the prompt; nothing to read for a plain service.
+    reading: Reading,
+    /// The engine from which it takes over what that one keeps.
+    source: Option<server::Key>,
+}
+
 /// Which backend servers come into question.
 #[derive(Clone, Copy, PartialEq)]
 enum Scope {
@@ -169,7 +178,7 @@
             return false;
         };
         let ask = waiting.ask.clone();
-        let Some(server) = self.choose(now, &ask, scope) else {
+        let Some(Place { server, reading, source }) = self.choose(now, &ask, scope) else {
             return false;
         };
         let Some(waiting) = self.remove_waiting(key) else {
@@ -180,13 +189,14 @@
             id: waiting.ask.id,
             entry: waiting.ask.entry,
             server,
+            source,
             choice,
             waited: now.saturating_sub(waiting.since),
         });
         self.grants += 1;
         let cost = self.cost(&waiting.ask);
         self.credit_floors(waiting.ask.class, cost, reserved);
-        self.run(now, waiting, server, reserved);
+        self.run(now, waiting, server, reading, reserved);
         true
     }
 
@@ -220,7 +230,7 @@
     }
 
     /// The cheapest backend server in scope, another than the one to avoid if there is one.
-    fn choose(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
+    fn choose(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Place> {
         if !ask.parts.is_empty() {
             return self.place(now, ask, scope);
         }
@@ -239,15 +249,17 @@
                 best = Some((avoided, cost, key));
             }
         }
-        best.map(|(_, _, key)| key)
+        best.map(|(_, _, server)| Place { server, reading: Reading::default(), source: None })
     }
 
     /// The engine in scope on which the request costs least, another than the one to avoid if there
     /// is one.
-    fn place(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<server::Key> {
+    fn place(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Place> {
         let work =
             Work { parts: &ask.parts, prompt: ask.prompt, patient: self.patient(now, ask.class) };
         let again = self.kept_somewhere(&work);
+        let source = self.source(&work, ask.avoid);
+        let offered = source.map_or(0, |(tokens, _)| tokens);
         let border = self.border_place(now);
         let usual_read = self.usual_read();
         let on_side = |server: &Server| {
@@ -255,23 +267,34 @@
         };
         let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
         let usual = if again == 0 { self.usual_engine(&work, on_side) } else { None };
-        let mut best: Option<(bool, f64, server::Key)> = None;
+        let mut best: Option<(bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
             if !fits(server, now, scope) {
                 continue;
             }
-            let tokens = server.engine().to_read(&work);
-            let kept = ask.prompt.saturating_sub(tokens);
-            let reading = Reading { tokens, again: again.saturating_sub(kept) };
+            let reading = server.engine().reading(&work, again, offered);
             let avoided = ask.avoid == Some(key);
             let elsewhere = usual.is_some_and(|usual| usual != key);
             let strange = if elsewhere { shared * ELSEWHERE } else { 0.0 };
             let cost = server.engine().cost(now, &work, reading, on_side(server)) + strange;
-            if best.is_none_or(|(a, c, _)| (avoided, cost) < (a, c)) {
-                best = Some((avoided, cost, key));
+            if best.is_none_or(|(a, c, ..)| (avoided, cost) < (a, c)) {
+                best = Some((avoided, cost, key, reading));
             }
         }
-        best.map(|(_, _, key)| key)
+        let (_, _, server, reading) = best?;
+        let source = source.filter(|_| reading.moved > 0).map(|(_, key)| key);
+        Some(Place { server, reading, source })
+    }
+
+    /// The engine from which most of a prompt can be taken over, another than the one to avoid, with
+    /// the tokens of that; of equal ones that which used them last.
+    fn source(&self, work: &Work<'_>, avoid: Option<server::Key>) -> Option<(u32, server::Key)> {
+        let engines = self.servers().filter(|(key, server)| {
+            avoid != Some(*key) && !server.leaving() && server.next_probe().is_none()
+        });
+        let offers = engines.map(|(key, server)| (server.engine().offers(work), key));
+        let ((tokens, _), key) = offers.max_by_key(|(offer, _)| *offer)?;
+        (tokens > 0).then_some((tokens, key))
     }
 
     /// The engine on which the shared part of a prompt belongs as long as none keeps it.
@@ -331,6 +354,7 @@
         now: Micros,
         waiting: Waiting,
         server: server::Key,
+        reading: Reading,
         reserved: bool,
     ) {
         let Waiting { ask, tier, .. } = waiting;
@@ -344,8 +368,8 @@
         if let Some(server) = self.server(server) {
             server.start(now, ask.prefix);
             let work = Work { parts: &ask.parts, prompt: ask.prompt, patient };
-            let time = f64::from(server.engine().to_read(&work)) * server.engine().read_time();
-            server.engine_mut().start(now, ask.id, &work);
+            let time = f64::from(reading.tokens) * server.engine().read_time();
+            server.engine_mut().start(now, ask.id, &work, reading);
             self.border.note(now, patient, time);
         }
         let stoppable = ask.repeatable && !reserved && ask.preemptions < policy.preemptions;
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -3,6 +3,7 @@
 use super::Pool;
 use crate::{
     ask::{Ask, Id, Outcome, State, Waiting},
+    engine::{Reading, Work},
     event::Progress,
     server::{self, Kind},
     time::Micros,
@@ -22,7 +23,8 @@
             ask,
         };
         let id = waiting.ask.id;
-        self.run(now, waiting, server, false);
+        let reading = self.reading_at(&waiting.ask, server);
+        self.run(now, waiting, server, reading, false);
         let Some((_, running)) = self.running_of(id) else {
             return;
         };
@@ -34,6 +36,13 @@
         }
     }
 
+    /// How an engine comes by a prompt of which nothing is taken over.
+    fn reading_at(&mut self, ask: &Ask, server: server::Key) -> Reading {
+        let work = Work { parts: &ask.parts, prompt: ask.prompt, patient: false };
+        self.server(server)
+            .map_or_else(Reading::default, |server| server.engine().reading(&work, 0, 0))
+    }
+
     pub(super) fn withdraw(&mut self, id: Id) {
         if let Some(key) = self.ids.get(&id).copied() {
             self.remove_waiting(key);
--- a/crates/drumusher-schedule/tests/schedule/engine.rs
+++ b/crates/drumusher-schedule/tests/schedule/engine.rs
@@ -1,10 +1,10 @@
 //! What is believed of engines, and the border between patient and pressing requests.
 
 use drumusher_schedule::{
-    ask::Part,
+    ask::{Id, Part},
     engine::{Engine, Reading, Work},
     side::Border,
-    time::{MILLISECOND, SECOND},
+    time::{MILLISECOND, Micros, SECOND},
 };
 use proptest::prelude::*;
 
@@ -15,8 +15,12 @@
 }
 
 fn reading(engine: &Engine, work: &Work<'_>, kept_elsewhere: u32) -> Reading {
-    let tokens = engine.to_read(work);
-    Reading { tokens, again: kept_elsewhere.saturating_sub(work.prompt - tokens) }
+    engine.reading(work, kept_elsewhere, 0)
+}
+
+/// Places a request of which nothing is taken over from another engine.
+fn start(engine: &mut Engine, now: Micros, id: Id, work: &Work<'_>) {
+    engine.start(now, id, work, engine.reading(work, 0, 0));
 }
 
 #[test]
@@ -24,7 +28,7 @@
     let mut engine = Engine::new();
     let whole = work(&SHARED, true);
     assert_eq!(engine.to_read(&whole), 6_000);
-    engine.start(SECOND, 1, &whole);
+    start(&mut engine, SECOND, 1, &whole);
     assert_eq!(engine.to_read(&whole), 1_000);
     let other = [Part { id: 9, tokens: 10 }, SHARED[1]];
     assert_eq!(engine.to_read(&work(&other, true)), 6_000);
@@ -33,10 +37,10 @@
 #[test]
 fn the_wait_is_that_of_the_prompts_before() {
     let mut engine = Engine::new();
-    engine.start(SECOND, 1, &work(&[], true));
+    start(&mut engine, SECOND, 1, &work(&[], true));
     let wait = engine.wait(SECOND);
     assert_eq!(wait as f64, 6_000.0 * engine.read_time());
-    engine.start(SECOND, 2, &work(&[], true));
+    start(&mut engine, SECOND, 2, &work(&[], true));
     assert_eq!(engine.wait(SECOND), 2 * wait);
     engine.first_event(1, wait);
     engine.first_event(2, 2 * wait);
@@ -48,7 +52,7 @@
     let mut engine = Engine::new();
     for id in 0..100 {
         let now = SECOND * (id as u64 + 1);
-        engine.start(now, id, &work(&[], true));
+        start(&mut engine, now, id, &work(&[], true));
         engine.first_event(id, 60 * MILLISECOND);
         engine.end(id, true);
     }
@@ -58,7 +62,7 @@
 #[test]
 fn an_engine_whose_first_events_are_overdue_draws_nothing_more() {
     let (mut silent, other) = (Engine::new(), Engine::new());
-    silent.start(SECOND, 1, &work(&SHARED, true));
+    start(&mut silent, SECOND, 1, &work(&SHARED, true));
     let asked = work(&SHARED, true);
     let cost =
         |engine: &Engine, now| engine.cost(now, &asked, reading(engine, &asked, 5_000), true);
@@ -71,7 +75,7 @@
 #[test]
 fn an_engine_that_keeps_the_prompt_is_cheaper_even_when_busier() {
     let (mut keeper, other) = (Engine::new(), Engine::new());
-    keeper.start(SECOND, 1, &work(&SHARED, true));
+    start(&mut keeper, SECOND, 1, &work(&SHARED, true));
     let asked = work(&SHARED, true);
     let cost = |engine: &Engine| engine.cost(SECOND, &asked, reading(engine, &asked, 5_000), true);
     assert!(cost(&keeper) < cost(&other));
@@ -81,7 +85,7 @@
 fn patient_prompts_stay_away_from_pressing_streams() {
     let (mut pressing, free) = (Engine::new(), Engine::new());
     for id in 0..5 {
-        pressing.start(SECOND, id, &Work { parts: &[], prompt: 100, patient: false });
+        start(&mut pressing, SECOND, id, &Work { parts: &[], prompt: 100, patient: false });
         pressing.first_event(id, MILLISECOND);
     }
     let asked = work(&[], true);
@@ -143,7 +147,7 @@
 #[test]
 fn what_began_before_a_change_of_dispatcher_is_not_waited_for() {
     let mut engine = Engine::new();
-    engine.start(SECOND, 1, &work(&SHARED, true));
+    start(&mut engine, SECOND, 1, &work(&SHARED, true));
     engine.begun(1);
     assert_eq!(engine.wait(9 * SECOND), 0);
     assert_eq!(engine.to_read(&work(&SHARED, true)), 1_000, "but what it read is kept");
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -7,4 +7,5 @@
 mod rank;
 mod retry;
 mod sides;
+mod source;
 mod support;
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -91,6 +91,8 @@
   2: required string server
   3: required i64 waited
   4: required i16 choice
+  /* the backend server from which what it keeps of the prompt is taken over */
+  5: optional string source
 }
 
 struct Refuse {
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -976,15 +976,17 @@
   pub server: String,
   pub waited: i64,
   pub choice: i16,
+  pub source: Option<String>,
 }
 
 impl Grant {
-  pub fn new(id: Vec<u8>, server: String, waited: i64, choice: i16) -> Grant {
+  pub fn new<F5>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5) -> Grant where F5: Into<Option<String>> {
     Grant {
       id,
       server,
       waited,
       choice,
+      source: source.into(),
     }
   }
 }
@@ -996,6 +998,7 @@
     let mut f_2: Option<String> = None;
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<i16> = None;
+    let mut f_5: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1019,6 +1022,10 @@
           let val = i_prot.read_i16()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_string()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1035,6 +1042,7 @@
       server: f_2.expect("auto-generated code should have checked for presence of required fields"),
       waited: f_3.expect("auto-generated code should have checked for presence of required fields"),
       choice: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      source: f_5,
     };
     Ok(ret)
   }
@@ -1053,6 +1061,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("choice", TType::I16, 4))?;
     o_prot.write_i16(self.choice)?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.source {
+      o_prot.write_field_begin(&TFieldIdentifier::new("source", TType::String, 5))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -48,6 +48,8 @@
     Grant {
         /// Its name.
         server: Arc<str>,
+        /// The backend server from which it takes over what that one keeps of the prompt.
+        source: Option<Arc<str>>,
         /// The dispatcher that granted it.
         dispatcher: Arc<str>,
     },
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -239,7 +239,8 @@
         held.server = Some(server.clone());
         held.owed = None;
         held.reported = clock::now();
-        let reply = Reply::Grant { server, dispatcher: from.clone() };
+        let source = grant.source.as_deref().map(Arc::from);
+        let reply = Reply::Grant { server, source, dispatcher: from.clone() };
         if held.own.replies.try_send(reply).is_err() {
             self.finish(id, CANCELLED, 0, sends);
         }
--- a/crates/drumusher/src/request/flow.rs
+++ b/crates/drumusher/src/request/flow.rs
@@ -126,7 +126,7 @@
             self.ask(zone);
             let reply = self.wait().await;
             match reply {
-                Some((Reply::Grant { server, dispatcher }, at)) => {
+                Some((Reply::Grant { server, dispatcher, .. }, at)) => {
                     span.note("drumusher.dispatcher", dispatcher.to_string());
                     span.note("drumusher.server", server.to_string());
                     span.end();
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -75,6 +75,10 @@
     /// What its caller saw of its events.
     pub pace: Pace,
     avoid: Option<Arc<str>>,
+    /// The backend server from which the latest attempt takes over what that one keeps of the prompt.
+    source: Option<Backend>,
+    /// Whether an attempt with a source failed.
+    source_failed: bool,
     /// The instance that granted the latest attempt.
     dispatcher: Option<Arc<str>>,
     unconnected: u32,
@@ -111,6 +115,8 @@
             sent: 0,
             pace: Pace::default(),
             avoid: None,
+            source: None,
+            source_failed: false,
             dispatcher: None,
             unconnected: 0,
             may_have_run: false,
@@ -158,7 +164,8 @@
     pub async fn granted(&mut self) -> Result<Backend, Error> {
         for _ in 0..MOST_UNUSABLE {
             match self.ticket.decide(self.avoid.clone(), self.due).await {
-                Decision::Run { server, dispatcher } => {
+                Decision::Run { server, source, dispatcher } => {
+                    self.source = self.source_of(source);
                     if let Some(backend) = self.usable(&server) {
                         log::debug!(
                             request = self.request.head.id.as_str(), server = &*server,
@@ -183,6 +190,15 @@
         Err(self.not_run(ErrorKind::NoServer, message, AGAIN_MS))
     }
 
+    /// The backend server from which the next attempt takes over what that one keeps of the prompt.
+    /// After an attempt that failed with one there is none: it may have been the reason.
+    fn source_of(&self, name: Option<Arc<str>>) -> Option<Backend> {
+        if self.source_failed {
+            return None;
+        }
+        self.usable(&name?)
+    }
+
     /// The backend server, unless it is leaving or gone by the own view.
     fn usable(&self, server: &str) -> Option<Backend> {
         let pool = Pool::Service(self.request.found.service.clone());
@@ -204,7 +220,9 @@
         let mut conn = self.connect(backend).await?;
         let began = clock::now();
         let dialect = &self.worker.dialect;
-        let headers = self.request.attempt(dialect, &backend.name, self.left_ms(), last_event);
+        let source = self.source.as_ref().map(|source| &*source.address);
+        let left_ms = self.left_ms();
+        let headers = self.request.attempt(dialect, &backend.name, source, left_ms, last_event);
         let head = self.request.head_with(&headers);
         let bodiless = self.request.method == Method::HEAD;
         self.sent += 1;
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -46,6 +46,7 @@
     pub fn note(&mut self, backend: &Backend, failure: &Failure) {
         self.ticket.end(failure.outcome());
         self.avoid = Some(backend.name.clone());
+        self.source_failed |= self.source.is_some() && !matches!(failure, Failure::NotConnected);
         match failure {
             Failure::NotConnected => self.unconnected += 1,
             Failure::NotRun(_) => {}
--- a/crates/drumusher/src/routed/exchange/request.rs
+++ b/crates/drumusher/src/routed/exchange/request.rs
@@ -38,11 +38,13 @@
 
 impl Request {
     /// The headers of an attempt at the backend server `server`, which has `left_ms` milliseconds
-    /// for its answer. `last_event` is the last event delivered, if the answer is to go on after it.
+    /// for its answer and takes over what the one at the address `source` keeps of the prompt.
+    /// `last_event` is the last event delivered, if the answer is to go on after it.
     pub(super) fn attempt<D: Dialect>(
         &self,
         dialect: &D,
         server: &str,
+        source: Option<&str>,
         left_ms: u64,
         last_event: Option<u64>,
     ) -> HeaderMap {
@@ -50,6 +52,7 @@
         let attempt = Attempt {
             deadline_ms: left_ms,
             server,
+            source,
             workspace: found.workspace.as_deref(),
             urgency: found.engine.then_some(found.priority),
             last_event,
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -48,6 +48,8 @@
     Run {
         /// Its name.
         server: Arc<str>,
+        /// The backend server from which it takes over what that one keeps of the prompt.
+        source: Option<Arc<str>>,
         /// The instance that decided.
         dispatcher: Arc<str>,
     },
@@ -85,8 +87,8 @@
             let left = until.saturating_sub(clock::now()) / MILLISECOND;
             let reply = timeout(Millis(left.max(1) as u32), self.replies.recv()).await;
             match reply {
-                Ok(Ok(Reply::Grant { server, dispatcher })) => {
-                    return Decision::Run { server, dispatcher };
+                Ok(Ok(Reply::Grant { server, source, dispatcher })) => {
+                    return Decision::Run { server, source, dispatcher };
                 }
                 Ok(Ok(Reply::Refuse(refusal, retry_after))) => {
                     self.open = false;
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -97,3 +97,39 @@
     let gone = || deployment.server("m1").gone() + deployment.server("m2").gone();
     wait_for("the engine sees the close", || gone() == 1);
 }
+
+/// An engine that gets a prompt of which a busy one keeps the beginning is told where to copy it.
+#[test]
+fn a_busy_server_is_named_as_the_source_of_what_it_keeps() {
+    let deployment = Deployment::new(1);
+    let servers = ["m1", "m2"].map(|id| deployment.server(id));
+    let prompt = |shared: u32, tokens: u32, own: u32| {
+        Call::post("/draft/", "x")
+            .without("Drumusher-Token-Usage")
+            .without("Drumusher-Prompt-Prefix")
+            .with("Drumusher-Token-Usage", &format!("{},60", tokens + own))
+            .with("Drumusher-Prompt-Prefix", &format!("a{shared}:{tokens},b{shared}{own}:{own}"))
+    };
+    let named = (1..50).find_map(|shared| {
+        let first = prompt(shared, 9_000, 1);
+        deployment.call(0, &first).expect("an answer");
+        let ran = |id: &str, at: usize| servers[at].runs().iter().any(|run| run.id == id);
+        let keeper = usize::from(ran(&first.id, 1));
+        // While it is silent over a long prompt, it is believed to read.
+        servers[keeper].set(Fault::Mute);
+        let long = prompt(shared, 9_000, 90_000);
+        let mut busy = deployment.connect(0).expect("a connection");
+        busy.write_all(&long.bytes()).expect("sent");
+        wait_for("the long prompt is read", || ran(&long.id, keeper));
+        let next = prompt(shared, 9_000, 2);
+        let runs = servers[1 - keeper].runs().len();
+        drop(deployment.call(0, &next));
+        servers[keeper].set(Fault::None);
+        drop(busy);
+        let runs = servers[1 - keeper].runs().split_off(runs);
+        let run = runs.into_iter().find(|run| run.id == next.id)?;
+        Some((run.request.header("kv-fetch").map(String::from), servers[keeper].address))
+    });
+    let (source, keeper) = named.expect("it is tried until the keeper is believed to be busy");
+    assert_eq!(source, Some(keeper.to_string()));
+}
