feat: classes are kept apart by what their prompts do to others

Cause: engines were divided between classes by the ratio of their pause targets (twice the tightest). Change: a class is patient if it bears longer pauses than the tightest and reading one of its prompts (mean length, the pool's usual time to read a token) takes most of the tightest pause. Ruled out: a smaller ratio, which would move classes with short prompts of the other sites too (their ratios are 1.5 and 1.67, their prompts take 0.2 to 0.4 of the pause). The test of engines that are slow among their like had prompts that were read in 20 ms, which are not kept apart any more; they take 120 ms now, and what it demands is unchanged.

--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -2,8 +2,8 @@
 //! others and keeps what it read.
 //!
 //! While an engine reads a long prompt, every stream beside it gets its tokens late. So requests
-//! are told apart by the pause between events that they bear: *patient* ones, which bear at least
-//! twice the tightest target of all classes, and *pressing* ones. Patient requests gather on some
+//! are told apart: *patient* ones, whose prompts delay the streams with the tightest pauses too long
+//! and which bear longer pauses themselves, and *pressing* ones. Patient requests gather on some
 //! engines and pressing ones on the others; how many engines are on either side follows from the
 //! waits. A part of a prompt that one engine keeps draws the requests that share it there, because
 //! reading it again elsewhere is work for nothing. Where the wait there is long, another engine takes
@@ -19,7 +19,7 @@
 };
 
 /// Time to read a token before one was seen, in microseconds.
-const READ_UNKNOWN: f64 = 20.0;
+pub(crate) const READ_UNKNOWN: f64 = 20.0;
 /// Weight of a new sample in the mean time to read a token.
 const SMOOTHING: f64 = 0.15;
 /// A prompt with fewer tokens to read says little about the time to read one.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -14,7 +14,8 @@
 use slab::Slab;
 
 use crate::{
-    ask::{Entry, Id, Key, Running, State, Waiting},
+    ask::{Ask, Entry, Id, Key, Running, State, Waiting},
+    engine::READ_UNKNOWN,
     event::Event,
     length::Estimate,
     order::Order,
@@ -37,6 +38,21 @@
 /// Entries report on running attempts more often than this; an attempt not heard of is gone.
 const SILENCE: Micros = 5 * SECOND;
 
+/// A prompt delays the streams beside it too long if reading all of it takes more than this part of
+/// the tightest pause. A stream's own steps take up the rest of the pause.
+const DELAYING: f64 = 0.6;
+/// Weight of a new sample in the mean length of a class's prompts.
+const PROMPT_SMOOTHING: f64 = 0.05;
+
+/// How a class was asked for.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    /// When it was last.
+    at: Micros,
+    /// Mean length of its prompts in tokens.
+    prompt: f64,
+}
+
 /// One pool as its dispatcher sees it.
 #[derive(Debug)]
 pub struct Pool {
@@ -60,8 +76,8 @@
     credit: Vec<f64>,
     /// All grants.
     grants: u64,
-    /// When each class was last asked for.
-    asked: HashMap<ClassKey, Micros>,
+    /// What was asked for lately, by class.
+    asked: HashMap<ClassKey, Asked>,
     /// The engines on either side.
     border: Border,
     /// Mean time that an attempt holds its place, in microseconds.
@@ -264,7 +280,7 @@
 
     /// The classes that were asked for lately.
     fn asked_lately(&self, now: Micros) -> impl Iterator<Item = ClassKey> {
-        let lately = self.asked.iter().filter(move |(_, at)| now < **at + ASKED_LATELY);
+        let lately = self.asked.iter().filter(move |(_, asked)| now < asked.at + ASKED_LATELY);
         lately.map(|(class, _)| *class)
     }
 
@@ -273,13 +289,25 @@
         if self.patient(now, class) { Kind::Patient } else { Kind::Pressing }
     }
 
-    /// Whether a class bears at least twice the tightest pause between events of the classes asked
-    /// for lately: classes of other pools and of routes that nobody uses do not count.
+    /// Whether a class is kept apart from the one with the tightest pauses between events: it bears
+    /// longer ones itself, and its prompts delay the streams beside them too long. Of the classes
+    /// asked for lately: classes of other pools and of routes that nobody uses do not count.
     fn patient(&self, now: Micros, key: ClassKey) -> bool {
         let gaps = self.asked_lately(now).map(|class| self.policy.class(class).token_gap);
-        let tightest = gaps.filter(|gap| *gap > 0).min();
-        let own = self.policy.class(key).token_gap;
-        tightest.is_some_and(|tightest| own >= 2 * tightest)
+        let Some(tightest) = gaps.filter(|gap| *gap > 0).min() else {
+            return false;
+        };
+        let prompt = self.asked.get(&key).map_or(0.0, |asked| asked.prompt);
+        let delay = prompt * self.usual_read().unwrap_or(READ_UNKNOWN);
+        self.policy.class(key).token_gap > tightest && delay > tightest as f64 * DELAYING
+    }
+
+    /// Learns from a request of a class.
+    fn note_asked(&mut self, now: Micros, ask: &Ask) {
+        let prompt = f64::from(ask.prompt);
+        let asked = self.asked.entry(ask.class).or_insert(Asked { at: now, prompt });
+        asked.at = now;
+        asked.prompt += (prompt - asked.prompt) * PROMPT_SMOOTHING;
     }
 
     /// Time until a place is free for the request behind `ahead` others.
--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -49,7 +49,7 @@
     }
 
     fn enqueue(&mut self, now: Micros, ask: Ask) {
-        self.asked.insert(ask.class, now);
+        self.note_asked(now, &ask);
         let class = self.policy.class(ask.class);
         let deadline = if self.policy.switches.deadlines {
             ask.arrived + class.first_token
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -322,7 +322,7 @@
     }
 
     /// The median of the engines' shortest times to read a token.
-    fn usual_read(&self) -> Option<f64> {
+    pub(super) fn usual_read(&self) -> Option<f64> {
         let seen = self.servers().filter_map(|(_, server)| server.engine().fastest());
         let mut seen: Vec<f64> = seen.collect();
         seen.sort_by(f64::total_cmp);
--- a/crates/drumusher-schedule/tests/schedule/sides.rs
+++ b/crates/drumusher-schedule/tests/schedule/sides.rs
@@ -4,7 +4,7 @@
 
 use drumusher_schedule::{
     ask::{Ask, Outcome, Part},
-    event::Event,
+    event::{Event, Progress},
     policy::Policy,
     server::{Health, Key, Options},
     time::{MILLISECOND, Micros},
@@ -16,6 +16,8 @@
 const ENGINES: u16 = 8;
 /// Tokens of a prompt.
 const PROMPT: u32 = 5_000;
+/// Time to read one: too long for the pressing streams beside it.
+const READING: Micros = 120 * MILLISECOND;
 /// What the classes bear between two events.
 const PRESSING_GAP: Micros = 150 * MILLISECOND;
 const PATIENT_GAP: Micros = 600 * MILLISECOND;
@@ -29,7 +31,11 @@
 
 /// A pool whose engines have an order, by which they are divided.
 fn divided_bench() -> Bench {
-    let mut bench = Bench::new(divided(), ENGINES, 16);
+    divided_bench_of(divided())
+}
+
+fn divided_bench_of(policy: Policy) -> Bench {
+    let mut bench = Bench::new(policy, ENGINES, 16);
     for key in 0..ENGINES {
         let options = Options { slots: 16, first_slots: 16, rank: u64::from(key), learned: true };
         bench.tell(Event::Server(Key(key), options));
@@ -68,7 +74,14 @@
         for report in 1..8 {
             bench.pass(100 * MILLISECOND);
             for (id, server, patient) in &grants {
-                bench.progress(*id, report, gap(*patient, *server));
+                let first_token = (report == 1).then_some(READING);
+                let gap = gap(*patient, *server);
+                bench.tell(Event::Progress(Progress {
+                    id: *id,
+                    produced: report,
+                    first_token,
+                    gap,
+                }));
             }
             let servers = bench.pool.servers();
             let slow = servers.filter(|(_, s)| matches!(s.health(), Health::Slow(_)));
@@ -91,6 +104,31 @@
     assert_eq!(seen.slow, BTreeSet::new());
 }
 
+/// Classes are kept apart if the prompts of one delay the streams of the other too long, and only
+/// then: whatever their targets are to each other.
+#[rstest]
+#[case::long_prompts(PROMPT, 225 * MILLISECOND, true)]
+#[case::short_prompts(500, 225 * MILLISECOND, false)]
+#[case::long_prompts_of_equal_pauses(PROMPT, PRESSING_GAP, false)]
+fn classes_are_kept_apart_by_the_harm(
+    #[case] tokens: u32,
+    #[case] bulk_gap: Micros,
+    #[case] apart: bool,
+) {
+    let mut policy = divided();
+    policy.classes[usize::from(BULK)].token_gap = bulk_gap;
+    let mut bench = divided_bench_of(policy);
+    for id in 0..40 {
+        let (class, tokens) = if id % 2 == 0 { (URGENT, 100) } else { (BULK, tokens) };
+        let parts = vec![Part { id: id as u64, tokens }];
+        let now = bench.now;
+        bench.ask(Ask { prompt: tokens, parts, ..ask(id, class, now) });
+        bench.pass(50 * MILLISECOND);
+    }
+    let patient = bench.pool.each_running().filter(|running| running.patient).count();
+    assert_eq!(patient > 0, apart);
+}
+
 /// An engine that is slow among its like is found on either side.
 #[rstest]
 #[case::pressing(false, 160 * MILLISECOND)]
