feat: patience with a silent engine follows what is expected of it

Cause: a stream that may be resumed left an engine after twice its target without an event. Change: a grant tells how long the first event is expected to take (what the engine has to read, and this prompt), and twice that is added to the patience. Grants are one type on the way from the wire to the request. A request's line tells its source, the expected time and what came. Test: routes::streams::a_server_that_reads_a_long_prompt_is_not_left.

--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -323,7 +323,8 @@
             output: None,
             parts: None,
         };
-        let grant = peer::Grant::new(id.clone(), "suva-hall-engine-1234".to_string(), 180, 0, None);
+        let grant =
+            peer::Grant::new(id.clone(), "suva-hall-engine-1234".to_string(), 180, 0, None, None);
         let finish = peer::Finish::new(id.clone(), pool.clone(), 0, 210, None, Some(9_000));
         let report = peer::Progress::new(id.clone(), 210, None, Some(9_000));
         let one = length(Message::Progress(peer::ProgressBatch::new(pool.clone(), vec![report])));
--- a/crates/drumusher-bench/src/policy/baseline.rs
+++ b/crates/drumusher-bench/src/policy/baseline.rs
@@ -49,6 +49,7 @@
                 entry: ask.entry,
                 server,
                 source: None,
+                expected: 0,
                 choice,
                 waited: 0,
             });
@@ -122,7 +123,15 @@
                     return;
                 };
                 let (id, entry, choice) = (ask.id, ask.entry, Choice::LeastLoaded);
-                orders.push(Order::Grant { id, entry, server, source: None, choice, waited: 0 });
+                orders.push(Order::Grant {
+                    id,
+                    entry,
+                    server,
+                    source: None,
+                    expected: 0,
+                    choice,
+                    waited: 0,
+                });
             }
             Event::Server(key, _) => {
                 self.reported.insert(key, 0);
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -54,6 +54,8 @@
         server: server::Key,
         /// The engine from which it takes over what that one keeps of the prompt.
         source: Option<server::Key>,
+        /// How long its first event is expected to take from now on; 0 if nothing is known.
+        expected: Micros,
         /// Why there.
         choice: Choice,
         /// How long it waited at this dispatcher.
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -36,6 +36,8 @@
     reading: Reading,
     /// The engine from which it takes over what that one keeps.
     source: Option<server::Key>,
+    /// How long its first event is expected to take; 0 if nothing is known.
+    expected: Micros,
 }
 
 /// Which backend servers come into question.
@@ -178,7 +180,8 @@
             return false;
         };
         let ask = waiting.ask.clone();
-        let Some(Place { server, reading, source }) = self.choose(now, &ask, scope) else {
+        let Some(Place { server, reading, source, expected }) = self.choose(now, &ask, scope)
+        else {
             return false;
         };
         let Some(waiting) = self.remove_waiting(key) else {
@@ -190,6 +193,7 @@
             entry: waiting.ask.entry,
             server,
             source,
+            expected,
             choice,
             waited: now.saturating_sub(waiting.since),
         });
@@ -249,7 +253,8 @@
                 best = Some((avoided, cost, key));
             }
         }
-        best.map(|(_, _, server)| Place { server, reading: Reading::default(), source: None })
+        let (_, _, server) = best?;
+        Some(Place { server, reading: Reading::default(), source: None, expected: 0 })
     }
 
     /// The engine in scope on which the request costs least, another than the one to avoid if there
@@ -283,7 +288,9 @@
         }
         let (_, _, server, reading) = best?;
         let source = source.filter(|_| reading.moved > 0).map(|(_, key)| key);
-        Some(Place { server, reading, source })
+        let engine = self.servers[usize::from(server.0)].as_ref()?.engine();
+        let expected = engine.wait(now) + engine.reading_time(reading) as Micros;
+        Some(Place { server, reading, source, expected })
     }
 
     /// The engine from which most of a prompt can be taken over, another than the one to avoid, with
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -93,6 +93,8 @@
   4: required i16 choice
   /* the backend server from which what it keeps of the prompt is taken over */
   5: optional string source
+  /* how long the first event is expected to take */
+  6: optional i64 expected
 }
 
 struct Refuse {
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -977,16 +977,18 @@
   pub waited: i64,
   pub choice: i16,
   pub source: Option<String>,
+  pub expected: Option<i64>,
 }
 
 impl Grant {
-  pub fn new<F5>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5) -> Grant where F5: Into<Option<String>> {
+  pub fn new<F5, F6>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>> {
     Grant {
       id,
       server,
       waited,
       choice,
       source: source.into(),
+      expected: expected.into(),
     }
   }
 }
@@ -999,6 +1001,7 @@
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<i16> = None;
     let mut f_5: Option<String> = None;
+    let mut f_6: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1026,6 +1029,10 @@
           let val = i_prot.read_string()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_i64()?;
+          f_6 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1043,6 +1050,7 @@
       waited: f_3.expect("auto-generated code should have checked for presence of required fields"),
       choice: f_4.expect("auto-generated code should have checked for presence of required fields"),
       source: f_5,
+      expected: f_6,
     };
     Ok(ret)
   }
@@ -1066,6 +1074,11 @@
       o_prot.write_string(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.expected {
+      o_prot.write_field_begin(&TFieldIdentifier::new("expected", TType::I64, 6))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -51,7 +51,8 @@
 #[test]
 fn a_grant_takes_at_most_200_bytes() {
     let longest_name = "nausori-hall-engine-4800".to_string();
-    let grant = Grant::new(vec![255; 16], longest_name.clone(), i64::MAX, i16::MAX, longest_name);
+    let grant =
+        Grant::new(vec![255; 16], longest_name.clone(), i64::MAX, i16::MAX, longest_name, i64::MAX);
     let mut buffer = Vec::new();
     frame::write(&Message::Grant(grant), &mut buffer).expect("the message fits");
     assert!(buffer.len() <= 200, "{} bytes", buffer.len());
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -41,18 +41,24 @@
     pub gap: u64,
 }
 
+/// Where a request is to run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Grant {
+    /// The backend server.
+    pub server: Arc<str>,
+    /// The backend server from which that one takes over what is kept there of the prompt.
+    pub source: Option<Arc<str>>,
+    /// Microseconds that the first event is expected to take; 0 if nothing is known.
+    pub expected: u64,
+    /// The dispatcher that granted it.
+    pub dispatcher: Arc<str>,
+}
+
 /// What a request is told.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Reply {
-    /// Run on this backend server.
-    Grant {
-        /// Its name.
-        server: Arc<str>,
-        /// The backend server from which it takes over what that one keeps of the prompt.
-        source: Option<Arc<str>>,
-        /// The dispatcher that granted it.
-        dispatcher: Arc<str>,
-    },
+    /// Run on a backend server.
+    Grant(Grant),
     /// Refused: number of the reason as on the wire, and microseconds until to come back.
     Refuse(i16, u64),
     /// Stop the attempt and ask again.
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -8,7 +8,7 @@
 use drumusher_schedule::ask::{Id, Part};
 use drumusher_wire::peer::{self, Message};
 
-use super::{CANCELLED, Input, Own, Reply, Report, Send, View};
+use super::{CANCELLED, Grant, Input, Own, Reply, Report, Send, View};
 use crate::{
     process::clock,
     request::id,
@@ -239,8 +239,12 @@
         held.server = Some(server.clone());
         held.owed = None;
         held.reported = clock::now();
-        let source = grant.source.as_deref().map(Arc::from);
-        let reply = Reply::Grant { server, source, dispatcher: from.clone() };
+        let reply = Reply::Grant(Grant {
+            server,
+            source: grant.source.as_deref().map(Arc::from),
+            expected: grant.expected.unwrap_or(0).max(0) as u64,
+            dispatcher: from.clone(),
+        });
         if held.own.replies.try_send(reply).is_err() {
             self.finish(id, CANCELLED, 0, sends);
         }
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -74,12 +74,21 @@
 /// An order as a message, with the reason in words.
 pub(super) fn order(order: &Order, names: &[Arc<str>]) -> (Entry, Id, Message, String) {
     match *order {
-        Order::Grant { id, entry, server, source, choice, waited } => {
+        Order::Grant { id, entry, server, source, expected, choice, waited } => {
             let name = names[usize::from(server.0)].to_string();
             let source = source.map(|source| names[usize::from(source.0)].to_string());
-            let why = format!("granted {name} after {waited} µs ({choice:?}, source {source:?})");
-            let id_bytes = id::to_wire(id);
-            let grant = peer::Grant::new(id_bytes, name, waited as i64, choice as i16, source);
+            let why = format!(
+                "granted {name} after {waited} µs ({choice:?}, source {source:?}, first event \
+                 expected in {expected} µs)"
+            );
+            let grant = peer::Grant {
+                id: id::to_wire(id),
+                server: name,
+                waited: waited as i64,
+                choice: choice as i16,
+                source,
+                expected: (expected > 0).then_some(expected as i64),
+            };
             (entry, id, Message::Grant(grant), why)
         }
         Order::Refuse { id, entry, refusal, retry_after } => {
--- a/crates/drumusher/src/request/flow.rs
+++ b/crates/drumusher/src/request/flow.rs
@@ -17,7 +17,7 @@
     error::{Error, Kind, Ran},
     process::{
         Shared,
-        broker::{CANCELLED, Input, Own, Reply, Report},
+        broker::{CANCELLED, Grant, Input, Own, Reply, Report},
         clock,
     },
     version::{Backend, Pool},
@@ -126,7 +126,7 @@
             self.ask(zone);
             let reply = self.wait().await;
             match reply {
-                Some((Reply::Grant { server, dispatcher, .. }, at)) => {
+                Some((Reply::Grant(Grant { server, dispatcher, .. }), at)) => {
                     span.note("drumusher.dispatcher", dispatcher.to_string());
                     span.note("drumusher.server", server.to_string());
                     span.end();
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -38,7 +38,7 @@
 };
 use crate::{
     error::{Error, Kind as ErrorKind},
-    process::clock,
+    process::{broker::Grant, clock},
     request::{hold::Hold, id},
     upstream::{self, Conn},
     version::{Backend, Pool},
@@ -54,6 +54,9 @@
 /// A repeatable request whose backend server says nothing for so many times its target goes to
 /// another one, but not before [`SILENT_LEAST`].
 const SILENT_TARGETS: u64 = 2;
+/// What its dispatcher expects the first event to take counts so many times on top: elsewhere, the
+/// prompt would be read again behind as many others.
+const SILENT_EXPECTED: u64 = 2;
 /// See [`SILENT_TARGETS`].
 const SILENT_LEAST: Micros = 400 * MILLISECOND;
 /// When a caller whose request did not run is to come back, in milliseconds, where nothing better
@@ -79,6 +82,8 @@
     source: Option<Backend>,
     /// Whether an attempt with a source failed.
     source_failed: bool,
+    /// How long the first event of the latest attempt is expected to take; 0 if nothing is known.
+    expected: Micros,
     /// The instance that granted the latest attempt.
     dispatcher: Option<Arc<str>>,
     unconnected: u32,
@@ -117,6 +122,7 @@
             avoid: None,
             source: None,
             source_failed: false,
+            expected: 0,
             dispatcher: None,
             unconnected: 0,
             may_have_run: false,
@@ -164,8 +170,9 @@
     pub async fn granted(&mut self) -> Result<Backend, Error> {
         for _ in 0..MOST_UNUSABLE {
             match self.ticket.decide(self.avoid.clone(), self.due).await {
-                Decision::Run { server, source, dispatcher } => {
+                Decision::Run(Grant { server, source, expected, dispatcher }) => {
                     self.source = self.source_of(source);
+                    self.expected = expected;
                     if let Some(backend) = self.usable(&server) {
                         log::debug!(
                             request = self.request.head.id.as_str(), server = &*server,
@@ -272,7 +279,7 @@
             return self.due;
         }
         let patience = (found.first_ms * MILLISECOND * SILENT_TARGETS).max(SILENT_LEAST);
-        self.due.min(began + patience)
+        self.due.min(began + patience + self.expected * SILENT_EXPECTED)
     }
 
     /// Keeps the connection of a whole answer for other requests.
--- a/crates/drumusher/src/routed/exchange/pace.rs
+++ b/crates/drumusher/src/routed/exchange/pace.rs
@@ -5,6 +5,8 @@
 /// What a caller saw of a stream, for its log line.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Pace {
+    /// From handing the request over for the latest attempt to that attempt's first event.
+    pub handed: Option<Micros>,
     /// From the arrival to the first event.
     pub first: Option<Micros>,
     /// The longest pause between two events.
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -109,6 +109,7 @@
             self.take(exchange, piece)?;
         }
         let first = clock::now() - self.began;
+        exchange.pace.handed = Some(first);
         exchange.ticket.report(self.events, Some(first), 0);
         self.reported = clock::now();
         self.reported_events = self.events;
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -11,7 +11,7 @@
 use crate::{
     process::{
         Shared,
-        broker::{CANCELLED, Input, Own, Reply, Report},
+        broker::{CANCELLED, Grant, Input, Own, Reply, Report},
         clock,
     },
     version::Pool,
@@ -44,15 +44,8 @@
 /// What the dispatcher decided.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
-    /// Run on this backend server.
-    Run {
-        /// Its name.
-        server: Arc<str>,
-        /// The backend server from which it takes over what that one keeps of the prompt.
-        source: Option<Arc<str>>,
-        /// The instance that decided.
-        dispatcher: Arc<str>,
-    },
+    /// Run on a backend server.
+    Run(Grant),
     /// Refused: number of the reason as on the wire, and when to come back.
     Refused(i16, Micros),
     /// Nothing was decided in time.
@@ -87,9 +80,7 @@
             let left = until.saturating_sub(clock::now()) / MILLISECOND;
             let reply = timeout(Millis(left.max(1) as u32), self.replies.recv()).await;
             match reply {
-                Ok(Ok(Reply::Grant { server, source, dispatcher })) => {
-                    return Decision::Run { server, source, dispatcher };
-                }
+                Ok(Ok(Reply::Grant(grant))) => return Decision::Run(grant),
                 Ok(Ok(Reply::Refuse(refusal, retry_after))) => {
                     self.open = false;
                     return Decision::Refused(refusal, retry_after);
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -75,6 +75,23 @@
     }
 }
 
+/// One that has a long prompt to read is given the time that its dispatcher expects it to take.
+#[test]
+fn a_server_that_reads_a_long_prompt_is_not_left() {
+    let deployment = Deployment::new(1);
+    for id in ["m1", "m2"] {
+        deployment.server(id).set(Fault::Slow);
+    }
+    let call = Call::post("/talk/", "x")
+        .without("Drumusher-Token-Usage")
+        .without("Drumusher-Prompt-Prefix")
+        .with("Drumusher-Token-Usage", "200000,60")
+        .with("Drumusher-Prompt-Prefix", "a7:200000");
+    let answer = deployment.call(0, &call).expect("an answer");
+    assert_eq!((answer.status, answer.text()), (200, events(&call.id)));
+    assert_eq!(deployment.runs(&call.id), 1, "twice the target passed, but not what is expected");
+}
+
 /// A caller that resumes a stream by itself gets the rest only.
 #[test]
 fn a_caller_may_resume_by_itself() {
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -69,7 +69,7 @@
 
 fn grant(table: &mut Table, from: &Arc<str>, id: u128) -> Vec<Send> {
     let mut sends = Vec::new();
-    let grant = peer::Grant::new(id::to_wire(id), "engine-1".to_string(), 0, 0, None);
+    let grant = peer::Grant::new(id::to_wire(id), "engine-1".to_string(), 0, 0, None, None);
     table.answer(from, Message::Grant(grant), &mut sends);
     sends
 }
@@ -98,7 +98,7 @@
     let (sends, replies) = open(&mut table, 1);
     let (first, _) = asked(&sends).expect("it is asked");
     grant(&mut table, &first, 1);
-    assert!(matches!(replies.try_recv(), Ok(Reply::Grant { .. })));
+    assert!(matches!(replies.try_recv(), Ok(Reply::Grant(_))));
     table.take(Input::Progress(1, Report { produced: 7, ..Report::default() }), &mut Vec::new());
     let mut sends = Vec::new();
     table.reachable(&first, false, &mut sends);
