fix: engines that read long prompts are not taken for slow within their target

Cause: in a burst, engines of the patient side were slow and good again up to eight times a second: the pauses of their streams (165 ms and more, three steps beside reading) passed half of their target (150 ms) and 2.5 times the median, which was that of engines between two prompts. A slow engine gets one probe a second, so that the others had to read its share too. Change: for patient streams the whole target is no reason to call an engine slow; for pressing ones it stays half. Test: schedule::sides::a_patient_engine_within_the_targets_is_not_slow.

--- a/crates/drumusher-schedule/src/pool/health.rs
+++ b/crates/drumusher-schedule/src/pool/health.rs
@@ -9,8 +9,12 @@
     time::Micros,
 };
 
-/// A mean pause up to this part of the target of its kind is not slow, whatever others need.
-const BORNE: f64 = 0.5;
+/// A mean pause up to this part of the target of pressing streams is not slow, whatever others need.
+const BORNE_PRESSING: f64 = 0.5;
+/// The same for patient streams: the long prompts beside them make pauses differ between engines
+/// that are equally fast. With half of the target, engines were taken for slow and good again several
+/// times a second while a burst of long prompts lasted, and the others had to read theirs too.
+const BORNE_PATIENT: f64 = 1.0;
 
 impl Pool {
     /// Finds backend servers much slower than the pool's median and moves their repeatable attempts
@@ -42,7 +46,11 @@
         let of_kind = self.asked_lately(now).filter(|class| self.kind(now, *class) == kind);
         let targets = of_kind.map(|class| self.policy.class(class).token_gap);
         let target = targets.filter(|gap| *gap > 0).min().unwrap_or(0);
-        Some(Usual { median, borne: target as f64 * BORNE })
+        let borne = match kind {
+            Kind::Pressing => BORNE_PRESSING,
+            Kind::Patient => BORNE_PATIENT,
+        };
+        Some(Usual { median, borne: target as f64 * borne })
     }
 
     /// Orders the repeatable attempts on a backend server stopped, as many as have room elsewhere.
--- a/crates/drumusher-schedule/tests/schedule/sides.rs
+++ b/crates/drumusher-schedule/tests/schedule/sides.rs
@@ -129,6 +129,21 @@
     assert_eq!(patient > 0, apart);
 }
 
+/// An engine whose streams are within their targets is not slow, whatever the others need: it has
+/// more to read.
+#[test]
+fn a_patient_engine_within_the_targets_is_not_slow() {
+    let (patient, pause) = (true, 550 * MILLISECOND);
+    let mut bench = divided_bench();
+    let usual = |patient| if patient { 100 * MILLISECOND } else { 30 * MILLISECOND };
+    let seen = run(&mut bench, 0, |patient, _| usual(patient));
+    let streams = |server: &u16| seen.streams.get(&(patient, *server)).copied();
+    let busiest = (0..ENGINES).max_by_key(streams).expect("there are engines");
+    let of = |p: bool, server| if server == busiest && p == patient { pause } else { usual(p) };
+    let seen = run(&mut bench, 100, of);
+    assert_eq!(seen.slow, BTreeSet::new());
+}
+
 /// An engine that is slow among its like is found on either side.
 #[rstest]
 #[case::pressing(false, 160 * MILLISECOND)]
