feat: a prompt that is read soon does no harm beside pressing streams

What a letter does to the streams beside it was taken from its whole prompt and in proportion, although 70 ms of reading fit into a pause of 200 ms. Change: a patient prompt counts as harm beside pressing streams only if what an engine has to read with it takes more than a part of the tightest pause, and by what is to be read, not by what is kept. Test: schedule::engine::a_prompt_that_is_read_soon_does_no_harm.

--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -41,6 +41,9 @@
 /// What reading a shared token again counts, in microseconds of waiting: much more than the time
 /// it takes, because users count it as waste whether or not somebody waits.
 const AGAIN: f64 = 400.0;
+/// A prompt delays the streams beside it too long if reading all of it takes more than this part of
+/// the tightest pause. A stream's own steps take up the rest of the pause.
+pub(crate) const DELAYING: f64 = 0.6;
 /// What each pressing stream beside it counts for a patient request, in times that its prompt takes
 /// to read: the longer the prompt, the longer their tokens come late.
 const BESIDE_PRESSING: f64 = 2.0;
@@ -69,6 +72,8 @@
     pub prompt: u32,
     /// Whether it bears long pauses between events.
     pub patient: bool,
+    /// The tightest pause between events that the classes in use bear.
+    pub tightest: Micros,
 }
 
 /// How an engine comes by the tokens of a prompt that it does not keep.
@@ -230,7 +235,7 @@
         let moved = f64::from(reading.moved) * self.moving * (MOVE_COUNTS - 1.0);
         let beside = f64::from(self.running) * BESIDE;
         let apart = if work.patient {
-            f64::from(self.pressing) * f64::from(work.prompt) * self.read * BESIDE_PRESSING
+            self.harm(waiting, work, reading)
         } else {
             self.patient_level(now) * if own_side { 0.0 } else { BESIDE_PATIENT }
         };
@@ -238,6 +243,15 @@
         waiting + again + moved + beside + apart + side
     }
 
+    /// What a patient prompt does to the pressing streams beside it: nothing if it and those before
+    /// it are read within a part of the pause that they bear.
+    fn harm(&self, waiting: f64, work: &Work<'_>, reading: Reading) -> f64 {
+        if waiting <= work.tightest as f64 * DELAYING {
+            return 0.0;
+        }
+        f64::from(self.pressing) * self.reading_time(reading) * BESIDE_PRESSING
+    }
+
     fn patient_level(&self, now: Micros) -> f64 {
         let age = now.saturating_sub(self.patient_at) as f64;
         self.patient * (-age / PATIENT_MEMORY).exp()
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     ask::{Ask, Entry, Id, Key, Running, State, Waiting},
-    engine::READ_UNKNOWN,
+    engine::{DELAYING, READ_UNKNOWN},
     event::Event,
     length::Estimate,
     order::Order,
@@ -38,9 +38,6 @@
 /// Entries report on running attempts more often than this; an attempt not heard of is gone.
 const SILENCE: Micros = 5 * SECOND;
 
-/// A prompt delays the streams beside it too long if reading all of it takes more than this part of
-/// the tightest pause. A stream's own steps take up the rest of the pause.
-const DELAYING: f64 = 0.6;
 /// Weight of a new sample in the mean length of a class's prompts.
 const PROMPT_SMOOTHING: f64 = 0.05;
 
@@ -293,8 +290,7 @@
     /// longer ones itself, and its prompts delay the streams beside them too long. Of the classes
     /// asked for lately: classes of other pools and of routes that nobody uses do not count.
     fn patient(&self, now: Micros, key: ClassKey) -> bool {
-        let gaps = self.asked_lately(now).map(|class| self.policy.class(class).token_gap);
-        let Some(tightest) = gaps.filter(|gap| *gap > 0).min() else {
+        let Some(tightest) = self.tightest_pause(now) else {
             return false;
         };
         let prompt = self.asked.get(&key).map_or(0.0, |asked| asked.prompt);
@@ -302,6 +298,12 @@
         self.policy.class(key).token_gap > tightest && delay > tightest as f64 * DELAYING
     }
 
+    /// The tightest pause between events that the classes asked for lately bear.
+    fn tightest_pause(&self, now: Micros) -> Option<Micros> {
+        let gaps = self.asked_lately(now).map(|class| self.policy.class(class).token_gap);
+        gaps.filter(|gap| *gap > 0).min()
+    }
+
     /// Learns from a request of a class.
     fn note_asked(&mut self, now: Micros, ask: &Ask) {
         let prompt = f64::from(ask.prompt);
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -260,8 +260,7 @@
     /// The engine in scope on which the request costs least, another than the one to avoid if there
     /// is one.
     fn place(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Place> {
-        let work =
-            Work { parts: &ask.parts, prompt: ask.prompt, patient: self.patient(now, ask.class) };
+        let work = self.work(now, ask);
         let again = self.kept_somewhere(&work);
         let source = self.source(&work, ask.avoid);
         let offered = source.map_or(0, |(tokens, _)| tokens);
@@ -293,6 +292,15 @@
         Some(Place { server, reading, source, expected })
     }
 
+    fn work<'a>(&self, now: Micros, ask: &'a Ask) -> Work<'a> {
+        Work {
+            parts: &ask.parts,
+            prompt: ask.prompt,
+            patient: self.patient(now, ask.class),
+            tightest: self.tightest_pause(now).unwrap_or(0),
+        }
+    }
+
     /// The engine from which most of a prompt can be taken over, another than the one to avoid, with
     /// the tokens of that; of equal ones that which used them last.
     fn source(&self, work: &Work<'_>, avoid: Option<server::Key>) -> Option<(u32, server::Key)> {
@@ -374,7 +382,7 @@
         let patient = self.patient(now, ask.class);
         if let Some(server) = self.server(server) {
             server.start(now, ask.prefix);
-            let work = Work { parts: &ask.parts, prompt: ask.prompt, patient };
+            let work = Work { parts: &ask.parts, prompt: ask.prompt, patient, tightest: 0 };
             let time = f64::from(reading.tokens) * server.engine().read_time();
             server.engine_mut().start(now, ask.id, &work, reading);
             self.border.note(now, patient, time);
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -38,7 +38,7 @@
 
     /// How an engine comes by a prompt of which nothing is taken over.
     fn reading_at(&mut self, ask: &Ask, server: server::Key) -> Reading {
-        let work = Work { parts: &ask.parts, prompt: ask.prompt, patient: false };
+        let work = Work { parts: &ask.parts, prompt: ask.prompt, patient: false, tightest: 0 };
         self.server(server)
             .map_or_else(Reading::default, |server| server.engine().reading(&work, 0, 0))
     }
--- a/crates/drumusher-schedule/tests/schedule/engine.rs
+++ b/crates/drumusher-schedule/tests/schedule/engine.rs
@@ -11,7 +11,7 @@
 const SHARED: [Part; 2] = [Part { id: 1, tokens: 500 }, Part { id: 2, tokens: 4_500 }];
 
 fn work(parts: &[Part], patient: bool) -> Work<'_> {
-    Work { parts, prompt: 6_000, patient }
+    Work { parts, prompt: 6_000, patient, tightest: 100 * MILLISECOND }
 }
 
 fn reading(engine: &Engine, work: &Work<'_>, kept_elsewhere: u32) -> Reading {
@@ -85,7 +85,7 @@
 fn patient_prompts_stay_away_from_pressing_streams() {
     let (mut pressing, free) = (Engine::new(), Engine::new());
     for id in 0..5 {
-        start(&mut pressing, SECOND, id, &Work { parts: &[], prompt: 100, patient: false });
+        start(&mut pressing, SECOND, id, &Work { parts: &[], prompt: 100, ..work(&[], false) });
         pressing.first_event(id, MILLISECOND);
     }
     let asked = work(&[], true);
@@ -97,6 +97,23 @@
     assert!((cost(&free) - cost(&pressing)).abs() < 1.0);
 }
 
+#[test]
+fn a_prompt_that_is_read_soon_does_no_harm() {
+    let (mut pressing, free) = (Engine::new(), Engine::new());
+    for id in 0..5 {
+        start(&mut pressing, SECOND, id, &Work { prompt: 100, ..work(&[], false) });
+        pressing.first_event(id, MILLISECOND);
+    }
+    let more = |prompt| {
+        let asked = Work { prompt, ..work(&[], true) };
+        let cost = |engine: &Engine| engine.cost(SECOND, &asked, reading(engine, &asked, 0), true);
+        cost(&pressing) - cost(&free)
+    };
+    let beside = 5.0 * MILLISECOND as f64;
+    assert!((more(2_500) - beside).abs() < 1.0, "50 of 100 ms");
+    assert!(more(3_500) > beside + 5.0 * 70.0 * MILLISECOND as f64, "70 of 100 ms");
+}
+
 #[test]
 fn the_border_follows_the_demand() {
     let mut border = Border::new();
