feat: streams that may not be resumed stay in their zone, and each zone has both kinds of engines

Cause: a cut between zones breaks the streams that cross it. Change: an ask tells its entry's zone; for a stream that may not go on elsewhere another zone counts a quarter of the class's target for its first event.

--- a/crates/drumusher-bench/src/policy/simulation.rs
+++ b/crates/drumusher-bench/src/policy/simulation.rs
@@ -291,6 +291,7 @@
             entry: Entry(request.entry),
             class: request.class,
             workspace: request.workspace,
+            zone: None,
             arrived: request.arrives,
             prompt: request.prompt,
             prefix: request.prefix,
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -22,6 +22,11 @@
 /// token of its shared part, in microseconds of waiting: twice the time to read it.
 const ELSEWHERE: f64 = 40.0;
 
+/// What a stream that may not go on elsewhere counts in another availability zone, as a part of the
+/// target for its first event: a cut between zones breaks it off, and a wait that is short against
+/// the target harms nobody.
+const AWAY: f64 = 0.25;
+
 /// What failing all of its requests lately adds to the cost of a backend server, as a part of it: it
 /// loses to one that is as busy, and not to one that is half as busy again.
 const FAILING: f64 = 1.0;
@@ -264,13 +269,15 @@
         let again = self.kept_somewhere(&work);
         let source = self.source(&work, ask.avoid);
         let offered = source.map_or(0, |(tokens, _)| tokens);
-        let border = self.border_place(now);
-        let usual_read = self.usual_read();
-        let on_side = |server: &Server| {
-            border.is_none_or(|border| (side_place(server, usual_read) <= border) == work.patient)
+        let patient_side = self.patient_side(now);
+        let on_side = |key: server::Key| {
+            patient_side
+                .as_ref()
+                .is_none_or(|side| side.binary_search(&key).is_ok() == work.patient)
         };
         let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
-        let usual = if again == 0 { self.usual_engine(&work, on_side) } else { None };
+        let usual = if again == 0 { self.usual_engine(&work, &on_side) } else { None };
+        let away = self.policy.class(ask.class).first_token as f64 * AWAY;
         let mut best: Option<(bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
             if !fits(server, now, scope) {
@@ -280,7 +287,8 @@
             let avoided = ask.avoid == Some(key);
             let elsewhere = usual.is_some_and(|usual| usual != key);
             let strange = if elsewhere { shared * ELSEWHERE } else { 0.0 };
-            let cost = server.engine().cost(now, &work, reading, on_side(server)) + strange;
+            let away = if self.crosses_zones(ask, server) { away } else { 0.0 };
+            let cost = server.engine().cost(now, &work, reading, on_side(key)) + strange + away;
             if best.is_none_or(|(a, c, ..)| (avoided, cost) < (a, c)) {
                 best = Some((avoided, cost, key, reading));
             }
@@ -292,6 +300,13 @@
         Some(Place { server, reading, source, expected })
     }
 
+    /// Whether a stream that may not go on elsewhere would run in another availability zone than its
+    /// entry's.
+    fn crosses_zones(&self, ask: &Ask, server: &Server) -> bool {
+        let zones = ask.zone.zip(server.zone());
+        !ask.repeatable && zones.is_some_and(|(entry, server)| entry != server)
+    }
+
     fn work<'a>(&self, now: Micros, ask: &'a Ask) -> Work<'a> {
         Work {
             parts: &ask.parts,
@@ -316,24 +331,37 @@
     fn usual_engine(
         &self,
         work: &Work<'_>,
-        on_side: impl Fn(&Server) -> bool,
+        on_side: impl Fn(server::Key) -> bool,
     ) -> Option<server::Key> {
         let part = work.shared()?;
         let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
-        let engines = engines.filter(|(_, server)| on_side(server));
+        let engines = engines.filter(|(key, _)| on_side(*key));
         let weighed = engines.map(|(key, server)| (Engine::weight(part.id, server.rank()), key));
         weighed.max().map(|(_, key)| key)
     }
 
-    /// The place of the last engine on the patient side; `None` if there are no sides.
-    fn border_place(&mut self, now: Micros) -> Option<(bool, u64)> {
+    /// The engines on the patient side in the order of their keys; `None` if there are no sides.
+    ///
+    /// Slow ones are the first, because on them even a prompt of a pressing class delays the tokens of
+    /// others too long. Then availability zones take turns, so that each has engines on both sides.
+    fn patient_side(&mut self, now: Micros) -> Option<Vec<server::Key>> {
         let usual_read = self.usual_read();
         let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
-        let mut places: Vec<(bool, u64)> =
-            engines.map(|(_, server)| side_place(server, usual_read)).collect();
+        let mut engines: Vec<_> = engines
+            .map(|(key, server)| (server.zone(), !is_slow(server, usual_read), server.rank(), key))
+            .collect();
+        engines.sort_unstable();
+        let mut places: Vec<_> = engines
+            .chunk_by(|a, b| (a.0, a.1) == (b.0, b.1))
+            .flat_map(|zone| zone.iter().enumerate())
+            .map(|(turn, (_, fast, rank, key))| (*fast, turn, *rank, *key))
+            .collect();
         places.sort_unstable();
         let patient = self.border.patient(now, places.len());
-        patient.checked_sub(1).map(|last| places[last])
+        places.truncate(patient);
+        let mut side: Vec<server::Key> = places.into_iter().map(|(.., key)| key).collect();
+        side.sort_unstable();
+        (patient > 0).then_some(side)
     }
 
     /// The median of the engines' shortest times to read a token.
@@ -413,12 +441,10 @@
     }
 }
 
-/// An engine's place in the order that the border divides: slow ones first, because on them even a
-/// prompt of a pressing class delays the tokens of others too long.
-fn side_place(server: &Server, usual_read: Option<f64>) -> (bool, u64) {
+/// Whether an engine reads more slowly than is usual in its pool.
+fn is_slow(server: &Server, usual_read: Option<f64>) -> bool {
     let fastest = server.engine().fastest();
-    let slow = fastest.zip(usual_read).is_some_and(|(own, usual)| own > usual * SLOW_READ);
-    (!slow, server.rank())
+    fastest.zip(usual_read).is_some_and(|(own, usual)| own > usual * SLOW_READ)
 }
 
 fn fits(server: &Server, now: Micros, scope: Scope) -> bool {
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -9,6 +9,8 @@
 
 use std::collections::{HashMap, VecDeque};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use self::{
     pace::{ENOUGH_SAMPLES, Pace, mean},
     window::HISTORY,
@@ -24,6 +26,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(pub u16);
 
+/// An availability zone, by a hash of its name that all instances compute alike.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Zone(pub u64);
+
+impl Zone {
+    /// The zone of a name.
+    pub fn of(name: &str) -> Self {
+        Zone(xxh3_64(name.as_bytes()))
+    }
+}
+
 /// What is configured for a backend server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
@@ -35,11 +48,13 @@
     pub learned: bool,
     /// Its place in an order that all dispatchers of the pool share.
     pub rank: u64,
+    /// Its availability zone, if it is known.
+    pub zone: Option<Zone>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { slots: 64, first_slots: 16, learned: true, rank: 0 }
+        Options { slots: 64, first_slots: 16, learned: true, rank: 0, zone: None }
     }
 }
 
@@ -123,6 +138,11 @@
         self.options.rank
     }
 
+    /// Its availability zone, if it is known.
+    pub fn zone(&self) -> Option<Zone> {
+        self.options.zone
+    }
+
     /// Whether it is leaving.
     pub fn leaving(&self) -> bool {
         self.leaving
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -66,6 +66,8 @@
     pub name: Arc<str>,
     /// The area it belongs to.
     pub area: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
     /// `ip:port`.
     pub address: String,
     /// Most requests at once.
@@ -99,6 +101,7 @@
             let backend = Backend {
                 name: name.as_str().into(),
                 area: zone.as_str().into(),
+                zone: zone.as_str().into(),
                 address: address.clone(),
                 slots: engine.slots,
                 leaving: engine.drained,
@@ -122,6 +125,7 @@
             let backend = Backend {
                 name: server.id.as_str().into(),
                 area: area.clone(),
+                zone: server.availability_zone.as_str().into(),
                 address: server.address.to_string(),
                 slots: server.slots,
                 leaving: server.leaving,
@@ -147,6 +151,7 @@
             let backend = Backend {
                 name: name.clone(),
                 area: area.clone(),
+                zone: area.clone(),
                 address: member.address.clone(),
                 slots,
                 leaving: leaving || drained,
