feat: each mechanism of the decisions can be switched off by a checked setting

Cause: what a mechanism is worth could only be measured by changing the code. Change: [decisions] off = [names]; a name that is not known is a fault that tells all names. The switches are fields of the policy that the decisions read already; none costs the request path more than a branch. The decisions are unchanged with all of them on. Tests: unit::settings::mechanisms_are_switched_off_by_name, the_example_shows_the_defaults.

--- a/crates/drumusher-schedule/src/policy.rs
+++ b/crates/drumusher-schedule/src/policy.rs
@@ -105,6 +105,79 @@
     pub shedding: bool,
     /// The grants set apart for each class.
     pub floor: bool,
+    /// Parts of a prompt taken over from another engine.
+    pub sources: bool,
+    /// The border between patient and pressing requests.
+    pub sides: bool,
+    /// Patient prompts that are read soon do no harm beside pressing streams.
+    pub harm: bool,
+    /// Streams that may not be resumed stay in their availability zone.
+    pub zones: bool,
+    /// Entries are told how long a first event is expected to take.
+    pub expected: bool,
+    /// A prompt that no engine keeps goes to the engine that all dispatchers would choose.
+    pub usual_engine: bool,
+    /// Backend servers with long pauses are relieved.
+    pub slow: bool,
+    /// Backend servers that fail far more than the others are relieved.
+    pub outliers: bool,
+}
+
+/// There is no switch of this name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownSwitch;
+
+impl Switches {
+    /// The names of the switches, as operators write them.
+    pub const NAMES: [&str; 17] = [
+        "tiers",
+        "fairness",
+        "deadlines",
+        "preemption",
+        "learning",
+        "windows",
+        "affinity",
+        "shedding",
+        "floor",
+        "sources",
+        "sides",
+        "harm",
+        "zones",
+        "expected",
+        "usual_engine",
+        "slow",
+        "outliers",
+    ];
+
+    /// Switches a mechanism off.
+    ///
+    /// # Errors
+    ///
+    /// [`UnknownSwitch`] if no switch has the name.
+    pub fn turn_off(&mut self, name: &str) -> Result<(), UnknownSwitch> {
+        let switch = match name {
+            "tiers" => &mut self.tiers,
+            "fairness" => &mut self.fairness,
+            "deadlines" => &mut self.deadlines,
+            "preemption" => &mut self.preemption,
+            "learning" => &mut self.learning,
+            "windows" => &mut self.windows,
+            "affinity" => &mut self.affinity,
+            "shedding" => &mut self.shedding,
+            "floor" => &mut self.floor,
+            "sources" => &mut self.sources,
+            "sides" => &mut self.sides,
+            "harm" => &mut self.harm,
+            "zones" => &mut self.zones,
+            "expected" => &mut self.expected,
+            "usual_engine" => &mut self.usual_engine,
+            "slow" => &mut self.slow,
+            "outliers" => &mut self.outliers,
+            _ => return Err(UnknownSwitch),
+        };
+        *switch = false;
+        Ok(())
+    }
 }
 
 impl Default for Switches {
@@ -119,6 +192,14 @@
             affinity: true,
             shedding: true,
             floor: true,
+            sources: true,
+            sides: true,
+            harm: true,
+            zones: true,
+            expected: true,
+            usual_engine: true,
+            slow: true,
+            outliers: true,
         }
     }
 }
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -290,7 +290,7 @@
     /// longer ones itself, and its prompts delay the streams beside them too long. Of the classes
     /// asked for lately: classes of other pools and of routes that nobody uses do not count.
     fn patient(&self, now: Micros, key: ClassKey) -> bool {
-        let Some(tightest) = self.tightest_pause(now) else {
+        let Some(tightest) = self.tightest_pause(now).filter(|_| self.policy.switches.sides) else {
             return false;
         };
         let prompt = self.asked.get(&key).map_or(0.0, |asked| asked.prompt);
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -267,7 +267,7 @@
     fn place(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Place> {
         let work = self.work(now, ask);
         let again = self.kept_somewhere(&work);
-        let source = self.source(&work, ask.avoid);
+        let source = self.policy.switches.sources.then(|| self.source(&work, ask.avoid)).flatten();
         let offered = source.map_or(0, |(tokens, _)| tokens);
         let patient_side = self.patient_side(now);
         let on_side = |key: server::Key| {
@@ -276,7 +276,8 @@
                 .is_none_or(|side| side.binary_search(&key).is_ok() == work.patient)
         };
         let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
-        let usual = if again == 0 { self.usual_engine(&work, &on_side) } else { None };
+        let usual_engine = again == 0 && self.policy.switches.usual_engine;
+        let usual = if usual_engine { self.usual_engine(&work, &on_side) } else { None };
         let away = self.policy.class(ask.class).first_token as f64 * AWAY;
         let mut best: Option<(bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
@@ -297,6 +298,7 @@
         let source = source.filter(|_| reading.moved > 0).map(|(_, key)| key);
         let engine = self.servers[usize::from(server.0)].as_ref()?.engine();
         let expected = engine.wait(now) + engine.reading_time(reading) as Micros;
+        let expected = if self.policy.switches.expected { expected } else { 0 };
         Some(Place { server, reading, source, expected })
     }
 
@@ -304,15 +306,18 @@
     /// entry's.
     fn crosses_zones(&self, ask: &Ask, server: &Server) -> bool {
         let zones = ask.zone.zip(server.zone());
-        !ask.repeatable && zones.is_some_and(|(entry, server)| entry != server)
+        self.policy.switches.zones
+            && !ask.repeatable
+            && zones.is_some_and(|(entry, server)| entry != server)
     }
 
     fn work<'a>(&self, now: Micros, ask: &'a Ask) -> Work<'a> {
+        let tightest = self.tightest_pause(now).unwrap_or(0);
         Work {
             parts: &ask.parts,
             prompt: ask.prompt,
             patient: self.patient(now, ask.class),
-            tightest: self.tightest_pause(now).unwrap_or(0),
+            tightest: if self.policy.switches.harm { tightest } else { 0 },
         }
     }
 
@@ -345,6 +350,9 @@
     /// Slow ones are the first, because on them even a prompt of a pressing class delays the tokens of
     /// others too long. Then availability zones take turns, so that each has engines on both sides.
     fn patient_side(&mut self, now: Micros) -> Option<Vec<server::Key>> {
+        if !self.policy.switches.sides {
+            return None;
+        }
         let usual_read = self.usual_read();
         let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
         let mut engines: Vec<_> = engines
--- a/crates/drumusher-schedule/src/pool/health.rs
+++ b/crates/drumusher-schedule/src/pool/health.rs
@@ -21,6 +21,9 @@
     /// elsewhere, as far as there is room. Patient and pressing streams are compared apart: long
     /// prompts beside them make the pauses of patient ones longer, and their classes bear that.
     pub(super) fn judge(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        if !self.policy.switches.slow {
+            return;
+        }
         for kind in Kind::ALL {
             let usual = self.usual(now, kind);
             let Some(usual) = usual else { continue };
@@ -73,6 +76,9 @@
     /// Takes backend servers that fail far more of their requests than the others for outliers, as
     /// far as the pool can do without them.
     pub(super) fn compare(&mut self, now: Micros) {
+        if !self.policy.switches.outliers {
+            return;
+        }
         let serving = self.servers().filter(|(_, server)| !server.leaving());
         let (mut all, mut outliers) = (0, 0);
         let mut shares = Vec::new();
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -101,7 +101,8 @@
         let (dispatch, dispatch_receiver) = dispatch::ring();
         let (peers, peers_receiver) = peers::ring();
         let (platform, platform_receiver) = platform::ring();
-        let version = Version::new(None, State::new(), settings.limits.queue);
+        let version = Version::new(None, State::new(), settings.limits.queue)
+            .with_switches(settings.decisions);
         let shared = Shared {
             name: settings.name.as_str().into(),
             area: settings.area.as_str().into(),
@@ -171,7 +172,8 @@
         if state.next <= current.state.next && self.configured.load(Ordering::Acquire) {
             return;
         }
-        let version = Version::new(Some(&current), state, self.settings.limits.queue);
+        let version = Version::new(Some(&current), state, self.settings.limits.queue)
+            .with_switches(self.settings.decisions);
         self.version.store(Arc::new(version));
         self.configured.store(true, Ordering::Release);
         let _ = self.dispatch.try_send(dispatch::Input::Changed);
@@ -185,7 +187,8 @@
         }
         let previous = self.version.load_full();
         let version =
-            Version::of_routes(Some(&previous), &configuration, self.settings.limits.queue);
+            Version::of_routes(Some(&previous), &configuration, self.settings.limits.queue)
+                .with_switches(self.settings.decisions);
         self.version.store(Arc::new(version));
         self.routing.store(Some(Arc::new(Routing::new(configuration))));
         self.configured.store(true, Ordering::Release);
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -7,6 +7,8 @@
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
+use drumusher_schedule::policy::Switches;
+
 use self::reader::Reader;
 
 /// A fault in the settings.
@@ -74,6 +76,8 @@
     pub limits: Limits,
     /// Dealing with backend servers.
     pub backend: Backend,
+    /// The mechanisms by which this instance decides as a dispatcher.
+    pub decisions: Switches,
     /// The platform's budgets and intervals.
     pub platform: Platform,
     /// How long to go on accepting after a stop was asked for, in milliseconds.
@@ -230,6 +234,7 @@
             attempts: reader.count("backend.attempts", 4, 1, 32) as u32,
             retry_share: reader.share("backend.retry_share", 0.2),
         },
+        decisions: reader.switches("decisions.off"),
         platform: Platform {
             appends_per_second: reader.count("platform.appends_per_second", 300, 1, 1_000_000)
                 as u32,
--- a/crates/drumusher/src/settings/reader.rs
+++ b/crates/drumusher/src/settings/reader.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
+use drumusher_schedule::policy::Switches;
 use toml::Value;
 
 use super::{Fault, Settings};
@@ -131,6 +132,27 @@
         parsed.into_iter().flatten().collect()
     }
 
+    /// The mechanisms of the decisions less those in a list of names.
+    pub(super) fn switches(&mut self, key: &str) -> Switches {
+        let mut switches = Switches::default();
+        let names = match self.left.remove(key) {
+            None => return switches,
+            Some(Value::Array(names)) => names,
+            Some(_) => {
+                self.fault(key, "takes a list of names");
+                return switches;
+            }
+        };
+        for name in &names {
+            let known = name.as_str().is_some_and(|name| switches.turn_off(name).is_ok());
+            if !known {
+                let all = Switches::NAMES.join(", ");
+                self.fault(key, format!("takes names of {all}, not {name}"));
+            }
+        }
+        switches
+    }
+
     /// A whole number within bounds.
     pub(super) fn count(&mut self, key: &str, default: u64, least: u64, most: u64) -> u64 {
         let value = match self.left.remove(key) {
--- a/crates/drumusher/src/version/policy.rs
+++ b/crates/drumusher/src/version/policy.rs
@@ -5,7 +5,7 @@
 use drumusher_log::config::{self, State};
 use drumusher_platform::routing::{Configuration, Route};
 use drumusher_schedule::{
-    policy::{self, ClassKey, Policy, WorkspaceKey},
+    policy::{self, ClassKey, Policy, Switches, WorkspaceKey},
     time::MILLISECOND,
 };
 use sha2::{Digest, Sha256};
@@ -72,6 +72,14 @@
         }
     }
 
+    /// Decides with these mechanisms.
+    pub fn with_switches(mut self, switches: Switches) -> Self {
+        let policy = Arc::make_mut(&mut self.policy);
+        let windows = switches.windows && policy.switches.windows;
+        policy.switches = Switches { windows, ..switches };
+        self
+    }
+
     /// The workspace that `key` opens. The digest finds the candidate; the comparison that decides
     /// takes the same time whatever the key.
     pub fn workspace_of(&self, key: &str) -> Option<&str> {
--- a/crates/drumusher/tests/unit/settings.rs
+++ b/crates/drumusher/tests/unit/settings.rs
@@ -1,6 +1,7 @@
 //! The settings.
 
 use drumusher::settings::parse;
+use drumusher_schedule::policy::Switches;
 
 const EXAMPLE: &str = include_str!("../../settings.example.toml");
 
@@ -34,6 +35,21 @@
     assert_eq!(shown, plain);
 }
 
+/// Each mechanism of the decisions can be switched off by its name; another name is a fault.
+#[test]
+fn mechanisms_are_switched_off_by_name() {
+    for name in Switches::NAMES {
+        let off = format!("off = [\"{name}\"]");
+        let settings = parse(&EXAMPLE.replace("# off = []", &off)).expect("no fault");
+        assert_ne!(settings.decisions, Switches::default(), "{name}");
+    }
+    let text = EXAMPLE.replace("# off = []", "off = [\"sources\", \"side\"]");
+    let faults = parse(&text).expect_err("a fault");
+    assert_eq!(faults.len(), 1);
+    assert_eq!(faults[0].key, "decisions.off");
+    assert!(faults[0].reason.contains("sides"), "{}", faults[0].reason);
+}
+
 #[test]
 fn every_fault_is_named_at_once() {
     let text = r#"
