fix: one kind of class alone uses all engines

Change: there are sides only while both kinds are asked for. What streams bear is judged by the class as it is seen now, not as it was at the grant: the first ones of a new dispatcher were all taken for pressing. Test: schedule::sides::one_kind_alone_uses_all_engines, which fails before.

--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -298,6 +298,16 @@
         self.policy.class(key).token_gap > tightest && delay > tightest as f64 * DELAYING
     }
 
+    /// Whether both patient and pressing classes were asked for lately. With one kind alone, no engine is
+    /// kept free for the other.
+    fn has_both_kinds(&self, now: Micros) -> bool {
+        let mut kinds = self.asked_lately(now).map(|class| self.patient(now, class));
+        let Some(first) = kinds.next() else {
+            return false;
+        };
+        kinds.any(|kind| kind != first)
+    }
+
     /// The tightest pause between events that the classes asked for lately bear.
     fn tightest_pause(&self, now: Micros) -> Option<Micros> {
         let gaps = self.asked_lately(now).map(|class| self.policy.class(class).token_gap);
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -350,7 +350,7 @@
     /// Slow ones are the first, because on them even a prompt of a pressing class delays the tokens of
     /// others too long. Then availability zones take turns, so that each has engines on both sides.
     fn patient_side(&mut self, now: Micros) -> Option<Vec<server::Key>> {
-        if !self.policy.switches.sides {
+        if !self.has_both_kinds(now) {
             return None;
         }
         let usual_read = self.usual_read();
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -5,7 +5,7 @@
     ask::{Ask, Id, Outcome, State, Waiting},
     engine::{Reading, Work},
     event::Progress,
-    server::{self, Kind},
+    server,
     time::Micros,
 };
 
@@ -61,7 +61,7 @@
         let beyond = (own - running.charged).max(0.0);
         running.charged += beyond;
         let (tier, workspace, server) = (running.tier, running.ask.workspace, running.server);
-        let kind = if running.patient { Kind::Patient } else { Kind::Pressing };
+        let class = running.ask.class;
         let policy = self.policy.clone();
         if beyond > 0.0 {
             self.share.charge(&policy, tier, workspace, beyond);
@@ -71,6 +71,7 @@
             return;
         }
         let target = policy.tightest_gap();
+        let kind = self.kind(now, class);
         if let Some(server) = self.server(server) {
             if let Some(first) = progress.first_token {
                 server.engine_mut().first_event(progress.id, first);
--- a/crates/drumusher-schedule/tests/schedule/sides.rs
+++ b/crates/drumusher-schedule/tests/schedule/sides.rs
@@ -130,6 +130,16 @@
     assert_eq!(patient > 0, apart);
 }
 
+/// While only one kind of class is asked for, no engine is kept free for the other.
+#[test]
+fn one_kind_alone_uses_all_engines() {
+    let mut bench = divided_bench();
+    let now = bench.now;
+    let orders = (0..8).flat_map(|id| bench.ask(prompt(id, URGENT, now))).collect::<Vec<_>>();
+    let used: BTreeSet<u16> = granted(&orders).into_iter().map(|(_, server)| server).collect();
+    assert_eq!(used.len(), usize::from(ENGINES));
+}
+
 /// An engine whose streams are within their targets is not slow, whatever the others need: it has
 /// more to read.
 #[test]
