feat: a new dispatcher asks engines what they keep

Change: when a pool begins to be dispatched here, each of its engines is asked once for its list of parts, four at the same time; the book takes them as kept and whole. An engine that does not answer within a second is one of which nothing is known, as before. Ruled out: entries that remember where their own requests ran: they know a ninth of the requests, and nothing after a kill of all. Test: routes::streams::a_new_dispatcher_asks_engines_what_they_keep.

--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -171,6 +171,14 @@
         self.kept.contains_key(&part)
     }
 
+    /// It told that it keeps these parts.
+    pub fn keep(&mut self, now: Micros, parts: &[u64]) {
+        for part in parts {
+            self.kept.insert(*part, Kept { used: now, whole: true });
+        }
+        self.forget_oldest();
+    }
+
     /// Tokens of a prompt that it does not keep: from the first part that it does not keep.
     pub fn to_read(&self, work: &Work<'_>) -> u32 {
         let kept = work.parts.iter().take_while(|part| self.keeps(part.id));
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -117,6 +117,11 @@
             Event::Progress(progress) => self.progress(now, progress),
             Event::Finish(id, outcome, produced) => self.finish(now, id, outcome, produced),
             Event::Load(load) => self.report(now, &load),
+            Event::Kept(key, parts) => {
+                if let Some(server) = self.server(key) {
+                    server.engine_mut().keep(now, &parts);
+                }
+            }
             Event::Server(key, options) => self.join(key, options),
             Event::Leave(key) => self.leave(key),
             Event::EntryGone(entry) => self.entry_gone(now, entry),
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -11,6 +11,7 @@
 
 mod entries;
 mod follow;
+mod kept;
 mod membership;
 mod records;
 
@@ -24,7 +25,10 @@
     sync::{Arc, atomic::Ordering},
 };
 
-use drumusher_platform::catalog::{Record, Store, Table};
+use drumusher_platform::{
+    catalog::{Record, Store, Table},
+    engine::Engines,
+};
 use drumusher_schedule::time::Micros;
 use ntex::{
     rt,
@@ -57,11 +61,16 @@
 }
 
 /// Follows the store on the current thread until the ring is closed.
-pub async fn run<S: Store + 'static>(shared: Arc<Shared>, store: S, receiver: platform::Receiver) {
+pub async fn run<S: Store + Engines + 'static>(
+    shared: Arc<Shared>,
+    store: S,
+    receiver: platform::Receiver,
+) {
     let catalog =
         Rc::new(Catalog { shared, began: clock::now(), store, state: RefCell::default() });
     rt::spawn(begin(catalog.clone()));
     rt::spawn(release(catalog.clone()));
+    rt::spawn(kept::learn(catalog.clone()));
     while let Ok(input) = receiver.recv().await {
         if let platform::Input::State(snapshot) = input {
             catalog.offered(&snapshot);
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -58,6 +58,15 @@
         /// What it said; `None` if it is leaving by its own word.
         report: Option<Report>,
     },
+    /// What an engine says that it keeps.
+    Kept {
+        /// The pool.
+        pool: Pool,
+        /// The engine.
+        server: Arc<str>,
+        /// Parts of prompts.
+        parts: Vec<u64>,
+    },
     /// The instances of the area among which capacity is divided while they cannot be reached.
     Divide(Divisor),
     /// Rows of a table for an operator.
@@ -122,6 +131,7 @@
             Input::Gone(entry) => self.each(|_| Event::EntryGone(entry)),
             Input::Changed => self.changed(),
             Input::Load { pool, server, report } => self.load(&pool, &server, report),
+            Input::Kept { pool, server, parts } => self.kept(&pool, &server, parts),
             Input::Divide(divisor) => {
                 self.divide = divisor.max(1);
                 self.changed();
@@ -342,6 +352,14 @@
         self.handle(pool, Event::Load(load));
     }
 
+    fn kept(&mut self, pool: &Pool, server: &str, parts: Vec<u64>) {
+        let key = self.hosts.get(pool).and_then(|host| host.known.get(server).copied());
+        if let Some(key) = key {
+            log::info!(server = server, parts = parts.len(); "an engine told what it keeps");
+            self.handle(pool, Event::Kept(key, parts));
+        }
+    }
+
     fn rows(&self, source: rows::Source) -> Vec<Row> {
         let version = self.shared.version.load();
         let mut rows = Vec::new();
--- a/crates/drumusher/src/version/routing.rs
+++ b/crates/drumusher/src/version/routing.rs
@@ -87,6 +87,11 @@
         self.configuration.version
     }
 
+    /// Whether the backend servers of a service are engines.
+    pub fn is_engine(&self, service: &str) -> bool {
+        self.engines.get(service).copied().unwrap_or(false)
+    }
+
     /// Bounds on callers.
     pub fn limits(&self) -> Limits {
         self.configuration.limits
@@ -117,7 +122,7 @@
             version: self.version(),
             route: route.name.as_str().into(),
             service: service.into(),
-            engine: self.engines.get(service).copied().unwrap_or(false),
+            engine: self.is_engine(service),
             workspace: workspace.map(|workspace| workspace.name.as_str().into()),
             class: class_name(&route.name, rank).into(),
             kind: route.kind,
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -9,7 +9,7 @@
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
-use crate::support::{Call, Deployment, read};
+use crate::support::{Call, Deployment, configuration, read};
 
 /// A stream that may be resumed goes on elsewhere after its last whole event, in the same answer.
 #[test]
@@ -150,3 +150,31 @@
     let (source, keeper) = named.expect("it is tried until the keeper is believed to be busy");
     assert_eq!(source, Some(keeper.to_string()));
 }
+
+/// A dispatcher that begins to place prompts asks each engine once what it keeps, and goes by that.
+#[test]
+fn a_new_dispatcher_asks_engines_what_they_keep() {
+    let deployment = Deployment::unconfigured(1);
+    let tokens = 9_000;
+    let kept = |server: u64| (0..6).map(move |n| (100 * server + n, tokens)).collect::<Vec<_>>();
+    for (server, id) in [(1, "m1"), (2, "m2")] {
+        deployment.server(id).keep(&kept(server));
+    }
+    deployment.store.put("keyed.op", "config", &configuration(1, ""));
+    deployment.wait_serving();
+    deployment.call(0, &Call::post("/talk/", "x")).expect("an answer");
+    let told = || deployment.instances[0].lines().matches("an engine told what it keeps").count();
+    wait_for("both engines told what they keep", || told() == 2);
+    for (server, id) in [(1, "m1"), (2, "m2")] {
+        for (part, tokens) in kept(server) {
+            let call = Call::post("/talk/", "x")
+                .without("Drumusher-Token-Usage")
+                .without("Drumusher-Prompt-Prefix")
+                .with("Drumusher-Token-Usage", &format!("{},60", tokens + 1))
+                .with("Drumusher-Prompt-Prefix", &format!("{part:x}:{tokens},f{part:x}:1"));
+            deployment.call(0, &call).expect("an answer");
+            let ran = deployment.server(id).runs().iter().any(|run| run.id == call.id);
+            assert!(ran, "part {part:x} of {id}: {}", deployment.instances[0].lines());
+        }
+    }
+}
