--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -277,7 +277,7 @@
         };
         let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
         let usual_engine = again == 0 && self.policy.switches.usual_engine;
-        let usual = if usual_engine { self.usual_engine(&work, &on_side) } else { None };
+        let usual = if usual_engine { self.usual_engine(&work, on_side) } else { None };
         let away = self.policy.class(ask.class).first_token as f64 * AWAY;
         let mut best: Option<(bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
