refactor: placing prompts and telling classes apart are modules of the pool

Cause: grant.rs had grown to 463 lines with two duties; the median of reading times was sorted anew for each question about a class, several times a grant. Change: pool::place has the choice of an engine, pool::kind what classes bear; the median is looked at once a tick (50 ms).

--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -3,6 +3,8 @@
 mod admit;
 mod grant;
 mod health;
+mod kind;
+mod place;
 mod preempt;
 mod track;
 
@@ -14,14 +16,13 @@
 use slab::Slab;
 
 use crate::{
-    ask::{Ask, Entry, Id, Key, Running, State, Waiting},
-    engine::{DELAYING, READ_UNKNOWN},
+    ask::{Entry, Id, Key, Running, State, Waiting},
     event::Event,
     length::Estimate,
     order::Order,
     policy::{ClassKey, Policy},
     queue::{Place, Queue},
-    server::{self, Kind, Server},
+    server::{self, Server},
     share::Share,
     side::Border,
     time::{MILLISECOND, Micros, SECOND},
@@ -33,23 +34,9 @@
 const HELD_UNKNOWN: f64 = SECOND as f64;
 /// Weight of a new sample in the mean time that a place is held.
 const HELD_SMOOTHING: f64 = 0.05;
-/// For how long a class that was asked for counts among those in use.
-const ASKED_LATELY: Micros = 30 * SECOND;
 /// Entries report on running attempts more often than this; an attempt not heard of is gone.
 const SILENCE: Micros = 5 * SECOND;
 
-/// Weight of a new sample in the mean length of a class's prompts.
-const PROMPT_SMOOTHING: f64 = 0.05;
-
-/// How a class was asked for.
-#[derive(Clone, Copy, Debug)]
-struct Asked {
-    /// When it was last.
-    at: Micros,
-    /// Mean length of its prompts in tokens.
-    prompt: f64,
-}
-
 /// One pool as its dispatcher sees it.
 #[derive(Debug)]
 pub struct Pool {
@@ -74,7 +61,9 @@
     /// All grants.
     grants: u64,
     /// What was asked for lately, by class.
-    asked: HashMap<ClassKey, Asked>,
+    asked: HashMap<ClassKey, kind::Asked>,
+    /// The median of the engines' shortest times to read a token, as seen at the last tick.
+    usual_read: Option<f64>,
     /// The engines on either side.
     border: Border,
     /// Mean time that an attempt holds its place, in microseconds.
@@ -102,6 +91,7 @@
             credit: vec![0.0; classes],
             grants: 0,
             asked: HashMap::new(),
+            usual_read: None,
             border: Border::new(),
             held: HELD_UNKNOWN,
             looked: 0,
@@ -257,6 +247,7 @@
             return;
         }
         self.looked = now;
+        self.look_at_reading();
         self.release_silent(now);
         if self.policy.switches.learning {
             self.judge(now, orders);
@@ -280,53 +271,6 @@
         self.held += (time - self.held) * HELD_SMOOTHING;
     }
 
-    /// The classes that were asked for lately.
-    fn asked_lately(&self, now: Micros) -> impl Iterator<Item = ClassKey> {
-        let lately = self.asked.iter().filter(move |(_, asked)| now < asked.at + ASKED_LATELY);
-        lately.map(|(class, _)| *class)
-    }
-
-    /// What streams of a class bear.
-    fn kind(&self, now: Micros, class: ClassKey) -> Kind {
-        if self.patient(now, class) { Kind::Patient } else { Kind::Pressing }
-    }
-
-    /// Whether a class is kept apart from the one with the tightest pauses between events: it bears
-    /// longer ones itself, and its prompts delay the streams beside them too long. Of the classes
-    /// asked for lately: classes of other pools and of routes that nobody uses do not count.
-    fn patient(&self, now: Micros, key: ClassKey) -> bool {
-        let Some(tightest) = self.tightest_pause(now).filter(|_| self.policy.switches.sides) else {
-            return false;
-        };
-        let prompt = self.asked.get(&key).map_or(0.0, |asked| asked.prompt);
-        let delay = prompt * self.usual_read().unwrap_or(READ_UNKNOWN);
-        self.policy.class(key).token_gap > tightest && delay > tightest as f64 * DELAYING
-    }
-
-    /// Whether both patient and pressing classes were asked for lately. With one kind alone, no engine is
-    /// kept free for the other.
-    fn has_both_kinds(&self, now: Micros) -> bool {
-        let mut kinds = self.asked_lately(now).map(|class| self.patient(now, class));
-        let Some(first) = kinds.next() else {
-            return false;
-        };
-        kinds.any(|kind| kind != first)
-    }
-
-    /// The tightest pause between events that the classes asked for lately bear.
-    fn tightest_pause(&self, now: Micros) -> Option<Micros> {
-        let gaps = self.asked_lately(now).map(|class| self.policy.class(class).token_gap);
-        gaps.filter(|gap| *gap > 0).min()
-    }
-
-    /// Learns from a request of a class.
-    fn note_asked(&mut self, now: Micros, ask: &Ask) {
-        let prompt = f64::from(ask.prompt);
-        let asked = self.asked.entry(ask.class).or_insert(Asked { at: now, prompt });
-        asked.at = now;
-        asked.prompt += (prompt - asked.prompt) * PROMPT_SMOOTHING;
-    }
-
     /// Time until a place is free for the request behind `ahead` others.
     fn predicted_wait(&self, ahead: usize) -> Micros {
         (ahead as f64 / self.drain_rate() * SECOND as f64) as Micros
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -1,9 +1,9 @@
 //! Giving free places to waiting requests.
 
-use super::Pool;
+use super::{Pool, place::Place};
 use crate::{
     ask::{Ask, Key, Running, State, Waiting},
-    engine::{Engine, Reading, Work},
+    engine::Reading,
     order::{Choice, Order},
     policy::{ClassKey, WorkspaceKey},
     server::{self, Server},
@@ -18,36 +18,13 @@
 /// Factor on the expected time to the first token, for a request to count as in time.
 const FIRST_TOKEN_MARGIN: f64 = 2.0;
 
-/// What placing a prompt that no engine keeps elsewhere than on its usual engine counts for each
-/// token of its shared part, in microseconds of waiting: twice the time to read it.
-const ELSEWHERE: f64 = 40.0;
-
-/// What a stream that may not go on elsewhere counts in another availability zone, as a part of the
-/// target for its first event: a cut between zones breaks it off, and a wait that is short against
-/// the target harms nobody.
-const AWAY: f64 = 0.25;
-
 /// What failing all of its requests lately adds to the cost of a backend server, as a part of it: it
 /// loses to one that is as busy, and not to one that is half as busy again.
 const FAILING: f64 = 1.0;
 
-/// An engine is slow if it reads a token in so many times the usual time.
-const SLOW_READ: f64 = 1.15;
-
-/// Where a request is to run.
-struct Place {
-    server: server::Key,
-    /// How the engine comes by the prompt; nothing to read for a plain service.
-    reading: Reading,
-    /// The engine from which it takes over what that one keeps.
-    source: Option<server::Key>,
-    /// How long its first event is expected to take; 0 if nothing is known.
-    expected: Micros,
-}
-
 /// Which backend servers come into question.
 #[derive(Clone, Copy, PartialEq)]
-enum Scope {
+pub(super) enum Scope {
     /// Those with a free place.
     Free,
     /// Those to be tried out.
@@ -262,131 +239,6 @@
         Some(Place { server, reading: Reading::default(), source: None, expected: 0 })
     }
 
-    /// The engine in scope on which the request costs least, another than the one to avoid if there
-    /// is one.
-    fn place(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Place> {
-        let work = self.work(now, ask);
-        let again = self.kept_somewhere(&work);
-        let source = self.policy.switches.sources.then(|| self.source(&work, ask.avoid)).flatten();
-        let offered = source.map_or(0, |(tokens, _)| tokens);
-        let patient_side = self.patient_side(now);
-        let on_side = |key: server::Key| {
-            patient_side
-                .as_ref()
-                .is_none_or(|side| side.binary_search(&key).is_ok() == work.patient)
-        };
-        let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
-        let usual_engine = again == 0 && self.policy.switches.usual_engine;
-        let usual = if usual_engine { self.usual_engine(&work, on_side) } else { None };
-        let away = self.policy.class(ask.class).first_token as f64 * AWAY;
-        let mut best: Option<(bool, f64, server::Key, Reading)> = None;
-        for (key, server) in self.servers() {
-            if !fits(server, now, scope) {
-                continue;
-            }
-            let reading = server.engine().reading(&work, again, offered);
-            let avoided = ask.avoid == Some(key);
-            let elsewhere = usual.is_some_and(|usual| usual != key);
-            let strange = if elsewhere { shared * ELSEWHERE } else { 0.0 };
-            let away = if self.crosses_zones(ask, server) { away } else { 0.0 };
-            let cost = server.engine().cost(now, &work, reading, on_side(key)) + strange + away;
-            if best.is_none_or(|(a, c, ..)| (avoided, cost) < (a, c)) {
-                best = Some((avoided, cost, key, reading));
-            }
-        }
-        let (_, _, server, reading) = best?;
-        let source = source.filter(|_| reading.moved > 0).map(|(_, key)| key);
-        let engine = self.servers[usize::from(server.0)].as_ref()?.engine();
-        let expected = engine.wait(now) + engine.reading_time(reading) as Micros;
-        let expected = if self.policy.switches.expected { expected } else { 0 };
-        Some(Place { server, reading, source, expected })
-    }
-
-    /// Whether a stream that may not go on elsewhere would run in another availability zone than its
-    /// entry's.
-    fn crosses_zones(&self, ask: &Ask, server: &Server) -> bool {
-        let zones = ask.zone.zip(server.zone());
-        self.policy.switches.zones
-            && !ask.repeatable
-            && zones.is_some_and(|(entry, server)| entry != server)
-    }
-
-    fn work<'a>(&self, now: Micros, ask: &'a Ask) -> Work<'a> {
-        let tightest = self.tightest_pause(now).unwrap_or(0);
-        Work {
-            parts: &ask.parts,
-            prompt: ask.prompt,
-            patient: self.patient(now, ask.class),
-            tightest: if self.policy.switches.harm { tightest } else { 0 },
-        }
-    }
-
-    /// The engine from which most of a prompt can be taken over, another than the one to avoid, with
-    /// the tokens of that; of equal ones that which used them last.
-    fn source(&self, work: &Work<'_>, avoid: Option<server::Key>) -> Option<(u32, server::Key)> {
-        let engines = self.servers().filter(|(key, server)| {
-            avoid != Some(*key) && !server.leaving() && server.next_probe().is_none()
-        });
-        let offers = engines.map(|(key, server)| (server.engine().offers(work), key));
-        let ((tokens, _), key) = offers.max_by_key(|(offer, _)| *offer)?;
-        (tokens > 0).then_some((tokens, key))
-    }
-
-    /// The engine on which the shared part of a prompt belongs as long as none keeps it.
-    fn usual_engine(
-        &self,
-        work: &Work<'_>,
-        on_side: impl Fn(server::Key) -> bool,
-    ) -> Option<server::Key> {
-        let part = work.shared()?;
-        let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
-        let engines = engines.filter(|(key, _)| on_side(*key));
-        let weighed = engines.map(|(key, server)| (Engine::weight(part.id, server.rank()), key));
-        weighed.max().map(|(_, key)| key)
-    }
-
-    /// The engines on the patient side in the order of their keys; `None` if there are no sides.
-    ///
-    /// Slow ones are the first, because on them even a prompt of a pressing class delays the tokens of
-    /// others too long. Then availability zones take turns, so that each has engines on both sides.
-    fn patient_side(&mut self, now: Micros) -> Option<Vec<server::Key>> {
-        if !self.has_both_kinds(now) {
-            return None;
-        }
-        let usual_read = self.usual_read();
-        let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
-        let mut engines: Vec<_> = engines
-            .map(|(key, server)| (server.zone(), !is_slow(server, usual_read), server.rank(), key))
-            .collect();
-        engines.sort_unstable();
-        let mut places: Vec<_> = engines
-            .chunk_by(|a, b| (a.0, a.1) == (b.0, b.1))
-            .flat_map(|zone| zone.iter().enumerate())
-            .map(|(turn, (_, fast, rank, key))| (*fast, turn, *rank, *key))
-            .collect();
-        places.sort_unstable();
-        let patient = self.border.patient(now, places.len());
-        places.truncate(patient);
-        let mut side: Vec<server::Key> = places.into_iter().map(|(.., key)| key).collect();
-        side.sort_unstable();
-        (patient > 0).then_some(side)
-    }
-
-    /// The median of the engines' shortest times to read a token.
-    pub(super) fn usual_read(&self) -> Option<f64> {
-        let seen = self.servers().filter_map(|(_, server)| server.engine().fastest());
-        let mut seen: Vec<f64> = seen.collect();
-        seen.sort_by(f64::total_cmp);
-        seen.get(seen.len() / 2).copied()
-    }
-
-    /// Tokens at the beginning of a prompt that some engine keeps.
-    fn kept_somewhere(&self, work: &Work<'_>) -> u32 {
-        let engines = self.servers().filter(|(_, server)| !server.leaving());
-        let kept = engines.map(|(_, server)| work.prompt - server.engine().to_read(work));
-        kept.max().unwrap_or(0)
-    }
-
     /// Mean time between tokens over the backend servers of which it was seen.
     fn usual_gap(&self) -> f64 {
         let (mut sum, mut count) = (0.0, 0.0);
@@ -415,10 +267,10 @@
         self.share.charge(&policy, tier, ask.workspace, prompt + charged);
         self.share.draw(&policy, ask.workspace, prompt, now);
         self.share.usage(ask.workspace).running += 1;
-        let patient = self.patient(now, ask.class);
+        let work = self.work(now, &ask);
+        let patient = work.patient;
         if let Some(server) = self.server(server) {
             server.start(now, ask.prefix);
-            let work = Work { parts: &ask.parts, prompt: ask.prompt, patient, tightest: 0 };
             let time = f64::from(reading.tokens) * server.engine().read_time();
             server.engine_mut().start(now, ask.id, &work, reading);
             self.border.note(now, patient, time);
@@ -449,13 +301,8 @@
     }
 }
 
-/// Whether an engine reads more slowly than is usual in its pool.
-fn is_slow(server: &Server, usual_read: Option<f64>) -> bool {
-    let fastest = server.engine().fastest();
-    fastest.zip(usual_read).is_some_and(|(own, usual)| own > usual * SLOW_READ)
-}
-
-fn fits(server: &Server, now: Micros, scope: Scope) -> bool {
+/// Whether a backend server is in scope.
+pub(super) fn fits(server: &Server, now: Micros, scope: Scope) -> bool {
     match scope {
         Scope::Free => server.free(now) > 0,
         Scope::Probe => server.may_probe(now),
--- /dev/null
+++ b/crates/drumusher-schedule/src/pool/place.rs
@@ -0,0 +1,165 @@
+//! The engine on which a prompt is best read.
+//!
+//! Placing a request costs what it waits there, what has to be read or taken over, what it does to the
+//! streams beside it, and what a cut between zones would do to it. The cheapest engine gets it.
+
+use super::{
+    Pool,
+    grant::{Scope, fits},
+};
+use crate::{
+    ask::Ask,
+    engine::{Engine, Reading, Work},
+    server::{self, Server},
+    time::Micros,
+};
+
+/// What placing a prompt that no engine keeps elsewhere than on its usual engine counts for each
+/// token of its shared part, in microseconds of waiting: twice the time to read it.
+const ELSEWHERE: f64 = 40.0;
+
+/// What a stream that may not go on elsewhere counts in another availability zone, as a part of the
+/// target for its first event: a cut between zones breaks it off, and a wait that is short against
+/// the target harms nobody.
+const AWAY: f64 = 0.25;
+
+/// An engine is slow if it reads a token in so many times the usual time.
+const SLOW_READ: f64 = 1.15;
+
+/// Where a request is to run.
+pub(super) struct Place {
+    /// The backend server.
+    pub(super) server: server::Key,
+    /// How the engine comes by the prompt; nothing to read for a plain service.
+    pub(super) reading: Reading,
+    /// The engine from which it takes over what that one keeps.
+    pub(super) source: Option<server::Key>,
+    /// How long its first event is expected to take; 0 if nothing is known.
+    pub(super) expected: Micros,
+}
+
+impl Pool {
+    /// The engine in scope on which the request costs least, another than the one to avoid if there
+    /// is one.
+    pub(super) fn place(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Place> {
+        let work = self.work(now, ask);
+        let again = self.kept_somewhere(&work);
+        let source = self.policy.switches.sources.then(|| self.source(&work, ask.avoid)).flatten();
+        let offered = source.map_or(0, |(tokens, _)| tokens);
+        let patient_side = self.patient_side(now);
+        let on_side = |key: server::Key| {
+            patient_side
+                .as_ref()
+                .is_none_or(|side| side.binary_search(&key).is_ok() == work.patient)
+        };
+        let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
+        let usual_engine = again == 0 && self.policy.switches.usual_engine;
+        let usual = if usual_engine { self.usual_engine(&work, on_side) } else { None };
+        let away = self.policy.class(ask.class).first_token as f64 * AWAY;
+        let mut best: Option<(bool, f64, server::Key, Reading)> = None;
+        for (key, server) in self.servers() {
+            if !fits(server, now, scope) {
+                continue;
+            }
+            let reading = server.engine().reading(&work, again, offered);
+            let avoided = ask.avoid == Some(key);
+            let elsewhere = usual.is_some_and(|usual| usual != key);
+            let strange = if elsewhere { shared * ELSEWHERE } else { 0.0 };
+            let away = if self.crosses_zones(ask, server) { away } else { 0.0 };
+            let cost = server.engine().cost(now, &work, reading, on_side(key)) + strange + away;
+            if best.is_none_or(|(a, c, ..)| (avoided, cost) < (a, c)) {
+                best = Some((avoided, cost, key, reading));
+            }
+        }
+        let (_, _, server, reading) = best?;
+        let source = source.filter(|_| reading.moved > 0).map(|(_, key)| key);
+        let engine = self.servers[usize::from(server.0)].as_ref()?.engine();
+        let expected = engine.wait(now) + engine.reading_time(reading) as Micros;
+        let expected = if self.policy.switches.expected { expected } else { 0 };
+        Some(Place { server, reading, source, expected })
+    }
+
+    /// Whether a stream that may not go on elsewhere would run in another availability zone than its
+    /// entry's.
+    fn crosses_zones(&self, ask: &Ask, server: &Server) -> bool {
+        let zones = ask.zone.zip(server.zone());
+        self.policy.switches.zones
+            && !ask.repeatable
+            && zones.is_some_and(|(entry, server)| entry != server)
+    }
+
+    /// What is to be placed, with what is known of its class.
+    pub(super) fn work<'a>(&self, now: Micros, ask: &'a Ask) -> Work<'a> {
+        let tightest = self.tightest_pause(now).unwrap_or(0);
+        Work {
+            parts: &ask.parts,
+            prompt: ask.prompt,
+            patient: self.patient(now, ask.class),
+            tightest: if self.policy.switches.harm { tightest } else { 0 },
+        }
+    }
+
+    /// The engine from which most of a prompt can be taken over, another than the one to avoid, with
+    /// the tokens of that; of equal ones that which used them last.
+    fn source(&self, work: &Work<'_>, avoid: Option<server::Key>) -> Option<(u32, server::Key)> {
+        let engines = self.servers().filter(|(key, server)| {
+            avoid != Some(*key) && !server.leaving() && server.next_probe().is_none()
+        });
+        let offers = engines.map(|(key, server)| (server.engine().offers(work), key));
+        let ((tokens, _), key) = offers.max_by_key(|(offer, _)| *offer)?;
+        (tokens > 0).then_some((tokens, key))
+    }
+
+    /// The engine on which the shared part of a prompt belongs as long as none keeps it.
+    fn usual_engine(
+        &self,
+        work: &Work<'_>,
+        on_side: impl Fn(server::Key) -> bool,
+    ) -> Option<server::Key> {
+        let part = work.shared()?;
+        let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
+        let engines = engines.filter(|(key, _)| on_side(*key));
+        let weighed = engines.map(|(key, server)| (Engine::weight(part.id, server.rank()), key));
+        weighed.max().map(|(_, key)| key)
+    }
+
+    /// The engines on the patient side in the order of their keys; `None` if there are no sides.
+    ///
+    /// Slow ones are the first, because on them even a prompt of a pressing class delays the tokens of
+    /// others too long. Then availability zones take turns, so that each has engines on both sides.
+    fn patient_side(&mut self, now: Micros) -> Option<Vec<server::Key>> {
+        if !self.has_both_kinds(now) {
+            return None;
+        }
+        let usual_read = self.usual_read;
+        let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
+        let mut engines: Vec<_> = engines
+            .map(|(key, server)| (server.zone(), !is_slow(server, usual_read), server.rank(), key))
+            .collect();
+        engines.sort_unstable();
+        let mut places: Vec<_> = engines
+            .chunk_by(|a, b| (a.0, a.1) == (b.0, b.1))
+            .flat_map(|zone| zone.iter().enumerate())
+            .map(|(turn, (_, fast, rank, key))| (*fast, turn, *rank, *key))
+            .collect();
+        places.sort_unstable();
+        let patient = self.border.patient(now, places.len());
+        places.truncate(patient);
+        let mut side: Vec<server::Key> = places.into_iter().map(|(.., key)| key).collect();
+        side.sort_unstable();
+        (patient > 0).then_some(side)
+    }
+
+    /// Tokens at the beginning of a prompt that some engine keeps.
+    fn kept_somewhere(&self, work: &Work<'_>) -> u32 {
+        let engines = self.servers().filter(|(_, server)| !server.leaving());
+        let kept = engines.map(|(_, server)| work.prompt - server.engine().to_read(work));
+        kept.max().unwrap_or(0)
+    }
+}
+
+/// Whether an engine reads more slowly than is usual in its pool.
+fn is_slow(server: &Server, usual_read: Option<f64>) -> bool {
+    let fastest = server.engine().fastest();
+    fastest.zip(usual_read).is_some_and(|(own, usual)| own > usual * SLOW_READ)
+}
