feat: drumusher summary tells how all requests ended

Cause: where worth is lost had to be counted by hand from the lines of all instances. Change: a command that groups the ends of requests by route and by second, with the causes of explain (one list), and what dispatchers expected against what came. Tests: unit::summary::, unit::options::.

--- a/crates/drumusher/src/lib.rs
+++ b/crates/drumusher/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod routed;
 pub mod settings;
 pub mod story;
+pub mod summary;
 pub mod upstream;
 pub mod version;
--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -11,6 +11,7 @@
     process,
     settings::{self, Settings},
     story::Story,
+    summary::Summary,
 };
 
 /// Exit code for wrong options or settings.
@@ -30,6 +31,7 @@
         Ok(Command::Check(file)) => check(&file),
         Ok(Command::Serve(file)) => serve(&file),
         Ok(Command::Explain { id, files, json }) => explain(&id, &files, json),
+        Ok(Command::Summary(files)) => summary(&files),
         Ok(Command::Ask { statement, address, key }) => ask(&statement, &address, &key),
         Err(message) => {
             eprintln!("{message}");
@@ -94,7 +96,8 @@
     code
 }
 
-fn explain(id: &str, files: &[String], json: bool) -> ExitCode {
+/// The log lines in some files, or on standard input if there are none.
+fn log_lines(files: &[String]) -> Result<String, ExitCode> {
     let mut text = String::new();
     let read = if files.is_empty() {
         io::stdin().read_to_string(&mut text).map(drop)
@@ -105,10 +108,28 @@
             Ok(())
         })
     };
-    if let Err(error) = read {
+    read.map_err(|error| {
         eprintln!("the log lines cannot be read: {error}");
-        return ExitCode::from(WRONG_USE);
+        ExitCode::from(WRONG_USE)
+    })?;
+    Ok(text)
+}
+
+fn summary(files: &[String]) -> ExitCode {
+    match log_lines(files) {
+        Ok(text) => {
+            print!("{}", Summary::new(text.lines()));
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
     }
+}
+
+fn explain(id: &str, files: &[String], json: bool) -> ExitCode {
+    let text = match log_lines(files) {
+        Ok(text) => text,
+        Err(code) => return code,
+    };
     let story = Story::new(id, text.lines());
     if json {
         println!("{}", story.to_json());
--- a/crates/drumusher/src/options.rs
+++ b/crates/drumusher/src/options.rs
@@ -22,6 +22,8 @@
         /// Whether to answer in JSON.
         json: bool,
     },
+    /// Tell what log lines say of all requests.
+    Summary(Vec<String>),
     /// Send one statement to an instance.
     Ask {
         /// The statement.
@@ -45,6 +47,7 @@
     drumusher serve [--config FILE]
     drumusher check [--config FILE]
     drumusher explain ID [--json] [FILE...]
+    drumusher summary [FILE...]
     drumusher ask [--address IP:PORT] [--key KEY] 'STATEMENT'";
 
 fn options() -> Options {
@@ -88,6 +91,9 @@
             files: files.iter().map(|file| (*file).into()).collect(),
             json: matches.opt_present("json"),
         }),
+        ["summary", files @ ..] => {
+            Ok(Command::Summary(files.iter().map(|file| (*file).into()).collect()))
+        }
         ["ask", statement] => {
             let address = matches.opt_str("address").or_else(|| variable(ADDRESS_VARIABLE));
             let key = matches.opt_str("key").or_else(|| variable(KEY_VARIABLE));
--- a/crates/drumusher/src/story.rs
+++ b/crates/drumusher/src/story.rs
@@ -20,7 +20,7 @@
 }
 
 /// Why a request ended as it did.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
     /// It got its answer.
     Delivered,
@@ -42,7 +42,65 @@
     Untold,
 }
 
+impl Step {
+    /// A line, if it names a request.
+    pub fn new(line: &Map<String, Value>) -> Option<Step> {
+        let attributes = line.get("attributes")?.as_object()?;
+        attributes.get("request")?;
+        let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), String::from);
+        let facts = attributes.iter().filter(|(name, _)| *name != "request");
+        let mut facts: Vec<(String, String)> = facts.map(|(n, v)| (n.clone(), text(v))).collect();
+        facts.sort();
+        Some(Step {
+            time: line.get("time").map(text).unwrap_or_default(),
+            message: line.get("message").map(text).unwrap_or_default(),
+            facts,
+        })
+    }
+
+    /// The value of an input.
+    pub fn fact(&self, name: &str) -> Option<&str> {
+        self.facts.iter().find(|(n, _)| n == name).map(|(_, value)| value.as_str())
+    }
+}
+
 impl Cause {
+    /// A word or two for tables.
+    pub fn word(self) -> &'static str {
+        match self {
+            Cause::Delivered => "delivered",
+            Cause::FailureDelivered => "failures delivered",
+            Cause::TurnedAway => "turned away",
+            Cause::NotRun => "not run",
+            Cause::BackendFailed => "failed",
+            Cause::TimedOut => "timed out",
+            Cause::BrokenOff => "broken off",
+            Cause::CallerGone => "left by callers",
+            Cause::Untold => "untold",
+        }
+    }
+
+    /// The cause by the last of some lines, in order of time, that tells an end.
+    pub fn of(steps: &[Step]) -> Cause {
+        let end = steps.iter().rev().find_map(|step| {
+            let ended = step.message.strip_prefix("request ended: ");
+            let away = || step.message.strip_prefix("request turned away: ").map(|_| "turned away");
+            ended.or_else(away)
+        });
+        let failed = |step: &Step| step.fact("status").is_some_and(|text| text.starts_with('5'));
+        match end {
+            Some("delivered") if steps.last().is_some_and(failed) => Cause::FailureDelivered,
+            Some("delivered") => Cause::Delivered,
+            Some("caller gone") => Cause::CallerGone,
+            Some("turned away") => Cause::TurnedAway,
+            Some("backend_failed") => Cause::BackendFailed,
+            Some("timed_out") => Cause::TimedOut,
+            Some("broken off") => Cause::BrokenOff,
+            Some(_) => Cause::NotRun,
+            None => Cause::Untold,
+        }
+    }
+
     /// A sentence for people.
     pub fn sentence(self) -> &'static str {
         match self {
@@ -85,7 +143,7 @@
             }
         }
         story.steps.sort_by(|a, b| a.time.cmp(&b.time));
-        story.cause = cause(&story.steps);
+        story.cause = Cause::of(&story.steps);
         story
     }
 
@@ -126,40 +184,6 @@
 
 /// A line as a step, if it names the request.
 fn step(id: &str, line: &Map<String, Value>) -> Option<Step> {
-    let attributes = line.get("attributes")?.as_object()?;
-    if attributes.get("request").and_then(Value::as_str) != Some(id) {
-        return None;
-    }
-    let text = |value: &Value| value.as_str().map_or_else(|| value.to_string(), String::from);
-    let facts = attributes.iter().filter(|(name, _)| *name != "request");
-    let mut facts: Vec<(String, String)> = facts.map(|(n, v)| (n.clone(), text(v))).collect();
-    facts.sort();
-    Some(Step {
-        time: line.get("time").map(text).unwrap_or_default(),
-        message: line.get("message").map(text).unwrap_or_default(),
-        facts,
-    })
-}
-
-/// The cause by the last line that tells an end.
-fn cause(steps: &[Step]) -> Cause {
-    let end = steps.iter().rev().find_map(|step| {
-        let ended = step.message.strip_prefix("request ended: ");
-        ended.or_else(|| step.message.strip_prefix("request turned away: ").map(|_| "turned away"))
-    });
-    let failed = |step: &Step| {
-        let mut facts = step.facts.iter();
-        facts.any(|(name, value)| name == "status" && value.starts_with('5'))
-    };
-    match end {
-        Some("delivered") if steps.last().is_some_and(failed) => Cause::FailureDelivered,
-        Some("delivered") => Cause::Delivered,
-        Some("caller gone") => Cause::CallerGone,
-        Some("turned away") => Cause::TurnedAway,
-        Some("backend_failed") => Cause::BackendFailed,
-        Some("timed_out") => Cause::TimedOut,
-        Some("broken off") => Cause::BrokenOff,
-        Some(_) => Cause::NotRun,
-        None => Cause::Untold,
-    }
+    let named = line.get("attributes")?.get("request").and_then(Value::as_str);
+    if named == Some(id) { Step::new(line) } else { None }
 }
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -11,3 +11,4 @@
 mod routing;
 mod settings;
 mod story;
+mod summary;
--- a/crates/drumusher/tests/unit/options.rs
+++ b/crates/drumusher/tests/unit/options.rs
@@ -11,6 +11,7 @@
 #[case("serve --config a.toml", Command::Serve("a.toml".into()))]
 #[case("check -c a.toml", Command::Check("a.toml".into()))]
 #[case("--version", Command::Version)]
+#[case("summary a b", Command::Summary(vec!["a".into(), "b".into()]))]
 #[case("ask -a 127.0.0.1:1 -k key show", Command::Ask {
     statement: "show".into(), address: "127.0.0.1:1".into(), key: "key".into(),
 })]
@@ -45,5 +46,9 @@
     let Ok(Command::Help(text)) = parse(&words("--help"), |_| None) else {
         panic!("no help");
     };
-    assert!(["serve", "check", "ask"].iter().all(|command| text.contains(command)));
+    assert!(
+        ["serve", "check", "ask", "explain", "summary"]
+            .iter()
+            .all(|command| text.contains(command))
+    );
 }
