fix: a reader that closes the output early ends no command with a panic

Cause: seen with drumusher summary piped into head: print! panics on a closed pipe. Change: what explain and summary print goes through one function that takes a closed pipe for no error. Shown by hand: the same command into head ends quietly.

--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -2,7 +2,7 @@
 
 use std::{
     env, fs,
-    io::{self, Read},
+    io::{self, Read, Write},
     process::ExitCode,
 };
 
@@ -115,10 +115,19 @@
     Ok(text)
 }
 
+/// Prints to standard output. Whoever reads it may close it early, which is no error.
+fn tell(text: &str) {
+    if let Err(error) = io::stdout().write_all(text.as_bytes())
+        && error.kind() != io::ErrorKind::BrokenPipe
+    {
+        eprintln!("standard output: {error}");
+    }
+}
+
 fn summary(files: &[String]) -> ExitCode {
     match log_lines(files) {
         Ok(text) => {
-            print!("{}", Summary::new(text.lines()));
+            tell(&Summary::new(text.lines()).to_string());
             ExitCode::SUCCESS
         }
         Err(code) => code,
@@ -132,9 +141,9 @@
     };
     let story = Story::new(id, text.lines());
     if json {
-        println!("{}", story.to_json());
+        tell(&format!("{}\n", story.to_json()));
     } else {
-        print!("{story}");
+        tell(&story.to_string());
     }
     if story.steps.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS }
 }
