test: the lines of versions are waited for

Traced by its output: the route of version 9 was answered before the writer of log lines, a thread of its own, had written version 9's line; the test read the file at once. Change: it waits for that line, after which all earlier ones are there. What it demands is unchanged.

--- a/crates/drumusher/tests/routes/config.rs
+++ b/crates/drumusher/tests/routes/config.rs
@@ -28,6 +28,9 @@
     // Once a later version is in force the older ones were read; none of them ever was.
     deployment.store.put("keyed.op", "config", &configuration(9, "latest"));
     wait_for("the latest version is in force", || status(&deployment, 0, "/latest/") == 200);
+    // Lines are written by a thread of their own, in order.
+    let told = || deployment.instances[0].lines().contains(r#"{"version":"9"}"#);
+    wait_for("the latest version has its line", told);
     let lines = deployment.instances[0].lines();
     let in_force = lines.lines().filter(|line| line.contains("configuration in force"));
     let versions: Vec<bool> = in_force
