--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -127,7 +127,6 @@
         entry: Entry((id % 360) as u32),
         class: ClassKey((id % 4) as u16),
         workspace: WorkspaceKey((id % 770) as u16),
-        zone: None,
         arrived: 1_000_000 + id as u64,
         prompt: 400,
         prefix: 1 + id as u64 % 500,
@@ -323,7 +322,6 @@
             redirected: None,
             output: None,
             parts: None,
-            zone: Some(i64::MAX / 5),
         };
         let grant =
             peer::Grant::new(id.clone(), "suva-hall-engine-1234".to_string(), 180, 0, None, None);
--- a/crates/drumusher-bench/src/policy/simulation.rs
+++ b/crates/drumusher-bench/src/policy/simulation.rs
@@ -291,7 +291,6 @@
             entry: Entry(request.entry),
             class: request.class,
             workspace: request.workspace,
-            zone: None,
             arrived: request.arrives,
             prompt: request.prompt,
             prefix: request.prefix,
--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -34,8 +34,6 @@
     pub class: policy::ClassKey,
     /// The workspace it is charged to.
     pub workspace: policy::WorkspaceKey,
-    /// The availability zone of its entry, if it is known.
-    pub zone: Option<server::Zone>,
     /// When the caller's request first arrived.
     pub arrived: Micros,
     /// Length of the prompt in tokens, as estimated by the entry.
--- a/crates/drumusher-schedule/src/policy.rs
+++ b/crates/drumusher-schedule/src/policy.rs
@@ -111,8 +111,6 @@
     pub sides: bool,
     /// Patient prompts that are read soon do no harm beside pressing streams.
     pub harm: bool,
-    /// Streams that may not be resumed stay in their availability zone.
-    pub zones: bool,
     /// Entries are told how long a first event is expected to take.
     pub expected: bool,
     /// A prompt that no engine keeps goes to the engine that all dispatchers would choose.
@@ -129,7 +127,7 @@
 
 impl Switches {
     /// The names of the switches, as operators write them.
-    pub const NAMES: [&str; 17] = [
+    pub const NAMES: [&str; 16] = [
         "tiers",
         "fairness",
         "deadlines",
@@ -142,7 +140,6 @@
         "sources",
         "sides",
         "harm",
-        "zones",
         "expected",
         "usual_engine",
         "slow",
@@ -168,7 +165,6 @@
             "sources" => &mut self.sources,
             "sides" => &mut self.sides,
             "harm" => &mut self.harm,
-            "zones" => &mut self.zones,
             "expected" => &mut self.expected,
             "usual_engine" => &mut self.usual_engine,
             "slow" => &mut self.slow,
@@ -195,7 +191,6 @@
             sources: true,
             sides: true,
             harm: true,
-            zones: true,
             expected: true,
             usual_engine: true,
             slow: true,
--- a/crates/drumusher-schedule/src/pool/place.rs
+++ b/crates/drumusher-schedule/src/pool/place.rs
@@ -1,7 +1,7 @@
 //! The engine on which a prompt is best read.
 //!
-//! Placing a request costs what it waits there, what has to be read or taken over, what it does to the
-//! streams beside it, and what a cut between zones would do to it. The cheapest engine gets it.
+//! Placing a request costs what it waits there, what has to be read or taken over, and what it does to
+//! the streams beside it. The cheapest engine gets it.
 
 use super::{
     Pool,
@@ -18,11 +18,6 @@
 /// token of its shared part, in microseconds of waiting: twice the time to read it.
 const ELSEWHERE: f64 = 40.0;
 
-/// What a stream that may not go on elsewhere counts in another availability zone, as a part of the
-/// target for its first event: a cut between zones breaks it off, and a wait that is short against
-/// the target harms nobody.
-const AWAY: f64 = 0.25;
-
 /// An engine is slow if it reads a token in so many times the usual time.
 const SLOW_READ: f64 = 1.15;
 
@@ -55,7 +50,6 @@
         let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
         let usual_engine = again == 0 && self.policy.switches.usual_engine;
         let usual = if usual_engine { self.usual_engine(&work, on_side) } else { None };
-        let away = self.policy.class(ask.class).first_token as f64 * AWAY;
         let mut best: Option<(bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
             if !fits(server, now, scope) {
@@ -65,8 +59,7 @@
             let avoided = ask.avoid == Some(key);
             let elsewhere = usual.is_some_and(|usual| usual != key);
             let strange = if elsewhere { shared * ELSEWHERE } else { 0.0 };
-            let away = if self.crosses_zones(ask, server) { away } else { 0.0 };
-            let cost = server.engine().cost(now, &work, reading, on_side(key)) + strange + away;
+            let cost = server.engine().cost(now, &work, reading, on_side(key)) + strange;
             if best.is_none_or(|(a, c, ..)| (avoided, cost) < (a, c)) {
                 best = Some((avoided, cost, key, reading));
             }
@@ -79,15 +72,6 @@
         Some(Place { server, reading, source, expected })
     }
 
-    /// Whether a stream that may not go on elsewhere would run in another availability zone than its
-    /// entry's.
-    fn crosses_zones(&self, ask: &Ask, server: &Server) -> bool {
-        let zones = ask.zone.zip(server.zone());
-        self.policy.switches.zones
-            && !ask.repeatable
-            && zones.is_some_and(|(entry, server)| entry != server)
-    }
-
     /// What is to be placed, with what is known of its class.
     pub(super) fn work<'a>(&self, now: Micros, ask: &'a Ask) -> Work<'a> {
         let tightest = self.tightest_pause(now).unwrap_or(0);
@@ -126,21 +110,15 @@
     /// The engines on the patient side in the order of their keys; `None` if there are no sides.
     ///
     /// Slow ones are the first, because on them even a prompt of a pressing class delays the tokens of
-    /// others too long. Then availability zones take turns, so that each has engines on both sides.
+    /// others too long.
     fn patient_side(&mut self, now: Micros) -> Option<Vec<server::Key>> {
         if !self.has_both_kinds(now) {
             return None;
         }
         let usual_read = self.usual_read;
         let engines = self.servers().filter(|(_, s)| !s.leaving() && s.next_probe().is_none());
-        let mut engines: Vec<_> = engines
-            .map(|(key, server)| (server.zone(), !is_slow(server, usual_read), server.rank(), key))
-            .collect();
-        engines.sort_unstable();
         let mut places: Vec<_> = engines
-            .chunk_by(|a, b| (a.0, a.1) == (b.0, b.1))
-            .flat_map(|zone| zone.iter().enumerate())
-            .map(|(turn, (_, fast, rank, key))| (*fast, turn, *rank, *key))
+            .map(|(key, server)| (!is_slow(server, usual_read), server.rank(), key))
             .collect();
         places.sort_unstable();
         let patient = self.border.patient(now, places.len());
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -9,8 +9,6 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use self::{
     pace::{ENOUGH_SAMPLES, Pace, mean},
     window::HISTORY,
@@ -26,17 +24,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Key(pub u16);
 
-/// An availability zone, by a hash of its name that all instances compute alike.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct Zone(pub u64);
-
-impl Zone {
-    /// The zone of a name.
-    pub fn of(name: &str) -> Self {
-        Zone(xxh3_64(name.as_bytes()))
-    }
-}
-
 /// What is configured for a backend server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Options {
@@ -48,13 +35,11 @@
     pub learned: bool,
     /// Its place in an order that all dispatchers of the pool share.
     pub rank: u64,
-    /// Its availability zone, if it is known.
-    pub zone: Option<Zone>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { slots: 64, first_slots: 16, learned: true, rank: 0, zone: None }
+        Options { slots: 64, first_slots: 16, learned: true, rank: 0 }
     }
 }
 
@@ -138,11 +123,6 @@
         self.options.rank
     }
 
-    /// Its availability zone, if it is known.
-    pub fn zone(&self) -> Option<Zone> {
-        self.options.zone
-    }
-
     /// Whether it is leaving.
     pub fn leaving(&self) -> bool {
         self.leaving
--- a/crates/drumusher-schedule/tests/schedule/sides.rs
+++ b/crates/drumusher-schedule/tests/schedule/sides.rs
@@ -6,7 +6,7 @@
     ask::{Ask, Outcome, Part},
     event::{Event, Progress},
     policy::Policy,
-    server::{Health, Key, Options, Zone},
+    server::{Health, Key, Options},
     time::{MILLISECOND, Micros},
 };
 use rstest::rstest;
@@ -37,8 +37,7 @@
 fn divided_bench_of(policy: Policy) -> Bench {
     let mut bench = Bench::new(policy, ENGINES, 16);
     for key in 0..ENGINES {
-        let options =
-            Options { slots: 16, first_slots: 16, rank: u64::from(key), ..Options::default() };
+        let options = Options { slots: 16, first_slots: 16, rank: u64::from(key), learned: true };
         bench.tell(Event::Server(Key(key), options));
     }
     bench
@@ -168,80 +167,3 @@
     let seen = run(&mut bench, 100, |p, server| if server == victim { pause } else { usual(p) });
     assert!(seen.slow.contains(&victim), "{:?}", seen.slow);
 }
-
-/// Engines of two availability zones; the first half is in the first.
-fn zoned_bench(policy: Policy) -> Bench {
-    let mut bench = Bench::new(policy, ENGINES, 16);
-    for key in 0..ENGINES {
-        let zone = Some(zone_of(key));
-        let options =
-            Options { slots: 16, first_slots: 16, rank: u64::from(key), zone, learned: true };
-        bench.tell(Event::Server(Key(key), options));
-    }
-    bench
-}
-
-fn zone_of(key: u16) -> Zone {
-    Zone::of(if key < ENGINES / 2 { "a" } else { "b" })
-}
-
-/// A stream that may not go on elsewhere runs in its entry's zone as long as that costs it little;
-/// one that may goes wherever it costs least.
-#[rstest]
-#[case::not_resumable(false)]
-#[case::resumable(true)]
-fn a_stream_that_may_not_be_resumed_stays_in_its_zone(#[case] repeatable: bool) {
-    let mut bench = zoned_bench(policy());
-    let mut crossed = 0;
-    for id in 0..32 {
-        let now = bench.now;
-        let entry = zone_of((id % 2) as u16 * (ENGINES - 1));
-        let ask = Ask { repeatable, zone: Some(entry), ..prompt(id, URGENT, now) };
-        let server = granted(&bench.ask(ask))[0].1;
-        crossed += usize::from(zone_of(server) != entry);
-        bench.progress(id, 1, 0);
-        bench.finish(id, Outcome::Done);
-    }
-    assert_eq!(crossed > 0, repeatable, "{crossed} of 32 crossed");
-}
-
-/// A zone whose engines all wait for long prompts gives its streams away.
-#[test]
-fn a_stream_leaves_its_zone_when_it_would_wait() {
-    let mut bench = zoned_bench(policy());
-    let now = bench.now;
-    let entry = Some(zone_of(0));
-    let of_zone = |id| Ask { repeatable: false, zone: entry, ..prompt(id, URGENT, now) };
-    let servers: BTreeSet<u16> =
-        (0..64).flat_map(|id| granted(&bench.ask(of_zone(id)))).map(|(_, server)| server).collect();
-    assert!(servers.iter().any(|server| Some(zone_of(*server)) != entry), "{servers:?}");
-}
-
-/// The sides of the border are in each zone, so that no class has to leave its own.
-#[test]
-fn each_zone_has_engines_on_both_sides() {
-    let mut bench = zoned_bench(divided());
-    let placed = |bench: &mut Bench, id: u128, class| {
-        let now = bench.now;
-        let orders = bench.ask(prompt(id, class, now));
-        bench.tell(Event::Progress(Progress {
-            id,
-            produced: 1,
-            first_token: Some(READING),
-            gap: 0,
-        }));
-        granted(&orders)[0].1
-    };
-    let mut sides: BTreeMap<u16, BTreeSet<Zone>> = BTreeMap::new();
-    for id in 0..64 {
-        let class = if id % 2 == 0 { URGENT } else { BULK };
-        let server = placed(&mut bench, id, class);
-        if id >= 16 {
-            sides.entry(class).or_default().insert(zone_of(server));
-        }
-        bench.finish(id, Outcome::Done);
-        bench.pass(100 * MILLISECOND);
-    }
-    let both = BTreeSet::from([zone_of(0), zone_of(ENGINES - 1)]);
-    assert_eq!(sides, BTreeMap::from([(URGENT, both.clone()), (BULK, both)]));
-}
--- a/crates/drumusher-schedule/tests/schedule/support.rs
+++ b/crates/drumusher-schedule/tests/schedule/support.rs
@@ -41,7 +41,6 @@
         entry: Entry(0),
         class: ClassKey(class),
         workspace: WorkspaceKey(0),
-        zone: None,
         arrived,
         prompt: 10,
         prefix: 0,
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -50,8 +50,6 @@
   /* expected tokens of the answer */
   14: optional i32 output
   15: optional list<Part> parts
-  /* hash of the name of the entry's availability zone */
-  16: optional i64 zone
 }
 
 /* The dispatcher has the ask and grants it when its turn comes. */
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -330,11 +330,10 @@
   pub redirected: Option<bool>,
   pub output: Option<i32>,
   pub parts: Option<Vec<Part>>,
-  pub zone: Option<i64>,
 }
 
 impl Ask {
-  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, zone: F16) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i64>> {
+  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>> {
     Ask {
       id,
       pool,
@@ -351,7 +350,6 @@
       redirected: redirected.into(),
       output: output.into(),
       parts: parts.into(),
-      zone: zone.into(),
     }
   }
 }
@@ -374,7 +372,6 @@
     let mut f_13: Option<bool> = None;
     let mut f_14: Option<i32> = None;
     let mut f_15: Option<Vec<Part>> = None;
-    let mut f_16: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -448,10 +445,6 @@
           i_prot.read_list_end()?;
           f_15 = Some(val);
         },
-        16 => {
-          let val = i_prot.read_i64()?;
-          f_16 = Some(val);
-        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -481,7 +474,6 @@
       redirected: f_13,
       output: f_14,
       parts: f_15,
-      zone: f_16,
     };
     Ok(ret)
   }
@@ -555,11 +547,6 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
-    if let Some(fld_var) = self.zone {
-      o_prot.write_field_begin(&TFieldIdentifier::new("zone", TType::I64, 16))?;
-      o_prot.write_i64(fld_var)?;
-      o_prot.write_field_end()?
-    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -23,7 +23,6 @@
         redirected: None,
         output: Some(210),
         parts: Some(vec![Part::new(-7, 512)]),
-        zone: Some(i64::MIN),
     }
 }
 
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -6,10 +6,7 @@
 
 use std::sync::Arc;
 
-use drumusher_schedule::{
-    ask::{Id, Part},
-    server::Zone,
-};
+use drumusher_schedule::ask::{Id, Part};
 use drumusher_wire::peer::Message;
 
 pub use table::Table;
@@ -77,8 +74,6 @@
     pub pool: Pool,
     /// The area whose dispatcher is asked.
     pub area: Arc<str>,
-    /// The availability zone of its entry.
-    pub zone: Zone,
     /// Its workspace.
     pub workspace: Arc<str>,
     /// Its class.
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -393,7 +393,6 @@
     peer::Ask {
         id: id::to_wire(own.id),
         pool: own.pool.to_string(),
-        zone: Some(own.zone.0 as i64),
         workspace: own.workspace.to_string(),
         traffic_class: own.class.to_string(),
         age: clock::now().saturating_sub(own.arrived) as i64,
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -111,7 +111,7 @@
             events.push(if leaving {
                 Event::Leave(key)
             } else {
-                Event::Server(key, options(slots, learned, rank::weight(pool, name), &backend.zone))
+                Event::Server(key, options(slots, learned, rank::weight(pool, name)))
             });
         }
         let gone: Vec<Arc<str>> =
@@ -125,9 +125,8 @@
     }
 }
 
-fn options(slots: u32, learned: bool, rank: u64, zone: &str) -> server::Options {
+fn options(slots: u32, learned: bool, rank: u64) -> server::Options {
     let first_slots =
         if learned { slots.min(server::Options::default().first_slots) } else { slots };
-    let zone = Some(server::Zone::of(zone));
-    server::Options { slots, first_slots, learned, rank, zone }
+    server::Options { slots, first_slots, learned, rank }
 }
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -28,7 +28,6 @@
         entry,
         class: version.class(&wire.traffic_class).unwrap_or(lowest),
         workspace: version.workspace(&wire.workspace).unwrap_or(WorkspaceKey(u16::MAX)),
-        zone: wire.zone.map(|zone| server::Zone(zone as u64)),
         arrived: clock::now().saturating_sub(wire.age.max(0) as u64),
         prompt: wire.prompt.max(0) as u32,
         prefix: wire.prefix.unwrap_or(0) as u64,
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -8,10 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use drumusher_log::config::State;
 use drumusher_platform::routing::Configuration;
-use drumusher_schedule::{
-    server::Zone,
-    time::{MILLISECOND, Micros},
-};
+use drumusher_schedule::time::{MILLISECOND, Micros};
 
 use super::{
     broker, catalog, clock, dispatch, explain::Explanations, peers, platform, telemetry::Telemetry,
@@ -32,8 +29,6 @@
     /// The area whose instances and backend servers form one pool: the availability zone, or what
     /// the settings name instead.
     pub area: Arc<str>,
-    /// The instance's availability zone.
-    pub zone: Zone,
     /// The configuration in force.
     pub version: ArcSwap<Version>,
     /// The routes in force, where the configuration is one of routes.
@@ -106,7 +101,6 @@
         let shared = Shared {
             name: settings.name.as_str().into(),
             area: settings.area.as_str().into(),
-            zone: Zone::of(&settings.availability_zone),
             version: ArcSwap::from_pointee(version),
             routing: ArcSwapOption::empty(),
             records: Mutex::default(),
--- a/crates/drumusher/src/request/flow.rs
+++ b/crates/drumusher/src/request/flow.rs
@@ -169,7 +169,6 @@
             id: self.id,
             pool: self.pool.clone(),
             area,
-            zone: self.shared.zone,
             workspace: self.head.workspace.clone(),
             class: self.head.class.clone(),
             arrived: self.head.arrived,
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -101,7 +101,6 @@
             id: self.id,
             pool: ask.pool.clone(),
             area: self.shared.area.clone(),
-            zone: self.shared.zone,
             workspace: ask.workspace.clone(),
             class: ask.class.clone(),
             arrived: ask.arrived,
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -66,8 +66,6 @@
     pub name: Arc<str>,
     /// The area it belongs to.
     pub area: Arc<str>,
-    /// Its availability zone.
-    pub zone: Arc<str>,
     /// `ip:port`.
     pub address: String,
     /// Most requests at once.
@@ -101,7 +99,6 @@
             let backend = Backend {
                 name: name.as_str().into(),
                 area: zone.as_str().into(),
-                zone: zone.as_str().into(),
                 address: address.clone(),
                 slots: engine.slots,
                 leaving: engine.drained,
@@ -125,7 +122,6 @@
             let backend = Backend {
                 name: server.id.as_str().into(),
                 area: area.clone(),
-                zone: server.availability_zone.as_str().into(),
                 address: server.address.to_string(),
                 slots: server.slots,
                 leaving: server.leaving,
@@ -151,7 +147,6 @@
             let backend = Backend {
                 name: name.clone(),
                 area: area.clone(),
-                zone: area.clone(),
                 address: member.address.clone(),
                 slots,
                 leaving: leaving || drained,
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -7,7 +7,6 @@
     request::id,
     version::{Directory, Instance, Pool},
 };
-use drumusher_schedule::server::Zone;
 use drumusher_wire::peer::{self, Message};
 use proptest::prelude::*;
 
@@ -40,7 +39,6 @@
 fn open(table: &mut Table, id: u128) -> (Vec<Send>, async_channel::Receiver<Reply>) {
     let (replies, receiver) = async_channel::bounded(8);
     let own = Own {
-        zone: Zone::of("z"),
         id,
         pool: pool(),
         area: "suva".into(),
