--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -29,20 +29,23 @@
 const DRIFT: f64 = 1.01;
 /// Bounds of the time to read a token, in microseconds.
 const READ_BOUNDS: (f64, f64) = (1.0, 1_000.0);
-/// Time to take a token over from another engine before that was seen, in microseconds.
+/// Time to take a token over from another engine before that was seen, in microseconds: a quarter of
+/// the time to read it. Links of 180 to 740 Gbit/s take 3.5 to 7.3.
 const MOVE_UNKNOWN: f64 = 5.0;
 /// Bounds of that time, in microseconds.
 const MOVE_BOUNDS: (f64, f64) = (0.5, 1_000.0);
-/// Tokens that take less than this to read, in microseconds, are not taken over: beginning to does
-/// not take less.
+/// Tokens that take less than this to read, in microseconds, are not taken over: setting a copy up takes
+/// 2.5 to 4 ms on today's engines, and queues behind others on both links.
 const MOVE_LEAST: f64 = 10.0 * MILLISECOND as f64;
-/// What taking a token over counts, in times that it takes: the links of two engines are in use.
+/// What taking a token over counts, in times that it takes: the links of two engines are in use. Chosen,
+/// not measured.
 const MOVE_COUNTS: f64 = 2.0;
 /// What reading a shared token again counts, in microseconds of waiting: much more than the time
 /// it takes, because users count it as waste whether or not somebody waits.
 const AGAIN: f64 = 400.0;
 /// A prompt delays the streams beside it too long if reading all of it takes more than this part of
-/// the tightest pause. A stream's own steps take up the rest of the pause.
+/// the tightest pause. A stream's own steps take up the rest of the pause. Of today's classes those with
+/// short prompts take 0.2 to 0.4 of it, and those with long ones 0.9 to 1.5.
 pub(crate) const DELAYING: f64 = 0.6;
 /// What each pressing stream beside it counts for a patient request, in times that its prompt takes
 /// to read: the longer the prompt, the longer their tokens come late.
