--- a/crates/drumusher-schedule/src/pool/place.rs
+++ b/crates/drumusher-schedule/src/pool/place.rs
@@ -48,8 +48,8 @@
                 .is_none_or(|side| side.binary_search(&key).is_ok() == work.patient)
         };
         let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
-        let usual_engine = again == 0 && self.policy.switches.usual_engine;
-        let usual = if usual_engine { self.usual_engine(&work, on_side) } else { None };
+        let unknown = again == 0 && self.policy.switches.usual_engine;
+        let usual = if unknown { self.usual_engine(&work, on_side) } else { None };
         let mut best: Option<(bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
             if !fits(server, now, scope) {
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -3,6 +3,7 @@
 
 mod table;
 mod view;
+mod wire;
 
 use std::sync::Arc;
 
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -5,10 +5,10 @@
     sync::Arc,
 };
 
-use drumusher_schedule::ask::{Id, Part};
+use drumusher_schedule::ask::Id;
 use drumusher_wire::peer::{self, Message};
 
-use super::{CANCELLED, Grant, Input, Own, Reply, Report, Send, View};
+use super::{CANCELLED, Input, Own, Reply, Report, Send, View, wire};
 use crate::{
     process::clock,
     request::id,
@@ -107,7 +107,7 @@
             self.held.remove(&id);
             return;
         };
-        let mut ask = write_ask(held);
+        let mut ask = wire::ask(&held.own, held.server.as_deref());
         if let Some(held) = self.held.get_mut(&id) {
             held.owed = held.server.is_none().then(clock::now);
         }
@@ -235,17 +235,11 @@
         let Some(held) = self.held.get_mut(&id) else {
             return;
         };
-        let server: Arc<str> = grant.server.as_str().into();
-        held.server = Some(server.clone());
+        let grant = wire::grant(grant, from);
+        held.server = Some(grant.server.clone());
         held.owed = None;
         held.reported = clock::now();
-        let reply = Reply::Grant(Grant {
-            server,
-            source: grant.source.as_deref().map(Arc::from),
-            expected: grant.expected.unwrap_or(0).max(0) as u64,
-            dispatcher: from.clone(),
-        });
-        if held.own.replies.try_send(reply).is_err() {
+        if held.own.replies.try_send(Reply::Grant(grant)).is_err() {
             self.finish(id, CANCELLED, 0, sends);
         }
     }
@@ -387,28 +381,3 @@
         }
     }
 }
-
-fn write_ask(held: &Held) -> peer::Ask {
-    let own = &held.own;
-    peer::Ask {
-        id: id::to_wire(own.id),
-        pool: own.pool.to_string(),
-        workspace: own.workspace.to_string(),
-        traffic_class: own.class.to_string(),
-        age: clock::now().saturating_sub(own.arrived) as i64,
-        prompt: own.prompt as i32,
-        prefix: (own.prefix != 0).then_some(own.prefix as i64),
-        produced: (own.produced != 0).then_some(own.produced as i32),
-        unrepeatable: (!own.repeatable).then_some(true),
-        preemptions: (own.preemptions != 0).then_some(i16::from(own.preemptions)),
-        avoid: own.avoid.as_ref().map(|name| name.to_string()),
-        server: held.server.as_ref().map(|name| name.to_string()),
-        redirected: None,
-        output: (own.output != 0).then_some(own.output as i32),
-        parts: (!own.parts.is_empty()).then(|| own.parts.iter().map(write_part).collect()),
-    }
-}
-
-fn write_part(part: &Part) -> peer::Part {
-    peer::Part::new(part.id as i64, part.tokens as i32)
-}
--- /dev/null
+++ b/crates/drumusher/src/process/broker/wire.rs
@@ -0,0 +1,44 @@
+//! What the broker knows as messages to other instances, and their messages as what it knows.
+
+use std::sync::Arc;
+
+use drumusher_schedule::ask::Part;
+use drumusher_wire::peer;
+
+use super::{Grant, Own};
+use crate::{process::clock, request::id};
+
+/// An ask for its dispatcher; with the backend server it was granted, if it runs already.
+pub(super) fn ask(own: &Own, server: Option<&str>) -> peer::Ask {
+    peer::Ask {
+        id: id::to_wire(own.id),
+        pool: own.pool.to_string(),
+        workspace: own.workspace.to_string(),
+        traffic_class: own.class.to_string(),
+        age: clock::now().saturating_sub(own.arrived) as i64,
+        prompt: own.prompt as i32,
+        prefix: (own.prefix != 0).then_some(own.prefix as i64),
+        produced: (own.produced != 0).then_some(own.produced as i32),
+        unrepeatable: (!own.repeatable).then_some(true),
+        preemptions: (own.preemptions != 0).then_some(i16::from(own.preemptions)),
+        avoid: own.avoid.as_ref().map(|name| name.to_string()),
+        server: server.map(String::from),
+        redirected: None,
+        output: (own.output != 0).then_some(own.output as i32),
+        parts: (!own.parts.is_empty()).then(|| own.parts.iter().map(part).collect()),
+    }
+}
+
+fn part(part: &Part) -> peer::Part {
+    peer::Part::new(part.id as i64, part.tokens as i32)
+}
+
+/// A grant of the dispatcher `from`.
+pub(super) fn grant(grant: &peer::Grant, from: &Arc<str>) -> Grant {
+    Grant {
+        server: grant.server.as_str().into(),
+        source: grant.source.as_deref().map(Arc::from),
+        expected: grant.expected.unwrap_or(0).max(0) as u64,
+        dispatcher: from.clone(),
+    }
+}
