test: little_is_not_taken_over can fail; the settings read lists in one place

The test had a free keeper, so that every request went there and the bound on what is taken over did not matter; it passed with the bound at 0. Reader::addresses and Reader::switches read a list with the same six lines. No change of behaviour.

--- a/crates/drumusher-schedule/tests/schedule/source.rs
+++ b/crates/drumusher-schedule/tests/schedule/source.rs
@@ -5,7 +5,7 @@
     event::Event,
     order::Order,
     server::Key,
-    time::{MILLISECOND, Micros},
+    time::Micros,
 };
 
 use crate::support::{BULK, Bench, ask, granted, policy};
@@ -86,22 +86,23 @@
     assert!(!server.engine().keeps(SHARED.id));
 }
 
-/// Short prompts are read where they are placed: beginning to take them over takes as long.
+/// Short parts are read again where they are placed: beginning to take them over takes as long.
 #[test]
 fn little_is_not_taken_over() {
     let mut bench = Bench::new(policy(), 2, 16);
     let now = bench.now;
     let small = Part { id: 9, tokens: 100 };
-    let short = |id: u128| Ask {
-        parts: vec![small, Part { id: 100 + id as u64, tokens: 50 }],
-        prompt: 150,
+    let with_own = |id: u128, own: u32| Ask {
+        parts: vec![small, Part { id: 100 + id as u64, tokens: own }],
+        prompt: small.tokens + own,
         ..ask(id, BULK, now)
     };
-    let keeper = granted(&bench.ask(short(1)))[0].1;
+    let keeper = Key(granted(&bench.ask(with_own(1, 50)))[0].1);
     bench.progress(1, 1, 0);
-    for id in 2..10 {
-        let (server, source) = placed(&bench.ask(short(id))).expect("there is room");
-        assert!(source.is_none() || server.0 == keeper);
-        bench.now += MILLISECOND;
-    }
+    bench.finish(1, Outcome::Done);
+    let busy = placed(&bench.ask(with_own(2, 60_000)));
+    assert_eq!(busy, Some((keeper, None)), "it keeps the part");
+    let (server, source) = placed(&bench.ask(with_own(3, 50))).expect("there is room");
+    assert_ne!(server, keeper, "it is busy");
+    assert_eq!(source, None);
 }
--- a/crates/drumusher/src/settings/reader.rs
+++ b/crates/drumusher/src/settings/reader.rs
@@ -114,16 +114,21 @@
         })
     }
 
-    /// A list of addresses, empty unless the key is there.
-    pub(super) fn addresses(&mut self, key: &str) -> Vec<SocketAddr> {
-        let items = match self.left.remove(key) {
-            None => return Vec::new(),
+    /// The items of a list, none unless the key is there; `takes` says what it should be.
+    fn list(&mut self, key: &str, takes: &str) -> Vec<Value> {
+        match self.left.remove(key) {
+            None => Vec::new(),
             Some(Value::Array(items)) => items,
             Some(_) => {
-                self.fault(key, "takes a list of ip:port");
-                return Vec::new();
+                self.fault(key, takes);
+                Vec::new()
             }
-        };
+        }
+    }
+
+    /// A list of addresses, empty unless the key is there.
+    pub(super) fn addresses(&mut self, key: &str) -> Vec<SocketAddr> {
+        let items = self.list(key, "takes a list of ip:port");
         let parsed: Vec<Option<SocketAddr>> =
             items.iter().map(|item| item.as_str()?.parse().ok()).collect();
         if parsed.iter().any(Option::is_none) {
@@ -135,15 +140,7 @@
     /// The mechanisms of the decisions less those in a list of names.
     pub(super) fn switches(&mut self, key: &str) -> Switches {
         let mut switches = Switches::default();
-        let names = match self.left.remove(key) {
-            None => return switches,
-            Some(Value::Array(names)) => names,
-            Some(_) => {
-                self.fault(key, "takes a list of names");
-                return switches;
-            }
-        };
-        for name in &names {
+        for name in self.list(key, "takes a list of names") {
             let known = name.as_str().is_some_and(|name| switches.turn_off(name).is_ok());
             if !known {
                 let all = Switches::NAMES.join(", ");
