fix: only a dispatcher of others asks engines what they keep

Cause: an instance whose dispatcher says nothing for 60 ms decides by itself, and whoever decides for a pool asked each engine for its list of parts.

Ruled out: lists shared between instances. Whoever decides for itself alone does so for some tens of milliseconds, and a cut-off instance sends a 295th of the requests.

Change: a pool is led when a sixteenth of the instances ask for it; an instance that is the only one leads all its pools. Nothing is asked again while that holds.

--- a/crates/drumusher/src/process/catalog/kept.rs
+++ b/crates/drumusher/src/process/catalog/kept.rs
@@ -1,8 +1,11 @@
-//! Asking engines what they keep, once for each pool that this instance begins to dispatch.
+//! Asking engines what they keep, once for each pool that this instance begins to dispatch for others.
 //!
 //! A new dispatcher, after a restart or a change of the role, knows nothing of what earlier ones placed.
 //! Without this it has prompts read again whose parts some engine keeps: where all instances were
 //! replaced one by one, the value of what was served rose from 0.72 to 0.75 of 1 (one played half minute).
+//!
+//! An instance that only decides for itself, because its dispatcher is silent, asks nothing: each of 295
+//! instances would ask each of 160 engines.
 
 use std::{collections::BTreeSet, rc::Rc, sync::Arc};
 
@@ -21,14 +24,14 @@
 /// Engines asked at the same time: lists are some kilobytes long, and links may be narrow.
 const AT_ONCE: usize = 4;
 
-/// Asks the engines of each pool that is newly dispatched here.
+/// Asks the engines of each pool that is newly dispatched for others here.
 pub(super) async fn learn<S: Store + Engines + 'static>(catalog: Rc<Catalog<S>>) {
     let mut known: BTreeSet<Pool> = BTreeSet::new();
     loop {
         sleep(LOOK).await;
-        let hosted = catalog.shared.hosted.load_full();
-        known.retain(|pool| hosted.contains(pool));
-        for pool in hosted.iter() {
+        let led = catalog.shared.led.load_full();
+        known.retain(|pool| led.contains(pool));
+        for pool in led.iter() {
             if known.insert(pool.clone()) && catalog.is_engines(pool) {
                 catalog.ask_engines(pool).await;
             }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -2,14 +2,18 @@
 //!
 //! | module | duty |
 //! |---|---|
+//! | `askers` | for whom a pool is dispatched |
 //! | `host` | one pool with the names of its backend servers |
 //! | `wire` | messages between instances as events, orders as messages |
 
+mod askers;
 mod host;
 mod wire;
 
+pub use askers::Askers;
+
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -128,7 +132,7 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Message(entry, message) => self.message(entry, message),
-            Input::Gone(entry) => self.each(|_| Event::EntryGone(entry)),
+            Input::Gone(entry) => self.gone(entry),
             Input::Changed => self.changed(),
             Input::Load { pool, server, report } => self.load(&pool, &server, report),
             Input::Kept { pool, server, parts } => self.kept(&pool, &server, parts),
@@ -172,9 +176,24 @@
             None => Event::Ask(ask),
         };
         self.handle(&pool, event);
+        self.note_asker(entry, &pool);
         self.acknowledge(entry, &asked, &pool);
     }
 
+    /// Notes which other instances ask for a pool.
+    fn note_asker(&mut self, entry: Entry, pool: &Pool) {
+        if let Some(host) = self.hosts.get_mut(pool).filter(|_| entry != OWN) {
+            host.askers.add(clock::now(), entry);
+        }
+    }
+
+    fn gone(&mut self, entry: Entry) {
+        for host in self.hosts.values_mut() {
+            host.askers.remove(entry);
+        }
+        self.each(|_| Event::EntryGone(entry));
+    }
+
     /// Tells the entry that its ask waits, so that it need not take silence for an outage.
     fn acknowledge(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) {
         let waits = |id| self.hosts.get(pool).is_some_and(|host| host.pool.waits(id));
@@ -277,6 +296,7 @@
         let now = clock::now();
         for (pool, host) in &mut self.hosts {
             host.tell_health(pool, now);
+            host.askers.expire(now);
         }
         let before = self.hosts.len();
         self.hosts.retain(|_, host| {
@@ -286,6 +306,7 @@
         if self.hosts.len() != before {
             self.publish();
         }
+        self.publish_led();
     }
 
     /// Tells the platform thread whose load reports are wanted.
@@ -293,6 +314,16 @@
         self.shared.hosted.store(Arc::new(self.hosts.keys().cloned().collect()));
     }
 
+    /// Tells the platform thread which pools are dispatched for others, if that changed.
+    fn publish_led(&self) {
+        let instances = self.shared.directory.load().instances.len();
+        let led = self.hosts.iter().filter(|(_, host)| host.askers.are_led(instances));
+        let led: BTreeSet<Pool> = led.map(|(pool, _)| pool.clone()).collect();
+        if **self.shared.led.load() != led {
+            self.shared.led.store(Arc::new(led));
+        }
+    }
+
     fn host(&mut self, pool: &Pool) {
         if self.hosts.contains_key(pool) {
             return;
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -13,7 +13,7 @@
     time::MILLISECOND,
 };
 
-use super::Divisor;
+use super::{Askers, Divisor};
 use crate::version::{Backend, Pool};
 
 /// What is believed of a backend server before anything was learned.
@@ -31,6 +31,8 @@
     applied: BTreeMap<Arc<str>, (u32, bool)>,
     /// Backend servers that said themselves that they are leaving, and when.
     pub(super) own_word: BTreeMap<Arc<str>, u64>,
+    /// The other instances that ask for it, by their connections.
+    pub(super) askers: Askers,
     /// The health of each backend server as it was logged last, by key.
     told: Vec<&'static str>,
     /// When that was looked at last.
@@ -48,6 +50,7 @@
             known: HashMap::new(),
             applied: BTreeMap::new(),
             own_word: BTreeMap::new(),
+            askers: Askers::new(),
             told: Vec::new(),
             looked: now,
             used: now,
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -1,8 +1,11 @@
 //! What the threads of one process share.
 
-use std::sync::{
-    Arc, Mutex, MutexGuard,
-    atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -51,6 +54,8 @@
     pub lost: ArcSwap<Vec<Arc<str>>>,
     /// The pools this instance dispatches.
     pub hosted: ArcSwap<Vec<Pool>>,
+    /// Those of them that it dispatches for other instances, or that it dispatches as the only instance.
+    pub led: ArcSwap<BTreeSet<Pool>>,
     /// Whether a configuration was read.
     pub configured: AtomicBool,
     /// Whether the instance is stopping.
@@ -112,6 +117,7 @@
             directory: ArcSwap::from_pointee(Directory::default()),
             lost: ArcSwap::default(),
             hosted: ArcSwap::default(),
+            led: ArcSwap::default(),
             configured: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -1,6 +1,7 @@
 //! Tests of parts of the binary that need no process.
 
 mod answer;
+mod askers;
 mod broker;
 mod budget;
 mod catalog;
