feat: instances are entered in the store by those that read it, many in one call

Ruled out: joining a group of the store in place of a record (a tenth of the price, but only owners of a partition are listed); seeds (the deployment gives them only to a role that is called from outside, and they may be stale).

Change: - An instance reads the table first. If its entry is there as it is, it writes nothing. - One that is not listed tells its entry in its heartbeats, while it is missing.

Tests: an instance that cannot write is entered by another; a restart writes nothing; hundreds are one call.

--- a/crates/drumusher-platform/src/catalog.rs
+++ b/crates/drumusher-platform/src/catalog.rs
@@ -75,12 +75,12 @@
         wait_ms: u64,
     ) -> impl Future<Output = Result<Changes, Error>>;
 
-    /// Writes a record of [`Table::Instances`].
+    /// Writes records of [`Table::Instances`], all or none, in one call.
     ///
     /// # Errors
     ///
-    /// Any [`Error`]; after [`Error::NoAnswer`] it may have been written.
-    fn put(&self, record: &Record) -> impl Future<Output = Result<(), Error>>;
+    /// Any [`Error`]; after [`Error::NoAnswer`] they may have been written.
+    fn put(&self, records: &[Record]) -> impl Future<Output = Result<(), Error>>;
 
     /// Understands a value of [`Table::Configuration`].
     ///
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -123,6 +123,8 @@
   3: optional list<i64> ends
   /* whether it reads the store itself and gets answers */
   4: optional bool reads
+  /* its entry in the store's table of instances, while it does not know that it is there */
+  5: optional string entry
 }
 
 /* Records of the configuration stream, passed on in offset order. */
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -1310,15 +1310,17 @@
   pub leaving: Option<bool>,
   pub ends: Option<Vec<i64>>,
   pub reads: Option<bool>,
+  pub entry: Option<String>,
 }
 
 impl Heartbeat {
-  pub fn new<F2, F3, F4>(offset: i64, leaving: F2, ends: F3, reads: F4) -> Heartbeat where F2: Into<Option<bool>>, F3: Into<Option<Vec<i64>>>, F4: Into<Option<bool>> {
+  pub fn new<F2, F3, F4, F5>(offset: i64, leaving: F2, ends: F3, reads: F4, entry: F5) -> Heartbeat where F2: Into<Option<bool>>, F3: Into<Option<Vec<i64>>>, F4: Into<Option<bool>>, F5: Into<Option<String>> {
     Heartbeat {
       offset,
       leaving: leaving.into(),
       ends: ends.into(),
       reads: reads.into(),
+      entry: entry.into(),
     }
   }
 }
@@ -1330,6 +1332,7 @@
     let mut f_2: Option<bool> = None;
     let mut f_3: Option<Vec<i64>> = None;
     let mut f_4: Option<bool> = None;
+    let mut f_5: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1359,6 +1362,10 @@
           let val = i_prot.read_bool()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_string()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1372,6 +1379,7 @@
       leaving: f_2,
       ends: f_3,
       reads: f_4,
+      entry: f_5,
     };
     Ok(ret)
   }
@@ -1400,6 +1408,11 @@
       o_prot.write_bool(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.entry {
+      o_prot.write_field_begin(&TFieldIdentifier::new("entry", TType::String, 5))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -16,6 +16,7 @@
 mod records;
 
 pub use entries::{Entries, LAPSE};
+pub use membership::{Arrivals, entry};
 pub use records::{Ends, News, Records, TABLES, Update};
 
 use std::{
@@ -29,7 +30,7 @@
     catalog::{Record, Store, Table},
     engine::Engines,
 };
-use drumusher_schedule::time::Micros;
+use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
     rt,
     time::{Millis, sleep},
@@ -48,6 +49,7 @@
 /// What the tasks of the catalog share.
 struct Catalog<S> {
     shared: Arc<Shared>,
+    /// When the first call is made.
     began: Micros,
     store: S,
     state: RefCell<State>,
@@ -58,6 +60,7 @@
 struct State {
     entries: Entries,
     instances: BTreeMap<String, Instance>,
+    arrivals: Arrivals,
 }
 
 /// Follows the store on the current thread until the ring is closed.
@@ -66,14 +69,18 @@
     store: S,
     receiver: platform::Receiver,
 ) {
-    let catalog =
-        Rc::new(Catalog { shared, began: clock::now(), store, state: RefCell::default() });
+    let spread_ms = shared.settings.store.as_ref().map_or(0, |store| store.spread_ms);
+    let began = clock::now() + rand::random_range(0..=spread_ms) * MILLISECOND;
+    let catalog = Rc::new(Catalog { shared, began, store, state: RefCell::default() });
     rt::spawn(begin(catalog.clone()));
     rt::spawn(release(catalog.clone()));
     rt::spawn(kept::learn(catalog.clone()));
     while let Ok(input) = receiver.recv().await {
-        if let platform::Input::State(snapshot) = input {
-            catalog.offered(&snapshot);
+        match input {
+            platform::Input::State(snapshot) => catalog.offered(&snapshot),
+            platform::Input::Enter(name, entry) => catalog.enter(name, entry),
+            // The others come only where there is a log service in place of a store.
+            _ => {}
         }
     }
 }
@@ -81,11 +88,13 @@
 /// Tells the others of this instance, reads who else is there, and follows the tables. Who reads them
 /// follows from who is there; until the store answers, each looks for itself.
 async fn begin<S: Store + 'static>(catalog: Rc<Catalog<S>>) {
-    rt::spawn(membership::stay_entered(catalog.clone()));
-    rt::spawn(membership::forget(catalog.clone()));
+    let spread = catalog.began.saturating_sub(clock::now()) / MILLISECOND;
+    sleep(Millis(spread as u32)).await;
     if let Err(error) = catalog.read(Table::Instances).await {
         catalog.failed(Table::Instances, &error);
     }
+    rt::spawn(membership::stay_entered(catalog.clone()));
+    rt::spawn(membership::forget(catalog.clone()));
     for table in TABLES {
         rt::spawn(follow::follow(catalog.clone(), table));
     }
@@ -104,7 +113,22 @@
     }
 }
 
+impl<S: Store + 'static> Catalog<S> {
+    /// Another instance wants to be entered in the store.
+    fn enter(self: &Rc<Self>, name: String, entry: String) {
+        if self.state.borrow_mut().arrivals.add(clock::now(), name, entry) {
+            rt::spawn(membership::enter_arrivals(self.clone()));
+        }
+    }
+}
+
 impl<S: Store> Catalog<S> {
+    /// Whether other instances are listed.
+    fn others_are_listed(&self) -> bool {
+        let directory = self.shared.directory.load();
+        directory.instances.keys().any(|name| *name != self.shared.name)
+    }
+
     /// Puts what is new in a table into force.
     fn take(&self, news: News) {
         match news {
--- a/crates/drumusher/src/process/catalog/follow.rs
+++ b/crates/drumusher/src/process/catalog/follow.rs
@@ -92,7 +92,7 @@
         }
         let told = shared.told.load(Ordering::Acquire);
         let starting = now < self.began + START;
-        starting && shared.directory.load().instances.len() > 1 || now < told + TOLD_WITHIN
+        starting && self.others_are_listed() || now < told + TOLD_WITHIN
     }
 
     /// Reads a whole table, unless another instance told of more meanwhile.
--- a/crates/drumusher/src/process/catalog/membership.rs
+++ b/crates/drumusher/src/process/catalog/membership.rs
@@ -1,9 +1,17 @@
-//! The table of instances: entering the own instance, and forgetting those that are gone for good.
+//! The table of instances: entering the own instance and others, and forgetting those that are gone for
+//! good.
+//!
+//! An instance that is listed already, at its restart, writes nothing. One that is not tells those that
+//! read the store for it, in its heartbeats, and they write all that came within [`GATHER`] in one call.
+//! Where nobody else is listed, or nobody entered it within [`ENTERED_WITHIN`], it writes by itself.
 
-use std::{rc::Rc, sync::atomic::Ordering};
+use std::{collections::BTreeMap, rc::Rc, sync::atomic::Ordering};
 
 use drumusher_platform::catalog::{Record, Store, Table};
-use drumusher_schedule::rank;
+use drumusher_schedule::{
+    rank,
+    time::{MILLISECOND, Micros, SECOND},
+};
 use ntex::time::{Millis, sleep};
 use serde::{Deserialize, Serialize};
 
@@ -11,10 +19,20 @@
     Catalog,
     follow::{PAUSE, longer},
 };
+use crate::{process::clock, settings::Settings};
 
-/// Time between two looks at the entries of instances: the own one, and those of instances that are
-/// gone. Both matter after minutes.
+/// Time between two looks at the entries of instances, the own one if it is there, and those of instances
+/// that are gone. Both matter after minutes.
 const ENTRY_LOOK: Millis = Millis(5_000);
+/// The same while the own entry is missing.
+const MISSING_LOOK: Millis = Millis(100);
+/// An instance that others do not enter within this does it itself: eight of the heartbeats that ask
+/// for it, of which the first may have to wait for a connection.
+const ENTERED_WITHIN: Micros = 2 * SECOND;
+/// How long entries of other instances are gathered for one call.
+const GATHER: Millis = Millis(100);
+/// An entry that was written is not written again within this, in which it is read back.
+const READ_BACK: Micros = 1_000 * MILLISECOND;
 
 /// What an instance writes about itself.
 #[derive(Serialize, Deserialize)]
@@ -32,57 +50,113 @@
     rank::CAPACITY
 }
 
+/// The entry of the instance with these settings.
+pub fn entry(settings: &Settings) -> String {
+    let instance = Instance {
+        availability_zone: settings.availability_zone.clone(),
+        address: settings.advertise.to_string(),
+        capacity: settings.capacity,
+    };
+    serde_json::to_string(&instance).expect("two texts and a number can be written")
+}
+
+/// Entries of other instances that this one is to write. Without I/O.
+#[derive(Debug, Default)]
+pub struct Arrivals {
+    /// Entries by name.
+    waiting: BTreeMap<String, String>,
+    /// When an entry was written last.
+    written: BTreeMap<String, Micros>,
+}
+
+impl Arrivals {
+    /// Nobody wants to be entered yet.
+    pub fn new() -> Self {
+        Arrivals::default()
+    }
+
+    /// An instance wants to be entered. Returns whether it is the first one that waits.
+    pub fn add(&mut self, now: Micros, name: String, entry: String) -> bool {
+        self.written.retain(|_, at| now < *at + READ_BACK);
+        if self.written.contains_key(&name) {
+            return false;
+        }
+        let first = self.waiting.is_empty();
+        self.waiting.insert(name, entry);
+        first
+    }
+
+    /// The records of all that wait, which are to be written now.
+    pub fn take(&mut self, now: Micros) -> Vec<Record> {
+        let waiting = std::mem::take(&mut self.waiting);
+        self.written.extend(waiting.keys().map(|name| (name.clone(), now)));
+        waiting.into_iter().map(|(key, entry)| Record { key, value: Some(entry) }).collect()
+    }
+}
+
 /// Keeps this instance entered in the store. Another one may have dropped the entry, because this one
 /// was out of reach for long.
 pub(super) async fn stay_entered<S: Store>(catalog: Rc<Catalog<S>>) {
-    let name = catalog.shared.settings.name.clone();
-    enter(&catalog).await;
+    let shared = &catalog.shared;
+    let mut pause = PAUSE;
+    let mut missing = None;
     loop {
-        sleep(ENTRY_LOOK).await;
-        let known = catalog.shared.records().end(Table::Instances) > 0;
-        let entered = catalog.shared.records().keys(Table::Instances).any(|(key, _)| key == name);
-        if known && !entered && !catalog.shared.stopping() {
-            log::warn!("the own entry is gone from the store; it is written again");
-            enter(&catalog).await;
+        if shared.is_entered() || shared.stopping() {
+            missing = None;
+            sleep(ENTRY_LOOK).await;
+            continue;
+        }
+        let since = *missing.get_or_insert(clock::now());
+        if catalog.others_are_listed() && clock::now() < since + ENTERED_WITHIN {
+            sleep(MISSING_LOOK).await;
+            continue;
+        }
+        let own = Record { key: shared.name.to_string(), value: Some(shared.entry.clone()) };
+        match catalog.store.put(&[own]).await {
+            Ok(()) => {
+                log::info!("this instance entered itself in the store");
+                pause = PAUSE;
+                sleep(ENTRY_LOOK).await;
+            }
+            Err(error) => {
+                catalog.failed(Table::Instances, &error);
+                sleep(pause).await;
+                pause = longer(pause);
+            }
         }
     }
 }
 
+/// Enters the other instances that asked for it, in one call.
+pub(super) async fn enter_arrivals<S: Store>(catalog: Rc<Catalog<S>>) {
+    sleep(GATHER).await;
+    let records = catalog.state.borrow_mut().arrivals.take(clock::now());
+    match catalog.store.put(&records).await {
+        Ok(()) => log::info!(instances = records.len(); "instances were entered in the store"),
+        // They ask again with each heartbeat.
+        Err(error) => catalog.failed(Table::Instances, &error),
+    }
+}
+
 /// Drops the entries of instances that are gone for good, as the first reader.
 pub(super) async fn forget<S: Store>(catalog: Rc<Catalog<S>>) {
     loop {
         sleep(ENTRY_LOOK).await;
         let shared = &catalog.shared;
         let away = shared.store_away.load(Ordering::Acquire);
-        if away || !shared.first_reader.load(Ordering::Acquire) {
+        let lost = shared.lost.load_full();
+        if away || lost.is_empty() || !shared.first_reader.load(Ordering::Acquire) {
             continue;
         }
-        for name in shared.lost.load_full().iter() {
-            let end = Record { key: name.to_string(), value: None };
-            match catalog.store.put(&end).await {
-                Ok(()) => {
-                    log::info!(instance = &**name; "an instance out of reach for long is off the list")
+        let ends = lost.iter().map(|name| Record { key: name.to_string(), value: None });
+        let ends: Vec<Record> = ends.collect();
+        match catalog.store.put(&ends).await {
+            Ok(()) => {
+                for end in &ends {
+                    log::info!(instance = end.key.as_str(); "an instance out of reach for long is off the list");
                 }
-                Err(error) => catalog.failed(Table::Instances, &error),
             }
+            Err(error) => catalog.failed(Table::Instances, &error),
         }
     }
 }
-
-/// Tells the others of this instance.
-async fn enter<S: Store>(catalog: &Catalog<S>) {
-    let settings = &catalog.shared.settings;
-    let instance = Instance {
-        availability_zone: settings.availability_zone.clone(),
-        address: settings.advertise.to_string(),
-        capacity: settings.capacity,
-    };
-    let value = serde_json::to_string(&instance).expect("two texts can be written");
-    let own = Record { key: settings.name.clone(), value: Some(value) };
-    let mut pause = PAUSE;
-    while let Err(error) = catalog.store.put(&own).await {
-        catalog.failed(Table::Instances, &error);
-        sleep(pause).await;
-        pause = longer(pause);
-    }
-}
--- a/crates/drumusher/src/process/catalog/records.rs
+++ b/crates/drumusher/src/process/catalog/records.rs
@@ -130,6 +130,11 @@
         newest.map(|(key, value)| (key.as_str(), value.as_str()))
     }
 
+    /// The newest value of a key.
+    pub fn value(&self, table: Table, key: &str) -> Option<&str> {
+        self.logs[place(table)].newest.get(key).map(String::as_str)
+    }
+
     /// What an instance that knows the tables up to `ends` has not seen; `None` if it has seen all.
     pub fn since(&self, ends: &Ends, doubtful: bool) -> Option<Update> {
         let parts = self.logs.iter().enumerate().filter_map(|(at, log)| log.since(at, ends[at]));
--- a/crates/drumusher/src/process/peers/alive.rs
+++ b/crates/drumusher/src/process/peers/alive.rs
@@ -47,6 +47,7 @@
             leaving,
             ends: self.ends(),
             reads: self.reads().then_some(true),
+            entry: self.missing_entry(),
         });
         let mut inner = self.inner.borrow_mut();
         for conn in inner.conns.values_mut() {
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -99,6 +99,9 @@
             conn.is_some_and(|conn| std::mem::replace(&mut conn.behind, behind))
         };
         self.send_all(sends);
+        if let Some(entry) = &heartbeat.entry {
+            self.entry_wanted(instance, entry);
+        }
         if self.shared.settings.store.is_some() {
             self.store_heard(number, heartbeat, behind, before);
         } else if behind && before {
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -2,12 +2,13 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use drumusher_platform::catalog::Table;
 use drumusher_wire::peer::{self, Message};
 
 use super::Peers;
 use crate::process::{
     catalog::{Ends, TABLES},
-    clock,
+    clock, platform,
 };
 
 impl Peers {
@@ -23,6 +24,25 @@
         self.shared.reader.load(Ordering::Acquire) && !away
     }
 
+    /// The own entry, while it is not known to be in the store; `None` without a store.
+    pub(super) fn missing_entry(&self) -> Option<String> {
+        self.shared.settings.store.as_ref()?;
+        (!self.shared.is_entered()).then(|| self.shared.entry.clone())
+    }
+
+    /// Another instance is not listed as far as it knows: as one that reads the store, this one enters
+    /// it, unless it knows better.
+    pub(super) fn entry_wanted(&self, instance: &str, entry: &str) {
+        let known = self.shared.records().value(Table::Instances, instance) == Some(entry);
+        if known || !self.reads() {
+            return;
+        }
+        let input = platform::Input::Enter(instance.into(), entry.into());
+        if self.shared.platform.try_send(input).is_err() {
+            log::warn!(instance = instance; "too busy to enter an instance; it asks again");
+        }
+    }
+
     /// Keeps a connection with one of the instances that read the store; one that reads it itself,
     /// with the other ones, which tell it what it misses while it is turned away.
     pub(super) fn keep_reader(&self) {
--- a/crates/drumusher/src/process/platform/mod.rs
+++ b/crates/drumusher/src/process/platform/mod.rs
@@ -53,6 +53,8 @@
     Records(peer::Records),
     /// The configuration state of another instance.
     State(Vec<u8>),
+    /// Another instance wants to be entered in the store: its name and its entry.
+    Enter(String, String),
 }
 
 /// The sending end of the platform ring.
@@ -115,5 +117,7 @@
         Input::Done(key, attempt, answer) => claims::done(context, key, attempt, answer),
         Input::Records(records) => configuration::relayed(context, records),
         Input::State(snapshot) => configuration::offered(context, &snapshot),
+        // Only with a store, whose tasks take the other end of this ring.
+        Input::Enter(..) => {}
     }
 }
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -10,7 +10,7 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use drumusher_log::config::State;
-use drumusher_platform::routing::Configuration;
+use drumusher_platform::{catalog::Table, routing::Configuration};
 use drumusher_schedule::time::{MILLISECOND, Micros};
 
 use super::{
@@ -29,6 +29,8 @@
     pub settings: Settings,
     /// The instance's name.
     pub name: Arc<str>,
+    /// What it writes about itself in the store's table of instances.
+    pub entry: String,
     /// The area whose instances and backend servers form one pool: the availability zone, or what
     /// the settings name instead.
     pub area: Arc<str>,
@@ -105,6 +107,7 @@
             .with_switches(settings.decisions);
         let shared = Shared {
             name: settings.name.as_str().into(),
+            entry: catalog::entry(&settings),
             area: settings.area.as_str().into(),
             version: ArcSwap::from_pointee(version),
             routing: ArcSwapOption::empty(),
@@ -201,6 +204,12 @@
         self.records.lock().expect("no holder panics")
     }
 
+    /// Whether this instance is known to be listed in the store as it is.
+    pub fn is_entered(&self) -> bool {
+        let records = self.records();
+        records.value(Table::Instances, &self.name) == Some(self.entry.as_str())
+    }
+
     /// How far this instance has followed the configuration and, with a store, the backend servers.
     pub fn position(&self) -> u64 {
         if self.settings.store.is_some() {
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -101,6 +101,9 @@
     pub address: SocketAddr,
     /// Longest time to wait for a change in one call, in milliseconds.
     pub wait_ms: u64,
+    /// The first call is made at a random moment of this time after the start, in milliseconds. Where all
+    /// instances start at once and none is listed yet, the first ones then enter the others.
+    pub spread_ms: u64,
 }
 
 /// Bound on the repeats that all instances send a service in a window of time.
@@ -195,6 +198,7 @@
     let store = reader.optional_address("store.address");
     let peer = reader.address("instance.peer");
     let wait_ms = reader.count("store.wait_ms", 4_000, 100, 30_000);
+    let spread_ms = reader.count("store.spread_ms", 0, 0, 60_000);
     Settings {
         source: String::new(),
         name: reader.name("instance.name"),
@@ -218,7 +222,7 @@
         seeds: reader.addresses("fleet.seeds"),
         log_service: reader.address_unless("platform.log", store.is_some()),
         members: reader.address_unless("platform.members", store.is_some()),
-        store: store.map(|address| Store { address, wait_ms }),
+        store: store.map(|address| Store { address, wait_ms, spread_ms }),
         operators: reader.operators("operators"),
         limits: Limits {
             body_bytes: reader.count("limits.body_bytes", 1_048_576, 1_024, 67_108_864) as usize,
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -121,6 +121,34 @@
     wait_for("it enters itself again", || known(&deployment, 3));
 }
 
+/// An instance that cannot write to the store is entered by another one that reads it.
+#[test]
+fn an_instance_is_entered_by_another() {
+    let mut deployment = Deployment::new(1);
+    wait_for("the first one entered itself", || known(&deployment, 1));
+    let door = deployment.store.door().expect("a way to the store");
+    door.set_read_only();
+    deployment.add_instance_behind("i1", door);
+    wait_for("it is entered", || known(&deployment, 2));
+}
+
+/// An instance that restarts where it was finds its entry and writes nothing.
+#[test]
+fn a_restart_writes_nothing() {
+    let mut deployment = Deployment::new(2);
+    wait_for("they know each other", || known(&deployment, 2));
+    let entered = deployment.store.newest("keyed.instances", "i1");
+    deployment.instances[1].signal("KILL");
+    wait_for("it is gone", || deployment.instances[1].ended().is_some());
+    let before = deployment.instances[1].door.appends();
+    deployment.instances[1].restart();
+    wait_for("it serves", || {
+        deployment.call(1, &Call::get("/read/")).is_ok_and(|answer| answer.status == 200)
+    });
+    assert_eq!(deployment.instances[1].door.appends(), before);
+    assert_eq!(deployment.store.newest("keyed.instances", "i1"), entered);
+}
+
 /// The last log line that contains a text.
 fn last_of(lines: &str, text: &str) -> String {
     lines.lines().rev().find(|line| line.contains(text)).unwrap_or("").to_string()
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -141,8 +141,13 @@
 
     /// Starts an instance.
     pub fn add_instance(&mut self, name: &str) {
-        let ip = own_ip();
         let door = self.store.door().expect("a way to the store");
+        self.add_instance_behind(name, door);
+    }
+
+    /// Starts an instance that has this way to the store.
+    pub fn add_instance_behind(&mut self, name: &str, door: Door) {
+        let ip = own_ip();
         let lines = self.folder.join(format!("{name}.log"));
         // Between the choice of a port and its use another process may take it for a moment.
         let settings = self.folder.join(format!("{name}.toml"));
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -1,6 +1,7 @@
 //! Tests of parts of the binary that need no process.
 
 mod answer;
+mod arrivals;
 mod askers;
 mod broker;
 mod budget;
