feat: a service's dispatcher keeps the fleet's budget of repeats

Ruled out: a dispatcher that takes the whole number (two of them, or a series that take over from each other, would pass the bound); parts that grow again after each change of dispatcher (tried in the unit tests: a single instance that just started could not repeat six requests, which routes::answers::a_repeatable_request_goes_elsewhere demands).

Change: every attempt asks the dispatcher anyway. The ask says whether it is the first, one more that was not handed over, or a repeat; the dispatcher counts and refuses repeats beyond the bound, and the request then ends with what its attempt before brought. Instances lend their equal part; grants tell how much of what was lent is spent, and an instance that turns to another dispatcher brings that along.

--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -321,10 +321,20 @@
             server: None,
             redirected: None,
             output: None,
+            attempt: Some(0),
+            lent: Some(1_000_000),
+            spent: None,
             parts: None,
         };
-        let grant =
-            peer::Grant::new(id.clone(), "suva-hall-engine-1234".to_string(), 180, 0, None, None);
+        let grant = peer::Grant::new(
+            id.clone(),
+            "suva-hall-engine-1234".to_string(),
+            180,
+            0,
+            None,
+            None,
+            None,
+        );
         let finish = peer::Finish::new(id.clone(), pool.clone(), 0, 210, None, Some(9_000));
         let report = peer::Progress::new(id.clone(), 210, None, Some(9_000));
         let one = length(Message::Progress(peer::ProgressBatch::new(pool.clone(), vec![report])));
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -17,6 +17,8 @@
     WorkspaceLimit,
     /// The pool has no backend server.
     NoServer,
+    /// It would be a repeat, and the fleet may send no more of them now.
+    NoRepeat,
 }
 
 /// Why a request got the backend server it got.
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -50,6 +50,13 @@
   /* expected tokens of the answer */
   14: optional i32 output
   15: optional list<Part> parts
+  /* 0 or none: the request's first ask; 1: it was asked for before; 2: an attempt at it was handed over
+     before */
+  16: optional i16 attempt
+  /* how long the entry has asked this dispatcher and no other for the pool */
+  17: optional i64 lent
+  /* how much of its part of the fleet's repeats was spent before, by whoever it asked then, of 1000 */
+  18: optional i16 spent
 }
 
 /* The dispatcher has the ask and grants it when its turn comes. */
@@ -95,6 +102,8 @@
   5: optional string source
   /* how long the first event is expected to take */
   6: optional i64 expected
+  /* how much of what its entries lent of the fleet's repeats is spent, of 1000 */
+  7: optional i16 spent
 }
 
 struct Refuse {
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -330,10 +330,13 @@
   pub redirected: Option<bool>,
   pub output: Option<i32>,
   pub parts: Option<Vec<Part>>,
+  pub attempt: Option<i16>,
+  pub lent: Option<i64>,
+  pub spent: Option<i16>,
 }
 
 impl Ask {
-  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>> {
+  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>> {
     Ask {
       id,
       pool,
@@ -350,6 +353,9 @@
       redirected: redirected.into(),
       output: output.into(),
       parts: parts.into(),
+      attempt: attempt.into(),
+      lent: lent.into(),
+      spent: spent.into(),
     }
   }
 }
@@ -372,6 +378,9 @@
     let mut f_13: Option<bool> = None;
     let mut f_14: Option<i32> = None;
     let mut f_15: Option<Vec<Part>> = None;
+    let mut f_16: Option<i16> = None;
+    let mut f_17: Option<i64> = None;
+    let mut f_18: Option<i16> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -445,6 +454,18 @@
           i_prot.read_list_end()?;
           f_15 = Some(val);
         },
+        16 => {
+          let val = i_prot.read_i16()?;
+          f_16 = Some(val);
+        },
+        17 => {
+          let val = i_prot.read_i64()?;
+          f_17 = Some(val);
+        },
+        18 => {
+          let val = i_prot.read_i16()?;
+          f_18 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -474,6 +495,9 @@
       redirected: f_13,
       output: f_14,
       parts: f_15,
+      attempt: f_16,
+      lent: f_17,
+      spent: f_18,
     };
     Ok(ret)
   }
@@ -547,6 +571,21 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.attempt {
+      o_prot.write_field_begin(&TFieldIdentifier::new("attempt", TType::I16, 16))?;
+      o_prot.write_i16(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.lent {
+      o_prot.write_field_begin(&TFieldIdentifier::new("lent", TType::I64, 17))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.spent {
+      o_prot.write_field_begin(&TFieldIdentifier::new("spent", TType::I16, 18))?;
+      o_prot.write_i16(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -978,10 +1017,11 @@
   pub choice: i16,
   pub source: Option<String>,
   pub expected: Option<i64>,
+  pub spent: Option<i16>,
 }
 
 impl Grant {
-  pub fn new<F5, F6>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>> {
+  pub fn new<F5, F6, F7>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6, spent: F7) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<i16>> {
     Grant {
       id,
       server,
@@ -989,6 +1029,7 @@
       choice,
       source: source.into(),
       expected: expected.into(),
+      spent: spent.into(),
     }
   }
 }
@@ -1002,6 +1043,7 @@
     let mut f_4: Option<i16> = None;
     let mut f_5: Option<String> = None;
     let mut f_6: Option<i64> = None;
+    let mut f_7: Option<i16> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1033,6 +1075,10 @@
           let val = i_prot.read_i64()?;
           f_6 = Some(val);
         },
+        7 => {
+          let val = i_prot.read_i16()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1051,6 +1097,7 @@
       choice: f_4.expect("auto-generated code should have checked for presence of required fields"),
       source: f_5,
       expected: f_6,
+      spent: f_7,
     };
     Ok(ret)
   }
@@ -1079,6 +1126,11 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.spent {
+      o_prot.write_field_begin(&TFieldIdentifier::new("spent", TType::I16, 7))?;
+      o_prot.write_i16(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -1,6 +1,7 @@
 //! The asks this instance owns, and which dispatcher has each. Without I/O: the peers thread feeds
 //! it and carries out what it says.
 
+mod loan;
 mod table;
 mod view;
 mod wire;
@@ -10,6 +11,7 @@
 use drumusher_schedule::ask::{Id, Part};
 use drumusher_wire::peer::Message;
 
+pub use loan::Loans;
 pub use table::Table;
 pub use view::View;
 
@@ -66,6 +68,29 @@
     Preempt,
 }
 
+/// What came before an ask for a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Attempt {
+    /// Nothing: it counts as a request.
+    #[default]
+    First,
+    /// It was asked for before, but not handed over.
+    Again,
+    /// It was handed over before: it counts as a repeat.
+    Repeat,
+}
+
+impl Attempt {
+    /// Its number on the wire; one that is not known, of a later version, counts as a repeat.
+    pub fn from_wire(number: i16) -> Self {
+        match number {
+            0 => Attempt::First,
+            1 => Attempt::Again,
+            _ => Attempt::Repeat,
+        }
+    }
+}
+
 /// An ask as its entry owns it.
 #[derive(Clone, Debug)]
 pub struct Own {
@@ -97,6 +122,8 @@
     pub output: u32,
     /// The parts of the prompt, in order.
     pub parts: Vec<Part>,
+    /// What came before this ask.
+    pub attempt: Attempt,
     /// Where replies go.
     pub replies: async_channel::Sender<Reply>,
 }
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -5,10 +5,10 @@
     sync::Arc,
 };
 
-use drumusher_schedule::ask::Id;
+use drumusher_schedule::{ask::Id, time::Micros};
 use drumusher_wire::peer::{self, Message};
 
-use super::{CANCELLED, Input, Own, Reply, Report, Send, View, wire};
+use super::{Attempt, CANCELLED, Input, Loans, Own, Reply, Report, Send, View, wire};
 use crate::{
     process::clock,
     request::id,
@@ -31,6 +31,8 @@
     server: Option<Arc<str>>,
     report: Option<Report>,
     reported: u64,
+    /// Whether it was sent to a dispatcher before.
+    asked: bool,
     /// Since when the dispatcher owes an answer to the ask; `None` once it gave one.
     owed: Option<u64>,
 }
@@ -40,13 +42,21 @@
     held: HashMap<Id, Held>,
     /// The asks of which the next batch of reports tells.
     fresh: BTreeSet<Id>,
+    /// To which dispatchers this instance lends its part of the repeats.
+    loans: Loans,
     view: View,
 }
 
 impl Table {
     /// An empty table of the instance that has this view of the others.
     pub fn new(view: View) -> Self {
-        Table { held: HashMap::new(), fresh: BTreeSet::new(), view }
+        Table { held: HashMap::new(), fresh: BTreeSet::new(), loans: Loans::new(), view }
+    }
+
+    /// Sets for how long repeats count.
+    pub fn with_window(mut self, window: Micros) -> Self {
+        self.loans = self.loans.with_window(window);
+        self
     }
 
     /// The other instances as seen from here.
@@ -89,6 +99,7 @@
             server: None,
             report: None,
             reported: clock::now(),
+            asked: false,
             owed: None,
         };
         self.held.insert(id, held);
@@ -107,10 +118,15 @@
             self.held.remove(&id);
             return;
         };
-        let mut ask = wire::ask(&held.own, held.server.as_deref());
-        if let Some(held) = self.held.get_mut(&id) {
-            held.owed = held.server.is_none().then(clock::now);
-        }
+        let loan = self.loans.lend(clock::now(), &held.own.pool, &to);
+        let Some(held) = self.held.get_mut(&id) else {
+            return;
+        };
+        let again = held.asked && held.own.attempt == Attempt::First;
+        let attempt = if again { Attempt::Again } else { held.own.attempt };
+        let mut ask = wire::ask(&held.own, held.server.as_deref(), attempt, &loan);
+        held.asked = true;
+        held.owed = held.server.is_none().then(clock::now);
         ask.redirected = redirected.then_some(true);
         sends.push(Send { to, message: Message::Ask(ask) });
     }
@@ -235,6 +251,7 @@
         let Some(held) = self.held.get_mut(&id) else {
             return;
         };
+        let (pool, spent) = (held.own.pool.clone(), grant.spent.unwrap_or(0));
         let grant = wire::grant(grant, from);
         held.server = Some(grant.server.clone());
         held.owed = None;
@@ -242,6 +259,7 @@
         if held.own.replies.try_send(Reply::Grant(grant)).is_err() {
             self.finish(id, CANCELLED, 0, sends);
         }
+        self.loans.note(clock::now(), &pool, from, spent);
     }
 
     /// Asks the dispatcher that another one names, if it can be reached; else the same one again.
--- a/crates/drumusher/src/process/broker/wire.rs
+++ b/crates/drumusher/src/process/broker/wire.rs
@@ -5,11 +5,12 @@
 use drumusher_schedule::ask::Part;
 use drumusher_wire::peer;
 
-use super::{Grant, Own};
+use super::{Attempt, Grant, Own, loan::Loan};
 use crate::{process::clock, request::id};
 
-/// An ask for its dispatcher; with the backend server it was granted, if it runs already.
-pub(super) fn ask(own: &Own, server: Option<&str>) -> peer::Ask {
+/// An ask for its dispatcher, to which this entry lends its part of the repeats; with the backend server
+/// it was granted, if it runs already.
+pub(super) fn ask(own: &Own, server: Option<&str>, attempt: Attempt, loan: &Loan) -> peer::Ask {
     peer::Ask {
         id: id::to_wire(own.id),
         pool: own.pool.to_string(),
@@ -26,6 +27,9 @@
         redirected: None,
         output: (own.output != 0).then_some(own.output as i32),
         parts: (!own.parts.is_empty()).then(|| own.parts.iter().map(part).collect()),
+        attempt: Some(attempt as i16),
+        lent: Some(clock::now().saturating_sub(loan.since) as i64),
+        spent: (loan.brought > 0).then_some(loan.brought),
     }
 }
 
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -3,14 +3,17 @@
 //! | module | duty |
 //! |---|---|
 //! | `askers` | for whom a pool is dispatched |
+//! | `budget` | repeats that may still be granted |
 //! | `host` | one pool with the names of its backend servers |
 //! | `wire` | messages between instances as events, orders as messages |
 
 mod askers;
+mod budget;
 mod host;
 mod wire;
 
 pub use askers::Askers;
+pub use budget::{Bound, Budget};
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
@@ -22,16 +25,18 @@
 use drumusher_schedule::{
     ask::{Ask, Entry},
     event::{Event, Load},
-    order::Order,
+    order::{Order, Refusal},
     pool,
+    time::{MILLISECOND, Micros},
 };
 use drumusher_wire::peer::{self, Message};
 
 use self::host::Host;
-use super::{Shared, clock, ring};
+use super::{Shared, broker::Attempt, clock, ring};
 use crate::{
     operator::rows::{self, Row},
     request::id,
+    settings::Settings,
     version::{Backend, Pool},
 };
 
@@ -41,6 +46,8 @@
 const RING: usize = 65_536;
 /// How long a pool is kept that nobody asks for.
 const IDLE: u64 = 60 * drumusher_schedule::time::SECOND;
+/// What stands on the wire for all of the repeats that were lent.
+pub(super) const SPENT_WHOLE: f64 = 1_000.0;
 /// By how much an instance divides each window of requests: the number of instances of its area
 /// while all others are out of reach, else 1.
 pub type Divisor = u32;
@@ -164,6 +171,10 @@
             return;
         };
         self.host(&pool);
+        if asked.server.is_none() && !self.may_attempt(entry, &asked, &pool) {
+            self.refuse_repeat(entry, asked.id);
+            return;
+        }
         let Some(ask) = self.read_ask(entry, &asked, &pool) else {
             return;
         };
@@ -180,6 +191,32 @@
         self.acknowledge(entry, &asked, &pool);
     }
 
+    /// Counts an ask as a request or a repeat. Returns whether it may be granted.
+    fn may_attempt(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) -> bool {
+        let Some(host) = self.hosts.get_mut(pool) else {
+            return true;
+        };
+        let now = clock::now();
+        let instances = self.shared.directory.load().instances.len();
+        let lent = asked.lent.unwrap_or(0).max(0) as Micros;
+        let spent = f64::from(asked.spent.unwrap_or(0)) / SPENT_WHOLE;
+        host.budget.lend(now, entry, lent, spent);
+        match Attempt::from_wire(asked.attempt.unwrap_or(0)) {
+            Attempt::First => host.budget.request(now),
+            Attempt::Again => {}
+            Attempt::Repeat => return host.budget.repeat(now, instances),
+        }
+        true
+    }
+
+    /// Refuses a repeat: its entry ends the request with what the attempt before brought.
+    fn refuse_repeat(&mut self, entry: Entry, id: Vec<u8>) {
+        let refusal = Refusal::NoRepeat as i16;
+        let refuse = Message::Refuse(peer::Refuse::new(id, refusal, 0));
+        self.unsent.push_back((entry, refuse));
+        self.flush();
+    }
+
     /// Notes which other instances ask for a pool.
     fn note_asker(&mut self, entry: Entry, pool: &Pool) {
         if let Some(host) = self.hosts.get_mut(pool).filter(|_| entry != OWN) {
@@ -190,6 +227,7 @@
     fn gone(&mut self, entry: Entry) {
         for host in self.hosts.values_mut() {
             host.askers.remove(entry);
+            host.budget.remove(entry);
         }
         self.each(|_| Event::EntryGone(entry));
     }
@@ -265,12 +303,15 @@
     /// Sends the orders of one event, and notes why each was given.
     fn send(&mut self, pool: &Pool) {
         let orders = std::mem::take(&mut self.orders);
+        let instances = self.shared.directory.load().instances.len();
         for order in &orders {
-            let Some(host) = self.hosts.get(pool) else {
+            let Some(host) = self.hosts.get_mut(pool) else {
                 break;
             };
             self.shared.telemetry.count_order(order);
-            let (entry, id, message, why) = wire::order(order, &host.names);
+            let spent = host.budget.spent(clock::now(), instances);
+            let (entry, id, message, why) =
+                wire::order(order, &host.names, (spent * SPENT_WHOLE) as i16);
             self.shared.explanations.add(id, format!("{pool}: {why}"));
             self.unsent.push_back((entry, message));
         }
@@ -329,7 +370,7 @@
             return;
         }
         let policy = self.shared.version.load().policy.clone();
-        let host = Host::new(policy, clock::now());
+        let host = Host::new(policy, clock::now(), bound(&self.shared.settings));
         self.hosts.insert(pool.clone(), host);
         self.publish();
         self.refresh(pool);
@@ -400,3 +441,9 @@
         rows
     }
 }
+
+/// The bound on repeats that the settings give.
+fn bound(settings: &Settings) -> Bound {
+    let repeats = &settings.repeats;
+    Bound { ratio: repeats.ratio, slack: repeats.slack, window: repeats.window_ms * MILLISECOND }
+}
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -13,7 +13,7 @@
     time::MILLISECOND,
 };
 
-use super::{Askers, Divisor};
+use super::{Askers, Bound, Budget, Divisor};
 use crate::version::{Backend, Pool};
 
 /// What is believed of a backend server before anything was learned.
@@ -33,6 +33,8 @@
     pub(super) own_word: BTreeMap<Arc<str>, u64>,
     /// The other instances that ask for it, by their connections.
     pub(super) askers: Askers,
+    /// The repeats that may be granted.
+    pub(super) budget: Budget,
     /// The health of each backend server as it was logged last, by key.
     told: Vec<&'static str>,
     /// When that was looked at last.
@@ -42,8 +44,8 @@
 }
 
 impl Host {
-    /// A pool without backend servers.
-    pub(super) fn new(policy: Arc<Policy>, now: u64) -> Self {
+    /// A pool without backend servers, with a bound on the repeats to them.
+    pub(super) fn new(policy: Arc<Policy>, now: u64, bound: Bound) -> Self {
         Host {
             pool: pool::Pool::new(policy, now),
             names: Vec::new(),
@@ -51,6 +53,7 @@
             applied: BTreeMap::new(),
             own_word: BTreeMap::new(),
             askers: Askers::new(),
+            budget: Budget::new(bound),
             told: Vec::new(),
             looked: now,
             used: now,
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -71,8 +71,8 @@
     }
 }
 
-/// An order as a message, with the reason in words.
-pub(super) fn order(order: &Order, names: &[Arc<str>]) -> (Entry, Id, Message, String) {
+/// An order as a message, with the reason in words. `spent` of the repeats that were lent are gone.
+pub(super) fn order(order: &Order, names: &[Arc<str>], spent: i16) -> (Entry, Id, Message, String) {
     match *order {
         Order::Grant { id, entry, server, source, expected, choice, waited } => {
             let name = names[usize::from(server.0)].to_string();
@@ -88,6 +88,7 @@
                 choice: choice as i16,
                 source,
                 expected: (expected > 0).then_some(expected as i64),
+                spent: (spent > 0).then_some(spent),
             };
             (entry, id, Message::Grant(grant), why)
         }
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -18,7 +18,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
 
-use drumusher_schedule::ask::Entry;
+use drumusher_schedule::{ask::Entry, time::MILLISECOND};
 use drumusher_wire::peer::Message;
 use ntex::{
     io::IoRef,
@@ -120,7 +120,8 @@
     pub fn start(shared: Arc<Shared>, rings: Rings) -> Peers {
         let view = broker::View::new(shared.name.clone(), shared.area.clone())
             .with_capacity(shared.settings.capacity);
-        let table = broker::Table::new(view);
+        let window = shared.settings.repeats.window_ms * MILLISECOND;
+        let table = broker::Table::new(view).with_window(window);
         let inner = Inner {
             table,
             links: HashMap::new(),
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -11,14 +11,13 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 use drumusher_log::config::State;
 use drumusher_platform::{catalog::Table, routing::Configuration};
-use drumusher_schedule::time::{MILLISECOND, Micros};
+use drumusher_schedule::time::Micros;
 
 use super::{
     broker, catalog, clock, dispatch, explain::Explanations, peers, platform, telemetry::Telemetry,
 };
 use crate::{
     request::retry::Budgets,
-    routed::budget::{Bound, Budget},
     settings::Settings,
     version::{Directory, Pool, Routing, Version},
 };
@@ -76,8 +75,6 @@
     pub platform: platform::Sender,
     /// Retries that may still be made.
     pub budgets: Budgets,
-    /// Repeats that this instance may still send on routes.
-    pub repeats: Mutex<Budget>,
     /// Why each recent request fared as it did.
     pub explanations: Explanations,
     /// Metrics and spans.
@@ -130,7 +127,6 @@
             peers,
             platform,
             budgets: Budgets::new(settings.backend.retry_share),
-            repeats: Mutex::new(Budget::new(bound(&settings))),
             explanations: Explanations::new(),
             telemetry,
             settings,
@@ -229,8 +225,3 @@
         true
     }
 }
-
-fn bound(settings: &Settings) -> Bound {
-    let repeats = &settings.repeats;
-    Bound { ratio: repeats.ratio, slack: repeats.slack, window: repeats.window_ms * MILLISECOND }
-}
--- a/crates/drumusher/src/request/flow.rs
+++ b/crates/drumusher/src/request/flow.rs
@@ -17,7 +17,7 @@
     error::{Error, Kind, Ran},
     process::{
         Shared,
-        broker::{CANCELLED, Grant, Input, Own, Reply, Report},
+        broker::{Attempt, CANCELLED, Grant, Input, Own, Reply, Report},
         clock,
     },
     version::{Backend, Pool},
@@ -166,6 +166,7 @@
     fn ask(&mut self, area: Arc<str>) {
         while self.replies.try_recv().is_ok() {}
         let own = Own {
+            attempt: Attempt::First,
             id: self.id,
             pool: self.pool.clone(),
             area,
--- a/crates/drumusher/src/routed/mod.rs
+++ b/crates/drumusher/src/routed/mod.rs
@@ -8,10 +8,8 @@
 //! | [`ticket`] | one request's place at the dispatcher: ask, reports, end |
 //! | [`exchange`] | attempts at backend servers until there is an answer or none is possible |
 //! | [`relay`] | passes a stream of events on, and resumes it elsewhere where it may be |
-//! | [`budget`] | repeats that the fleet may still send |
 //! | [`refusal`] | answers of the instance's own |
 
-pub mod budget;
 pub mod callers;
 pub mod entry;
 pub mod exchange;
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -11,7 +11,7 @@
 use crate::{
     process::{
         Shared,
-        broker::{CANCELLED, Grant, Input, Own, Reply, Report},
+        broker::{Attempt, CANCELLED, Grant, Input, Own, Reply, Report},
         clock,
     },
     version::Pool,
@@ -72,10 +72,15 @@
     }
 
     /// Asks, and waits until `until` for the decision.
-    pub async fn decide(&mut self, avoid: Option<Arc<str>>, until: Micros) -> Decision {
+    pub async fn decide(
+        &mut self,
+        avoid: Option<Arc<str>>,
+        attempt: Attempt,
+        until: Micros,
+    ) -> Decision {
         while self.replies.try_recv().is_ok() {}
         self.open = true;
-        self.shared.broker.send(Input::Open(Box::new(self.own(avoid))));
+        self.shared.broker.send(Input::Open(Box::new(self.own(avoid, attempt))));
         loop {
             let left = until.saturating_sub(clock::now()) / MILLISECOND;
             let reply = timeout(Millis(left.max(1) as u32), self.replies.recv()).await;
@@ -95,7 +100,7 @@
         }
     }
 
-    fn own(&self, avoid: Option<Arc<str>>) -> Own {
+    fn own(&self, avoid: Option<Arc<str>>, attempt: Attempt) -> Own {
         let ask = &self.ask;
         Own {
             id: self.id,
@@ -112,6 +117,7 @@
             avoid,
             output: ask.output,
             parts: ask.parts.clone(),
+            attempt,
             replies: self.sender.clone(),
         }
     }
