feat: connections with dispatchers are made before requests need them; a start refuses nothing

Change: connections with the dispatchers of up to eight services are made as soon as a configuration is in force; a connection that is being made is not silence for 400 ms (the requests that wait for it are decided here after 60 ms as before); a request waits for the first configuration for up to 1.5 s after the start of the process and a quarter of the time that its caller has.

Test: routes::membership::a_starting_instance_refuses_nothing fails without the change (503).

--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -18,7 +18,10 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
 
-use drumusher_schedule::{ask::Entry, time::MILLISECOND};
+use drumusher_schedule::{
+    ask::Entry,
+    time::{MILLISECOND, Micros},
+};
 use drumusher_wire::peer::Message;
 use ntex::{
     io::IoRef,
@@ -90,8 +93,8 @@
 
 /// How to reach an instance.
 enum Link {
-    /// A connection is being made; what to send then.
-    Connecting(Vec<Message>),
+    /// A connection is being made since a moment; what to send then.
+    Connecting(Micros, Vec<Message>),
     /// Over this connection.
     Up(u32),
 }
@@ -150,6 +153,7 @@
                 let directory = self.shared.directory.load_full();
                 self.inner.borrow_mut().table.adopt(directory, &mut sends);
                 self.keep_reader();
+                self.keep_dispatchers();
             } else {
                 self.inner.borrow_mut().table.take(input, &mut sends);
             }
--- a/crates/drumusher/src/process/peers/alive.rs
+++ b/crates/drumusher/src/process/peers/alive.rs
@@ -7,12 +7,18 @@
 use ntex::time::{Millis, sleep};
 
 use super::{Link, Peers};
-use crate::{connection::Codec, process::clock};
+use crate::{connection::Codec, process::clock, version::Pool};
 
 /// Time between two heartbeats on a connection.
 const HEARTBEAT: u64 = 250 * MILLISECOND;
 /// A connection on which nothing was heard for so long is dead.
 const SILENCE: u64 = 800 * MILLISECOND;
+/// An instance to which a connection is being made for longer does not answer: twice what a handshake
+/// takes when 295 instances connect to one on half a core at once.
+const CONNECTS_WITHIN: u64 = 400 * MILLISECOND;
+/// Most services to whose dispatchers a connection is kept before there is a request for them. Each
+/// costs two heartbeats of some 40 bytes in [`HEARTBEAT`].
+const KEPT_DISPATCHERS: usize = 8;
 /// Time between two looks for asks that are not answered.
 const WATCH: Millis = Millis(32);
 /// A look that comes so late shows that the own process was paused.
@@ -35,20 +41,43 @@
             }
             self.heartbeat(now, paused);
             self.keep_reader();
+            self.keep_dispatchers();
             self.tell_lost(now);
         }
     }
 
-    fn heartbeat(&self, now: u64, paused: bool) {
-        let offset = self.shared.position() as i64;
-        let leaving = self.shared.stopping().then_some(true);
-        let heartbeat = Message::Heartbeat(peer::Heartbeat {
-            offset,
-            leaving,
+    /// A heartbeat with what holds now.
+    fn heartbeat_now(&self) -> Message {
+        Message::Heartbeat(peer::Heartbeat {
+            offset: self.shared.position() as i64,
+            leaving: self.shared.stopping().then_some(true),
             ends: self.ends(),
             reads: self.reads().then_some(true),
             entry: self.missing_entry(),
-        });
+        })
+    }
+
+    /// Keeps connections with the dispatchers of the services in force, so that the first requests after
+    /// a start or a change of the role need not wait for them.
+    pub(super) fn keep_dispatchers(&self) {
+        let Some(routing) = self.shared.routing.load_full() else {
+            return;
+        };
+        let services = routing.configuration.services.iter().take(KEPT_DISPATCHERS);
+        for service in services {
+            let pool = Pool::Service(service.name.as_str().into());
+            let dispatcher = self.inner.borrow().table.view().dispatcher(&pool, &self.shared.area);
+            let Some(dispatcher) = dispatcher.filter(|name| *name != self.shared.name) else {
+                continue;
+            };
+            if !self.inner.borrow().links.contains_key(&dispatcher) {
+                self.send(&dispatcher, self.heartbeat_now());
+            }
+        }
+    }
+
+    fn heartbeat(&self, now: u64, paused: bool) {
+        let heartbeat = self.heartbeat_now();
         let mut inner = self.inner.borrow_mut();
         for conn in inner.conns.values_mut() {
             if paused {
@@ -98,13 +127,16 @@
         }
     }
 
-    /// Closes the connection to an instance that does not answer; it is tried again later.
+    /// Closes the connection to an instance that does not answer; it is tried again later. One to which
+    /// a connection is being made may be on its way: where it counted as gone, many instances that start
+    /// at once took each dispatcher by turns for silent.
     fn give_up(&self, instance: &Arc<str>) {
-        log::warn!(instance = &**instance; "an instance does not answer asks");
         let up = match self.inner.borrow().links.get(instance) {
             Some(Link::Up(number)) => Some(*number),
+            Some(Link::Connecting(since, _)) if clock::now() < since + CONNECTS_WITHIN => return,
             _ => None,
         };
+        log::warn!(instance = &**instance; "an instance does not answer asks");
         let Some(number) = up else {
             self.unreachable(instance);
             return;
--- a/crates/drumusher/src/process/peers/link.rs
+++ b/crates/drumusher/src/process/peers/link.rs
@@ -8,7 +8,7 @@
 use super::{Link, PENDING, Peers, TRIAL_LOOK, messages::queue_full};
 use crate::{
     connection::{self, Codec},
-    process::{broker, dispatch},
+    process::{broker, clock, dispatch},
     version::Instance,
 };
 
@@ -31,7 +31,7 @@
         let up = match self.inner.borrow_mut().links.entry(to.clone()) {
             hash_map::Entry::Occupied(mut link) => match link.get_mut() {
                 Link::Up(number) => Some(*number),
-                Link::Connecting(pending) => {
+                Link::Connecting(_, pending) => {
                     if pending.len() < PENDING {
                         pending.push(message);
                     }
@@ -43,7 +43,7 @@
                 if only_ends {
                     return;
                 }
-                vacant.insert(Link::Connecting(vec![message]));
+                vacant.insert(Link::Connecting(clock::now(), vec![message]));
                 rt::spawn(self.clone().connect(to.clone()));
                 return;
             }
--- a/crates/drumusher/src/process/peers/session.rs
+++ b/crates/drumusher/src/process/peers/session.rs
@@ -57,7 +57,7 @@
             let before = inner.links.insert(instance.clone(), Link::Up(number));
             inner.table.reachable(instance, true, &mut sends);
             let pending = match before {
-                Some(Link::Connecting(pending)) => pending,
+                Some(Link::Connecting(_, pending)) => pending,
                 _ => Vec::new(),
             };
             (number, pending)
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -26,6 +26,8 @@
 pub struct Shared {
     /// The settings.
     pub settings: Settings,
+    /// When the process began.
+    pub began: Micros,
     /// The instance's name.
     pub name: Arc<str>,
     /// What it writes about itself in the store's table of instances.
@@ -103,6 +105,7 @@
         let version = Version::new(None, State::new(), settings.limits.queue)
             .with_switches(settings.decisions);
         let shared = Shared {
+            began: clock::now(),
             name: settings.name.as_str().into(),
             entry: catalog::entry(&settings),
             area: settings.area.as_str().into(),
@@ -191,7 +194,9 @@
         self.version.store(Arc::new(version));
         self.routing.store(Some(Arc::new(Routing::new(configuration))));
         self.configured.store(true, Ordering::Release);
+        // Rings that are full are read soon, and then from what is in force.
         let _ = self.dispatch.try_send(dispatch::Input::Changed);
+        let _ = self.broker.try_send(broker::Input::Changed);
         true
     }
 
--- a/crates/drumusher/src/routed/entry.rs
+++ b/crates/drumusher/src/routed/entry.rs
@@ -6,7 +6,7 @@
 use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
     http::{self, HeaderMap, Response, error::PayloadError},
-    time::{Millis, timeout},
+    time::{Millis, sleep, timeout},
     util::{Bytes, BytesMut, stream_recv},
 };
 
@@ -25,6 +25,11 @@
 /// When to come back to an instance that has no configuration yet, in milliseconds: a new process
 /// has one within some hundred milliseconds.
 const NOT_READY_MS: u64 = 300;
+/// A request that waits for the first configuration does so for no more than this part of the time that
+/// its caller has.
+const STARTING_PART: u64 = 4;
+/// Time between two looks for the first configuration.
+const STARTING_LOOK: Millis = Millis(16);
 /// A stopping instance takes no request after this: what comes so late could not be finished.
 const REFUSE_AFTER: Micros = 2_800 * MILLISECOND;
 /// When to come back after that, in milliseconds; on a new connection another instance answers.
@@ -100,12 +105,13 @@
 ) -> Result<(Hold, Request), Error> {
     let arrived = clock::now();
     let shared = &worker.shared;
+    let head = worker.dialect.read_head(request.headers());
+    await_routing(shared, head.as_ref().ok().and_then(|head| head.deadline_ms)).await;
     let routing = routing(shared)?;
     let limits = routing.limits();
     if head_bytes(&request) > limits.header_bytes {
         return Err(Error::new(Kind::HeadTooLarge, "the head is too long"));
     }
-    let head = worker.dialect.read_head(request.headers());
     let head = head.map_err(|reason| Error::new(Kind::BadRequest, reason))?;
     let path = path(&request).to_string();
     let found = routing.find(host(&request), &path, head.key.as_deref(), &head.id);
@@ -119,6 +125,18 @@
     Ok((hold, Request { method, path, headers, body, head, found, arrived, caller, in_use }))
 }
 
+/// Waits while the process starts and has no configuration yet.
+async fn await_routing(shared: &Shared, deadline_ms: Option<u64>) {
+    let started = shared.began + shared.settings.start_wait_ms * MILLISECOND;
+    let until = match deadline_ms {
+        Some(ms) => started.min(clock::now() + ms * MILLISECOND / STARTING_PART),
+        None => started,
+    };
+    while shared.routing.load().is_none() && clock::now() < until {
+        sleep(STARTING_LOOK).await;
+    }
+}
+
 /// The routes in force, unless this instance takes no requests: not yet, or no more.
 fn routing(shared: &Shared) -> Result<Arc<Routing>, Error> {
     let Some(routing) = shared.routing.load_full() else {
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -80,6 +80,10 @@
     pub decisions: Switches,
     /// The platform's budgets and intervals.
     pub platform: Platform,
+    /// How long after the start a request waits for the configuration, in milliseconds. Until then the
+    /// balancer sends requests here only if it has no better place, and a caller that is refused may ask
+    /// once more, most likely at an instance that starts too.
+    pub start_wait_ms: u64,
     /// How long to go on accepting after a stop was asked for, in milliseconds.
     pub stop_accept_ms: u64,
     /// What is told to the outside about itself.
@@ -248,6 +252,7 @@
             load_ms: reader.count("platform.load_ms", 250, 20, 60_000),
             snapshot_every: reader.count("platform.snapshot_every", 500, 1, 1_000_000),
         },
+        start_wait_ms: reader.count("start.wait_ms", 1_500, 0, 60_000),
         stop_accept_ms: reader.count("stop.accept_ms", 5_000, 0, 600_000),
         telemetry: Telemetry {
             level: reader.level("telemetry.level"),
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -1,10 +1,12 @@
 //! Instances among themselves: dispatchers that fall silent, and what one is told by another.
 
+use std::io::Write;
+
 use drumusher_adapter_stand_in::{Away, server::body};
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
-use crate::support::{Call, Deployment, configuration};
+use crate::support::{Call, DESK, Deployment, configuration, read};
 
 /// An instance that is turned away from the store learns changes from the others, whichever it is
 /// and however it is turned away.
@@ -128,7 +130,7 @@
     wait_for("the first one entered itself", || known(&deployment, 1));
     let door = deployment.store.door().expect("a way to the store");
     door.set_read_only();
-    deployment.add_instance_behind("i1", door);
+    deployment.add_instance_with("i1", door, "");
     wait_for("it is entered", || known(&deployment, 2));
 }
 
@@ -149,6 +151,22 @@
     assert_eq!(deployment.store.newest("keyed.instances", "i1"), entered);
 }
 
+/// A request that comes while an instance starts waits for the configuration.
+#[test]
+fn a_starting_instance_refuses_nothing() {
+    let mut deployment = Deployment::empty(false);
+    deployment.add_server("d1", DESK);
+    let door = deployment.store.door().expect("a way to the store");
+    deployment.add_instance_with("i0", door, "[start]\nwait_ms = 45000\n");
+    let call = Call::get("/read/").with("Drumusher-Deadline-Ms", "600000");
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&call.bytes()).expect("sent");
+    assert!(!deployment.instances[0].ready(), "nothing is in force yet");
+    deployment.store.put("keyed.op", "config", &configuration(1, ""));
+    let answer = read(&mut conn).expect("an answer");
+    assert_eq!((answer.status, answer.text()), (200, body(&call.id)));
+}
+
 /// The last log line that contains a text.
 fn last_of(lines: &str, text: &str) -> String {
     lines.lines().rev().find(|line| line.contains(text)).unwrap_or("").to_string()
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -142,11 +142,11 @@
     /// Starts an instance.
     pub fn add_instance(&mut self, name: &str) {
         let door = self.store.door().expect("a way to the store");
-        self.add_instance_behind(name, door);
+        self.add_instance_with(name, door, "");
     }
 
-    /// Starts an instance that has this way to the store.
-    pub fn add_instance_behind(&mut self, name: &str, door: Door) {
+    /// Starts an instance that has this way to the store and some more settings.
+    pub fn add_instance_with(&mut self, name: &str, door: Door, more: &str) {
         let ip = own_ip();
         let lines = self.folder.join(format!("{name}.log"));
         // Between the choice of a port and its use another process may take it for a moment.
@@ -156,7 +156,7 @@
             let relays = self.relayed.then(|| Relays::new(callers, peer, door.address));
             let store = relays.as_ref().map_or(door.address, |relays| relays.store.address());
             let advertise = relays.as_ref().map_or(peer, |relays| relays.peers.address());
-            let text = settings_text(name, [callers, status, peer], advertise, store);
+            let text = settings_text(name, [callers, status, peer], advertise, store) + more;
             fs::write(&settings, text).expect("the settings are written");
             let child = start(&settings, &lines, status)?;
             Some((callers, status, relays, child))
