fix: an instance that is not listed yet reads the store for nobody

Each saw fewer than four others listed, so that it took itself for one of the four readers.

Ruled out: readers that are not heard of (the told ones stopped reading after one second); heartbeats of servers as records (126 reads of that table in all).

Change: an instance counts itself among the readers only when it is listed, or when it can reach nobody else. It asks to be entered with its first message to a reader, not at the next heartbeat.

Test: unit::broker::an_instance_that_is_not_listed_reads_for_nobody fails without the change.

--- a/crates/drumusher/src/process/broker/view.rs
+++ b/crates/drumusher/src/process/broker/view.rs
@@ -150,9 +150,14 @@
         first.or_else(|| own_area.then(|| self.name.clone()))
     }
 
-    /// The instances that read the store and tell the others, first one first.
+    /// The instances that read the store and tell the others, first one first. One that is not listed
+    /// itself is none, unless nobody else is there: where 295 instances start at once, the first ones of
+    /// them see fewer than [`READERS`] others, and 250 read the store for nobody.
     pub fn readers(&self) -> Vec<Arc<str>> {
-        let ranked = rank::order(STORE, self.eligible(&self.area));
+        let listed = self.directory.instances.contains_key(&self.name);
+        let alone = self.eligible(&self.area).all(|candidate| candidate.name == &*self.name);
+        let may_read = |candidate: &Candidate<'_>| listed || alone || candidate.name != &*self.name;
+        let ranked = rank::order(STORE, self.eligible(&self.area).filter(may_read));
         ranked.into_iter().take(READERS).map(Arc::from).collect()
     }
 
--- a/crates/drumusher/src/process/peers/alive.rs
+++ b/crates/drumusher/src/process/peers/alive.rs
@@ -47,7 +47,7 @@
     }
 
     /// A heartbeat with what holds now.
-    fn heartbeat_now(&self) -> Message {
+    pub(super) fn heartbeat_now(&self) -> Message {
         Message::Heartbeat(peer::Heartbeat {
             offset: self.shared.position() as i64,
             leaving: self.shared.stopping().then_some(true),
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -90,6 +90,9 @@
         let position = self.shared.position() as i64;
         let request = peer::StateRequest::new(position, self.ends());
         self.send(reader, Message::StateRequest(request));
+        if self.missing_entry().is_some() {
+            self.send(reader, self.heartbeat_now());
+        }
     }
 
     /// A heartbeat of another instance: whether it reads the store, and whether it lags behind, now
