--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -3,11 +3,13 @@
 //! | module | duty |
 //! |---|---|
 //! | `askers` | for whom a pool is dispatched |
+//! | `asks` | asks of entries, as they come |
 //! | `budget` | repeats that may still be granted |
 //! | `host` | one pool with the names of its backend servers |
 //! | `wire` | messages between instances as events, orders as messages |
 
 mod askers;
+mod asks;
 mod budget;
 mod host;
 mod wire;
@@ -23,16 +25,16 @@
 
 use crossbeam_channel::RecvTimeoutError;
 use drumusher_schedule::{
-    ask::{Ask, Entry},
+    ask::Entry,
     event::{Event, Load},
-    order::{Order, Refusal},
+    order::Order,
     pool,
-    time::{MILLISECOND, Micros},
+    time::MILLISECOND,
 };
 use drumusher_wire::peer::{self, Message};
 
 use self::host::Host;
-use super::{Shared, broker::Attempt, clock, ring};
+use super::{Shared, clock, ring};
 use crate::{
     operator::rows::{self, Row},
     request::id,
@@ -166,64 +168,6 @@
         }
     }
 
-    fn ask(&mut self, entry: Entry, asked: peer::Ask) {
-        let Some(pool) = Pool::parse(&asked.pool) else {
-            return;
-        };
-        self.host(&pool);
-        if asked.server.is_none() && !self.may_attempt(entry, &asked, &pool) {
-            self.refuse_repeat(entry, asked.id);
-            return;
-        }
-        let Some(ask) = self.read_ask(entry, &asked, &pool) else {
-            return;
-        };
-        let declared = asked
-            .server
-            .as_deref()
-            .and_then(|name| self.hosts.get(&pool)?.known.get(name).copied());
-        let event = match declared {
-            Some(server) => Event::Declare(ask, server),
-            None => Event::Ask(ask),
-        };
-        self.handle(&pool, event);
-        self.note_asker(entry, &pool);
-        self.acknowledge(entry, &asked, &pool);
-    }
-
-    /// Counts an ask as a request or a repeat. Returns whether it may be granted.
-    fn may_attempt(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) -> bool {
-        let Some(host) = self.hosts.get_mut(pool) else {
-            return true;
-        };
-        let now = clock::now();
-        let instances = self.shared.directory.load().instances.len();
-        let lent = asked.lent.unwrap_or(0).max(0) as Micros;
-        let spent = f64::from(asked.spent.unwrap_or(0)) / SPENT_WHOLE;
-        host.budget.lend(now, entry, lent, spent);
-        match Attempt::from_wire(asked.attempt.unwrap_or(0)) {
-            Attempt::First => host.budget.request(now),
-            Attempt::Again => {}
-            Attempt::Repeat => return host.budget.repeat(now, instances),
-        }
-        true
-    }
-
-    /// Refuses a repeat: its entry ends the request with what the attempt before brought.
-    fn refuse_repeat(&mut self, entry: Entry, id: Vec<u8>) {
-        let refusal = Refusal::NoRepeat as i16;
-        let refuse = Message::Refuse(peer::Refuse::new(id, refusal, 0));
-        self.unsent.push_back((entry, refuse));
-        self.flush();
-    }
-
-    /// Notes which other instances ask for a pool.
-    fn note_asker(&mut self, entry: Entry, pool: &Pool) {
-        if let Some(host) = self.hosts.get_mut(pool).filter(|_| entry != OWN) {
-            host.askers.add(clock::now(), entry);
-        }
-    }
-
     fn gone(&mut self, entry: Entry) {
         for host in self.hosts.values_mut() {
             host.askers.remove(entry);
@@ -232,21 +176,6 @@
         self.each(|_| Event::EntryGone(entry));
     }
 
-    /// Tells the entry that its ask waits, so that it need not take silence for an outage.
-    fn acknowledge(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) {
-        let waits = |id| self.hosts.get(pool).is_some_and(|host| host.pool.waits(id));
-        if id::from_wire(&asked.id).is_some_and(waits) {
-            let queued = Message::Queued(peer::Queued::new(asked.id.clone()));
-            self.unsent.push_back((entry, queued));
-            self.flush();
-        }
-    }
-
-    fn read_ask(&self, entry: Entry, ask: &peer::Ask, pool: &Pool) -> Option<Ask> {
-        let version = self.shared.version.load();
-        wire::ask(entry, ask, &version, &self.hosts.get(pool)?.known)
-    }
-
     /// The end of an attempt, with what was not reported on it yet.
     fn finish(&mut self, finish: &peer::Finish) {
         let Some(id) = id::from_wire(&finish.id) else {
--- /dev/null
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -0,0 +1,92 @@
+//! Asks of entries: counted, handed to the decisions, and acknowledged where they wait.
+
+use drumusher_schedule::{
+    ask::{Ask, Entry},
+    event::Event,
+    order::Refusal,
+    time::Micros,
+};
+use drumusher_wire::peer::{self, Message};
+
+use super::{Dispatch, OWN, SPENT_WHOLE, wire};
+use crate::{
+    process::{broker::Attempt, clock},
+    request::id,
+    version::Pool,
+};
+
+impl Dispatch {
+    /// Takes an ask: hands it to the decisions, unless it is a repeat that the fleet may not send now.
+    pub(super) fn ask(&mut self, entry: Entry, asked: peer::Ask) {
+        let Some(pool) = Pool::parse(&asked.pool) else {
+            return;
+        };
+        self.host(&pool);
+        if asked.server.is_none() && !self.count_attempt(entry, &asked, &pool) {
+            self.refuse_repeat(entry, asked.id);
+            return;
+        }
+        let Some(ask) = self.read_ask(entry, &asked, &pool) else {
+            return;
+        };
+        let declared = asked
+            .server
+            .as_deref()
+            .and_then(|name| self.hosts.get(&pool)?.known.get(name).copied());
+        let event = match declared {
+            Some(server) => Event::Declare(ask, server),
+            None => Event::Ask(ask),
+        };
+        self.handle(&pool, event);
+        self.note_asker(entry, &pool);
+        self.acknowledge(entry, &asked, &pool);
+    }
+
+    /// Counts an ask as a request or a repeat. Returns whether it may be granted.
+    fn count_attempt(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) -> bool {
+        let Some(host) = self.hosts.get_mut(pool) else {
+            return true;
+        };
+        let now = clock::now();
+        let instances = self.shared.directory.load().instances.len();
+        let lent = asked.lent.unwrap_or(0).max(0) as Micros;
+        let spent = f64::from(asked.spent.unwrap_or(0)) / SPENT_WHOLE;
+        host.budget.lend(now, entry, lent, spent);
+        match Attempt::from_wire(asked.attempt.unwrap_or(0)) {
+            Attempt::First => host.budget.request(now),
+            Attempt::Again => {}
+            Attempt::Repeat => return host.budget.repeat(now, instances),
+        }
+        true
+    }
+
+    /// Refuses a repeat: its entry ends the request with what the attempt before brought.
+    fn refuse_repeat(&mut self, entry: Entry, id: Vec<u8>) {
+        let refusal = Refusal::NoRepeat as i16;
+        let refuse = Message::Refuse(peer::Refuse::new(id, refusal, 0));
+        self.unsent.push_back((entry, refuse));
+        self.flush();
+    }
+
+    /// Notes which other instances ask for a pool.
+    fn note_asker(&mut self, entry: Entry, pool: &Pool) {
+        if let Some(host) = self.hosts.get_mut(pool).filter(|_| entry != OWN) {
+            host.askers.add(clock::now(), entry);
+        }
+    }
+
+    /// Tells the entry that its ask waits, so that it need not take silence for an outage.
+    fn acknowledge(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) {
+        let waits = |id| self.hosts.get(pool).is_some_and(|host| host.pool.waits(id));
+        if id::from_wire(&asked.id).is_some_and(waits) {
+            let queued = Message::Queued(peer::Queued::new(asked.id.clone()));
+            self.unsent.push_back((entry, queued));
+            self.flush();
+        }
+    }
+
+    fn read_ask(&self, entry: Entry, ask: &peer::Ask, pool: &Pool) -> Option<Ask> {
+        let version = self.shared.version.load();
+        wire::ask(entry, ask, &version, &self.hosts.get(pool)?.known)
+    }
+}
--- a/crates/drumusher/tests/routes/answers.rs
+++ b/crates/drumusher/tests/routes/answers.rs
@@ -134,10 +134,7 @@
     let deployment = Deployment::new(1);
     set_desks(&deployment, Fault::Mute);
     let call = Call::post("/book/", "x");
-    let mut conn = deployment.connect(0).expect("a connection");
-    conn.write_all(&call.bytes()).expect("sent");
-    wait_for("it runs", || deployment.runs(&call.id) == 1);
-    drop(conn);
+    leave_while_it_runs(&deployment, &call);
     wait_for("the server sees the close", || {
         deployment.server("d1").gone() + deployment.server("d2").gone() == 1
     });
@@ -161,10 +158,7 @@
     let deployment = Deployment::new(1);
     set_desks(&deployment, Fault::Mute);
     let call = Call::post("/book/", "x");
-    let mut conn = deployment.connect(0).expect("a connection");
-    conn.write_all(&call.bytes()).expect("sent");
-    wait_for("it runs", || deployment.runs(&call.id) == 1);
-    drop(conn);
+    leave_while_it_runs(&deployment, &call);
     wait_for("its line is written", || {
         let lines = deployment.instances[0].lines();
         lines.lines().any(|line| line.contains("caller gone") && line.contains(&call.id))
@@ -192,3 +186,10 @@
         told("good")
     });
 }
+
+/// Sends a request and closes its connection once a backend server runs it.
+fn leave_while_it_runs(deployment: &Deployment, call: &Call) {
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&call.bytes()).expect("sent");
+    wait_for("it runs", || deployment.runs(&call.id) == 1);
+}
