fix: a failed call about one table holds up no other

A call about the instances that had begun before a cut of eight seconds failed at its own time-out after the cut was over, the store counted as away, and servers were not read until the long poll of the configuration ended.

Ruled out: what is under way to a follower being told again too late (a second at most); followers that are told by nobody (they read by themselves after a second).

Change: the others wait only while the latest call about the configuration failed, that is, while its task tries again within its pause.

Test: routes::config::a_failed_call_does_not_hold_up_other_tables failed before (the server was known to leave only after the configuration's poll had ended) and passes.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -20,7 +20,7 @@
 pub use records::{Ends, News, Records, TABLES, Update};
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
     sync::{Arc, atomic::Ordering},
@@ -52,6 +52,8 @@
     /// When the first call is made.
     began: Micros,
     store: S,
+    /// Whether the latest call about the configuration failed, so that its task tries soon again.
+    probing: Cell<bool>,
     state: RefCell<State>,
 }
 
@@ -71,7 +73,13 @@
 ) {
     let spread_ms = shared.settings.store.as_ref().map_or(0, |store| store.spread_ms);
     let began = clock::now() + rand::random_range(0..=spread_ms) * MILLISECOND;
-    let catalog = Rc::new(Catalog { shared, began, store, state: RefCell::default() });
+    let catalog = Rc::new(Catalog {
+        shared,
+        began,
+        store,
+        probing: Cell::new(false),
+        state: RefCell::default(),
+    });
     rt::spawn(begin(catalog.clone()));
     rt::spawn(release(catalog.clone()));
     rt::spawn(kept::learn(catalog.clone()));
--- a/crates/drumusher/src/process/catalog/follow.rs
+++ b/crates/drumusher/src/process/catalog/follow.rs
@@ -53,6 +53,9 @@
             continue;
         }
         let read = if known { catalog.read_on(table).await } else { catalog.read(table).await };
+        if table == Table::Configuration {
+            catalog.probing.set(read.is_err());
+        }
         match read {
             Ok(Read::Changed) => {
                 known = true;
@@ -101,11 +104,12 @@
     }
 
     /// Whether the task of another table finds out first whether the store is back. The one of the
-    /// configuration does so for all: a third of the calls that fail.
+    /// configuration does so for all once its own latest call failed: a third of the calls that fail. While
+    /// that one waits for a change it finds nothing out, so that the failure of another call, say one that
+    /// began before a cut which is over, holds up nobody.
     fn leaves_to_another(&self, table: Table) -> bool {
         let read_before = self.shared.records().end(table) > 0;
-        let away = self.shared.store_away.load(Ordering::Acquire);
-        table != Table::Configuration && read_before && away
+        table != Table::Configuration && read_before && self.probing.get()
     }
 
     /// Reads a whole table, unless another instance told of more meanwhile.
--- a/crates/drumusher/tests/routes/config.rs
+++ b/crates/drumusher/tests/routes/config.rs
@@ -130,3 +130,32 @@
     wait_for("further calls", || door.failed_waits().len() > before + 3);
     assert!(door.failed_waits()[before..].iter().all(|wait| *wait == 0));
 }
+
+/// A call about one table that fails, long after the store is well again or for a reason of its own, does
+/// not hold up what is read of another while the task of the configuration waits for a change.
+#[test]
+fn a_failed_call_does_not_hold_up_other_tables() {
+    let mut deployment = Deployment::empty(false);
+    deployment.wait_ms = 30_000;
+    deployment.add_server("d1", DESK);
+    deployment.add_instance("i0");
+    deployment.store.put("keyed.op", "config", &configuration(1, ""));
+    wait_for("it serves", || status(&deployment, 0, "/read/") == 200);
+    let door = &deployment.instances[0].door;
+    let calls = || door.calls_about("keyed.instances");
+    let (told, other) = (|text: &str| deployment.instances[0].lines().contains(text), calls());
+    door.fail_topic("keyed.instances");
+    deployment.store.put("keyed.instances", "another", "{}");
+    wait_for("a call fails", || told("what is in force stays"));
+    let entry = deployment.server("d1").entry(DESK, "ready");
+    deployment.store.put("keyed.servers", "d2", &entry);
+    wait_for("a server is known, so that the next call about servers is to come", || told("d2"));
+    let failed = calls();
+    assert!(failed > other);
+    wait_for("another call fails", || calls() > failed);
+    let before = door.calls_about("keyed.op");
+    let leaving = deployment.server("d1").entry(DESK, "draining");
+    deployment.store.put("keyed.servers", "d1", &leaving);
+    wait_for("the server is known to leave", || told(r#""leaving":"true""#));
+    assert_eq!(door.calls_about("keyed.op"), before, "the configuration is still waited for");
+}
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -65,6 +65,8 @@
     pub servers: Vec<Server>,
     /// The instances.
     pub instances: Vec<Instance>,
+    /// Longest wait of an instance for a change in one call to the store, in milliseconds.
+    pub wait_ms: u64,
     folder: PathBuf,
     relayed: bool,
     kept: bool,
@@ -126,6 +128,7 @@
             store,
             servers: Vec::new(),
             instances: Vec::new(),
+            wait_ms: 1_500,
             folder,
             relayed,
             kept: false,
@@ -156,7 +159,8 @@
             let relays = self.relayed.then(|| Relays::new(callers, peer, door.address));
             let store = relays.as_ref().map_or(door.address, |relays| relays.store.address());
             let advertise = relays.as_ref().map_or(peer, |relays| relays.peers.address());
-            let text = settings_text(name, [callers, status, peer], advertise, store) + more;
+            let text = settings_text(name, [callers, status, peer], advertise, store);
+            let text = format!("{text}wait_ms = {}\n{REST}{more}", self.wait_ms);
             fs::write(&settings, text).expect("the settings are written");
             let child = start(&settings, &lines, status)?;
             Some((callers, status, relays, child))
@@ -289,6 +293,9 @@
     }
 }
 
+/// The settings that are the same for all instances.
+const REST: &str = "[stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n";
+
 /// The settings of an instance that listens for callers, the balancer and other instances.
 fn settings_text(
     name: &str,
@@ -301,8 +308,7 @@
          http = \"{callers}\"\nstatus = \"{status}\"\npeer = \"{peer}\"\n\
          advertise = \"{advertise}\"\nworkers = 1\n\
          [fleet]\nsecret = \"a secret of a test's fleet\"\nforget_seconds = 2\n\
-         [store]\naddress = \"{store}\"\nwait_ms = 1500\n\
-         [stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n"
+         [store]\naddress = \"{store}\"\n"
     )
 }
 
