fix: an instance that knows of nobody yet is no reader either

Change: only a listed instance is a reader. One that sees nobody reads for itself, since nobody tells it.

--- a/crates/drumusher/src/process/broker/view.rs
+++ b/crates/drumusher/src/process/broker/view.rs
@@ -151,13 +151,13 @@
     }
 
     /// The instances that read the store and tell the others, first one first. One that is not listed
-    /// itself is none, unless nobody else is there: where 295 instances start at once, the first ones of
-    /// them see fewer than [`READERS`] others, and 250 read the store for nobody.
+    /// itself is none of them: where 295 instances start at once, the first ones of them see fewer than
+    /// [`READERS`] others, or nobody yet, and 250 read the store for nobody.
     pub fn readers(&self) -> Vec<Arc<str>> {
         let listed = self.directory.instances.contains_key(&self.name);
-        let alone = self.eligible(&self.area).all(|candidate| candidate.name == &*self.name);
-        let may_read = |candidate: &Candidate<'_>| listed || alone || candidate.name != &*self.name;
-        let ranked = rank::order(STORE, self.eligible(&self.area).filter(may_read));
+        let candidates = self.eligible(&self.area);
+        let candidates = candidates.filter(|candidate| listed || candidate.name != &*self.name);
+        let ranked = rank::order(STORE, candidates);
         ranked.into_iter().take(READERS).map(Arc::from).collect()
     }
 
