--- a/crates/drumusher/src/process/dispatch/askers.rs
+++ b/crates/drumusher/src/process/dispatch/askers.rs
@@ -10,12 +10,12 @@
     time::{Micros, SECOND},
 };
 
-/// A pool is dispatched for others once this part of the instances ask for it, but at least one other. A
-/// cut that leaves fewer than a sixteenth together is rare; a seventh of the fleet shares a zone at 295
-/// instances in six of them.
+/// A pool is dispatched for others once one in so many instances asks for it, but at least one. An
+/// availability zone that is cut off has more of them: a sixth of 295 instances. Without this, 30,499 calls
+/// in a minute asked 160 engines what they keep; with it 550 did.
 const PART: usize = 16;
-/// When nobody else asked for so long the role is elsewhere: five times what a dispatcher of many waits
-/// between two asks on a calm day.
+/// When nobody else asked for so long the role is elsewhere. Chosen, not measured: a dispatcher of many is
+/// asked several times a second.
 const IDLE: Micros = 5 * SECOND;
 
 /// The other instances that ask for a pool.
