--- a/crates/drumusher/src/process/dispatch/budget.rs
+++ b/crates/drumusher/src/process/dispatch/budget.rs
@@ -9,8 +9,8 @@
 //! the fleet may be divided between several, so an instance that turns to another one tells that one how
 //! much of its part is gone; it is whole again a window later.
 //!
-//! Equal parts by themselves, without a dispatcher that adds them up, are crumbs: 630 repeats in 10 s
-//! among 295 instances are two at each, and most of them fell to instances that needed none.
+//! Equal parts that nobody adds up are too small to be of use: of 630 repeats in 10 s each of 295 instances
+//! has two, also those that need none. Added up, one instance may use 504 (`unit::budget`).
 
 use std::collections::{HashMap, VecDeque};
 
