fix: instances that are told by others rarely ask a store that is away

Ruled out: fewer instances that ask at all. Where the readers are turned away and others are not, somebody else has to ask within a second, and every instance still does, once.

Change: after a call that failed an instance that is no reader and knows the table pauses 1.6 s, then 3.2 s. Readers pause 60 to 400 ms as before, and so does whoever knows nothing yet.

Test: unit::backoff.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -9,12 +9,14 @@
 //! first by rank, read it, and tell the others over the connections between instances. One that is
 //! told by none for [`follow::TOLD_WITHIN`] reads the store itself.
 
+mod backoff;
 mod entries;
 mod follow;
 mod kept;
 mod membership;
 mod records;
 
+pub use backoff::Backoff;
 pub use entries::{Entries, LAPSE};
 pub use membership::{Arrivals, entry};
 pub use records::{Ends, News, Records, TABLES, Update};
--- a/crates/drumusher/src/process/catalog/follow.rs
+++ b/crates/drumusher/src/process/catalog/follow.rs
@@ -10,17 +10,9 @@
 use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::time::{Millis, sleep};
 
-use super::{Catalog, News};
+use super::{Backoff, Catalog, News};
 use crate::process::clock;
 
-/// Pause after a call that failed, doubled up to [`PAUSE_MOST`].
-pub(super) const PAUSE: Millis = Millis(60);
-/// Longest pause after calls that failed, of an instance that reads the store for others: a change is to
-/// be in force within two seconds.
-const PAUSE_MOST: Millis = Millis(400);
-/// The same of other instances. The store's return is told to them by those that read it; hundreds that
-/// ask a store that is away several times a second are refused at the price of calls that are answered.
-pub(super) const PAUSE_MOST_OTHERS: Millis = Millis(1_600);
 /// Pause after a change, which gathers its neighbours into one call. The first reader tells the others
 /// within a heartbeat, so that they can gather for longer.
 const GATHER: Millis = Millis(100);
@@ -44,7 +36,7 @@
 
 /// Reads a table whole and then its changes, for ever, as far as nobody else tells them.
 pub(super) async fn follow<S: Store>(catalog: Rc<Catalog<S>>, table: Table) {
-    let mut pause = PAUSE;
+    let mut backoff = Backoff::new();
     let mut known = catalog.shared.records().end(table) > 0;
     loop {
         if catalog.is_told() || catalog.leaves_to_another(table) {
@@ -59,26 +51,20 @@
         match read {
             Ok(Read::Changed) => {
                 known = true;
-                pause = PAUSE;
+                backoff.reset();
                 sleep(catalog.gather()).await;
             }
-            Ok(Read::Unchanged) => pause = PAUSE,
+            Ok(Read::Unchanged) => backoff.reset(),
             Ok(Read::Dropped) => known = false,
             Err(error) => {
                 catalog.failed(table, &error);
-                sleep(pause).await;
                 let reader = catalog.shared.reader.load(Ordering::Acquire);
-                pause = longer(pause, if reader { PAUSE_MOST } else { PAUSE_MOST_OTHERS });
+                sleep(backoff.next(reader || !known)).await;
             }
         }
     }
 }
 
-/// The pause after the next failure, when one after `pause` failed too.
-pub(super) fn longer(pause: Millis, most: Millis) -> Millis {
-    Millis((pause.0 * 2).min(most.0))
-}
-
 /// What a read of a table brought.
 pub(super) enum Read {
     /// Records, which were taken.
--- a/crates/drumusher/src/process/catalog/membership.rs
+++ b/crates/drumusher/src/process/catalog/membership.rs
@@ -15,10 +15,7 @@
 use ntex::time::{Millis, sleep};
 use serde::{Deserialize, Serialize};
 
-use super::{
-    Catalog,
-    follow::{PAUSE, PAUSE_MOST_OTHERS, longer},
-};
+use super::{Backoff, Catalog};
 use crate::{process::clock, settings::Settings};
 
 /// Time between two looks at the entries of instances, the own one if it is there, and those of instances
@@ -98,7 +95,7 @@
 /// was out of reach for long.
 pub(super) async fn stay_entered<S: Store>(catalog: Rc<Catalog<S>>) {
     let shared = &catalog.shared;
-    let mut pause = PAUSE;
+    let mut backoff = Backoff::new();
     let mut missing = None;
     loop {
         if shared.is_entered() || shared.stopping() {
@@ -115,13 +112,12 @@
         match catalog.store.put(&[own]).await {
             Ok(()) => {
                 log::info!("this instance entered itself in the store");
-                pause = PAUSE;
+                backoff.reset();
                 sleep(ENTRY_LOOK).await;
             }
             Err(error) => {
                 catalog.failed(Table::Instances, &error);
-                sleep(pause).await;
-                pause = longer(pause, PAUSE_MOST_OTHERS);
+                sleep(backoff.next(false)).await;
             }
         }
     }
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -3,6 +3,7 @@
 mod answer;
 mod arrivals;
 mod askers;
+mod backoff;
 mod broker;
 mod budget;
 mod catalog;
