feat: lines tell how much an instance is told, who asked, and why a connection was closed

The lines of the incident could not tell apart whether connections were closed for silence or for unanswered asks, how long messages are, and whether others than the asked reader tell. Messages of 16 KiB and more now have a line at both ends, connections that are closed for silence or unanswered asks one with the reason and what was not sent, and a counter (drumusher.peer.closed).

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -42,6 +42,9 @@
 use super::{Shared, clock, platform};
 use crate::version::{self, Directory};
 
+/// What another instance tells has a line in the log if it is as long as this, in bytes, since it may then
+/// take a tenth of a second and more.
+pub const LARGE: usize = 16 * 1024;
 /// Time between two looks at entries held back.
 const LOOK: Millis = Millis(100);
 
@@ -171,7 +174,7 @@
             Ok(configuration) => {
                 let version = configuration.version;
                 if self.shared.publish_routes(configuration) {
-                    log::info!(version = version; "configuration in force");
+                    log::info!(version = version, bytes = value.len(); "configuration in force");
                 }
             }
             Err(error) => log::error!("a configuration was passed over: {error}"),
@@ -247,6 +250,9 @@
         }
         self.shared.doubtful.store(doubtful, Ordering::Release);
         let news = self.shared.records().take(update);
+        if bytes.len() >= LARGE {
+            log::info!(bytes = bytes.len(), new = news.len(); "another instance told much");
+        }
         news.into_iter().for_each(|news| self.take(news));
     }
 }
--- a/crates/drumusher/src/process/peers/alive.rs
+++ b/crates/drumusher/src/process/peers/alive.rs
@@ -4,7 +4,10 @@
 
 use drumusher_schedule::time::MILLISECOND;
 use drumusher_wire::peer::{self, Message};
-use ntex::time::{Millis, sleep};
+use ntex::{
+    io::IoRef,
+    time::{Millis, sleep},
+};
 
 use super::{Link, Peers};
 use crate::{connection::Codec, process::clock, version::Pool};
@@ -84,6 +87,11 @@
                 conn.heard = now;
             }
             if now > conn.heard + SILENCE {
+                self.shared.telemetry.count("drumusher.peer.closed", &[("reason", "silent")]);
+                log::warn!(
+                    instance = &*conn.instance, unsent = unsent(&conn.io);
+                    "a connection with another instance is silent"
+                );
                 conn.io.terminate();
                 continue;
             }
@@ -142,7 +150,17 @@
             return;
         };
         if let Some(conn) = self.inner.borrow().conns.get(&number) {
+            self.shared.telemetry.count("drumusher.peer.closed", &[("reason", "unanswered")]);
+            log::warn!(
+                instance = &**instance, unsent = unsent(&conn.io);
+                "a connection is closed, since asks over it are not answered"
+            );
             conn.io.terminate();
         }
     }
 }
+
+/// Bytes that wait to be sent over a connection.
+fn unsent(io: &IoRef) -> usize {
+    io.with_write_buf(|buffer| buffer.len()).unwrap_or_default()
+}
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -7,7 +7,7 @@
 
 use super::Peers;
 use crate::process::{
-    catalog::{Ends, TABLES},
+    catalog::{Ends, LARGE, TABLES},
     clock, platform,
 };
 
@@ -152,16 +152,22 @@
     fn tell_on(&self, number: u32) {
         let now = clock::now();
         let own = self.shared.records().ends();
-        let known = {
+        let (known, instance, asked) = {
             let mut inner = self.inner.borrow_mut();
             let Some(conn) = inner.conns.get_mut(&number) else {
                 return;
             };
             let known = conn.follows.has(now);
             conn.follows.tell(now, own);
-            known
+            (known, conn.instance.clone(), conn.follows.is_told())
         };
         if let Some(snapshot) = self.update(&known, &own) {
+            if snapshot.len() >= LARGE {
+                log::info!(
+                    instance = &*instance, bytes = snapshot.len(), asked = asked;
+                    "another instance is told much"
+                );
+            }
             let position = own.iter().sum::<u64>() as i64;
             self.send_on(number, Message::State(peer::State::new(position, snapshot)));
         }
