test: a large configuration arrives over a narrow link, and is carried once (failing)

Users saw instances answer by the version before five seconds after a change of 1,400 routes, and most requests late.

Relays can be narrow: so many bytes a second each way, over all connections.

--- a/crates/drumusher-bench/src/fleet/relay.rs
+++ b/crates/drumusher-bench/src/fleet/relay.rs
@@ -1,4 +1,4 @@
-//! A TCP relay that can be cut, reset, slowed and silenced, one way or both.
+//! A TCP relay that can be cut, reset, slowed, narrowed and silenced, one way or both.
 
 use std::{
     collections::HashMap,
@@ -9,7 +9,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use socket2::SockRef;
@@ -27,6 +27,8 @@
     Open,
     /// Each piece so late.
     Late(Duration),
+    /// As over a link that carries so many bytes a second each way, which all connections share.
+    Narrow(u64),
     /// Nothing reaches the target until another mode is set.
     MuteTo,
     /// Nothing comes back from the target until another mode is set.
@@ -58,6 +60,8 @@
     /// The number of the next connection.
     next: AtomicU64,
     bytes: AtomicU64,
+    /// Until when a narrow link is taken, to the target and back.
+    taken: [Mutex<Option<Instant>>; 2],
 }
 
 /// Passes connections on to a target until it is cut.
@@ -138,7 +142,7 @@
 
 impl State {
     /// Waits as the mode wants it. Returns whether the connection is still to be passed on.
-    fn hold(&self, number: u64, way: Way) -> bool {
+    fn hold(&self, number: u64, way: Way, length: usize) -> bool {
         loop {
             let mode = *self.mode.lock().expect("no holder panics");
             let muted = match mode {
@@ -147,6 +151,10 @@
                     thread::sleep(late);
                     false
                 }
+                Mode::Narrow(rate) => {
+                    thread::sleep(self.queue(way, length, rate));
+                    false
+                }
                 Mode::Mute => true,
                 Mode::MuteTo => way == Way::To,
                 Mode::MuteBack => way == Way::Back,
@@ -161,6 +169,16 @@
         }
     }
 
+    /// Takes a narrow link for `length` bytes, after those that came before. Returns how long that lasts.
+    fn queue(&self, way: Way, length: usize, rate: u64) -> Duration {
+        let mut taken = self.taken[way as usize].lock().expect("no holder panics");
+        let now = Instant::now();
+        let until =
+            taken.unwrap_or(now).max(now) + Duration::from_secs_f64(length as f64 / rate as f64);
+        *taken = Some(until);
+        until - now
+    }
+
     /// Ends a connection, unless it was ended by a cut or reset.
     fn end(&self, number: u64) {
         let pair = self.open.lock().expect("no holder panics").remove(&number);
@@ -194,7 +212,7 @@
     let run = move || {
         let mut piece = [0; PIECE];
         while let Ok(length) = from.read(&mut piece) {
-            let ended = length == 0 || !state.hold(number, way);
+            let ended = length == 0 || !state.hold(number, way, length);
             if ended || to.write_all(&piece[..length]).is_err() {
                 break;
             }
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -9,3 +9,4 @@
 mod stop;
 mod streams;
 mod support;
+mod transfer;
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -25,6 +25,8 @@
 pub const MODEL: &str = "model";
 /// A key of workspace `vanua`.
 pub const KEY: &str = "key-of-vanua";
+/// Bytes of the path of a route that only makes a configuration large.
+const LARGE_PATH: usize = 480;
 /// Trials to start an instance on free ports.
 const START_TRIALS: usize = 20;
 /// Longest wait for an answer's next byte. Not a bound on speed.
@@ -95,6 +97,34 @@
     )
 }
 
+/// The same with so many bytes of routes more, whose paths hardly compress.
+pub fn large_configuration(version: u64, bytes: usize) -> String {
+    let mut digits = 0x2545_f491_4f6c_dd1d_u64;
+    let mut path = || {
+        let mut path = String::new();
+        while path.len() < LARGE_PATH {
+            digits ^= digits << 13;
+            digits ^= digits >> 7;
+            digits ^= digits << 17;
+            path.push_str(&format!("{digits:016x}"));
+        }
+        path
+    };
+    let count = bytes / LARGE_PATH;
+    let routes = (0..count).map(|number| {
+        format!(
+            r#"{{"Name":"r{number}","Host":"idle.example","PathPrefix":"/{}/","RouteType":"idempotent","TimeoutMs":3000,"Service":"{DESK}"}}"#,
+            path()
+        )
+    });
+    let routes: Vec<String> = routes.collect();
+    configuration(version, "extra").replacen(
+        "\"Routes\":[",
+        &format!("\"Routes\":[{},", routes.join(",")),
+        1,
+    )
+}
+
 impl Deployment {
     /// A configured deployment of `instances` instances and two backend servers a service.
     pub fn new(instances: usize) -> Self {
