test: the soak narrows links and makes configurations large

One of five faults of a relay is now a narrow link of 0.1 to 1 MB a second, one of four changes of the configuration has 50 to 500 KB more.

--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -24,7 +24,7 @@
 mod store;
 mod turns;
 
-pub use fetch::{Fetch, Piece, Request, Source, Step};
+pub use fetch::{Fetch, Peer, Piece, Request, Step};
 pub use follows::Follows;
 pub use turns::Turns;
 
--- a/crates/drumusher/src/process/peers/fetch.rs
+++ b/crates/drumusher/src/process/peers/fetch.rs
@@ -58,7 +58,7 @@
 
 /// How another instance stands to this one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Source {
+pub enum Peer {
     /// It was asked to tell this one.
     Teller,
     /// It happens to have a connection with it.
@@ -94,7 +94,7 @@
     }
 
     /// Another instance knows more than `known`, which is known here. Returns what to ask it for.
-    pub fn ahead(&mut self, now: Micros, known: u64, conn: u32, source: Source) -> Option<Request> {
+    pub fn ahead(&mut self, now: Micros, known: u64, conn: u32, peer: Peer) -> Option<Request> {
         let since = match self.lags {
             Some((lagged, since)) if lagged == known => since,
             _ => {
@@ -109,7 +109,7 @@
         if self.active.as_ref().is_some_and(|active| active.known == known && waits(active)) {
             return None;
         }
-        if source == Source::Other && now < since + LAGS {
+        if peer == Peer::Other && now < since + LAGS {
             return None;
         }
         let kept = self.active.take().filter(|active| active.known == known);
--- a/crates/drumusher/src/process/peers/pieces.rs
+++ b/crates/drumusher/src/process/peers/pieces.rs
@@ -11,7 +11,7 @@
 
 use super::{
     Peers,
-    fetch::{self, Request, Source, Step},
+    fetch::{self, Peer, Request, Step},
 };
 use crate::process::{
     catalog::{Ends, TABLES, Update},
@@ -70,10 +70,10 @@
         let requests: Vec<(usize, Request)> = {
             let mut inner = self.inner.borrow_mut();
             let told = inner.tellers.contains(instance) && !self.reads();
-            let source = if told { Source::Teller } else { Source::Other };
+            let peer = if told { Peer::Teller } else { Peer::Other };
             let ahead = (0..TABLES.len()).filter(|table| ends[*table] > own[*table]);
             let asked = ahead.filter_map(|table| {
-                let request = inner.fetches[table].ahead(now, own[table], number, source)?;
+                let request = inner.fetches[table].ahead(now, own[table], number, peer)?;
                 Some((table, request))
             });
             asked.collect()
--- a/crates/drumusher/tests/routes/soak/fault.rs
+++ b/crates/drumusher/tests/routes/soak/fault.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::promise::{self, Journal};
-use crate::support::{DESK, Deployment, MODEL, Relays, configuration};
+use crate::support::{DESK, Deployment, MODEL, Relays, configuration, large_configuration};
 
 /// Time between two faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..450;
@@ -18,6 +18,12 @@
 const LASTS_MS: std::ops::Range<u64> = 80..2_500;
 /// Longest delay of a piece by a relay, in milliseconds.
 const LATE_MS: u64 = 120;
+/// Bytes a second that a narrow relay carries.
+const NARROW: std::ops::Range<u64> = 100_000..1_000_000;
+/// Part of the changes of the configuration that make it large.
+const LARGE_PART: f64 = 0.25;
+/// Bytes of a large configuration.
+const LARGE: std::ops::Range<usize> = 50_000..500_000;
 /// Longest series of changes of the configuration.
 const SERIES: u64 = 5;
 /// Time between two looks whether a process ended.
@@ -136,11 +142,12 @@
         [callers, peers, store][place % 3]
     }
 
-    /// A relay passes late, or nothing.
+    /// A relay passes late, little at a time, or nothing.
     fn relay(&mut self) {
         let place = self.any_relay();
         let late = Duration::from_millis(self.random.random_range(1..LATE_MS));
-        let modes = [Mode::Late(late), Mode::MuteTo, Mode::MuteBack, Mode::Mute];
+        let narrow = Mode::Narrow(self.random.random_range(NARROW));
+        let modes = [Mode::Late(late), narrow, Mode::MuteTo, Mode::MuteBack, Mode::Mute];
         let mode = modes[self.random.random_range(0..modes.len())];
         self.relay_at(place).set(mode);
         self.later(Cure::Open(place));
@@ -230,7 +237,12 @@
     fn configure(&mut self) {
         for _ in 0..self.random.random_range(1..=SERIES) {
             let version = self.journal.next_version();
-            let text = configuration(version, &promise::route(version));
+            let route = promise::route(version);
+            let text = if self.random.random_bool(LARGE_PART) {
+                large_configuration(version, &route, self.random.random_range(LARGE))
+            } else {
+                configuration(version, &route)
+            };
             self.deployment.store.put("keyed.op", "config", &text);
         }
     }
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -98,7 +98,7 @@
 }
 
 /// The same with so many bytes of routes more, whose paths hardly compress.
-pub fn large_configuration(version: u64, bytes: usize) -> String {
+pub fn large_configuration(version: u64, extra: &str, bytes: usize) -> String {
     let mut digits = 0x2545_f491_4f6c_dd1d_u64;
     let mut path = || {
         let mut path = String::new();
@@ -118,7 +118,7 @@
         )
     });
     let routes: Vec<String> = routes.collect();
-    configuration(version, "extra").replacen(
+    configuration(version, extra).replacen(
         "\"Routes\":[",
         &format!("\"Routes\":[{},", routes.join(",")),
         1,
--- a/crates/drumusher/tests/routes/transfer.rs
+++ b/crates/drumusher/tests/routes/transfer.rs
@@ -71,7 +71,7 @@
     for instance in &deployment.instances {
         set(instance, Mode::Narrow(RATE));
     }
-    deployment.store.put("keyed.op", "config", &large_configuration(2, BYTES));
+    deployment.store.put("keyed.op", "config", &large_configuration(2, "extra", BYTES));
     wait_for("the other one has it", || has(&deployment.instances[0], 2));
     wait_for("the one that is cut off has it", || has(cut_off, 2));
 }
@@ -90,7 +90,7 @@
         let relays = deployment.instances.iter().filter_map(|instance| instance.relays.as_ref());
         relays.map(|relays| relays.peers.bytes()).sum::<u64>()
     };
-    let text = large_configuration(2, BYTES);
+    let text = large_configuration(2, "extra", BYTES);
     let before = bytes();
     deployment.store.put("keyed.op", "config", &text);
     for instance in &deployment.instances {
@@ -109,7 +109,7 @@
     let deployment = deployment(1);
     let instance = &deployment.instances[0];
     instance.relays.as_ref().expect("there are relays").store.set(Mode::Narrow(RATE));
-    deployment.store.put("keyed.op", "config", &large_configuration(2, BYTES));
+    deployment.store.put("keyed.op", "config", &large_configuration(2, "extra", BYTES));
     wait_for("it has the configuration", || has(instance, 2));
     assert!(!instance.lines().contains("what is in force stays"), "the store was never away");
 }
--- a/crates/drumusher/tests/unit/fetch.rs
+++ b/crates/drumusher/tests/unit/fetch.rs
@@ -1,6 +1,6 @@
 //! Fetching an update piece by piece.
 
-use drumusher::process::peers::{Fetch, Piece, Request, Source, Step};
+use drumusher::process::peers::{Fetch, Peer, Piece, Request, Step};
 use drumusher_schedule::time::{MILLISECOND, SECOND};
 use rstest::rstest;
 
@@ -22,7 +22,7 @@
 /// A fetch from the teller, of which the first two of six bytes came.
 fn begun() -> Fetch {
     let mut fetch = Fetch::new();
-    assert_eq!(fetch.ahead(0, KNOWN, TELLER, Source::Teller), Some(request(TELLER, 0)));
+    assert_eq!(fetch.ahead(0, KNOWN, TELLER, Peer::Teller), Some(request(TELLER, 0)));
     let next = fetch.piece(0, TELLER, &piece(0, b"ab"));
     assert_eq!(next, Step::Next(request(TELLER, 2)));
     fetch
@@ -40,7 +40,7 @@
 fn one_is_asked_at_a_time() {
     let mut fetch = begun();
     for at in 1..10 {
-        assert_eq!(fetch.ahead(at * 99 * MILLISECOND, KNOWN, OTHER, Source::Other), None);
+        assert_eq!(fetch.ahead(at * 99 * MILLISECOND, KNOWN, OTHER, Peer::Other), None);
     }
 }
 
@@ -48,9 +48,9 @@
 #[test]
 fn others_wait_for_the_teller() {
     let mut fetch = Fetch::new();
-    assert_eq!(fetch.ahead(0, KNOWN, OTHER, Source::Other), None);
-    assert_eq!(fetch.ahead(250 * MILLISECOND, KNOWN, OTHER, Source::Other), None);
-    let asked = fetch.ahead(500 * MILLISECOND, KNOWN, OTHER, Source::Other);
+    assert_eq!(fetch.ahead(0, KNOWN, OTHER, Peer::Other), None);
+    assert_eq!(fetch.ahead(250 * MILLISECOND, KNOWN, OTHER, Peer::Other), None);
+    let asked = fetch.ahead(500 * MILLISECOND, KNOWN, OTHER, Peer::Other);
     assert_eq!(asked, Some(request(OTHER, 0)));
 }
 
@@ -62,7 +62,7 @@
 fn what_came_is_kept(#[case] next: u32) {
     let mut fetch = begun();
     fetch.gone(TELLER);
-    let again = fetch.ahead(SECOND, KNOWN, next, Source::Other);
+    let again = fetch.ahead(SECOND, KNOWN, next, Peer::Other);
     assert_eq!(again, Some(request(next, 2)));
     let other = Piece { digest: 9, at: 0, total: 6, bytes: b"xy" };
     let begins = fetch.piece(SECOND, next, &other);
@@ -74,8 +74,8 @@
 #[test]
 fn a_silent_instance_is_left() {
     let mut fetch = begun();
-    assert_eq!(fetch.ahead(900 * MILLISECOND, KNOWN, OTHER, Source::Other), None);
-    let asked = fetch.ahead(1_500 * MILLISECOND, KNOWN, OTHER, Source::Other);
+    assert_eq!(fetch.ahead(900 * MILLISECOND, KNOWN, OTHER, Peer::Other), None);
+    let asked = fetch.ahead(1_500 * MILLISECOND, KNOWN, OTHER, Peer::Other);
     assert_eq!(asked, Some(request(OTHER, 2)));
 }
 
@@ -101,11 +101,11 @@
     let mut fetch = begun();
     let whole = Piece { at: 2, bytes: b"cdef", ..piece(0, b"") };
     assert!(matches!(fetch.piece(0, TELLER, &whole), Step::Whole(_)));
-    assert_eq!(fetch.ahead(SECOND, KNOWN, TELLER, Source::Teller), None);
-    let newer = fetch.ahead(SECOND, KNOWN + 1, TELLER, Source::Teller);
+    assert_eq!(fetch.ahead(SECOND, KNOWN, TELLER, Peer::Teller), None);
+    let newer = fetch.ahead(SECOND, KNOWN + 1, TELLER, Peer::Teller);
     assert_eq!(newer.map(|request| request.known), Some(KNOWN + 1));
     let mut refused = begun();
     assert!(matches!(refused.piece(0, TELLER, &whole), Step::Whole(_)));
     refused.refuse();
-    assert!(refused.ahead(SECOND, KNOWN, TELLER, Source::Teller).is_some());
+    assert!(refused.ahead(SECOND, KNOWN, TELLER, Peer::Teller).is_some());
 }
