fix: windows of backend servers follow a configuration that comes later

Cause: a dispatcher told its decisions of a backend server anew only if its places or its leaving changed. One that knew the servers before the configuration, as a restarted instance now does that fetches a long configuration, gave each engine 16 of its 48 places for good. Latent before: it took the tables arriving in that order, with a first request in between.

--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -19,6 +19,13 @@
 /// What is believed of a backend server before anything was learned.
 const GOOD: &str = Health::Good.word();
 
+/// What the decisions were told of a backend server.
+#[derive(Debug, PartialEq)]
+struct Applied {
+    options: server::Options,
+    leaving: bool,
+}
+
 /// One pool with the names of its backend servers.
 pub struct Host {
     /// Its decisions.
@@ -27,8 +34,9 @@
     pub(super) names: Vec<Arc<str>>,
     /// Keys by name; the key is the place in `names`.
     pub(super) known: HashMap<Arc<str>, server::Key>,
-    /// The window and whether it is leaving, as the decisions were told last.
-    applied: BTreeMap<Arc<str>, (u32, bool)>,
+    /// What the decisions were told of each backend server last. All of it is compared: a server may be known
+    /// before the configuration that says how its window is set, and kept a third of its places for good.
+    applied: BTreeMap<Arc<str>, Applied>,
     /// Backend servers that said themselves that they are leaving, and when.
     pub(super) own_word: BTreeMap<Arc<str>, u64>,
     /// The other instances that ask for it, by their connections.
@@ -109,16 +117,14 @@
         for (name, backend) in wanted {
             let leaving = backend.leaving || self.own_word.contains_key(name);
             let slots = (backend.slots / divide).max(1);
-            if self.applied.get(name) == Some(&(slots, leaving)) {
+            let options = options(slots, learned, rank::weight(pool, name));
+            let applied = Applied { options, leaving };
+            if self.applied.get(name) == Some(&applied) {
                 continue;
             }
-            self.applied.insert(name.clone(), (slots, leaving));
+            self.applied.insert(name.clone(), applied);
             let key = self.key(name);
-            events.push(if leaving {
-                Event::Leave(key)
-            } else {
-                Event::Server(key, options(slots, learned, rank::weight(pool, name)))
-            });
+            events.push(if leaving { Event::Leave(key) } else { Event::Server(key, options) });
         }
         let gone: Vec<Arc<str>> =
             self.applied.keys().filter(|name| !wanted.contains_key(*name)).cloned().collect();
