--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -2,7 +2,9 @@
 
 use drumusher_wire::{
     frame::{self, Error, LONGEST, PREFIX},
-    peer::{Answer, Ask, Grant, Hello, Message, Part, Progress, ProgressBatch},
+    peer::{
+        Answer, Ask, Grant, Hello, Message, Part, Piece, PieceRequest, Progress, ProgressBatch,
+    },
 };
 use proptest::prelude::*;
 
@@ -79,11 +81,11 @@
     assert_eq!(frame::length(&prefix), Err(Error::TooLong(LONGEST + 1)));
 }
 
-/// A message of a newer version: number 19, or one whose number is written in long form.
+/// A message of a newer version: number 21, or one whose number is written in long form.
 #[test]
 fn a_message_that_is_not_known_is_named_without_a_panic() {
-    let in_long_form = [0, 0, 0, 4, 0x0c, 0x26, 0x00, 0x00];
-    assert_eq!(frame::read(&in_long_form), Err(Error::Unknown(19)));
+    let in_long_form = [0, 0, 0, 4, 0x0c, 0x2a, 0x00, 0x00];
+    assert_eq!(frame::read(&in_long_form), Err(Error::Unknown(21)));
     let number_zero = [0, 0, 0, 3, 0x0c, 0x00, 0x00];
     assert_eq!(frame::read(&number_zero), Err(Error::Unknown(0)));
 }
@@ -92,6 +94,10 @@
 fn the_last_message_of_the_union_is_known() {
     let answer = Message::Answer(Answer::new(7, vec!["{}".to_string()]));
     assert_eq!(round_trip(&answer), answer);
+    let request = Message::PieceRequest(PieceRequest::new(0, 7, 16_384, 42));
+    assert_eq!(round_trip(&request), request);
+    let piece = Message::Piece(Piece::new(0, -42, 16_384, 32_768, vec![0, 255]));
+    assert_eq!(round_trip(&piece), piece);
 }
 
 proptest! {
