docs, refactor: what is inferred says so; an update that cannot be read has its own error

Read again as a newcomer. The pages and a test's story said that engines kept 16 of 48 places for good: their windows were learned and begin there.

Code: the bound on a decompressed update was told by an error of the library, made up here; it is one of the module's own now. A constant says that it was chosen. No behaviour changes.

--- a/crates/drumusher-bench/src/capacity.rs
+++ b/crates/drumusher-bench/src/capacity.rs
@@ -9,7 +9,7 @@
 
 pub use slopes::Slope;
 
-/// The size to design for, from the users' first letter.
+/// The size to design for, as `docs/DEVELOPMENT.md` states it.
 pub mod size {
     /// Instances.
     pub const INSTANCES: f64 = 360.0;
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -34,8 +34,10 @@
     pub(super) names: Vec<Arc<str>>,
     /// Keys by name; the key is the place in `names`.
     pub(super) known: HashMap<Arc<str>, server::Key>,
-    /// What the decisions were told of each backend server last. All of it is compared: a server may be known
-    /// before the configuration that says how its window is set, and kept a third of its places for good.
+    /// What the decisions were told of each backend server last. All of it is compared, since a server may be
+    /// known before the configuration that says how its window is set: where only places and leaving were, it
+    /// kept a learned window, which begins at a third of 48 places, and 456 of 1,111 requests of a route were
+    /// never granted in five seconds.
     applied: BTreeMap<Arc<str>, Applied>,
     /// Backend servers that said themselves that they are leaving, and when.
     pub(super) own_word: BTreeMap<Arc<str>, u64>,
--- a/crates/drumusher/src/process/peers/fetch.rs
+++ b/crates/drumusher/src/process/peers/fetch.rs
@@ -13,7 +13,9 @@
 /// An instance asks another one than its teller when it lags behind for so long: two heartbeats, within
 /// which its teller has told it where it still can.
 const LAGS: Micros = 500 * MILLISECOND;
-/// What was fetched whole is not asked for again within this, in which it is put into force.
+/// What was fetched whole is not asked for again within this, in which it is put into force. Chosen, not
+/// measured: 87 instances had a version of 1 MB in force within a second of its sending, most on an eighth of
+/// a core.
 const TAKING: Micros = 2_000 * MILLISECOND;
 /// Longest update taken, in bytes as they are carried. A configuration has at most 4 MiB, before it is
 /// compressed.
--- a/crates/drumusher/src/process/peers/pieces.rs
+++ b/crates/drumusher/src/process/peers/pieces.rs
@@ -4,9 +4,10 @@
 //! both instances. One of a megabyte filled a link of ten megabits a second for 0.8 s: the connection
 //! counted as silent, was closed, and the next one began with the same message.
 
-use std::{rc::Rc, sync::Arc};
+use std::{fmt, rc::Rc, sync::Arc};
 
 use drumusher_wire::peer::{self, Message};
+use lz4_flex::block::{self, DecompressError};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
@@ -45,21 +46,37 @@
                 return None;
             }
         };
-        let bytes = lz4_flex::compress_prepend_size(&text);
+        let bytes = block::compress_prepend_size(&text);
         log::info!(text = text.len(), bytes = bytes.len(); "an update is ready to be fetched");
         Some(Encoded { digest: xxh3_64(&bytes) as i64, bytes })
     }
 }
 
-/// The text of an update that came whole.
-fn decoded(bytes: &[u8]) -> Result<Vec<u8>, lz4_flex::block::DecompressError> {
-    // What is claimed is bounded, so that no claim can reserve memory.
-    let (length, _) = lz4_flex::block::uncompressed_size(bytes)?;
+/// Why an update that came whole cannot be read.
+#[derive(Debug)]
+enum Error {
+    /// It claims so many bytes, more than [`fetch::LONGEST`].
+    TooLong(usize),
+    /// It is not compressed as updates are.
+    Malformed(DecompressError),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::TooLong(length) => write!(f, "an update of {length} bytes is too long"),
+            Error::Malformed(reason) => write!(f, "an update cannot be read: {reason}"),
+        }
+    }
+}
+
+/// The text of an update that came whole. What it claims is bounded, so that no claim can reserve memory.
+fn decoded(bytes: &[u8]) -> Result<Vec<u8>, Error> {
+    let (length, _) = block::uncompressed_size(bytes).map_err(Error::Malformed)?;
     if length > fetch::LONGEST {
-        let (expected, actual) = (length, fetch::LONGEST);
-        return Err(lz4_flex::block::DecompressError::OutputTooSmall { expected, actual });
+        return Err(Error::TooLong(length));
     }
-    lz4_flex::decompress_size_prepended(bytes)
+    block::decompress_size_prepended(bytes).map_err(Error::Malformed)
 }
 
 impl Peers {
@@ -190,7 +207,7 @@
                 let taken = self.shared.platform.try_send(platform::Input::State(text));
                 taken.map_err(|_| "too busy to take an update".to_string())
             }
-            Err(error) => Err(format!("an update cannot be read: {error}")),
+            Err(error) => Err(error.to_string()),
         };
         if let Err(reason) = taken {
             log::warn!("{reason}; it is fetched again");
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -170,7 +170,7 @@
 
     /// Tells over a connection what the other side is not known to have and is not under way, but for what is
     /// long: that is fetched by whoever misses it. When it was sent to whoever seemed to lag, 702 of 1,175
-    /// messages of some 350 KB had not been asked for (87 instances in 34 s, two versions of 1,400 routes).
+    /// messages of some 360 KB had not been asked for (87 instances, 48 s, two versions of 1,400 routes).
     fn tell_on(&self, number: u32) {
         let now = clock::now();
         let (known, instance, most) = {
--- a/crates/drumusher/tests/unit/host.rs
+++ b/crates/drumusher/tests/unit/host.rs
@@ -2,14 +2,14 @@
 //!
 //! Users saw urgent requests get nothing for four seconds while less urgent ones ran. Order of events: the
 //! dispatcher of a service lost power and was back after four seconds, under a burst. It got the list of
-//! backend servers a millisecond before the configuration, and the first requests of others in between, so
-//! that it took the engines in as those of a configuration that has windows learned: 16 requests each, of
-//! 48. The configuration said otherwise, but an engine was told anew to the decisions only if its number of
-//! places or its leaving changed.
+//! backend servers a millisecond before the configuration, and (inferred) the first requests of others in
+//! between, so that it took the engines in with learned windows, which begin at 16 of 48 places. The
+//! configuration said otherwise, but an engine was told anew to the decisions only if its number of places or
+//! its leaving changed.
 //!
-//! Evidence: from the first second of that dispatcher on, 456 of 1,111 requests of the most urgent route were
-//! never granted, with 12 to 43 of 48 places of each engine taken; whether it happens on the same day depends
-//! on which of the two arrives first.
+//! Evidence: from the first second of that dispatcher on, 456 of 1,111 requests of an urgent route were never
+//! granted in five seconds, with 12 to 43 of 48 places of the engines it wrote about taken. The same day with the
+//! same luck, windows following the configuration: 830 delivered in those seconds, none left ungranted.
 
 use std::{collections::BTreeMap, sync::Arc};
 
