fix: entries from other writers name nothing; a server born again is another one

Cause: anybody may write to some topics of the store. One record whose bytes were no text (or no base64 in a page) failed the whole answer that held it, so that its table was read by nobody any more, for as long as it stood there. And an identity no longer changes at a crash: what was learned of a backend server outlived it.

Ruled out: skipping such records (their offsets count: the reader would fall behind by one); passing them on as replaced text (an entry with lost bytes in a field that is not used would still name a server).

--- a/crates/drumusher-platform/src/catalog.rs
+++ b/crates/drumusher-platform/src/catalog.rs
@@ -27,6 +27,10 @@
     }
 }
 
+/// What stands for a key or a value whose bytes are no text. It names nothing, like each value that cannot be
+/// understood, and is told on as it is.
+pub const UNREADABLE: &str = "";
+
 /// The newest value of a key, or its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
--- a/crates/drumusher-platform/src/http.rs
+++ b/crates/drumusher-platform/src/http.rs
@@ -132,6 +132,20 @@
         self.json_of_any_status()
     }
 
+    /// The same of an answer that quotes what others wrote, whose bytes may be no text in places: there the
+    /// usual mark stands for them.
+    ///
+    /// # Errors
+    ///
+    /// As [`Answer::json`].
+    pub fn json_of_text<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        if !self.status.is_success() {
+            return Err(Error::Unavailable(self.status.as_u16()));
+        }
+        let text = String::from_utf8_lossy(&self.body);
+        serde_json::from_str(&text).map_err(|e| Error::Malformed(e.to_string()))
+    }
+
     pub(crate) fn json_of_any_status<T: DeserializeOwned>(&self) -> Result<T, Error> {
         serde_json::from_slice(&self.body).map_err(|e| Error::Malformed(e.to_string()))
     }
--- a/crates/drumusher-platform/src/routing.rs
+++ b/crates/drumusher-platform/src/routing.rs
@@ -112,7 +112,7 @@
 /// A backend server as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Server {
-    /// Its identity, new at each start.
+    /// Its identity.
     pub id: String,
     /// The service it belongs to.
     pub service: String,
@@ -124,4 +124,7 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// When it started, in Unix milliseconds by its own clock, if it tells that. One that starts again may keep
+    /// its identity; it then holds and knows nothing of before.
+    pub born_ms: Option<u64>,
 }
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -14,11 +14,13 @@
 mod follow;
 mod kept;
 mod membership;
+mod passed;
 mod records;
 
 pub use backoff::Backoff;
 pub use entries::{Entries, LAPSE};
 pub use membership::{Arrivals, entry};
+pub use passed::Passed;
 pub use records::{Ends, News, Records, TABLES, Update};
 
 use std::{
@@ -29,6 +31,7 @@
 };
 
 use drumusher_platform::{
+    Error,
     catalog::{Record, Store, Table},
     engine::Engines,
 };
@@ -68,6 +71,7 @@
     entries: Entries,
     instances: BTreeMap<String, Instance>,
     arrivals: Arrivals,
+    passed: Passed,
 }
 
 /// Follows the store on the current thread until the ring is closed.
@@ -177,29 +181,46 @@
                     log::info!(version = version; "configuration in force");
                 }
             }
-            Err(error) => log::error!("a configuration was passed over: {error}"),
+            Err(error) => self.pass_over(Table::Configuration, &record.key, &value, &error),
         }
     }
 
     /// Takes the entry of a backend server, or its end.
     fn take_server(&self, record: Record) {
-        let entries = &mut self.state.borrow_mut().entries;
         let Some(value) = record.value else {
-            let held = entries.end(&record.key, clock::now());
+            let held = self.state.borrow_mut().entries.end(&record.key, clock::now());
             log::info!(server = record.key.as_str(), held = held; "server's entry ended");
             return;
         };
         match self.store.server(&record.key, &value) {
             Ok(server) => {
                 let (service, leaving) = (server.service.clone(), server.leaving);
-                if entries.put(server) {
+                let born = server.born_ms;
+                if self.state.borrow_mut().entries.put(server) {
                     log::info!(
                         server = record.key.as_str(), service = service.as_str(),
-                        leaving = leaving; "server's entry"
+                        leaving = leaving, born = born.unwrap_or(0); "server's entry"
                     );
                 }
             }
-            Err(error) => log::error!("the entry of a server was passed over: {error}"),
+            Err(error) => {
+                self.pass_over(Table::Servers, &record.key, &value, &error);
+                // What stood there before no longer does.
+                self.state.borrow_mut().entries.end(&record.key, clock::now());
+            }
+        }
+    }
+
+    /// An entry names nothing, since it cannot be understood.
+    fn pass_over(&self, table: Table, key: &str, value: &str, error: &Error) {
+        if self.state.borrow_mut().passed.note(table, key, value) {
+            self.shared
+                .telemetry
+                .count("drumusher.entries.passed_over", &[("table", table.word())]);
+            log::error!(
+                table = table.word(), key = key, bytes = value.len();
+                "an entry was passed over: {error}"
+            );
         }
     }
 
@@ -207,11 +228,11 @@
     fn take_instances(&self) {
         let mut instances = BTreeMap::new();
         for (key, value) in self.shared.records().keys(Table::Instances) {
-            match serde_json::from_str(value) {
+            match Instance::read(key, value) {
                 Ok(instance) => {
                     instances.insert(key.to_string(), instance);
                 }
-                Err(error) => log::error!("the entry of an instance was passed over: {error}"),
+                Err(error) => self.pass_over(Table::Instances, key, value, &error),
             }
         }
         self.state.borrow_mut().instances = instances;
--- a/crates/drumusher/src/process/catalog/entries.rs
+++ b/crates/drumusher/src/process/catalog/entries.rs
@@ -57,8 +57,13 @@
         self.away || self.returned.is_some_and(|returned| now < returned + LAPSE)
     }
 
-    /// An entry is there. Returns whether that says anything new.
+    /// An entry is there. Returns whether that says anything new. One of an earlier start than is known says
+    /// nothing: it was written, or came, late.
     pub fn put(&mut self, server: Server) -> bool {
+        let known = self.servers.get(&server.id);
+        if known.is_some_and(|known| server.born_ms < known.born_ms) {
+            return false;
+        }
         let held = self.held.remove(&server.id);
         let same = self.servers.get(&server.id) == Some(&server);
         self.servers.insert(server.id.clone(), server);
--- a/crates/drumusher/src/process/catalog/membership.rs
+++ b/crates/drumusher/src/process/catalog/membership.rs
@@ -5,9 +5,12 @@
 //! read the store for it, in its heartbeats, and they write all that came within [`GATHER`] in one call.
 //! Where nobody else is listed, or nobody entered it within [`ENTERED_WITHIN`], it writes by itself.
 
-use std::{collections::BTreeMap, rc::Rc, sync::atomic::Ordering};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, sync::atomic::Ordering};
 
-use drumusher_platform::catalog::{Record, Store, Table};
+use drumusher_platform::{
+    Error,
+    catalog::{Record, Store, Table},
+};
 use drumusher_schedule::{
     rank,
     time::{MILLISECOND, Micros, SECOND},
@@ -16,7 +19,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Backoff, Catalog};
-use crate::{process::clock, settings::Settings};
+use crate::{
+    process::clock,
+    settings::{self, Settings},
+};
 
 /// Time between two looks at the entries of instances, the own one if it is there, and those of instances
 /// that are gone. Both matter after minutes.
@@ -47,6 +53,30 @@
     rank::CAPACITY
 }
 
+impl Instance {
+    /// Reads the entry under `key`. Of another writer's it takes only what the settings of an instance could
+    /// say: an instance with more processor time than there is would be given all roles.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] with the reason.
+    pub(super) fn read(key: &str, value: &str) -> Result<Self, Error> {
+        let wrong = |what: &str| Error::Malformed(what.into());
+        let read = serde_json::from_str(value);
+        let instance: Instance = read.map_err(|error| wrong(&error.to_string()))?;
+        if !settings::is_name(key) || !settings::is_name(&instance.availability_zone) {
+            return Err(wrong("no instance or availability zone has that name"));
+        }
+        if instance.address.parse::<SocketAddr>().is_err() {
+            return Err(wrong("it has no address"));
+        }
+        if !settings::CAPACITIES.contains(&instance.capacity) {
+            return Err(wrong("no instance has so much processor time"));
+        }
+        Ok(instance)
+    }
+}
+
 /// The entry of the instance with these settings.
 pub fn entry(settings: &Settings) -> String {
     let instance = Instance {
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -24,6 +24,7 @@
 struct Applied {
     options: server::Options,
     leaving: bool,
+    born_ms: Option<u64>,
 }
 
 /// One pool with the names of its backend servers.
@@ -120,10 +121,14 @@
             let leaving = backend.leaving || self.own_word.contains_key(name);
             let slots = (backend.slots / divide).max(1);
             let options = options(slots, learned, rank::weight(pool, name));
-            let applied = Applied { options, leaving };
-            if self.applied.get(name) == Some(&applied) {
+            let applied = Applied { options, leaving, born_ms: backend.born_ms };
+            let before = self.applied.get(name);
+            if before == Some(&applied) {
                 continue;
             }
+            if before.is_some_and(|before| before.born_ms < applied.born_ms) {
+                events.extend(self.forget(name));
+            }
             self.applied.insert(name.clone(), applied);
             let key = self.key(name);
             events.push(if leaving { Event::Leave(key) } else { Event::Server(key, options) });
@@ -139,6 +144,17 @@
     }
 }
 
+impl Host {
+    /// A backend server started again under its name: what it is from now on has a key of its own, of which
+    /// nothing was learned, and the one before gets no new work.
+    fn forget(&mut self, name: &Arc<str>) -> Option<Event> {
+        self.own_word.remove(name);
+        let key = self.known.remove(name)?;
+        log::info!(server = &**name; "backend server started again under its name");
+        Some(Event::Leave(key))
+    }
+}
+
 fn options(slots: u32, learned: bool, rank: u64) -> server::Options {
     let first_slots =
         if learned { slots.min(server::Options::default().first_slots) } else { slots };
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -44,7 +44,7 @@
         clock,
     },
     request::{hold::Hold, id},
-    upstream::{self, Conn},
+    upstream::{self, Conn, answer::Piece},
     version::{Backend, Pool},
 };
 
@@ -93,6 +93,8 @@
     /// What its caller saw of its events.
     pub pace: Pace,
     avoid: Option<Arc<str>>,
+    /// The backend server of the latest attempt.
+    at: Option<Backend>,
     /// The backend server from which the latest attempt takes over what that one keeps of the prompt.
     source: Option<Backend>,
     /// Whether an attempt with a source failed.
@@ -137,6 +139,7 @@
             sent: 0,
             pace: Pace::default(),
             avoid: None,
+            at: None,
             source: None,
             source_failed: false,
             expected: 0,
@@ -262,6 +265,7 @@
         last_event: Option<u64>,
     ) -> Result<(Brought<D>, Conn), Failure> {
         let mut conn = self.connect(backend).await?;
+        self.at = Some(backend.clone());
         let began = clock::now();
         let dialect = &self.worker.dialect;
         let source = self.source.as_ref().map(|source| &*source.address);
@@ -299,7 +303,7 @@
         let address = backend.address.parse().map_err(|_| Failure::NotConnected)?;
         let fresh = !self.request.found.kind.repeatable();
         let limit = Millis(self.left_ms().clamp(1, u64::from(CONNECT.0)) as u32);
-        let taken = self.worker.conns.take(&backend.name, address, fresh, limit).await;
+        let taken = self.worker.conns.take(backend, address, fresh, limit).await;
         taken.map_err(|_| Failure::NotConnected)
     }
 
@@ -319,9 +323,26 @@
         self.due.min(began + patience + self.expected * SILENT_EXPECTED)
     }
 
+    /// Waits for a piece of the answer until `until`. What a backend server ran ends when it starts again, also
+    /// if nothing closes the connection: one that lost power says nothing until its client's time is over.
+    ///
+    /// # Errors
+    ///
+    /// As [`Conn::piece`].
+    pub async fn piece(&self, conn: &mut Conn, until: Micros) -> Result<Piece, upstream::Error> {
+        conn.piece(left(until), || self.started_again()).await
+    }
+
+    /// Whether the backend server of the latest attempt started again meanwhile.
+    fn started_again(&self) -> bool {
+        let pool = Pool::Service(self.request.found.service.clone());
+        let directory = self.worker.shared.directory.load();
+        self.at.as_ref().is_some_and(|backend| directory.started_again(&pool, backend))
+    }
+
     /// Keeps the connection of a whole answer for other requests.
     pub fn keep(&self, backend: &Backend, conn: Conn) {
-        self.worker.conns.give(&backend.name, conn);
+        self.worker.conns.give(backend, conn);
     }
 }
 
--- a/crates/drumusher/src/routed/exchange/answer.rs
+++ b/crates/drumusher/src/routed/exchange/answer.rs
@@ -4,7 +4,7 @@
 use drumusher_schedule::time::Micros;
 use ntex::util::{Bytes, BytesMut};
 
-use super::{Exchange, Failure, left};
+use super::{Exchange, Failure};
 use crate::{
     routed::relay::Relay,
     upstream::{
@@ -43,7 +43,7 @@
     ) -> Result<(answer::Head, Answer), Failure> {
         for _ in 0..=MOST_CROSSED {
             let head = loop {
-                match conn.piece(left(until)).await.map_err(Failure::Broken)? {
+                match self.piece(conn, until).await.map_err(Failure::Broken)? {
                     Piece::Head(head) => break head,
                     Piece::Data(_) | Piece::End => {}
                 }
@@ -62,7 +62,7 @@
                 return Err(Failure::Broken(upstream::Error::Malformed));
             }
             loop {
-                if let Piece::End = conn.piece(left(until)).await.map_err(Failure::Broken)? {
+                if let Piece::End = self.piece(conn, until).await.map_err(Failure::Broken)? {
                     break;
                 }
             }
@@ -75,7 +75,7 @@
     pub(super) async fn body(&mut self, conn: &mut Conn) -> Result<Bytes, upstream::Error> {
         let mut body = BytesMut::new();
         loop {
-            match conn.piece(left(self.due)).await? {
+            match self.piece(conn, self.due).await? {
                 Piece::Data(bytes) => body.extend_from_slice(&bytes),
                 Piece::End => return Ok(body.freeze()),
                 Piece::Head(_) => return Err(upstream::Error::Malformed),
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -5,12 +5,21 @@
 
 mod reader;
 
-use std::{collections::BTreeMap, fmt, net::SocketAddr};
+use std::{collections::BTreeMap, fmt, net::SocketAddr, ops::RangeInclusive};
 
 use drumusher_schedule::policy::Switches;
 
 use self::reader::Reader;
 
+/// Processor times that an instance can have, in thousandths of a core.
+pub const CAPACITIES: RangeInclusive<u32> = 1..=1_024_000;
+
+/// Whether a text can name an instance or an availability zone: letters, digits, '-', '_' and '.'.
+pub fn is_name(text: &str) -> bool {
+    let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
+    !text.is_empty() && text.bytes().all(allowed)
+}
+
 /// A fault in the settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Fault {
--- a/crates/drumusher/src/settings/reader.rs
+++ b/crates/drumusher/src/settings/reader.rs
@@ -5,7 +5,7 @@
 use drumusher_schedule::policy::Switches;
 use toml::Value;
 
-use super::{Fault, Settings};
+use super::{Fault, Settings, is_name};
 
 /// Takes keys one by one and collects faults; what is left at the end is unknown.
 ///
@@ -60,8 +60,7 @@
     /// A name that must be there: letters, digits, '-', '_' and '.'.
     pub(super) fn name(&mut self, key: &str) -> String {
         let text = self.required(key);
-        let allowed = |b: u8| b.is_ascii_alphanumeric() || b"-_.".contains(&b);
-        if !text.is_empty() && !text.bytes().all(allowed) {
+        if !text.is_empty() && !is_name(&text) {
             self.fault(key, "takes letters, digits, '-', '_' and '.'");
         }
         text
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -26,6 +26,9 @@
 /// server that forgot the connection would reset it, and nobody could tell whether it ran.
 const IDLE_FRESH: Micros = SECOND;
 
+/// Time between two looks whether a backend server that says nothing is gone: a part of the tightest target.
+const LOOK: Millis = Millis(100);
+
 /// One connection to a backend server, with at most one request on it.
 #[derive(Debug)]
 pub struct Conn {
@@ -81,13 +84,25 @@
         Ok(())
     }
 
-    /// Waits for the next piece of the answer.
+    /// Waits for the next piece of the answer, as long as the backend server is not `gone`.
     ///
     /// # Errors
     ///
     /// Any [`Error`] but [`Error::NotConnected`]; the connection is of no use then.
-    pub async fn piece(&mut self, limit: Millis) -> Result<Piece, Error> {
-        let received = timeout(limit, self.io.recv(&self.codec)).await;
+    pub async fn piece(&mut self, limit: Millis, gone: impl Fn() -> bool) -> Result<Piece, Error> {
+        let mut left = limit.0;
+        let received = loop {
+            let slice = left.min(LOOK.0);
+            let received = timeout(Millis(slice), self.io.recv(&self.codec)).await;
+            if received.is_ok() || left == slice {
+                break received;
+            }
+            if gone() {
+                self.sound = false;
+                return Err(Error::Closed);
+            }
+            left -= slice;
+        };
         let piece = match received {
             Err(()) => Err(Error::Silent),
             Ok(Ok(Some(piece))) => Ok(piece),
--- a/crates/drumusher/src/upstream/pool.rs
+++ b/crates/drumusher/src/upstream/pool.rs
@@ -5,15 +5,19 @@
 use ntex::time::Millis;
 
 use super::{Conn, Error};
+use crate::version::Backend;
 
 /// Most idle connections kept to one backend server.
 const MOST_IDLE: usize = 32;
 
-/// The idle connections of one HTTP worker, by backend server. A backend server has a new identity
-/// at each start, so that a connection is never used for another one at the same address.
+/// One start of a backend server: its name, and when it started, if that is known.
+type Start = (Arc<str>, Option<u64>);
+
+/// The idle connections of one HTTP worker, by backend server and its start, so that a connection is never
+/// used for another one at the same address.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    idle: Rc<RefCell<HashMap<Arc<str>, Vec<Conn>>>>,
+    idle: Rc<RefCell<HashMap<Start, Vec<Conn>>>>,
 }
 
 impl Pool {
@@ -30,7 +34,7 @@
     /// [`Error::NotConnected`].
     pub async fn take(
         &self,
-        server: &Arc<str>,
+        server: &Backend,
         address: SocketAddr,
         fresh: bool,
         limit: Millis,
@@ -41,9 +45,9 @@
         Conn::connect(address, limit).await
     }
 
-    fn kept(&self, server: &Arc<str>, fresh: bool) -> Option<Conn> {
+    fn kept(&self, server: &Backend, fresh: bool) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
-        let conns = idle.get_mut(server)?;
+        let conns = idle.get_mut(&start(server))?;
         conns.retain(|conn| conn.usable(false));
         let last = conns.pop()?;
         if last.usable(fresh) {
@@ -54,12 +58,12 @@
     }
 
     /// Gives a connection back after a whole answer.
-    pub fn give(&self, server: &Arc<str>, mut conn: Conn) {
+    pub fn give(&self, server: &Backend, mut conn: Conn) {
         if !conn.finish() {
             return;
         }
         let mut idle = self.idle.borrow_mut();
-        let conns = idle.entry(server.clone()).or_default();
+        let conns = idle.entry(start(server)).or_default();
         if conns.len() < MOST_IDLE {
             conns.push(conn);
         }
@@ -74,3 +78,7 @@
         });
     }
 }
+
+fn start(server: &Backend) -> Start {
+    (server.name.clone(), server.born_ms)
+}
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -72,6 +72,9 @@
     pub slots: u32,
     /// Whether it gets no new work.
     pub leaving: bool,
+    /// When it started, in Unix milliseconds by its own clock, if that is known. One that started again under
+    /// its name holds and knows nothing of before.
+    pub born_ms: Option<u64>,
 }
 
 /// Who is there, at one moment.
@@ -102,6 +105,7 @@
                 address: address.clone(),
                 slots: engine.slots,
                 leaving: engine.drained,
+                born_ms: None,
             };
             directory.add_backend(Pool::Model(model.as_str().into()), backend);
         }
@@ -125,6 +129,7 @@
                 address: server.address.to_string(),
                 slots: server.slots,
                 leaving: server.leaving,
+                born_ms: server.born_ms,
             };
             directory.add_backend(Pool::Service(server.service.as_str().into()), backend);
         }
@@ -150,6 +155,7 @@
                 address: member.address.clone(),
                 slots,
                 leaving: leaving || drained,
+                born_ms: None,
             };
             self.add_backend(pool, backend);
         }
@@ -188,6 +194,12 @@
         self.pools.get(pool)?.iter().find(|backend| &*backend.name == name)
     }
 
+    /// Whether a backend server of a pool started again after `backend` was seen there.
+    pub fn started_again(&self, pool: &Pool, backend: &Backend) -> bool {
+        let now = self.backend(pool, &backend.name);
+        now.is_some_and(|now| now.born_ms > backend.born_ms && backend.born_ms.is_some())
+    }
+
     /// The areas that have a backend server of a pool which takes new work.
     pub fn areas(&self, pool: &Pool) -> Vec<Arc<str>> {
         let backends = self.pools.get(pool).into_iter().flatten();
--- /dev/null
+++ b/crates/drumusher/tests/routes/entries.rs
@@ -0,0 +1,74 @@
+//! Entries of backend servers: from other writers, and of servers that start again under their names.
+
+use drumusher_adapter_stand_in::Fault;
+use drumusher_bench::fleet::wait_for;
+
+use crate::support::{Call, DESK, Deployment, configuration};
+
+/// What another writer may leave in a table, as key and value.
+const FOREIGN: [(&[u8], &[u8]); 7] = [
+    (b"x0", b"\xff\xfe\x00"),
+    (b"\xff\xfe", b"{}"),
+    (b"x1", b"[]"),
+    (b"x2", br#"{"Service":"desk","Address":"127.0.0.1:1","Zone":"z","Slots":8,"State":"ready"}"#),
+    (b"x 3", br#"{"Service":"desk","Address":"127.0.0.1:1","Zone":"z","Version":"v1","Slots":8,"State":"ready","WarmupLeftMs":0,"Sequence":1}"#),
+    (b"x4", br#"{"availability_zone":"z","address":"127.0.0.1:1","capacity":4000000000}"#),
+    (b"config", b"\xff"),
+];
+
+/// One record whose bytes were no text stopped every reader of its table for good. Now it names nothing, has a
+/// line, and what comes after it is in force: read as a change and, by an instance that starts, as a whole.
+#[test]
+fn foreign_entries_hold_up_nothing() {
+    let mut deployment = Deployment::new(1);
+    for topic in ["keyed.op", "keyed.servers", "keyed.instances"] {
+        for (key, value) in FOREIGN {
+            deployment.store.put_bytes(topic, key, value);
+        }
+    }
+    deployment.store.put("keyed.op", "config", &configuration(2, "extra"));
+    let serves = |deployment: &Deployment, instance: usize| {
+        let answer = deployment.call(instance, &Call::get("/extra/"));
+        answer.is_ok_and(|answer| answer.status == 200)
+    };
+    wait_for("the change after them is in force", || serves(&deployment, 0));
+    deployment.add_instance("late");
+    wait_for("an instance that starts reads the tables", || serves(&deployment, 1));
+    let told = || deployment.instances[0].lines().matches("passed over").count() >= 8;
+    wait_for("each has its line", told);
+}
+
+/// The entry of a server that starts again under its name may come before its connections break, or in place of
+/// that if it lost power: then what it ran is over, and its clients need not wait for an end that never comes.
+#[test]
+fn what_a_server_ran_ends_when_it_starts_again() {
+    let deployment = Deployment::new(1);
+    let announce = |born: u64| {
+        for id in ["d1", "d2"] {
+            let entry = deployment.server(id).entry_born(DESK, "ready", born);
+            deployment.store.put("keyed.servers", id, &entry);
+        }
+    };
+    let known = |born: u64| {
+        let lines = deployment.instances[0].lines();
+        lines.matches(&format!("\"born\":\"{born}\"")).count() == 2
+    };
+    announce(1_000);
+    wait_for("their first start is known", || known(1_000));
+    for id in ["d1", "d2"] {
+        deployment.server(id).set(Fault::Mute);
+    }
+    let call = Call::post("/book/", "a booking");
+    std::thread::scope(|scope| {
+        let waiting = scope.spawn(|| deployment.call(0, &call).expect("an answer"));
+        wait_for("the booking runs", || deployment.runs(&call.id) == 1);
+        announce(2_000);
+        let answer = waiting.join().expect("the call ends");
+        assert_eq!(answer.status, 502, "not 504, which only the end of its time brings");
+    });
+    for id in ["d1", "d2"] {
+        deployment.server(id).set(Fault::None);
+    }
+    let after = Call::post("/book/", "another");
+    assert_eq!(deployment.call(0, &after).expect("an answer").status, 200);
+}
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod config;
+mod entries;
 mod membership;
 mod path;
 mod soak;
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use drumusher::process::catalog::{Entries, LAPSE};
-use drumusher_platform::routing::Server;
+use drumusher::process::catalog::{Entries, LAPSE, Passed};
+use drumusher_platform::{catalog::Table, routing::Server};
 use proptest::prelude::*;
 
 fn server(id: &str) -> Server {
@@ -14,6 +14,7 @@
         availability_zone: "z".into(),
         slots: 1,
         leaving: false,
+        born_ms: None,
     }
 }
 
@@ -136,3 +137,30 @@
     let leaving = Server { leaving: true, ..server("a") };
     assert!(entries.put(leaving));
 }
+
+/// A server that starts again keeps its name. What its earlier start wrote and came late says nothing.
+#[test]
+fn an_entry_of_an_earlier_start_changes_nothing() {
+    let born = |born_ms, leaving| Server { born_ms: Some(born_ms), leaving, ..server("a") };
+    let mut entries = Entries::new();
+    assert!(entries.put(born(1_000, false)));
+    assert!(entries.put(born(2_000, false)), "a later start is new");
+    assert!(!entries.put(born(1_000, true)));
+    assert!(
+        !entries.put(server("a")),
+        "one that does not tell its start is older than one that does"
+    );
+    let known: Vec<Option<u64>> = entries.servers().map(|server| server.born_ms).collect();
+    assert_eq!(known, [Some(2_000)]);
+}
+
+/// A table is read many times; an entry that cannot be understood has a line in the log once.
+#[test]
+fn an_entry_is_passed_over_with_one_line() {
+    let mut passed = Passed::new();
+    assert!(passed.note(Table::Servers, "a", "[]"));
+    assert!(!passed.note(Table::Servers, "a", "[]"));
+    assert!(passed.note(Table::Servers, "a", "{}"), "it changed");
+    assert!(passed.note(Table::Instances, "a", "{}"), "it is another table");
+    (0..10_000).for_each(|n| assert!(passed.note(Table::Servers, &format!("k{n}"), "")));
+}
--- a/crates/drumusher/tests/unit/host.rs
+++ b/crates/drumusher/tests/unit/host.rs
@@ -26,6 +26,7 @@
         area: "z".into(),
         address: "127.0.0.1:1".into(),
         leaving: false,
+        born_ms: None,
         slots: 48,
     }
 }
@@ -50,3 +51,30 @@
     assert_eq!(windows(&host.refresh("p", &wanted, false, 1)), [(48, false)]);
     assert_eq!(windows(&host.refresh("p", &wanted, false, 1)), [], "nothing is new");
 }
+
+/// Keys of the servers that the events tell of, and whether they leave.
+fn keys(events: &[Event]) -> Vec<(u16, bool)> {
+    let keys = events.iter().filter_map(|event| match event {
+        Event::Server(key, _) => Some((key.0, false)),
+        Event::Leave(key) => Some((key.0, true)),
+        _ => None,
+    });
+    keys.collect()
+}
+
+/// A server that starts again under its name holds and knows nothing of before: kept parts, pace, failures and
+/// running requests belong to the key that it had.
+#[test]
+fn a_server_that_starts_again_is_known_by_a_new_key() {
+    let bound = Bound { ratio: 0.2, slack: 1.0, window: 1 };
+    let mut host = Host::new(Arc::new(Policy::new(Vec::new(), Vec::new())), 0, bound);
+    let born = |born_ms| Backend { born_ms, ..backend() };
+    let mut refresh = |backend: &Backend| {
+        let wanted = BTreeMap::from([(backend.name.clone(), backend)]);
+        keys(&host.refresh("p", &wanted, false, 1))
+    };
+    assert_eq!(refresh(&born(Some(1_000))), [(0, false)]);
+    assert_eq!(refresh(&born(Some(2_000))), [(0, true), (1, false)]);
+    assert_eq!(refresh(&Backend { leaving: true, ..born(Some(2_000)) }), [(1, true)]);
+    assert_eq!(refresh(&Backend { leaving: true, ..born(Some(3_000)) }), [(1, true), (2, true)]);
+}
