feat: duties that one instance at a time has: a lease, usage told, servers ordered

Cause: the platform now has calls that one node at a time is to make, and pays each backend server by the second.

Change: crate drumusher-duty, without I/O: a lease on a register of the platform's store that is replaced only by who knows its version; counts of requests by workspace and window, told whole; reports fixed in the register before they are sent; how many servers of which kind each zone is to have. The adapter speaks the log and the calls (a connection of its own for each, nothing sent after the end of the lease, reset when no answer comes). Those that read the store stand by. With no duties in the settings nothing of it runs.

Ruled out: a claim a report, without a lease (two claimants act in the order of their delays, not of their tokens); replacing the register without its version (an answer that is lost, a write that is done seconds later).

Found by the random schedules: one that gave the lease up, and got no answer, went on until its end while another had taken it.

--- /dev/null
+++ b/crates/drumusher-duty/src/sizing.rs
@@ -0,0 +1,297 @@
+//! How many backend servers of a service each availability zone is to have.
+//!
+//! Two kinds can be ordered. *Ordinary* ones stay until they are ordered away. *Spot* ones cost a part of that,
+//! and may be taken away, all of a zone's at once, with a notice of seconds, after which there may be none to be
+//! had for a while. So spot servers carry the load, spread over the zones so that what is left carries it when
+//! those of one zone go, above a base of ordinary ones. Ordinary ones fill up what is missing while no spot
+//! servers can be had.
+//!
+//! What is wanted follows from the requests that run or wait at once: the usual number, with room for a burst, and
+//! the most there were lately. A server takes seconds to start, within which a burst of two to three times the
+//! usual is over or has done its harm: there is room for it beforehand, as much as the price of the servers allows.
+
+use std::collections::BTreeMap;
+
+use crate::time::{Micros, SECOND};
+
+/// Places for each request that usually runs or waits, at the price of ordinary servers.
+const HEADROOM_ORDINARY: f64 = 1.6;
+/// The same of a server that costs nothing: a burst of nearly three times the usual finds room.
+const HEADROOM_FREE: f64 = 2.8;
+/// Places for each of the most requests at once lately.
+const HEADROOM_PEAK: f64 = 1.2;
+/// Time constant of the usual number, in microseconds.
+const USUAL: f64 = 8.0 * SECOND as f64;
+/// Time constant with which the most requests at once are forgotten, in microseconds: bursts come again within
+/// such a time, and starting servers again costs seconds in which they are late.
+const MEMORY: f64 = 30.0 * SECOND as f64;
+/// Parts of what is wanted of a zone that ordinary servers are, at least: one in so many. They guard nothing but
+/// the start of others when all spot servers of all zones go at once.
+const BASE: f64 = 28.0;
+/// More servers are ordered only if so great a part of them is missing: each order is a call, and the number of
+/// requests never stands still.
+const GROWTH: f64 = 0.1;
+/// Fewer servers are ordered when that has been due for so long.
+const PATIENCE: Micros = 8 * SECOND;
+/// Fewer servers are ordered only if so great a part of them is too many: starting one again costs more than
+/// keeping it for a while.
+const SLACK: f64 = 0.15;
+/// Pause after an order that could not be met, doubled up to [`DRY_MOST`].
+const DRY_FIRST: Micros = SECOND;
+/// Longest pause after orders that could not be met.
+const DRY_MOST: Micros = 4 * SECOND;
+/// An order that shows no effect for so long after the time to start a server is given again.
+const UNMET: Micros = 3 * SECOND;
+
+/// The kind of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Stays until it is ordered away.
+    Ordinary,
+    /// Cheaper, and may be taken away.
+    Spot,
+}
+
+/// What the operators allow.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Fewest servers of a zone, both kinds together.
+    pub least: u32,
+    /// Most servers of a zone, both kinds together.
+    pub most: u32,
+    /// Time until a new server serves.
+    pub boot: Micros,
+    /// The price of a spot server as a part of an ordinary one's; 1 where there are none.
+    pub spot_price: f64,
+}
+
+/// The servers of a zone that take requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// Ordinary ones.
+    pub ordinary: u32,
+    /// Spot ones.
+    pub spot: u32,
+}
+
+impl Count {
+    /// Both kinds.
+    pub fn all(self) -> u32 {
+        self.ordinary + self.spot
+    }
+
+    /// Those of a kind.
+    pub fn of(self, kind: Kind) -> u32 {
+        match kind {
+            Kind::Ordinary => self.ordinary,
+            Kind::Spot => self.spot,
+        }
+    }
+}
+
+/// The servers of a service that take requests, by zone.
+pub type Zones = BTreeMap<String, Count>;
+
+/// An order: so many servers of a kind in a zone.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// The zone.
+    pub zone: String,
+    /// The kind.
+    pub kind: Kind,
+    /// How many there are to be.
+    pub count: u32,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The platform took it.
+    Taken,
+    /// There are none to be had now.
+    Dry,
+    /// Nobody knows.
+    Unknown,
+}
+
+/// An order that was given.
+#[derive(Clone, Copy, Debug, Default)]
+struct Given {
+    /// The count that the platform took last.
+    count: Option<u32>,
+    at: Micros,
+    /// Since when fewer are due.
+    fewer: Option<Micros>,
+    /// No order before this.
+    paused: Micros,
+    pause: Micros,
+}
+
+/// The servers of one service.
+#[derive(Debug, Default)]
+pub struct Sizer {
+    /// Servers that there were before anything was ordered.
+    first: u32,
+    /// The most requests that ran or waited at once, decayed to `seen_at`.
+    peak: f64,
+    /// Their usual number.
+    usual: f64,
+    seen_at: Micros,
+    /// Requests that run or wait now, as each dispatcher told last.
+    busy: BTreeMap<String, (Micros, u32)>,
+    given: BTreeMap<(String, Kind), Given>,
+}
+
+/// A dispatcher that told nothing for so long has nothing to tell.
+const TOLD_WITHIN: Micros = 2 * SECOND;
+
+impl Sizer {
+    /// Nothing is known yet.
+    pub fn new() -> Self {
+        Sizer::default()
+    }
+
+    /// A dispatcher tells how many requests ran or waited at once.
+    pub fn busy(&mut self, now: Micros, dispatcher: &str, requests: u32) {
+        self.busy.insert(dispatcher.into(), (now, requests));
+        self.busy.retain(|_, (at, _)| now < *at + TOLD_WITHIN);
+        let all: u32 = self.busy.values().map(|(_, requests)| requests).sum();
+        let all = f64::from(all);
+        self.peak = self.peak_now(now).max(all);
+        let age = now.saturating_sub(self.seen_at) as f64;
+        let first = self.usual == 0.0;
+        let kept = if first { 0.0 } else { (-age / USUAL).exp() };
+        self.usual = self.usual * kept + all * (1.0 - kept);
+        self.seen_at = now;
+    }
+
+    fn peak_now(&self, now: Micros) -> f64 {
+        self.peak * (-(now.saturating_sub(self.seen_at) as f64) / MEMORY).exp()
+    }
+
+    /// Places that are wanted, by what was asked for lately; `None` if nothing was.
+    fn places(&self, now: Micros, bounds: &Bounds) -> Option<f64> {
+        let price = bounds.spot_price.clamp(0.0, 1.0);
+        let headroom = HEADROOM_FREE + (HEADROOM_ORDINARY - HEADROOM_FREE) * price;
+        let places = (self.usual * headroom).max(self.peak_now(now) * HEADROOM_PEAK);
+        (self.peak > 0.0).then_some(places)
+    }
+
+    /// The next order that is due, where servers have `slots` places each.
+    pub fn next(
+        &mut self,
+        now: Micros,
+        bounds: &Bounds,
+        zones: &Zones,
+        slots: u32,
+    ) -> Option<Order> {
+        if zones.is_empty() || slots == 0 {
+            return None;
+        }
+        if self.first == 0 {
+            self.first = zones.values().map(|count| count.all()).sum();
+        }
+        let wanted = self.wanted(now, bounds, zones, slots);
+        for (zone, count) in &wanted {
+            for kind in [Kind::Spot, Kind::Ordinary] {
+                let there = zones.get(zone).map_or(0, |there| there.of(kind));
+                if self.is_due(now, bounds, (zone, kind), count.of(kind), there) {
+                    return Some(Order { zone: zone.clone(), kind, count: count.of(kind) });
+                }
+            }
+        }
+        None
+    }
+
+    /// What became of an order.
+    pub fn ended(&mut self, now: Micros, order: &Order, outcome: Outcome) {
+        let given = self.given.entry((order.zone.clone(), order.kind)).or_default();
+        given.fewer = None;
+        match outcome {
+            Outcome::Taken => {
+                given.count = Some(order.count);
+                given.at = now;
+                given.pause = 0;
+            }
+            Outcome::Dry | Outcome::Unknown => {
+                given.pause = (given.pause * 2).clamp(DRY_FIRST, DRY_MOST);
+                given.paused = now + given.pause;
+            }
+        }
+    }
+
+    /// The servers that each zone is to have.
+    fn wanted(&self, now: Micros, bounds: &Bounds, zones: &Zones, slots: u32) -> Zones {
+        let spot = bounds.spot_price < 1.0;
+        let places = self.places(now, bounds);
+        // Before anything was asked for, what the operators set up is what they expect to need.
+        let all = places.map_or(f64::from(self.first), |places| places / f64::from(slots));
+        let count = zones.len() as f64;
+        // With spot servers, what is left when those of a zone go is to be enough.
+        let each = if spot && count > 1.0 { all / (count - 1.0) } else { all / count };
+        let each = (each.ceil() as u32).clamp(bounds.least, bounds.most);
+        let base = (f64::from(each) / BASE).ceil() as u32;
+        let base = if spot { base.max(bounds.least).min(each) } else { each };
+        let there: u32 = zones.values().map(|count| count.all()).sum();
+        let short = self.peak_now(now) > f64::from(there * slots);
+        let zone = |(zone, there): (&String, &Count)| {
+            let spots = (each - base).min(bounds.most - base);
+            // Ordinary ones go when spot ones are there in their place, and come while those cannot be had.
+            let gap = each.saturating_sub(there.spot);
+            let dry = self.is_dry(now, zone);
+            let ordinary = if short && dry { gap } else { gap.min(there.ordinary) };
+            let ordinary = ordinary.max(base);
+            // The bound holds for both kinds together, also between two orders.
+            let room = |kind| bounds.most.saturating_sub(self.ordered(zone, kind, *there));
+            let spot = if spot { spots.min(room(Kind::Ordinary)) } else { 0 };
+            let ordinary = ordinary.min(room(Kind::Spot));
+            (zone.clone(), Count { ordinary, spot })
+        };
+        zones.iter().map(zone).collect()
+    }
+
+    /// Servers of a kind that a zone has or will have.
+    fn ordered(&self, zone: &str, kind: Kind, there: Count) -> u32 {
+        let given = self.given.get(&(zone.to_string(), kind));
+        given.and_then(|given| given.count).unwrap_or(0).max(there.of(kind))
+    }
+
+    /// Whether no spot servers were to be had in a zone just now.
+    fn is_dry(&self, now: Micros, zone: &str) -> bool {
+        let given = self.given.get(&(zone.to_string(), Kind::Spot));
+        given.is_some_and(|given| now < given.paused + DRY_MOST && given.pause > 0)
+    }
+
+    /// Whether an order is to be given.
+    fn is_due(
+        &mut self,
+        now: Micros,
+        bounds: &Bounds,
+        (zone, kind): (&String, Kind),
+        wanted: u32,
+        there: u32,
+    ) -> bool {
+        let given = self.given.entry((zone.clone(), kind)).or_default();
+        if now < given.paused {
+            return false;
+        }
+        let before = given.count.unwrap_or(there);
+        if wanted > before {
+            given.fewer = None;
+            let much = f64::from(wanted - before) >= f64::from(before) * GROWTH;
+            return much || wanted == bounds.most;
+        }
+        if wanted == before {
+            given.fewer = None;
+            let unmet = there < wanted && now >= given.at + bounds.boot + UNMET;
+            return unmet && given.count.is_some();
+        }
+        // Ordinary ones that spot ones replace go at once; less of what is wanted at all comes slowly.
+        if kind == Kind::Ordinary {
+            return true;
+        }
+        let since = *given.fewer.get_or_insert(now);
+        let many = f64::from(before - wanted) > f64::from(before) * SLACK;
+        many && now >= since + PATIENCE
+    }
+}
--- /dev/null
+++ b/crates/drumusher-duty/src/time.rs
@@ -0,0 +1,8 @@
+//! Units of time.
+
+/// Microseconds on the process's steady clock.
+pub type Micros = u64;
+/// A millisecond.
+pub const MILLISECOND: Micros = 1_000;
+/// A second.
+pub const SECOND: Micros = 1_000 * MILLISECOND;
--- /dev/null
+++ b/crates/drumusher-duty/tests/duty/lease.rs
@@ -0,0 +1,166 @@
+//! The steps of one instance.
+
+use drumusher_duty::{
+    lease::{Holder, Lease, MARGIN, Options, Replaced, State, Step, Version},
+    time::{Micros, SECOND},
+    usage::{Counts, Progress, Report},
+};
+
+const LENGTH: Micros = 3 * SECOND;
+const WITHIN: Micros = SECOND / 2;
+
+fn holder(name: &str, boot: u64) -> Holder {
+    Holder { name: name.into(), boot }
+}
+
+fn lease(name: &str) -> Lease {
+    Lease::new(holder(name, 1), Options { length: LENGTH, apart: LENGTH }, 0)
+}
+
+fn version(end: u64, holder: Option<Holder>) -> Version {
+    Version {
+        end,
+        state: State { holder, token: end.saturating_sub(1), usage: Progress::default() },
+    }
+}
+
+/// Takes the step that is due as done, sent at `sent`.
+fn replace(lease: &mut Lease, now: Micros, sent: Micros) -> State {
+    let usage = lease.usage().cloned().unwrap_or_default();
+    let Step::Replace { expect, state } = lease.next(sent, &usage, false) else {
+        panic!("nothing to replace: {lease:?}");
+    };
+    lease.replaced(now, sent, expect, state.clone(), Replaced::Done);
+    state
+}
+
+/// A lease that nobody holds is taken at once, with the version that it replaces as its token.
+#[test]
+fn a_free_lease_is_taken() {
+    let mut lease = lease("a");
+    assert_eq!(lease.next(10, &Progress::default(), false), Step::Look);
+    lease.read(4 * SECOND, version(7, None));
+    let state = replace(&mut lease, 5 * SECOND, 4 * SECOND);
+    assert_eq!((state.holder, state.token), (Some(holder("a", 1)), 8));
+    assert_eq!(lease.pass(5 * SECOND, WITHIN).map(|pass| pass.token), Some(8));
+}
+
+/// The end counts from before the renewal was sent, however late its answer came, less the margin.
+#[test]
+fn the_holder_counts_from_the_sending() {
+    let mut lease = lease("a");
+    lease.read(4 * SECOND, version(7, None));
+    let sent = 4 * SECOND;
+    replace(&mut lease, sent + 2 * SECOND, sent);
+    let last = sent + LENGTH - MARGIN - WITHIN;
+    assert!(lease.pass(last, WITHIN).is_some());
+    assert!(lease.pass(last + 1, WITHIN).is_none());
+}
+
+/// One that another holds is taken when its version was seen for the whole length, not before, and each change of
+/// the version begins that anew.
+#[test]
+fn a_lease_that_another_holds_is_waited_for() {
+    let mut lease = lease("a");
+    lease.read(SECOND, version(7, Some(holder("b", 1))));
+    lease.read(2 * SECOND, version(8, Some(holder("b", 1))));
+    lease.read(3 * SECOND, version(8, Some(holder("b", 1))));
+    let early = lease.next(2 * SECOND + LENGTH - 1, &Progress::default(), false);
+    assert!(!matches!(early, Step::Replace { .. }), "{early:?}");
+    let late = lease.next(2 * SECOND + LENGTH, &Progress::default(), false);
+    assert!(matches!(late, Step::Replace { expect: 8, .. }), "{late:?}");
+}
+
+/// An answer that was lost counts when the register shows what was meant, from when it was sent.
+#[test]
+fn a_lost_answer_is_read_back() {
+    let mut lease = lease("a");
+    lease.read(4 * SECOND, version(7, None));
+    let Step::Replace { expect, state } = lease.next(4 * SECOND, &Progress::default(), false)
+    else {
+        panic!("a free lease is taken");
+    };
+    lease.replaced(5 * SECOND, 4 * SECOND, expect, state.clone(), Replaced::Unknown);
+    assert!(lease.pass(5 * SECOND, WITHIN).is_none(), "nobody knows yet");
+    lease.read(5 * SECOND + 1, Version { end: 8, state });
+    assert!(lease.pass(5 * SECOND + 1, WITHIN).is_some());
+    assert!(lease.pass(4 * SECOND + LENGTH, WITHIN).is_none());
+}
+
+/// A spell after another's begins when the own last act is long enough ago.
+#[test]
+fn spells_of_one_instance_are_apart() {
+    let mut lease = lease("a");
+    lease.read(4 * SECOND, version(7, None));
+    replace(&mut lease, 4 * SECOND, 4 * SECOND);
+    lease.acted(5 * SECOND);
+    lease.read(6 * SECOND, version(9, Some(holder("b", 1))));
+    lease.read(6 * SECOND + 1, version(10, None));
+    replace(&mut lease, 6 * SECOND + 2, 6 * SECOND + 2);
+    assert!(lease.pass(5 * SECOND + LENGTH - 1, WITHIN).is_none());
+    assert!(lease.pass(5 * SECOND + LENGTH, WITHIN).is_some());
+}
+
+/// A process that just started does not know when the one before it acted last.
+#[test]
+fn a_process_that_just_started_waits() {
+    let mut lease = lease("a");
+    lease.read(10, version(7, Some(holder("a", 0))));
+    replace(&mut lease, 20, 15);
+    assert!(lease.pass(SECOND, WITHIN).is_none());
+}
+
+/// The very first holder need not wait: nobody can have acted before.
+#[test]
+fn the_first_holder_acts_at_once() {
+    let mut lease = lease("a");
+    lease.read(10, Version { end: 0, state: State::default() });
+    replace(&mut lease, 20, 15);
+    assert!(lease.pass(20, WITHIN).is_some());
+}
+
+/// A token that the platform refused is not used again; another is taken later.
+#[test]
+fn a_refused_token_is_not_used_again() {
+    let mut lease = lease("a");
+    lease.read(4 * SECOND, version(7, None));
+    replace(&mut lease, 4 * SECOND, 4 * SECOND);
+    lease.refused(5 * SECOND);
+    assert!(lease.pass(5 * SECOND, WITHIN).is_none());
+    let later = 5 * SECOND + LENGTH;
+    let refused = State { token: 8, ..version(8, Some(holder("a", 1))).state };
+    lease.read(later, Version { end: 8, state: refused });
+    let state = replace(&mut lease, later, later);
+    assert_eq!(state.token, 9);
+}
+
+/// What is fixed for a report is written at once, not with the next renewal.
+#[test]
+fn progress_is_written_at_once() {
+    let mut lease = lease("a");
+    lease.read(4 * SECOND, version(7, None));
+    replace(&mut lease, 4 * SECOND, 4 * SECOND);
+    let none = lease.usage().cloned().expect("it holds the lease");
+    assert!(matches!(lease.next(4 * SECOND + 1, &none, false), Step::Wait(_)));
+    let fixed = none.with(Report { window: 3, counts: Counts::new() });
+    let step = lease.next(4 * SECOND + 1, &fixed, false);
+    assert!(
+        matches!(step, Step::Replace { expect: 8, ref state } if state.usage == fixed && state.token == 8)
+    );
+}
+
+/// An instance that stops gives the lease up.
+#[test]
+fn a_stop_gives_the_lease_up() {
+    let mut lease = lease("a");
+    lease.read(4 * SECOND, version(7, None));
+    replace(&mut lease, 4 * SECOND, 4 * SECOND);
+    let none = Progress::default();
+    let Step::Replace { expect, state } = lease.next(5 * SECOND, &none, true) else {
+        panic!("it is given up");
+    };
+    assert_eq!((expect, state.holder.clone()), (8, None));
+    lease.replaced(5 * SECOND, 5 * SECOND, expect, state, Replaced::Done);
+    assert!(lease.pass(5 * SECOND, WITHIN).is_none());
+    assert!(matches!(lease.next(5 * SECOND, &none, true), Step::Wait(_)));
+}
--- /dev/null
+++ b/crates/drumusher-duty/tests/duty/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the duties.
+
+mod holding;
+mod lease;
+mod sizing;
+mod usage;
--- a/crates/drumusher-platform/src/http.rs
+++ b/crates/drumusher-platform/src/http.rs
@@ -146,7 +146,12 @@
         serde_json::from_str(&text).map_err(|e| Error::Malformed(e.to_string()))
     }
 
-    pub(crate) fn json_of_any_status<T: DeserializeOwned>(&self) -> Result<T, Error> {
+    /// The body of an answer with any status.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Malformed`] if it is not such JSON.
+    pub fn json_of_any_status<T: DeserializeOwned>(&self) -> Result<T, Error> {
         serde_json::from_slice(&self.body).map_err(|e| Error::Malformed(e.to_string()))
     }
 }
--- a/crates/drumusher-platform/src/lib.rs
+++ b/crates/drumusher-platform/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`log`] is the platform's append-only log, [`members`] its list of instances and backend
 //! servers, [`load`] a backend server's own report. A change of an outside protocol is a change of
-//! one of these files. [`catalog`], [`routing`], [`engine`] and [`dialect`] are the traits and values of a
+//! one of these files. [`catalog`], [`routing`], [`engine`], [`duty`] and [`dialect`] are the traits and values of a
 //! platform that keeps configuration and servers in one store; the crate in `platform/` implements
 //! them. Unknown fields are ignored; missing ones are an [`Error::Malformed`].
 //!
@@ -10,11 +10,13 @@
 
 pub mod catalog;
 pub mod dialect;
+pub mod duty;
 pub mod engine;
 mod http;
 pub mod load;
 pub mod log;
 pub mod members;
+pub mod once;
 pub mod routing;
 pub mod tcp;
 
--- a/crates/drumusher-platform/src/routing.rs
+++ b/crates/drumusher-platform/src/routing.rs
@@ -87,6 +87,21 @@
     pub connections: u32,
     /// Whether its backend servers are engines that run language models.
     pub engine: bool,
+    /// Within which bounds its backend servers may be ordered, if they may.
+    pub scaling: Option<Scaling>,
+}
+
+/// Bounds on ordering backend servers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scaling {
+    /// Fewest in an availability zone.
+    pub least: u32,
+    /// Most in an availability zone.
+    pub most: u32,
+    /// Time until a new one serves, in milliseconds.
+    pub boot_ms: u64,
+    /// The price of one that may be taken away, as a part of another's; 1 where there are none.
+    pub spot_price: f64,
 }
 
 /// Bounds on what callers may send.
@@ -127,4 +142,6 @@
     /// When it started, in Unix milliseconds by its own clock, if it tells that. One that starts again may keep
     /// its identity; it then holds and knows nothing of before.
     pub born_ms: Option<u64>,
+    /// Whether it may be taken away, with a short notice.
+    pub spot: bool,
 }
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -16,7 +16,7 @@
 use slab::Slab;
 
 use crate::{
-    ask::{Entry, Id, Key, Running, State, Waiting},
+    ask::{Ask, Entry, Id, Key, Running, State, Waiting},
     event::Event,
     length::Estimate,
     order::Order,
@@ -133,6 +133,15 @@
         self.ids.get(&id).is_some_and(|key| self.waiting_at(*key).is_some())
     }
 
+    /// What was asked for by a request that runs.
+    pub fn running_ask(&self, id: Id) -> Option<&Ask> {
+        let key = self.ids.get(&id)?;
+        match self.asks.get(key.0 as usize) {
+            Some(State::Running(running)) => Some(&running.ask),
+            _ => None,
+        }
+    }
+
     /// How many requests run.
     pub fn running(&self) -> usize {
         self.asks.len() - self.queue.len()
--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -76,7 +76,9 @@
     let ran = match &settings.store {
         Some(store) => {
             let address = store.address;
-            let open = async move || drumusher_adapter::Log::new(address).await;
+            let duties = settings.duties.as_ref().map(|duties| duties.address);
+            let open =
+                async move || Ok(drumusher_adapter::Log::new(address).await?.with_duties(duties));
             process::routes::run(settings, drumusher_adapter::Headers, open)
         }
         None => process::run(settings),
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -33,6 +33,7 @@
 use drumusher_platform::{
     Error,
     catalog::{Record, Store, Table},
+    duty::Duties,
     engine::Engines,
 };
 use drumusher_schedule::time::{MILLISECOND, Micros};
@@ -42,7 +43,7 @@
 };
 
 use self::membership::Instance;
-use super::{Shared, clock, platform};
+use super::{Shared, clock, duties, platform};
 use crate::version::{self, Directory};
 
 /// What another instance tells has a line in the log if it is as long as this, in bytes, since it may then
@@ -59,7 +60,7 @@
     shared: Arc<Shared>,
     /// When the first call is made.
     began: Micros,
-    store: S,
+    store: Rc<S>,
     /// Whether the latest call about the configuration failed, so that its task tries soon again.
     probing: Cell<bool>,
     state: RefCell<State>,
@@ -75,13 +76,15 @@
 }
 
 /// Follows the store on the current thread until the ring is closed.
-pub async fn run<S: Store + Engines + 'static>(
+pub async fn run<S: Store + Engines + Duties + 'static>(
     shared: Arc<Shared>,
     store: S,
     receiver: platform::Receiver,
 ) {
     let spread_ms = shared.settings.store.as_ref().map_or(0, |store| store.spread_ms);
     let began = clock::now() + rand::random_range(0..=spread_ms) * MILLISECOND;
+    let store = Rc::new(store);
+    duties::start(&shared, store.clone());
     let catalog = Rc::new(Catalog {
         shared,
         began,
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -26,7 +26,7 @@
 
 use crossbeam_channel::RecvTimeoutError;
 use drumusher_schedule::{
-    ask::Entry,
+    ask::{Entry, Id, Outcome},
     event::{Event, Load},
     order::Order,
     pool,
@@ -182,11 +182,15 @@
             return;
         };
         let produced = finish.produced.max(0) as u32;
+        let outcome = wire::outcome(finish.outcome);
+        if finish.first_token.is_some() || self.ran(&finish.pool, outcome) {
+            self.count_begun(&finish.pool, id);
+        }
         if finish.first_token.is_some() || finish.gap.is_some() {
             let progress = wire::progress(id, produced, finish.first_token, finish.gap);
             self.at(&finish.pool, Event::Progress(progress));
         }
-        let event = Event::Finish(id, wire::outcome(finish.outcome), produced);
+        let event = Event::Finish(id, outcome, produced);
         self.at(&finish.pool, event);
     }
 
@@ -195,12 +199,61 @@
             let Some(id) = id::from_wire(&report.id) else {
                 continue;
             };
+            if report.first_token.is_some() {
+                self.count_begun(&batch.pool, id);
+            }
             let produced = report.produced.max(0) as u32;
             let progress = wire::progress(id, produced, report.first_token, report.gap);
             self.at(&batch.pool, Event::Progress(progress));
         }
     }
 
+    /// Whether an outcome tells that a request of a plain service ran. Those of engines are counted by their first
+    /// events.
+    fn ran(&self, pool: &str, outcome: Outcome) -> bool {
+        let routing = self.shared.routing.load();
+        let Some(Pool::Service(service)) = Pool::parse(pool) else {
+            return false;
+        };
+        let plain = routing.as_ref().is_some_and(|routing| !routing.is_engine(&service));
+        plain && matches!(outcome, Outcome::Done | Outcome::Erred | Outcome::Failed)
+    }
+
+    /// Counts a request that began to run for the usage of its workspace, if usage is reported.
+    fn count_begun(&self, pool: &str, id: Id) {
+        let Some(duties) = self.shared.settings.duties.as_ref().filter(|d| d.usage_report) else {
+            return;
+        };
+        let host = Pool::parse(pool).and_then(|pool| self.hosts.get(&pool));
+        let Some(ask) = host.and_then(|host| host.pool.running_ask(id)) else {
+            return;
+        };
+        let window = clock::steady_unix_ms() / duties.window_ms;
+        let version = self.shared.version.load();
+        // One that goes on elsewhere began before; callers of public routes have no workspace.
+        if let Some(workspace) = version.policy.workspace(ask.workspace)
+            && ask.produced == 0
+            && !workspace.name.is_empty()
+        {
+            self.shared.tally().began(window, &workspace.name);
+        }
+    }
+
+    /// Notes how busy the services are that are dispatched here, if servers are ordered by that.
+    fn note_busy(&self) {
+        if !self.shared.settings.duties.as_ref().is_some_and(|duties| duties.autoscale) {
+            return;
+        }
+        for (pool, host) in &self.hosts {
+            let busy = (host.pool.waiting() + host.pool.running()) as u32;
+            if let Pool::Service(service) = pool
+                && busy > 0
+            {
+                self.shared.tally().busy(service, busy);
+            }
+        }
+    }
+
     fn at(&mut self, pool: &str, event: Event) {
         if let Some(pool) = Pool::parse(pool) {
             self.handle(&pool, event);
@@ -263,6 +316,7 @@
     fn tick(&mut self) {
         self.flush();
         self.each(|_| Event::Tick);
+        self.note_busy();
         let now = clock::now();
         for (pool, host) in &mut self.hosts {
             host.tell_health(pool, now);
--- /dev/null
+++ b/crates/drumusher/src/process/duties/order.rs
@@ -0,0 +1,91 @@
+//! Ordering backend servers: what is there, by the directory, and what is asked for, by what dispatchers told.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use drumusher_duty::{
+    sizing::{Bounds, Kind, Order, Outcome, Sizer, Zones},
+    usage::Told,
+};
+use drumusher_platform::routing::{Scaling, Service};
+use drumusher_schedule::time::{MILLISECOND, Micros};
+
+use crate::{
+    process::Shared,
+    version::{Directory, Pool},
+};
+
+/// The services whose backend servers can be ordered.
+#[derive(Debug, Default)]
+pub(super) struct Orders {
+    sizers: BTreeMap<String, Sizer>,
+}
+
+impl Orders {
+    pub(super) fn new() -> Self {
+        Orders::default()
+    }
+
+    /// A dispatcher told how busy services are.
+    pub(super) fn take(&mut self, now: Micros, told: &Told) {
+        for (service, requests) in &told.busy {
+            let sizer = self.sizers.entry(service.clone()).or_default();
+            sizer.busy(now, &told.writer, *requests);
+        }
+    }
+
+    /// The next order that is due, with its service.
+    pub(super) fn next(&mut self, now: Micros, shared: &Shared) -> Option<(String, Order)> {
+        let routing = shared.routing.load_full()?;
+        let directory = shared.directory.load_full();
+        let services = routing.configuration.services.iter();
+        services.filter_map(scalable).find_map(|(service, scaling)| {
+            let (zones, slots) = servers(&directory, &service.name, &shared.area);
+            let sizer = self.sizers.entry(service.name.clone()).or_default();
+            let order = sizer.next(now, &bounds(scaling), &zones, slots)?;
+            Some((service.name.clone(), order))
+        })
+    }
+
+    /// What became of an order.
+    pub(super) fn ended(&mut self, now: Micros, service: &str, order: &Order, outcome: Outcome) {
+        if let Some(sizer) = self.sizers.get_mut(service) {
+            sizer.ended(now, order, outcome);
+        }
+    }
+}
+
+fn scalable(service: &Service) -> Option<(&Service, &Scaling)> {
+    Some((service, service.scaling.as_ref()?))
+}
+
+fn bounds(scaling: &Scaling) -> Bounds {
+    Bounds {
+        least: scaling.least,
+        most: scaling.most,
+        boot: scaling.boot_ms * MILLISECOND,
+        spot_price: scaling.spot_price,
+    }
+}
+
+/// The backend servers of a service that take requests, by availability zone, and the places of one. A zone whose
+/// servers all leave is still one.
+fn servers(directory: &Directory, service: &str, area: &str) -> (Zones, u32) {
+    let pool = Pool::Service(Arc::from(service));
+    let (mut zones, mut slots) = (Zones::new(), 0);
+    for backend in directory.backends(&pool, area) {
+        let count = zones.entry(backend.availability_zone.to_string()).or_default();
+        slots = slots.max(backend.slots);
+        if backend.leaving {
+            continue;
+        }
+        match kind(backend.spot) {
+            Kind::Spot => count.spot += 1,
+            Kind::Ordinary => count.ordinary += 1,
+        }
+    }
+    (zones, slots)
+}
+
+fn kind(spot: bool) -> Kind {
+    if spot { Kind::Spot } else { Kind::Ordinary }
+}
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -21,6 +21,7 @@
 //! | [`peers`] | connections to other instances |
 //! | [`platform`] | the configuration log, the list of instances, load reports |
 //! | [`catalog`] | the platform's store: configuration of routes, backend servers, instances |
+//! | `duties` | what one instance at a time does for the platform |
 //! | [`explain`] | why each recent request fared as it did |
 //! | [`telemetry`] | metrics and spans |
 //! | [`logs`] | log lines |
@@ -34,6 +35,7 @@
 pub mod catalog;
 pub mod clock;
 pub mod dispatch;
+mod duties;
 pub mod explain;
 pub mod logs;
 pub mod peers;
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use drumusher_platform::{catalog::Store, dialect::Dialect, engine::Engines};
+use drumusher_platform::{catalog::Store, dialect::Dialect, duty::Duties, engine::Engines};
 use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
     SharedCfg,
@@ -52,7 +52,7 @@
 /// A sentence, if it cannot start.
 pub fn run<S, D, F>(settings: Settings, dialect: D, store: F) -> Result<usize, String>
 where
-    S: Store + Engines + 'static,
+    S: Store + Engines + Duties + 'static,
     D: Dialect + Sync,
     F: AsyncFnOnce() -> Result<S, drumusher_platform::Error> + Send + 'static,
 {
@@ -81,7 +81,7 @@
     store: F,
 ) -> Result<Vec<server::Server>, String>
 where
-    S: Store + Engines + 'static,
+    S: Store + Engines + Duties + 'static,
     D: Dialect + Sync,
     F: AsyncFnOnce() -> Result<S, drumusher_platform::Error> + Send + 'static,
 {
@@ -96,7 +96,7 @@
 
 fn follow_store<S, F>(shared: Arc<Shared>, store: F, receiver: platform::Receiver)
 where
-    S: Store + Engines + 'static,
+    S: Store + Engines + Duties + 'static,
     F: AsyncFnOnce() -> Result<S, drumusher_platform::Error> + Send + 'static,
 {
     let thread = rt::Arbiter::with_name("platform".into());
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -9,6 +9,7 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use drumusher_duty::usage::Tally;
 use drumusher_log::config::State;
 use drumusher_platform::{catalog::Table, routing::Configuration};
 use drumusher_schedule::time::Micros;
@@ -41,6 +42,8 @@
     pub routing: ArcSwapOption<Routing>,
     /// The store's records, as far as they are known.
     records: Mutex<catalog::Records>,
+    /// What the dispatcher counted, to be told.
+    tally: Mutex<Tally>,
     /// Whether this instance is one of those that read the store and tell the others.
     pub reader: AtomicBool,
     /// Whether it is the first of them.
@@ -112,6 +115,7 @@
             version: ArcSwap::from_pointee(version),
             routing: ArcSwapOption::empty(),
             records: Mutex::default(),
+            tally: Mutex::default(),
             reader: AtomicBool::new(false),
             first_reader: AtomicBool::new(false),
             told: AtomicU64::new(0),
@@ -205,6 +209,11 @@
         self.records.lock().expect("no holder panics")
     }
 
+    /// What the dispatcher counted, to be told.
+    pub fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().expect("no holder panics")
+    }
+
     /// Whether ends of entries were not to be believed when the latest records were read.
     pub fn is_doubtful(&self) -> bool {
         self.doubtful.load(Ordering::Acquire)
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -53,6 +53,8 @@
     pub metrics: Option<SocketAddr>,
     /// The platform's store; with it there is no log service and no list of instances.
     pub store: Option<Store>,
+    /// What one instance at a time does for the platform, if there is such.
+    pub duties: Option<Duties>,
     /// Bound on the repeats that all instances send a service.
     pub repeats: Repeats,
     /// Longest time from the order to stop until the end, in milliseconds.
@@ -119,6 +121,33 @@
     pub spread_ms: u64,
 }
 
+/// What one instance at a time does for the platform.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Duties {
+    /// Where the platform takes the calls.
+    pub address: SocketAddr,
+    /// Whether the usage of workspaces is reported.
+    pub usage_report: bool,
+    /// Whether backend servers are ordered.
+    pub autoscale: bool,
+    /// Length of the lease, and least time between two spells of one instance with another's between them, in
+    /// milliseconds.
+    pub lease_ms: u64,
+    /// Whether the platform compares tokens, so that a conflict says that another has the duty.
+    pub fenced: bool,
+    /// Length of a window of usage, in milliseconds.
+    pub window_ms: u64,
+    /// How long after its end the usage of a window is due, in milliseconds.
+    pub due_ms: u64,
+    /// Calls a second that the platform takes from all instances.
+    pub calls_per_second: f64,
+}
+
+impl Duties {
+    /// The names of the duties in the settings.
+    pub const NAMES: [&str; 2] = ["usage_report", "autoscale"];
+}
+
 /// Bound on the repeats that all instances send a service in a window of time.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Repeats {
@@ -219,6 +248,7 @@
         availability_zone,
         status: reader.optional_address("instance.status"),
         metrics: reader.optional_address("instance.metrics"),
+        duties: duties(reader),
         repeats: Repeats {
             ratio: reader.number("repeats.ratio", 0.2, 0.0, 10.0),
             slack: reader.number("repeats.slack", 20.0, 0.0, 1e6),
@@ -270,3 +300,23 @@
         },
     }
 }
+
+/// The duties, if the platform takes calls of any. Names that are not known are passed over: they are of duties
+/// of a later version, and no reason not to serve.
+fn duties(reader: &mut Reader) -> Option<Duties> {
+    let address = reader.optional_address("duties.address");
+    let names = reader.names("duties.names");
+    let has = |name: &str| names.iter().any(|other| other == name);
+    let seconds_as_ms = |seconds: f64| (seconds * 1e3) as u64;
+    let duties = Duties {
+        address: address.unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0))),
+        usage_report: has(Duties::NAMES[0]),
+        autoscale: has(Duties::NAMES[1]),
+        lease_ms: reader.count("duties.lease_ms", 3_000, 500, 600_000),
+        fenced: reader.flag("duties.fenced", false),
+        window_ms: seconds_as_ms(reader.number("duties.window_seconds", 60.0, 0.1, 86_400.0)),
+        due_ms: seconds_as_ms(reader.number("duties.due_seconds", 10.0, 0.1, 86_400.0)),
+        calls_per_second: reader.number("duties.calls_per_second", 10.0, 0.01, 1e6),
+    };
+    address.map(|_| duties)
+}
--- a/crates/drumusher/src/settings/reader.rs
+++ b/crates/drumusher/src/settings/reader.rs
@@ -136,6 +136,29 @@
         parsed.into_iter().flatten().collect()
     }
 
+    /// A list of names, empty unless the key is there.
+    pub(super) fn names(&mut self, key: &str) -> Vec<String> {
+        let items = self.list(key, "takes a list of names");
+        let names: Vec<Option<String>> =
+            items.iter().map(|item| item.as_str().map(String::from)).collect();
+        if names.iter().any(Option::is_none) {
+            self.fault(key, "takes a list of names");
+        }
+        names.into_iter().flatten().collect()
+    }
+
+    /// True or false.
+    pub(super) fn flag(&mut self, key: &str, default: bool) -> bool {
+        match self.left.remove(key) {
+            None => default,
+            Some(Value::Boolean(value)) => value,
+            Some(_) => {
+                self.fault(key, "takes true or false");
+                default
+            }
+        }
+    }
+
     /// The mechanisms of the decisions less those in a list of names.
     pub(super) fn switches(&mut self, key: &str) -> Switches {
         let mut switches = Switches::default();
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -75,6 +75,10 @@
     /// When it started, in Unix milliseconds by its own clock, if that is known. One that started again under
     /// its name holds and knows nothing of before.
     pub born_ms: Option<u64>,
+    /// Its availability zone.
+    pub availability_zone: Arc<str>,
+    /// Whether it may be taken away, with a short notice.
+    pub spot: bool,
 }
 
 /// Who is there, at one moment.
@@ -102,6 +106,8 @@
             let backend = Backend {
                 name: name.as_str().into(),
                 area: zone.as_str().into(),
+                availability_zone: zone.as_str().into(),
+                spot: false,
                 address: address.clone(),
                 slots: engine.slots,
                 leaving: engine.drained,
@@ -130,6 +136,8 @@
                 slots: server.slots,
                 leaving: server.leaving,
                 born_ms: server.born_ms,
+                availability_zone: server.availability_zone.as_str().into(),
+                spot: server.spot,
             };
             directory.add_backend(Pool::Service(server.service.as_str().into()), backend);
         }
@@ -155,6 +163,8 @@
                 address: member.address.clone(),
                 slots,
                 leaving: leaving || drained,
+                availability_zone: area.clone(),
+                spot: false,
                 born_ms: None,
             };
             self.add_backend(pool, backend);
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -15,6 +15,7 @@
         slots: 1,
         leaving: false,
         born_ms: None,
+        spot: false,
     }
 }
 
--- a/crates/drumusher/tests/unit/host.rs
+++ b/crates/drumusher/tests/unit/host.rs
@@ -27,6 +27,8 @@
         address: "127.0.0.1:1".into(),
         leaving: false,
         born_ms: None,
+        availability_zone: "z".into(),
+        spot: false,
         slots: 48,
     }
 }
--- a/crates/drumusher/tests/unit/routing.rs
+++ b/crates/drumusher/tests/unit/routing.rs
@@ -32,7 +32,7 @@
             route("split", "h", "/split/", &[("s", 90), ("t", 10)]),
             route("none", "h", "/none/", &[("s", 0), ("t", 0)]),
         ],
-        services: vec![Service { name: "t".into(), connections: 1, engine: true }],
+        services: vec![Service { name: "t".into(), connections: 1, engine: true, scaling: None }],
         limits: Limits { header_bytes: 1, body_bytes: 1 },
         workspaces: Some(vec![Workspace { name: "w".into(), keys: vec!["k".into()], priority: 2 }]),
     })
--- a/crates/drumusher/tests/unit/settings.rs
+++ b/crates/drumusher/tests/unit/settings.rs
@@ -31,7 +31,9 @@
     assert_eq!(shown.store.as_ref().map(|store| store.wait_ms), Some(4_000));
     shown.seeds.clear();
     shown.telemetry.otlp = None;
+    assert_eq!(shown.duties.as_ref().map(|duties| duties.lease_ms), Some(3_000));
     (shown.status, shown.metrics, shown.store) = (None, None, None);
+    shown.duties = None;
     assert_eq!(shown, plain);
 }
 
