test: duties over killed, paused and stopped holders, a platform and a store that are away; the soak has them

The stand-in of the platform takes the calls and holds against the instances what the platform would: a token lower than one before, a token of two holders, A B A within the lease, two reports of one window. Found by it: after an outage of the store a report was fixed before those who dispatch had told again what they counted meanwhile; they get two seconds for that, unless the report would be late.

--- a/crates/drumusher-duty/src/usage.rs
+++ b/crates/drumusher-duty/src/usage.rs
@@ -136,8 +136,25 @@
 pub struct Options {
     /// The length of a window, in milliseconds.
     pub window_ms: u64,
-    /// How long after its end a window is reported, in milliseconds.
-    pub after_ms: u64,
+    /// How long after its end a report is due, in milliseconds.
+    pub due_ms: u64,
+    /// Within which those who were cut off from telling have told again, in milliseconds.
+    pub settle_ms: u64,
+}
+
+/// A window is reported when this part of the time within which it is due is over: what some could not tell for
+/// seconds still comes in, and there is time left to send the report again.
+const REPORT_AT: f64 = 0.5;
+/// It is reported without waiting for those who may still tell when this part is over.
+const LAST_AT: f64 = 0.8;
+
+/// How far what others told was read, in Unix milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// Since when it is read without a failure.
+    pub since_ms: u64,
+    /// When it was read last.
+    pub until_ms: u64,
 }
 
 impl Options {
@@ -146,9 +163,14 @@
         unix_ms / self.window_ms.max(1)
     }
 
-    /// Whether a window is to be reported by now.
-    fn is_due(&self, window: Window, unix_ms: u64) -> bool {
-        unix_ms >= (window + 1) * self.window_ms + self.after_ms
+    /// Whether a window is to be reported by now. After a failure of the store, those who could not tell what they
+    /// counted get the time to do so, unless the report would be late for it that is not late yet.
+    fn is_due(&self, window: Window, read: Read) -> bool {
+        let end = (window + 1) * self.window_ms;
+        let part = |part: f64| end + (self.due_ms as f64 * part) as u64;
+        let settled = read.until_ms >= read.since_ms + self.settle_ms;
+        let last = read.since_ms < part(LAST_AT) && read.until_ms >= part(LAST_AT);
+        read.until_ms >= part(REPORT_AT) && (settled || last)
     }
 }
 
@@ -197,14 +219,14 @@
     }
 
     /// The window that is to be reported next, if its time has come.
-    pub fn due(&self, progress: &Progress, options: &Options, unix_ms: u64) -> Option<Window> {
+    pub fn due(&self, progress: &Progress, options: &Options, read: Read) -> Option<Window> {
         let first = *self.windows.first_key_value()?.0;
         let next = match progress.reported {
             None => first,
             Some(reported) if reported + 1 + BEHIND < first => first,
             Some(reported) => reported + 1,
         };
-        options.is_due(next, unix_ms).then_some(next)
+        options.is_due(next, read).then_some(next)
     }
 
     /// Its report.
--- a/crates/drumusher-duty/tests/duty/holding.rs
+++ b/crates/drumusher-duty/tests/duty/holding.rs
@@ -5,7 +5,7 @@
 //! pause between two spells of one instance, and the look at the register before the next replacement.
 
 use drumusher_duty::{
-    lease::{Holder, Lease, MARGIN, Options, Replaced, State, Step, Version},
+    lease::{Holder, Lease, Options, Replaced, State, Step, Version},
     time::{MILLISECOND, Micros, SECOND},
 };
 use proptest::prelude::*;
@@ -14,6 +14,8 @@
 const LENGTH: Micros = 3 * SECOND;
 /// Longest time of a call of a duty.
 const WITHIN: Micros = 700 * MILLISECOND;
+/// For how long a thread may be put off between its look at the clock and the sending.
+const PUT_OFF: Micros = 300 * MILLISECOND;
 /// How long a schedule lasts.
 const SPAN: Micros = 60 * SECOND;
 
@@ -170,8 +172,7 @@
         if let Some(pass) = lease.pass(now, WITHIN)
             && self.draw.chance(60)
         {
-            // The thread may be put off between its look at the clock and the sending.
-            let put_off = self.draw.below(MARGIN);
+            let put_off = self.draw.below(PUT_OFF);
             let arrives = now + put_off + self.draw.below(WITHIN);
             self.at(arrives, Under::Act { by, token: pass.token });
             self.at(arrives, Under::Acted { by, boot });
--- a/crates/drumusher-duty/tests/duty/lease.rs
+++ b/crates/drumusher-duty/tests/duty/lease.rs
@@ -1,8 +1,8 @@
 //! The steps of one instance.
 
 use drumusher_duty::{
-    lease::{Holder, Lease, MARGIN, Options, Replaced, State, Step, Version},
-    time::{Micros, SECOND},
+    lease::{Holder, Lease, Options, Replaced, State, Step, Version},
+    time::{MILLISECOND, Micros, SECOND},
     usage::{Counts, Progress, Report},
 };
 
@@ -52,7 +52,8 @@
     lease.read(4 * SECOND, version(7, None));
     let sent = 4 * SECOND;
     replace(&mut lease, sent + 2 * SECOND, sent);
-    let last = sent + LENGTH - MARGIN - WITHIN;
+    let margin = 300 * MILLISECOND;
+    let last = sent + LENGTH - margin - WITHIN;
     assert!(lease.pass(last, WITHIN).is_some());
     assert!(lease.pass(last + 1, WITHIN).is_none());
 }
--- a/crates/drumusher-duty/tests/duty/usage.rs
+++ b/crates/drumusher-duty/tests/duty/usage.rs
@@ -1,10 +1,10 @@
 //! Counting what each workspace used, and reporting it.
 
-use drumusher_duty::usage::{Book, Counts, Options, Progress, Tally};
+use drumusher_duty::usage::{Book, Counts, Options, Progress, Read, Tally};
 use proptest::prelude::*;
 use rstest::rstest;
 
-const OPTIONS: Options = Options { window_ms: 5_000, after_ms: 5_000 };
+const OPTIONS: Options = Options { window_ms: 5_000, due_ms: 10_000, settle_ms: 2_000 };
 
 fn counts(of: &[(&str, u64)]) -> Counts {
     of.iter().map(|(name, count)| (name.to_string(), *count)).collect()
@@ -56,7 +56,29 @@
     tally.began(7, "a");
     book.take(&tally.tell("i1", 1).expect("there is news"));
     let progress = Progress { fixed: None, reported };
-    assert_eq!(book.due(&progress, &OPTIONS, unix_ms), due);
+    let read = Read { since_ms: 0, until_ms: unix_ms };
+    assert_eq!(book.due(&progress, &OPTIONS, read), due);
+}
+
+/// The store was away, and two who dispatch could not tell what they counted. At its return the report was fixed
+/// before they had told again: 6 of 8 requests were reported.
+#[rstest]
+#[case::they_may_still_tell(46_000, 46_500, false)]
+#[case::they_have_told(44_000, 46_000, true)]
+#[case::later_would_be_late(47_500, 48_000, true)]
+#[case::it_is_late_already(48_500, 49_000, false)]
+#[case::late_but_whole(48_500, 50_500, true)]
+fn those_who_were_cut_off_get_the_time_to_tell(
+    #[case] since_ms: u64,
+    #[case] until_ms: u64,
+    #[case] due: bool,
+) {
+    let (mut tally, mut book) = (Tally::new(), Book::new());
+    tally.began(7, "a");
+    book.take(&tally.tell("i1", 1).expect("there is news"));
+    let progress = Progress { fixed: None, reported: Some(6) };
+    let read = Read { since_ms, until_ms };
+    assert_eq!(book.due(&progress, &OPTIONS, read).is_some(), due);
 }
 
 #[test]
--- a/crates/drumusher/src/process/duties.rs
+++ b/crates/drumusher/src/process/duties.rs
@@ -33,8 +33,12 @@
     rt::spawn(hold::run(shared.clone(), platform, settings, boot));
 }
 
-/// When windows of usage are reported. By half of the time within which it is due, so that what instances were
-/// cut off from telling for some seconds still comes in, and a report that fails can be sent again.
-pub(super) fn windows(settings: &settings::Duties) -> usage::Options {
-    usage::Options { window_ms: settings.window_ms, after_ms: settings.due_ms / 2 }
+/// Those who could not tell what they counted have told it again within this: the time between two trials, and
+/// that of a call which fails.
+const SETTLE_MS: u64 = 2_000;
+
+/// When windows of usage are reported.
+fn windows(settings: &settings::Duties) -> usage::Options {
+    let settings::Duties { window_ms, due_ms, .. } = *settings;
+    usage::Options { window_ms, due_ms, settle_ms: SETTLE_MS }
 }
--- a/crates/drumusher/src/process/duties/hold.rs
+++ b/crates/drumusher/src/process/duties/hold.rs
@@ -12,7 +12,7 @@
 use drumusher_duty::{
     lease::{self, Holder, Lease, Pass, Replaced, State, Step, Version},
     sizing::{Kind, Outcome},
-    usage::{Book, Progress, Told},
+    usage::{Book, Progress, Read, Told},
 };
 use drumusher_platform::{
     Error,
@@ -70,8 +70,8 @@
     orders: Orders,
     /// From where to read on what others told.
     from: u64,
-    /// When what others told was read last, in Unix milliseconds; `None` before that in this spell.
-    read_ms: Option<u64>,
+    /// How far what others told was read; `None` if not yet in this spell, or if the latest read failed.
+    read: Option<Read>,
     read_at: Micros,
     /// No call of a duty before this.
     paused: Micros,
@@ -94,7 +94,7 @@
             book: Book::new(),
             orders: Orders::new(),
             from: 0,
-            read_ms: None,
+            read: None,
             read_at: 0,
             paused: 0,
             pause: 0,
@@ -161,7 +161,7 @@
             self.shared.telemetry.count("drumusher.duty.spells", &[("what", "began")]);
             let reported = self.lease.usage().and_then(|usage| usage.reported);
             log::info!(token = token, reported = reported.unwrap_or(0); "this instance has the duties");
-            self.read_ms = None;
+            self.read = None;
         }
         self.wish = None;
         self.logged = token;
@@ -178,13 +178,13 @@
             self.read().await;
             return true;
         }
-        let (Some(pass), Some(read_ms)) = (self.lease.pass(now, CALL), self.read_ms) else {
+        let (Some(pass), Some(read)) = (self.lease.pass(now, CALL), self.read) else {
             return false;
         };
         if now < self.paused || self.wish.is_some() {
             return false;
         }
-        let usage = self.settings.usage_report && self.report(pass, read_ms).await;
+        let usage = self.settings.usage_report && self.report(pass, read).await;
         usage || (self.settings.autoscale && self.order(pass).await)
     }
 
@@ -194,10 +194,14 @@
         match self.platform.told(self.from).await {
             Ok(told) => {
                 self.from = told.next;
-                self.read_ms = Some(asked_ms);
+                let since_ms = self.read.map_or(asked_ms, |read| read.since_ms);
+                self.read = Some(Read { since_ms, until_ms: asked_ms });
                 told.values.iter().for_each(|value| self.take(value));
             }
-            Err(error) => log::debug!("what instances counted: the store {error}"),
+            Err(error) => {
+                self.read = None;
+                log::debug!("what instances counted: the store {error}");
+            }
         }
     }
 
@@ -215,12 +219,12 @@
     }
 
     /// Sends the report that is fixed, or fixes the next one. Returns whether there was one.
-    async fn report(&mut self, pass: Pass, read_ms: u64) -> bool {
+    async fn report(&mut self, pass: Pass, read: Read) -> bool {
         let Some(usage) = self.lease.usage().cloned() else {
             return false;
         };
         let Some(fixed) = &usage.fixed else {
-            let due = self.book.due(&usage, &super::windows(&self.settings), read_ms);
+            let due = self.book.due(&usage, &super::windows(&self.settings), read);
             self.wish = due.map(|window| usage.with(self.book.report(window)));
             return due.is_some();
         };
--- a/crates/drumusher/tests/routes/soak/fault.rs
+++ b/crates/drumusher/tests/routes/soak/fault.rs
@@ -5,12 +5,15 @@
     time::{Duration, Instant},
 };
 
-use drumusher_adapter_stand_in::{Away, Fault};
+use drumusher_adapter_stand_in::{Away, Fault, duty::Duties};
 use drumusher_bench::fleet::{Mode, Relay};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use super::promise::{self, Journal};
-use crate::support::{DESK, Deployment, MODEL, Relays, configuration, large_configuration};
+use crate::{
+    duties::scalable,
+    support::{DESK, Deployment, MODEL, Relays, large_configuration},
+};
 
 /// Time between two faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 20..450;
@@ -60,6 +63,8 @@
     Restart(usize),
     /// A backend server is well.
     Well(usize),
+    /// The platform takes calls of duties.
+    Take,
     /// The store serves an instance.
     Serve(usize),
     /// The store serves all, and what lapsed is entered again.
@@ -71,6 +76,7 @@
     random: StdRng,
     deployment: &'a mut Deployment,
     journal: &'a Journal,
+    duties: &'a Duties,
     due: Vec<(Instant, Cure)>,
     /// Instances that are paused, ended or about to end.
     down: Vec<usize>,
@@ -79,9 +85,15 @@
 
 impl<'a> Disturber<'a> {
     /// A disturber with the luck of a seed.
-    pub fn new(seed: u64, deployment: &'a mut Deployment, journal: &'a Journal) -> Disturber<'a> {
+    pub fn new(
+        seed: u64,
+        deployment: &'a mut Deployment,
+        journal: &'a Journal,
+        duties: &'a Duties,
+    ) -> Disturber<'a> {
         let random = StdRng::seed_from_u64(seed);
-        Disturber { random, deployment, journal, due: Vec::new(), down: Vec::new(), replaced: 0 }
+        let (due, down) = (Vec::new(), Vec::new());
+        Disturber { random, deployment, journal, duties, due, down, replaced: 0 }
     }
 
     /// One fault, a pause, and the cures that are due.
@@ -109,7 +121,8 @@
         self.journal.disturbs();
         match self.random.random_range(0..100) {
             0..28 => self.relay(),
-            28..36 => self.reset(),
+            28..33 => self.reset(),
+            33..36 => self.platform(),
             36..46 => self.signal("STOP", Cure::Continue),
             46..54 => self.signal("KILL", Cure::Restart),
             54..62 => self.signal("TERM", Cure::Restart),
@@ -153,6 +166,12 @@
         self.later(Cure::Open(place));
     }
 
+    /// The platform takes no calls of duties.
+    fn platform(&mut self) {
+        self.duties.set_away(AWAY[self.random.random_range(0..AWAY.len())]);
+        self.later(Cure::Take);
+    }
+
     /// A relay resets its connections.
     fn reset(&mut self) {
         let place = self.any_relay();
@@ -241,7 +260,7 @@
             let text = if self.random.random_bool(LARGE_PART) {
                 large_configuration(version, &route, self.random.random_range(LARGE))
             } else {
-                configuration(version, &route)
+                scalable(version, &route)
             };
             self.deployment.store.put("keyed.op", "config", &text);
         }
@@ -263,11 +282,13 @@
         match cure {
             Cure::Open(place) => self.relay_at(place).set(Mode::Open),
             Cure::Continue(at) => {
+                self.journal.thaws(format!("i{at}"));
                 self.deployment.instances[at].signal("CONT");
                 self.down.retain(|down| *down != at);
             }
             Cure::Restart(at) => self.restart(at),
             Cure::Well(at) => self.deployment.servers[at].set(Fault::None),
+            Cure::Take => self.duties.set_away(Away::No),
             Cure::Serve(at) => self.deployment.instances[at].door.set_away(Away::No),
             Cure::Return(lapsed) => self.store_returns(&lapsed),
         }
--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -22,11 +22,17 @@
     time::{Duration, Instant},
 };
 
-use drumusher_adapter_stand_in::server::{body, events};
+use drumusher_adapter_stand_in::{
+    duty::Duties,
+    server::{body, events},
+};
 use drumusher_bench::fleet::wait_for;
 
 use self::{fault::Disturber, promise::Journal};
-use crate::support::{Call, DESK, Deployment, MODEL, configuration};
+use crate::{
+    duties::{APART, scalable, settings},
+    support::{Call, DESK, Deployment, MODEL},
+};
 
 /// Seeds that CI plays.
 const SHORT: Range<u64> = 1..3;
@@ -74,7 +80,8 @@
 
 /// Plays one seed; what it returns tells the promises that were broken.
 fn play(seed: u64, time: Duration) -> Vec<String> {
-    let mut deployment = deploy();
+    let duties = Duties::start().expect("the platform starts");
+    let mut deployment = deploy(&duties);
     let journal = Journal::new();
     let stop = AtomicBool::new(false);
     let addresses = caller::addresses(&deployment);
@@ -85,7 +92,7 @@
             scope.spawn(move || caller.run(stop));
         }
         let since = Instant::now();
-        let mut disturber = Disturber::new(seed, &mut deployment, &journal);
+        let mut disturber = Disturber::new(seed, &mut deployment, &journal, &duties);
         while since.elapsed() < time {
             disturber.step();
         }
@@ -96,6 +103,10 @@
     check_recovered(&deployment, &journal);
     let mut broken = journal.broken(&deployment.servers);
     broken.extend(deployment.instances.iter().filter_map(promise::panicked));
+    broken.extend(duties.fault(APART, &journal.thawed()));
+    if duties.calls().is_empty() {
+        broken.push("no duty was done".into());
+    }
     if !broken.is_empty() {
         deployment.keep();
     }
@@ -103,16 +114,17 @@
 }
 
 /// A deployment whose connections all lead through relays.
-fn deploy() -> Deployment {
+fn deploy(duties: &Duties) -> Deployment {
     let mut deployment = Deployment::empty(true);
     for number in 0..SERVERS {
         deployment.add_server(&format!("d{number}"), DESK);
         deployment.add_server(&format!("m{number}"), MODEL);
     }
     for number in 0..INSTANCES {
-        deployment.add_instance(&format!("i{number}"));
+        let door = deployment.store.door().expect("a way to the store");
+        deployment.add_instance_with(&format!("i{number}"), door, &settings(duties));
     }
-    deployment.store.put("keyed.op", "config", &configuration(1, &promise::route(1)));
+    deployment.store.put("keyed.op", "config", &scalable(1, &promise::route(1)));
     deployment.wait_serving();
     deployment
 }
--- a/crates/drumusher/tests/routes/soak/promise.rs
+++ b/crates/drumusher/tests/routes/soak/promise.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Mutex,
+    time::Instant,
 };
 
 use drumusher_adapter_stand_in::{
@@ -34,6 +35,7 @@
     left: BTreeSet<String>,
     version: u64,
     answers: BTreeMap<u16, usize>,
+    thawed: Vec<(String, Instant)>,
     faults: usize,
     broken: Vec<String>,
 }
@@ -73,6 +75,16 @@
         change(&mut self.inner.lock().expect("no holder panics"))
     }
 
+    /// An instance is about to go on after a pause.
+    pub fn thaws(&self, instance: String) {
+        self.with(|inner| inner.thawed.push((instance, Instant::now())));
+    }
+
+    /// The instances that went on after a pause, and when.
+    pub fn thawed(&self) -> Vec<(String, Instant)> {
+        self.with(|inner| inner.thawed.clone())
+    }
+
     /// A request is about to be sent.
     pub fn sends(&self, call: &Call) {
         self.with(|inner| inner.sent.insert(call.id.clone(), call.clone()));
