fix: usage counts requests that engines failed or never answered

Cause: requests of engines were counted by their first events. Plain services whose server could not be connected to were counted although they got nothing.

What ends without a first event counts in the window in which it was granted.

--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -69,6 +69,8 @@
     Full,
     /// The backend server ran it and answered with an error of its own, rightly or not.
     Erred,
+    /// No connection to the backend server came up: it got nothing.
+    Unreached,
 }
 
 /// A request that waits for its turn.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -16,7 +16,7 @@
 use slab::Slab;
 
 use crate::{
-    ask::{Ask, Entry, Id, Key, Running, State, Waiting},
+    ask::{Entry, Id, Key, Running, State, Waiting},
     event::Event,
     length::Estimate,
     order::Order,
@@ -133,11 +133,11 @@
         self.ids.get(&id).is_some_and(|key| self.waiting_at(*key).is_some())
     }
 
-    /// What was asked for by a request that runs.
-    pub fn running_ask(&self, id: Id) -> Option<&Ask> {
+    /// A request that runs.
+    pub fn running_request(&self, id: Id) -> Option<&Running> {
         let key = self.ids.get(&id)?;
         match self.asks.get(key.0 as usize) {
-            Some(State::Running(running)) => Some(&running.ask),
+            Some(State::Running(running)) => Some(running),
             _ => None,
         }
     }
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -200,7 +200,7 @@
         self.running = self.running.saturating_sub(1);
         self.note(now);
         match outcome {
-            Outcome::Done | Outcome::Failed | Outcome::Erred => {
+            Outcome::Done | Outcome::Failed | Outcome::Erred | Outcome::Unreached => {
                 self.tally.note(now, outcome != Outcome::Done);
             }
             Outcome::Cancelled | Outcome::Preempted | Outcome::Full => {}
@@ -208,7 +208,7 @@
         match outcome {
             // One that answers is there, whatever it answers.
             Outcome::Done | Outcome::Erred => self.succeed(),
-            Outcome::Failed => self.fail(now),
+            Outcome::Failed | Outcome::Unreached => self.fail(now),
             Outcome::Full => self.refuse(now),
             Outcome::Cancelled | Outcome::Preempted => {}
         }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -6,12 +6,14 @@
 //! | `asks` | asks of entries, as they come |
 //! | `budget` | repeats that may still be granted |
 //! | `host` | one pool with the names of its backend servers |
+//! | `tally` | requests that began to run, for the usage of workspaces |
 //! | `wire` | messages between instances as events, orders as messages |
 
 mod askers;
 mod asks;
 mod budget;
 mod host;
+mod tally;
 mod wire;
 
 pub use askers::Askers;
@@ -26,7 +28,7 @@
 
 use crossbeam_channel::RecvTimeoutError;
 use drumusher_schedule::{
-    ask::{Entry, Id, Outcome},
+    ask::Entry,
     event::{Event, Load},
     order::Order,
     pool,
@@ -183,8 +185,10 @@
         };
         let produced = finish.produced.max(0) as u32;
         let outcome = wire::outcome(finish.outcome);
-        if finish.first_token.is_some() || self.ran(&finish.pool, outcome) {
+        if finish.first_token.is_some() {
             self.count_begun(&finish.pool, id);
+        } else {
+            self.count_ended(&finish.pool, id, outcome);
         }
         if finish.first_token.is_some() || finish.gap.is_some() {
             let progress = wire::progress(id, produced, finish.first_token, finish.gap);
@@ -208,37 +212,6 @@
         }
     }
 
-    /// Whether an outcome tells that a request of a plain service ran. Those of engines are counted by their first
-    /// events.
-    fn ran(&self, pool: &str, outcome: Outcome) -> bool {
-        let routing = self.shared.routing.load();
-        let Some(Pool::Service(service)) = Pool::parse(pool) else {
-            return false;
-        };
-        let plain = routing.as_ref().is_some_and(|routing| !routing.is_engine(&service));
-        plain && matches!(outcome, Outcome::Done | Outcome::Erred | Outcome::Failed)
-    }
-
-    /// Counts a request that began to run for the usage of its workspace, if usage is reported.
-    fn count_begun(&self, pool: &str, id: Id) {
-        let Some(duties) = self.shared.settings.duties.as_ref().filter(|d| d.usage_report) else {
-            return;
-        };
-        let host = Pool::parse(pool).and_then(|pool| self.hosts.get(&pool));
-        let Some(ask) = host.and_then(|host| host.pool.running_ask(id)) else {
-            return;
-        };
-        let window = clock::steady_unix_ms() / duties.window_ms;
-        let version = self.shared.version.load();
-        // One that goes on elsewhere began before; callers of public routes have no workspace.
-        if let Some(workspace) = version.policy.workspace(ask.workspace)
-            && ask.produced == 0
-            && !workspace.name.is_empty()
-        {
-            self.shared.tally().began(window, &workspace.name);
-        }
-    }
-
     /// Notes how busy the services are that are dispatched here, if servers are ordered by that.
     fn note_busy(&self) {
         if !self.shared.settings.duties.as_ref().is_some_and(|duties| duties.autoscale) {
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -67,6 +67,7 @@
         2 => Outcome::Preempted,
         4 => Outcome::Full,
         5 => Outcome::Erred,
+        6 => Outcome::Unreached,
         _ => Outcome::Failed,
     }
 }
--- a/crates/drumusher/src/routed/exchange/failure.rs
+++ b/crates/drumusher/src/routed/exchange/failure.rs
@@ -34,6 +34,7 @@
         match self {
             Failure::NotRun(429 | 503) => Outcome::Full,
             Failure::Failed(_) => Outcome::Erred,
+            Failure::NotConnected => Outcome::Unreached,
             _ => Outcome::Failed,
         }
     }
