--- a/crates/drumusher-duty/src/sizing.rs
+++ b/crates/drumusher-duty/src/sizing.rs
@@ -3,8 +3,8 @@
 //! Two kinds can be ordered. *Ordinary* ones stay until they are ordered away. *Spot* ones cost a part of that,
 //! and may be taken away, all of a zone's at once, with a notice of seconds, after which there may be none to be
 //! had for a while. So spot servers carry the load, spread over the zones so that what is left carries it when
-//! those of one zone go, above a base of ordinary ones. Ordinary ones fill up what is missing while no spot
-//! servers can be had.
+//! those of one zone go, beside the fewest ordinary ones that are allowed. Ordinary ones fill up what is missing
+//! while no spot servers can be had.
 //!
 //! What is wanted follows from the requests that run or wait at once: the usual number, with room for a burst, and
 //! the most there were lately. A server takes seconds to start, within which a burst of two to three times the
@@ -25,9 +25,6 @@
 /// Time constant with which the most requests at once are forgotten, in microseconds: bursts come again within
 /// such a time, and starting servers again costs seconds in which they are late.
 const MEMORY: f64 = 30.0 * SECOND as f64;
-/// Parts of what is wanted of a zone that ordinary servers are, at least: one in so many. They guard nothing but
-/// the start of others when all spot servers of all zones go at once.
-const BASE: f64 = 28.0;
 /// More servers are wanted only if so great a part of them is missing: each order is a call, and the number of
 /// requests never stands still.
 const GROWTH: f64 = 0.1;
@@ -244,13 +241,15 @@
     fn wanted(&mut self, now: Micros, bounds: &Bounds, zones: &Zones, slots: u32) -> Zones {
         let spot = bounds.spot_price < 1.0;
         let each = self.level(now, bounds, zones.len(), slots);
-        let base = (f64::from(each) / BASE).ceil() as u32;
-        let base = if spot { base.max(bounds.least).min(each) } else { each };
+        let base = if spot { bounds.least.min(each) } else { each };
+        // Of those, what is needed as long as no zone has lost its spot servers.
+        let count = zones.len() as u32;
+        let plain = if spot && count > 1 { (each * (count - 1)).div_ceil(count) } else { each };
         let there: u32 = zones.values().map(|count| count.all()).sum();
         let extra = self.missing(there, zones.len(), slots);
         let zone = |(zone, there): (&String, &Count)| {
             // Ordinary ones go when spot ones are there in their place, and come while those cannot be had.
-            let gap = each.saturating_sub(there.spot);
+            let gap = plain.saturating_sub(there.spot);
             let more = if self.is_dry(now, zone) { extra } else { 0 };
             let ordinary = gap.min(there.ordinary + more).max(base);
             // The bound holds for both kinds together, also between two orders.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -6,6 +6,7 @@
 mod kind;
 mod place;
 mod preempt;
+mod scope;
 mod track;
 
 use std::{
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -1,12 +1,12 @@
 //! Giving free places to waiting requests.
 
-use super::{Pool, place::Place};
+use super::{Pool, place::Place, scope::Scope};
 use crate::{
     ask::{Ask, Key, Running, State, Waiting},
     engine::Reading,
     order::{Choice, Order},
     policy::{ClassKey, WorkspaceKey},
-    server::{self, Server},
+    server,
     time::{MILLISECOND, Micros},
 };
 
@@ -22,15 +22,6 @@
 /// loses to one that is as busy, and not to one that is half as busy again.
 const FAILING: f64 = 1.0;
 
-/// Which backend servers come into question.
-#[derive(Clone, Copy, PartialEq)]
-pub(super) enum Scope {
-    /// Those with a free place.
-    Free,
-    /// Those to be tried out.
-    Probe,
-}
-
 impl Pool {
     /// Grants until no place is free or nobody may use it.
     pub(super) fn fill(&mut self, now: Micros, orders: &mut Vec<Order>) {
@@ -224,7 +215,7 @@
         let usual = self.usual_gap();
         let mut best: Option<(bool, f64, server::Key)> = None;
         for (key, server) in self.servers() {
-            if !fits(server, now, scope) {
+            if !scope.has(server, now) {
                 continue;
             }
             let avoided = ask.avoid == Some(key);
@@ -300,11 +291,3 @@
         }
     }
 }
-
-/// Whether a backend server is in scope.
-pub(super) fn fits(server: &Server, now: Micros, scope: Scope) -> bool {
-    match scope {
-        Scope::Free => server.free(now) > 0,
-        Scope::Probe => server.may_probe(now),
-    }
-}
--- a/crates/drumusher-schedule/src/pool/place.rs
+++ b/crates/drumusher-schedule/src/pool/place.rs
@@ -3,10 +3,7 @@
 //! Placing a request costs what it waits there, what has to be read or taken over, and what it does to
 //! the streams beside it. The cheapest engine gets it.
 
-use super::{
-    Pool,
-    grant::{Scope, fits},
-};
+use super::{Pool, scope::Scope};
 use crate::{
     ask::Ask,
     engine::{Engine, Reading, Work},
@@ -52,7 +49,7 @@
         let usual = if unknown { self.usual_engine(&work, on_side) } else { None };
         let mut best: Option<(bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
-            if !fits(server, now, scope) {
+            if !scope.has(server, now) {
                 continue;
             }
             let reading = server.engine().reading(&work, again, offered);
