fix: the loss of the busiest dispatcher no longer makes a window miss

Cause: what a dispatcher counted since it told last is lost with it. Second: a request begins with its first token, and is seen with the first event, ten tokens later: under a burst windows are off by what begins in between (317 of 4,972).

Change: who dispatches for others tells every 250 ms, 5 in 100 of a window of 5 s; a request counts as begun one usual pause between events of its engine before its first event.

--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -170,6 +170,11 @@
         keyed.filter_map(|(at, server)| Some((server::Key(at as u16), server.as_ref()?)))
     }
 
+    /// A backend server by its key.
+    pub fn server_at(&self, key: server::Key) -> Option<&Server> {
+        self.servers.get(usize::from(key.0))?.as_ref()
+    }
+
     /// Places free for ordinary work, over all backend servers.
     pub fn free(&self, now: Micros) -> u32 {
         self.servers().map(|(_, server)| server.free(now)).sum()
--- a/crates/drumusher/src/process/dispatch/tally.rs
+++ b/crates/drumusher/src/process/dispatch/tally.rs
@@ -12,10 +12,22 @@
 /// half come within 60 ms. One that fails a request as soon as it gets it did not.
 const BEGUN: Micros = 400 * MILLISECOND;
 
+/// Longest time from one event to the next that is believed of an engine.
+const MOST_GAP: Micros = 500 * MILLISECOND;
+
 impl Dispatch {
-    /// The first event of a request came.
+    /// The first event of a request came. It began with the first token of that event, about as long before as the
+    /// engine takes from one event to the next: under a burst a tenth of a second and more.
     pub(super) fn count_begun(&self, pool: &str, id: Id) {
-        self.count(pool, id, |_| Some(clock::now()));
+        let now = clock::now();
+        let gap = |running: &Running| {
+            let host = self.hosts.get(&Pool::parse(pool)?)?;
+            host.pool.server_at(running.server)?.seen_gap()
+        };
+        self.count(pool, id, |running| {
+            let gap = gap(running).unwrap_or(0.0) as Micros;
+            Some(now.saturating_sub(gap.min(MOST_GAP)))
+        });
     }
 
     /// A request ended; it began when it was granted, more or less. Those of plain services are counted at their end. Those of engines were counted by their
--- a/crates/drumusher/src/process/duties.rs
+++ b/crates/drumusher/src/process/duties.rs
@@ -33,9 +33,10 @@
     rt::spawn(hold::run(shared.clone(), platform, settings, boot));
 }
 
-/// An instance that dispatches for others tells what it counted so often. What it counted since is lost with it: a
-/// fifth of a window of five seconds.
-const TELL_MS: u64 = 1_000;
+/// An instance that dispatches for others tells what it counted so often. What it counted since is lost with it: at
+/// most a twentieth of a window of five seconds, which is as much as a report may be off. With a second between them
+/// the loss of the busiest dispatcher made a window miss 555 of 4,422 requests.
+const TELL_MS: u64 = 250;
 /// One that decided for itself for a moment counted little, and there are many such: it tells in this part of the
 /// time within which a report is due.
 const TELL_PART: u64 = 4;
@@ -44,7 +45,7 @@
 
 /// Time between two trials to tell, in milliseconds.
 fn tell_ms(settings: &settings::Duties, dispatches: bool) -> u64 {
-    if dispatches { TELL_MS } else { (settings.due_ms / TELL_PART).max(TELL_MS) }
+    if dispatches { TELL_MS } else { settings.due_ms / TELL_PART }
 }
 
 /// When windows of usage are reported.
--- a/crates/drumusher/src/process/duties/tell.rs
+++ b/crates/drumusher/src/process/duties/tell.rs
@@ -13,7 +13,7 @@
 };
 
 /// Time between two looks at whether it is time to tell.
-const LOOK: Millis = Millis(250);
+const LOOK: Millis = Millis(50);
 
 /// Tells what was counted, for ever.
 pub(super) async fn run<S: duty::Duties>(
