fix: a new holder orders no more than there is, a zone that lost all its servers is not forgotten

A zone without any server was none. With a single zone all but the fewest servers were spot ones, so that nothing was left when those go; and spot servers that cost more than a part of what sparing saves were preferred.

Change: how zones are filled is a type of its own; tests for a new holder, a lost zone, a single zone.

--- a/crates/drumusher-duty/src/sizing.rs
+++ b/crates/drumusher-duty/src/sizing.rs
@@ -10,7 +10,7 @@
 //! the most there were lately. A server takes seconds to start, within which a burst of two to three times the
 //! usual is over or has done its harm: there is room for it beforehand, as much as the price of the servers allows.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::time::{Micros, SECOND};
 
@@ -115,6 +115,50 @@
     Unknown,
 }
 
+/// How the zones of a service are filled.
+#[derive(Clone, Copy, Debug)]
+struct Layout {
+    /// Zones.
+    zones: u32,
+    /// Whether spot servers are worth having: with them, what is left when those of a zone go is to be enough, so
+    /// that more are needed.
+    spot: bool,
+}
+
+impl Layout {
+    fn new(bounds: &Bounds, zones: u32) -> Self {
+        let more = f64::from(zones) / f64::from(zones.saturating_sub(1).max(1));
+        Layout { zones, spot: bounds.spot_price * more < 1.0 }
+    }
+
+    /// Whether the other zones make up for the spot servers of one.
+    fn spares_one(self) -> bool {
+        self.spot && self.zones > 1
+    }
+
+    /// Servers of each zone where so many are needed in all.
+    fn each(self, servers: f64, bounds: &Bounds) -> u32 {
+        let zones = self.zones - u32::from(self.spares_one());
+        let each = servers / f64::from(zones);
+        (each.ceil() as u32).clamp(bounds.least, bounds.most)
+    }
+
+    /// Of those, the ordinary ones, at least. With a single zone nothing is left when its spot servers go: half of
+    /// them are ordinary.
+    fn base(self, each: u32, bounds: &Bounds) -> u32 {
+        match (self.spot, self.zones) {
+            (false, _) => each,
+            (true, 1) => each.div_ceil(2),
+            (true, _) => bounds.least.min(each),
+        }
+    }
+
+    /// Of those, what is needed as long as no zone has lost its spot servers.
+    fn plain(self, each: u32) -> u32 {
+        if self.spares_one() { (each * (self.zones - 1)).div_ceil(self.zones) } else { each }
+    }
+}
+
 /// An order that was given.
 #[derive(Clone, Copy, Debug, Default)]
 struct Given {
@@ -132,8 +176,12 @@
     /// The most servers that were there at once before anything was ordered, and since when.
     first: u32,
     first_at: Micros,
+    /// Whether spot servers were among them: somebody ordered these, with all that has to be spared.
+    ordered_before: bool,
     /// Whether all that were there at the beginning are known.
     settled: bool,
+    /// The zones in which servers were ever seen; one may lose all of them.
+    zones: BTreeSet<String>,
     /// The most requests that ran or waited at once, decayed to `seen_at`.
     peak: f64,
     /// Their usual number.
@@ -190,13 +238,13 @@
         zones: &Zones,
         slots: u32,
     ) -> Option<Order> {
-        if zones.is_empty() || slots == 0 {
+        if zones.is_empty() || slots == 0 || !self.settle(now, zones) {
             return None;
         }
-        if !self.settle(now, zones) {
-            return None;
-        }
-        let wanted = self.wanted(now, bounds, zones, slots);
+        self.zones.extend(zones.keys().cloned());
+        let there = |zone: &String| zones.get(zone).copied().unwrap_or_default();
+        let zones: Zones = self.zones.iter().map(|zone| (zone.clone(), there(zone))).collect();
+        let wanted = self.wanted(now, bounds, &zones, slots);
         for (zone, count) in &wanted {
             for kind in [Kind::Spot, Kind::Ordinary] {
                 let there = zones.get(zone).map_or(0, |there| there.of(kind));
@@ -217,6 +265,7 @@
         if there > self.first {
             (self.first, self.first_at) = (there, now);
         }
+        self.ordered_before |= zones.values().any(|count| count.spot > 0);
         self.settled = now >= self.first_at + SETTLE;
         self.settled
     }
@@ -239,14 +288,11 @@
 
     /// The servers that each zone is to have.
     fn wanted(&mut self, now: Micros, bounds: &Bounds, zones: &Zones, slots: u32) -> Zones {
-        let spot = bounds.spot_price < 1.0;
-        let each = self.level(now, bounds, zones.len(), slots);
-        let base = if spot { bounds.least.min(each) } else { each };
-        // Of those, what is needed as long as no zone has lost its spot servers.
-        let count = zones.len() as u32;
-        let plain = if spot && count > 1 { (each * (count - 1)).div_ceil(count) } else { each };
+        let layout = Layout::new(bounds, zones.len() as u32);
+        let each = self.level(now, bounds, layout, slots);
+        let (base, plain) = (layout.base(each, bounds), layout.plain(each));
         let there: u32 = zones.values().map(|count| count.all()).sum();
-        let extra = self.missing(there, zones.len(), slots);
+        let extra = self.missing(there, layout.zones, slots);
         let zone = |(zone, there): (&String, &Count)| {
             // Ordinary ones go when spot ones are there in their place, and come while those cannot be had.
             let gap = plain.saturating_sub(there.spot);
@@ -254,7 +300,7 @@
             let ordinary = gap.min(there.ordinary + more).max(base);
             // The bound holds for both kinds together, also between two orders.
             let room = |kind| bounds.most.saturating_sub(self.ordered(zone, kind, *there));
-            let spot = if spot { (each - base).min(room(Kind::Ordinary)) } else { 0 };
+            let spot = (each - base).min(room(Kind::Ordinary));
             let ordinary = ordinary.min(room(Kind::Spot));
             (zone.clone(), Count { ordinary, spot })
         };
@@ -262,16 +308,20 @@
     }
 
     /// Servers that each of so many zones lacks for what runs and waits at this moment.
-    fn missing(&self, there: u32, zones: usize, slots: u32) -> u32 {
+    fn missing(&self, there: u32, zones: u32, slots: u32) -> u32 {
         let busy: u32 = self.busy.values().map(|(_, requests)| requests).sum();
-        busy.div_ceil(slots).saturating_sub(there).div_ceil(zones as u32)
+        busy.div_ceil(slots).saturating_sub(there).div_ceil(zones)
     }
 
-    /// Servers of both kinds that each of so many zones is to have: more at once, fewer after a while.
-    fn level(&mut self, now: Micros, bounds: &Bounds, zones: usize, slots: u32) -> u32 {
-        let each = |servers| each(servers, bounds, zones);
-        // Until something else is known, what the operators set up is what they expect to need.
-        let level = self.level.unwrap_or_else(|| each(f64::from(self.first)));
+    /// Servers of both kinds that each zone is to have: more at once, fewer after a while.
+    fn level(&mut self, now: Micros, bounds: &Bounds, layout: Layout, slots: u32) -> u32 {
+        let each = |servers| layout.each(servers, bounds);
+        // Until something else is known, what the operators set up is what they expect to need, and what another
+        // holder ordered stays.
+        let level = self.level.unwrap_or_else(|| match self.ordered_before {
+            true => self.first.div_ceil(layout.zones).clamp(bounds.least, bounds.most),
+            false => each(f64::from(self.first)),
+        });
         let servers = self.places(now, bounds).map(|places| places / f64::from(slots));
         let due = servers.map_or(level, each);
         let part = f64::from(due) / f64::from(level.max(1));
@@ -317,11 +367,3 @@
         }
     }
 }
-
-/// Servers of each of so many zones where as many are needed in all. With spot servers, what is left when those
-/// of a zone go is to be enough.
-fn each(servers: f64, bounds: &Bounds, zones: usize) -> u32 {
-    let spared = usize::from(bounds.spot_price < 1.0 && zones > 1);
-    let each = servers / (zones - spared) as f64;
-    (each.ceil() as u32).clamp(bounds.least, bounds.most)
-}
--- a/crates/drumusher-duty/tests/duty/sizing.rs
+++ b/crates/drumusher-duty/tests/duty/sizing.rs
@@ -179,6 +179,33 @@
     assert!(platform.orders.len() - before <= 8, "{:?}", &platform.orders[before..]);
 }
 
+/// Another instance gets the duty: what the one before ordered, with what has to be spared, is not taken for what is
+/// needed, and no zone is forgotten that has lost all of its servers.
+#[test]
+fn a_new_holder_orders_no_more_than_there_is() {
+    let mut platform = Platform::new(&["a", "b", "c", "d"], 28);
+    platform.pass(&mut Sizer::new(), 0, 20 * SECOND, Some(400));
+    let before = platform.all();
+    let mut sizer = Sizer::new();
+    platform.pass(&mut sizer, 20 * SECOND, 30 * SECOND, Some(400));
+    assert!(platform.all() <= before, "{before} before, {:?}", platform.zones);
+    platform.zones.remove("a");
+    platform.zones.insert("a".into(), Count::default());
+    let mut known = platform.zones.clone();
+    known.remove("a");
+    let order = sizer.next(40 * SECOND, &bounds(), &known, SLOTS).expect("they are missing");
+    assert_eq!(order.zone, "a");
+}
+
+/// With a single zone nothing makes up for its spot servers: half of the servers are ordinary.
+#[test]
+fn a_single_zone_does_not_live_on_spot_servers() {
+    let mut platform = Platform::new(&["a"], 28);
+    platform.pass(&mut Sizer::new(), 0, 20 * SECOND, Some(200));
+    let count = platform.zones["a"];
+    assert!(count.ordinary * SLOTS >= 150 && count.spot > 0, "{count:?}");
+}
+
 /// Where spot servers cost as much as others there are none.
 #[test]
 fn without_a_discount_there_are_no_spot_servers() {
--- a/crates/drumusher/src/process/dispatch/tally.rs
+++ b/crates/drumusher/src/process/dispatch/tally.rs
@@ -30,9 +30,10 @@
         });
     }
 
-    /// A request ended; it began when it was granted, more or less. Those of plain services are counted at their end. Those of engines were counted by their
-    /// first events; but where an engine failed them, or said nothing, there was none: without these, windows in
-    /// which engines failed 45 in 100 requests, or were mute, were off by 7 to 26 in 100.
+    /// A request ended; it began when it was granted, more or less. Those of plain services are counted at their
+    /// end. Those of engines were counted by their first events; but where an engine failed them, or said nothing,
+    /// there was none: without these, windows in which engines failed 45 in 100 requests, or were mute, were off by
+    /// 7 to 26 in 100.
     pub(super) fn count_ended(&self, pool: &str, id: Id, outcome: Outcome) {
         let now = clock::now();
         let engine = self.is_engine(pool);
