refactor: what the dispatcher notes for the duties stands in one module; a wish that was written after all is gone at once

A fixed report whose write was not answered, and was read back as done, held up other acts until the next renewal, up to a second.

--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -6,7 +6,7 @@
 //! | `asks` | asks of entries, as they come |
 //! | `budget` | repeats that may still be granted |
 //! | `host` | one pool with the names of its backend servers |
-//! | `tally` | requests that began to run, for the usage of workspaces |
+//! | `tally` | requests that began to run, and how many run or wait, for the duties |
 //! | `wire` | messages between instances as events, orders as messages |
 
 mod askers;
@@ -212,21 +212,6 @@
         }
     }
 
-    /// Notes how busy the services are that are dispatched here, if servers are ordered by that.
-    fn note_busy(&self) {
-        if !self.shared.settings.duties.as_ref().is_some_and(|duties| duties.autoscale) {
-            return;
-        }
-        for (pool, host) in &self.hosts {
-            let busy = (host.pool.waiting() + host.pool.running()) as u32;
-            if let Pool::Service(service) = pool
-                && busy > 0
-            {
-                self.shared.tally().busy(service, busy);
-            }
-        }
-    }
-
     fn at(&mut self, pool: &str, event: Event) {
         if let Some(pool) = Pool::parse(pool) {
             self.handle(&pool, event);
--- a/crates/drumusher/src/process/dispatch/tally.rs
+++ b/crates/drumusher/src/process/dispatch/tally.rs
@@ -1,4 +1,5 @@
-//! Counting the requests that began to run, for the usage of workspaces.
+//! Counting the requests that began to run, for the usage of workspaces, and those that run or wait, for ordering
+//! backend servers.
 
 use drumusher_schedule::{
     ask::{Id, Outcome, Running},
@@ -74,6 +75,21 @@
         self.shared.tally().began(window, &workspace.name);
     }
 
+    /// Notes how busy the services are that are dispatched here, if servers are ordered by that.
+    pub(super) fn note_busy(&self) {
+        if !self.shared.settings.duties.as_ref().is_some_and(|duties| duties.autoscale) {
+            return;
+        }
+        for (pool, host) in &self.hosts {
+            let busy = (host.pool.waiting() + host.pool.running()) as u32;
+            if let Pool::Service(service) = pool
+                && busy > 0
+            {
+                self.shared.tally().busy(service, busy);
+            }
+        }
+    }
+
     fn is_engine(&self, pool: &str) -> bool {
         let routing = self.shared.routing.load();
         let Some(Pool::Service(service)) = Pool::parse(pool) else {
--- a/crates/drumusher/src/process/duties/hold.rs
+++ b/crates/drumusher/src/process/duties/hold.rs
@@ -106,6 +106,8 @@
     async fn step(&mut self) {
         let now = clock::now();
         let known = self.lease.usage().cloned().unwrap_or_default();
+        // Written after all, by a call that was not answered.
+        self.wish.take_if(|wish| *wish == known);
         let usage = self.wish.clone().unwrap_or(known);
         match self.lease.next(now, &usage, self.shared.stopping()) {
             Step::Look => self.look().await,
