fix: a new holder reports no window by a part of what was told

Found by reading: a read brings at most 256 KB, and an instance that had just got the duties reported from the first read on. Now it reads on until the end that the store names before it reports.

--- a/crates/drumusher-platform/src/duty.rs
+++ b/crates/drumusher-platform/src/duty.rs
@@ -21,6 +21,8 @@
     pub values: Vec<String>,
     /// The offset from which to read on.
     pub next: u64,
+    /// Whether more was told than one read brings.
+    pub more: bool,
 }
 
 /// Who makes a call of a duty.
--- a/crates/drumusher/src/process/duties/hold.rs
+++ b/crates/drumusher/src/process/duties/hold.rs
@@ -196,9 +196,14 @@
         match self.platform.told(self.from).await {
             Ok(told) => {
                 self.from = told.next;
+                told.values.iter().for_each(|value| self.take(value));
+                if told.more {
+                    // A window is not reported by a part of what was told.
+                    self.read_at = 0;
+                    return;
+                }
                 let since_ms = self.read.map_or(asked_ms, |read| read.since_ms);
                 self.read = Some(Read { since_ms, until_ms: asked_ms });
-                told.values.iter().for_each(|value| self.take(value));
             }
             Err(error) => {
                 self.read = None;
