--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -37,7 +37,10 @@
 /// Seeds that CI plays.
 const SHORT: Range<u64> = 1..3;
 /// Seeds that failed once, with the cause. Played in CI after the short list.
-const FAILED: [u64; 0] = [];
+///
+/// 5032: whoever had the duties was stopped or killed five times in six seconds, so that none was done by the end, where
+/// the soak looked once. It now waits until one is done after the faults, with every seed.
+const FAILED: [u64; 1] = [5032];
 /// How long faults come, in CI.
 const SHORT_TIME: Duration = Duration::from_secs(5);
 /// Instances of the deployment.
@@ -101,12 +104,11 @@
     });
     println!("seed {seed}: {}", journal.summary());
     check_recovered(&deployment, &journal);
+    let calls = duties.calls().len();
+    wait_for("duties go on after the faults", || duties.calls().len() > calls);
     let mut broken = journal.broken(&deployment.servers);
     broken.extend(deployment.instances.iter().filter_map(promise::panicked));
     broken.extend(duties.fault(APART, &journal.thawed()));
-    if duties.calls().is_empty() {
-        broken.push("no duty was done".into());
-    }
     if !broken.is_empty() {
         deployment.keep();
     }
