--- a/crates/drumusher-duty/src/sizing.rs
+++ b/crates/drumusher-duty/src/sizing.rs
@@ -29,7 +29,7 @@
 /// requests never stands still.
 const GROWTH: f64 = 0.1;
 /// Fewer servers are wanted when that has been due for so long. Servers that went nine seconds into a day were
-/// missed in a burst three seconds later: 425 of 6,566 of the most urgent requests late, 116 with those servers.
+/// missed in a burst three seconds later: 425 of 6,566 of the most urgent requests late, 150 with those servers.
 const PATIENCE: Micros = 30 * SECOND;
 /// Fewer servers are wanted only if so great a part of them is too many: starting one again costs more than
 /// keeping it for a while.
