feat: lines that say whose word or which call makes ends of entries doubtful

No line said why an end of a backend server's entry was held back: the own calls, or another instance's word, and since when. Now each word of doubt has a line with its teller and the age of the believed return of the store, a failed call says for how long it had lasted, and the line of an entry that ended says that age. Messages with records carry the teller's name to the catalog for it. No change of logic.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -97,7 +97,7 @@
     rt::spawn(kept::learn(catalog.clone()));
     while let Ok(input) = receiver.recv().await {
         match input {
-            platform::Input::State(snapshot) => catalog.offered(&snapshot),
+            platform::Input::State(teller, snapshot) => catalog.offered(&teller, &snapshot),
             platform::Input::Enter(name, entry) => catalog.enter(name, entry),
             // The others come only where there is a log service in place of a store.
             _ => {}
@@ -110,8 +110,9 @@
 async fn begin<S: Store + 'static>(catalog: Rc<Catalog<S>>) {
     let spread = catalog.began.saturating_sub(clock::now()) / MILLISECOND;
     sleep(Millis(spread as u32)).await;
+    let began = clock::now();
     if let Err(error) = catalog.read(Table::Instances).await {
-        catalog.failed(Table::Instances, &error);
+        catalog.failed(Table::Instances, began, &error);
     }
     rt::spawn(membership::stay_entered(catalog.clone()));
     rt::spawn(membership::forget(catalog.clone()));
@@ -120,6 +121,12 @@
     }
 }
 
+/// How long ago the store was back after it had been away, in milliseconds, for a line of the log; -1 if it
+/// never was, or is away.
+fn returned_ms(entries: &Entries, now: Micros) -> i64 {
+    entries.returned_for(now).map_or(-1, |age| (age / MILLISECOND) as i64)
+}
+
 /// Drops entries whose end was held back, when it is certain.
 async fn release<S: Store>(catalog: Rc<Catalog<S>>) {
     loop {
@@ -191,8 +198,13 @@
     /// Takes the entry of a backend server, or its end.
     fn take_server(&self, record: Record) {
         let Some(value) = record.value else {
-            let held = self.state.borrow_mut().entries.end(&record.key, clock::now());
-            log::info!(server = record.key.as_str(), held = held; "server's entry ended");
+            let now = clock::now();
+            let entries = &mut self.state.borrow_mut().entries;
+            let held = entries.end(&record.key, now);
+            log::info!(
+                server = record.key.as_str(), held = held, returned_ms = returned_ms(entries, now);
+                "server's entry ended"
+            );
             return;
         };
         match self.store.server(&record.key, &value) {
@@ -257,7 +269,7 @@
     }
 
     /// Takes what another instance read of the store, as far as it is newer.
-    fn offered(&self, bytes: &[u8]) {
+    fn offered(&self, teller: &str, bytes: &[u8]) {
         let update: Update = match serde_json::from_slice(bytes) {
             Ok(update) => update,
             Err(error) => return log::error!("records of another instance: {error}"),
@@ -266,6 +278,8 @@
         {
             let entries = &mut self.state.borrow_mut().entries;
             if doubtful {
+                let returned = returned_ms(entries, clock::now());
+                log::info!(teller = teller, returned_ms = returned; "another instance doubts ends of entries");
                 entries.store_failed();
                 entries.store_answered(clock::now());
             } else {
--- a/crates/drumusher/src/process/catalog/entries.rs
+++ b/crates/drumusher/src/process/catalog/entries.rs
@@ -57,6 +57,12 @@
         self.away || self.returned.is_some_and(|returned| now < returned + LAPSE)
     }
 
+    /// How long ago the store was back after it had been away; `None` if it never was, or is away.
+    pub fn returned_for(&self, now: Micros) -> Option<Micros> {
+        let returned = self.returned.filter(|_| !self.away);
+        returned.map(|returned| now.saturating_sub(returned))
+    }
+
     /// An entry is there. Returns whether that says anything new. One of an earlier start than is known says
     /// nothing: it was written, or came, late.
     pub fn put(&mut self, server: Server) -> bool {
--- a/crates/drumusher/src/process/catalog/follow.rs
+++ b/crates/drumusher/src/process/catalog/follow.rs
@@ -44,6 +44,7 @@
             sleep(IDLE).await;
             continue;
         }
+        let began = clock::now();
         let read = if known { catalog.read_on(table).await } else { catalog.read(table).await };
         if table == Table::Configuration {
             catalog.probing.set(read.is_err());
@@ -57,7 +58,7 @@
             Ok(Read::Unchanged) => backoff.reset(),
             Ok(Read::Dropped) => known = false,
             Err(error) => {
-                catalog.failed(table, &error);
+                catalog.failed(table, began, &error);
                 let reader = catalog.shared.reader.load(Ordering::Acquire);
                 sleep(backoff.next(reader || !known)).await;
             }
@@ -161,11 +162,12 @@
         self.shared.doubtful.store(doubtful, Ordering::Release);
     }
 
-    /// A call to the store failed; only the first one of several is logged.
-    pub(super) fn failed(&self, table: Table, error: &Error) {
+    /// A call to the store that `began` then failed; only the first one of several is logged.
+    pub(super) fn failed(&self, table: Table, began: Micros, error: &Error) {
         self.shared.telemetry.count("drumusher.store.failures", &[("table", table.word())]);
         if self.state.borrow_mut().entries.store_failed() {
-            log::warn!(table = table.word(); "the store {error}; what is in force stays");
+            let lasted = clock::now().saturating_sub(began) / MILLISECOND;
+            log::warn!(table = table.word(), lasted_ms = lasted; "the store {error}; what is in force stays");
         }
         self.shared.store_away.store(true, Ordering::Release);
     }
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -51,10 +51,11 @@
                 self.state_requested(number, request.offset);
             }
             Message::State(state) => {
-                let _ = self.shared.platform.try_send(platform::Input::State(state.snapshot));
+                let input = platform::Input::State(instance.clone(), state.snapshot);
+                let _ = self.shared.platform.try_send(input);
             }
             Message::PieceRequest(request) => self.piece_wanted(number, request),
-            Message::Piece(piece) => self.piece_came(number, &piece),
+            Message::Piece(piece) => self.piece_came(number, instance, &piece),
             Message::Query(query) => self.queried(number, query),
             Message::Answer(answer) => self.answered(instance, &answer),
             Message::Hello(_) | Message::Challenge(_) | Message::Proof(_) => {}
--- a/crates/drumusher/src/process/peers/pieces.rs
+++ b/crates/drumusher/src/process/peers/pieces.rs
@@ -181,7 +181,7 @@
     }
 
     /// A piece came.
-    pub(super) fn piece_came(&self, number: u32, piece: &peer::Piece) {
+    pub(super) fn piece_came(&self, number: u32, instance: &Arc<str>, piece: &peer::Piece) {
         let table = usize::try_from(piece.table).unwrap_or(usize::MAX);
         if table >= TABLES.len() {
             return;
@@ -195,16 +195,17 @@
         let step = self.inner.borrow_mut().fetches[table].piece(clock::now(), number, &came);
         match step {
             Step::Next(request) => self.ask_for(table, request),
-            Step::Whole(bytes) => self.take_whole(table, &bytes),
+            Step::Whole(bytes) => self.take_whole(table, instance, &bytes),
             Step::None => {}
         }
     }
 
-    fn take_whole(&self, table: usize, bytes: &[u8]) {
+    fn take_whole(&self, table: usize, instance: &Arc<str>, bytes: &[u8]) {
         let taken = match decoded(bytes) {
             Ok(text) => {
                 log::info!(text = text.len(), bytes = bytes.len(); "an update was fetched");
-                let taken = self.shared.platform.try_send(platform::Input::State(text));
+                let taken =
+                    self.shared.platform.try_send(platform::Input::State(instance.clone(), text));
                 taken.map_err(|_| "too busy to take an update".to_string())
             }
             Err(error) => Err(error.to_string()),
--- a/crates/drumusher/src/process/platform/mod.rs
+++ b/crates/drumusher/src/process/platform/mod.rs
@@ -51,8 +51,8 @@
     Done(claim::Key, claim::Attempt, claim::Answer),
     /// Configuration records from another instance.
     Records(peer::Records),
-    /// The configuration state of another instance.
-    State(Vec<u8>),
+    /// The configuration state of another instance, after its name.
+    State(Arc<str>, Vec<u8>),
     /// Another instance wants to be entered in the store: its name and its entry.
     Enter(String, String),
 }
@@ -116,7 +116,7 @@
         Input::Release(key, attempt) => claims::release(context, key, attempt),
         Input::Done(key, attempt, answer) => claims::done(context, key, attempt, answer),
         Input::Records(records) => configuration::relayed(context, records),
-        Input::State(snapshot) => configuration::offered(context, &snapshot),
+        Input::State(_, snapshot) => configuration::offered(context, &snapshot),
         // Only with a store, whose tasks take the other end of this ring.
         Input::Enter(..) => {}
     }
