--- a/crates/drumusher/tests/unit/budget.rs
+++ b/crates/drumusher/tests/unit/budget.rs
@@ -133,6 +133,30 @@
     }
 }
 
+/// What was spent counts for one window. Instances that turn to and fro between dispatchers within it, as they do
+/// where one of them is cut off again and again, bring along what they were told with a new window each time: 17 s
+/// after 40 repeats, which count for 10 s, 2 are left in place of 42, and no more as long as dispatchers change.
+#[test]
+fn what_was_spent_comes_back_although_dispatchers_change() {
+    let mut fleet = Fleet::new(2, 4);
+    let spend = |fleet: &mut Fleet, dispatcher| {
+        let before = fleet.repeats.len();
+        for instance in 0..4 {
+            (0..20).for_each(|_| fleet.ask(instance, dispatcher, true));
+        }
+        fleet.repeats.len() - before
+    };
+    assert_eq!(spend(&mut fleet, 0), 40);
+    for turn in 1..=8 {
+        fleet.now += 2 * SECOND;
+        (0..4).for_each(|instance| fleet.ask(instance, turn % 2, false));
+    }
+    // What is lent is added up from time to time.
+    fleet.now += SECOND;
+    assert_eq!(spend(&mut fleet, 0), 42, "the whole again, and a fifth of the latest requests");
+    assert!(fleet.keeps_the_bound());
+}
+
 proptest! {
     /// Over two dispatchers, in any window, the repeats keep the bound, however requests, repeats and
     /// instances that go from one to the other interleave.
