--- a/crates/drumusher/tests/routes/doubt.rs
+++ b/crates/drumusher/tests/routes/doubt.rs
@@ -17,25 +17,25 @@
 
 use crate::{
     membership::{four_by_rank, readers},
-    support::{Deployment, configuration},
+    support::{Deployment, Instance, configuration},
 };
 
-/// Whether an instance takes it for true that the entry of a backend server ended.
-fn believed(deployment: &Deployment, at: usize, server: &str) -> bool {
-    let lines = deployment.instances[at].lines();
+/// How often an instance took it for true that the entry of a backend server ended.
+pub fn believed(instance: &Instance, server: &str) -> usize {
     let at_once = |line: &str| {
         line.contains("server's entry ended")
             && line.contains(&format!("\"server\":\"{server}\""))
             && line.contains("\"held\":\"false\"")
     };
     let later = |line: &str| line.contains("still missing") && line.contains(server);
-    lines.lines().any(|line| at_once(line) || later(line))
+    instance.lines().lines().filter(|line| at_once(line) || later(line)).count()
 }
 
 /// Waits for a condition while configurations come, each as soon as the one before is in force.
-fn wait_amid_configurations(
+pub fn wait_amid_configurations(
     deployment: &Deployment,
     version: &mut u64,
+    configuration: impl Fn(u64) -> String,
     what: &str,
     condition: impl Fn() -> bool,
 ) {
@@ -43,7 +43,7 @@
         let in_force = format!("\"version\":\"{version}\"");
         if deployment.instances.iter().all(|instance| instance.lines().contains(&in_force)) {
             *version += 1;
-            deployment.store.put("keyed.op", "config", &configuration(*version, ""));
+            deployment.store.put("keyed.op", "config", &configuration(*version));
         }
         condition()
     });
@@ -54,7 +54,6 @@
 #[test]
 fn doubt_ends_amid_configurations() {
     let deployment = Deployment::new(4);
-    let all = || 0..deployment.instances.len();
     for instance in &deployment.instances {
         instance.door.set_away(Away::Reset);
     }
@@ -66,14 +65,14 @@
         instance.door.set_away(Away::No);
     }
     let mut version = 1;
-    let gone = |server: &str| all().all(|at| believed(&deployment, at, server));
-    wait_amid_configurations(&deployment, &mut version, "the missing server is gone", || {
-        gone("d2")
-    });
+    let gone =
+        |server: &str| deployment.instances.iter().all(|instance| believed(instance, server) > 0);
+    let plain = |version| configuration(version, "");
+    let what = "the missing server is gone";
+    wait_amid_configurations(&deployment, &mut version, plain, what, || gone("d2"));
     deployment.store.remove("keyed.servers", "m2");
-    wait_amid_configurations(&deployment, &mut version, "the one that left later is gone", || {
-        gone("m2")
-    });
+    let what = "the one that left later is gone";
+    wait_amid_configurations(&deployment, &mut version, plain, what, || gone("m2"));
 }
 
 /// A call about the instances waits longer than others. That it got no answer tells of an outage that is over, if
--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -23,6 +23,7 @@
 };
 
 use drumusher_adapter_stand_in::{
+    Away,
     duty::Duties,
     server::{body, events},
 };
@@ -30,8 +31,9 @@
 
 use self::{fault::Disturber, promise::Journal};
 use crate::{
+    doubt,
     duties::{APART, scalable, settings},
-    support::{Call, DESK, Deployment, MODEL},
+    support::{Call, DESK, Deployment, Instance, MODEL},
 };
 
 /// Seeds that CI plays.
@@ -156,6 +158,46 @@
         }
     }
     check_left(deployment, journal, &calls);
+    check_silent_end(deployment, journal, &calls);
+}
+
+/// A backend server whose entry ends without a word gets nothing more, although the store has just been away and
+/// configurations keep coming.
+fn check_silent_end(deployment: &Deployment, journal: &Journal, calls: &[Call]) {
+    let left = journal.left();
+    let is_there = |id: &&str| !left.iter().any(|other| other == id);
+    let desks =
+        deployment.servers.iter().map(|server| &*server.id).filter(|id| id.starts_with('d'));
+    let [last, _, ..] = desks.rev().filter(is_there).collect::<Vec<&str>>()[..] else {
+        return;
+    };
+    let counts = || deployment.instances.iter().map(|instance| doubt::believed(instance, last));
+    let before: Vec<usize> = counts().collect();
+    last_outage(deployment);
+    deployment.store.remove("keyed.servers", last);
+    let mut version = journal.newest_version();
+    let configuration = |version| scalable(version, &promise::route(version));
+    let what = "an end without a word is believed";
+    doubt::wait_amid_configurations(deployment, &mut version, configuration, what, || {
+        counts().zip(&before).all(|(now, before)| now > *before)
+    });
+    journal.leaves(last);
+    check_left(deployment, journal, calls);
+}
+
+/// The store is away for all until each instance knows.
+fn last_outage(deployment: &Deployment) {
+    let outages = |instance: &Instance| instance.lines().matches("what is in force stays").count();
+    let before: Vec<usize> = deployment.instances.iter().map(outages).collect();
+    for instance in &deployment.instances {
+        instance.door.set_away(Away::Reset);
+    }
+    for (instance, before) in deployment.instances.iter().zip(before) {
+        wait_for("the last outage is known", || outages(instance) > before);
+    }
+    for instance in &deployment.instances {
+        instance.door.set_away(Away::No);
+    }
 }
 
 /// Backend servers that left get nothing of what instances are sent from now on.
