fix: a repeat counts for its whole window

Cause: the window of the fleet's repeats is kept in twenty parts, and a part was dropped when its begin was a window ago, with the repeats granted up to half a second later. Bursts 9.5 to 10 s apart were both granted in full: 80 repeats within 9.951 s where 40 are meant and 50 allowed.

Ruled out: that more is granted by the change: of the part that lies in the window with its end alone repeats count, and requests do not.

unit::budget::a_repeat_counts_to_the_end_of_its_window failed before (40 granted after 9.951 s, 0 wanted); the property of a series of dispatchers begins anywhere in a second now, and holds in 5,000 cases, as does that of two dispatchers.

--- a/crates/drumusher/src/process/dispatch/budget.rs
+++ b/crates/drumusher/src/process/dispatch/budget.rs
@@ -128,10 +128,13 @@
         (1.0 - left / whole).clamp(0.0, 1.0)
     }
 
-    /// Repeats of the latest window beyond those that its requests allow; below zero if there are fewer.
+    /// Repeats of the latest window beyond those that its requests allow; below zero if there are fewer. Of a part
+    /// that lies in the window with its end alone all repeats count, and no request.
     fn beyond_ratio(&mut self, now: Micros) -> f64 {
         self.part(now);
-        let requests: u32 = self.parts.iter().map(|part| part.requests).sum();
+        let oldest = now.saturating_sub(self.bound.window);
+        let whole = self.parts.iter().filter(|part| part.began >= oldest);
+        let requests: u32 = whole.map(|part| part.requests).sum();
         let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
         f64::from(repeats) - self.bound.ratio * f64::from(requests)
     }
@@ -161,7 +164,7 @@
     fn part(&mut self, now: Micros) -> &mut Part {
         let length = (self.bound.window / PARTS).max(1);
         let began = now - now % length;
-        let oldest = now.saturating_sub(self.bound.window);
+        let oldest = now.saturating_sub(self.bound.window + length);
         while self.parts.front().is_some_and(|part| part.began < oldest) {
             self.parts.pop_front();
         }
--- a/crates/drumusher/tests/unit/budget.rs
+++ b/crates/drumusher/tests/unit/budget.rs
@@ -71,6 +71,21 @@
     assert!(budget.repeat(31 * SECOND, 1));
 }
 
+/// A repeat counts for the whole window, whenever in a part of it it was granted. Parts that had begun a window ago
+/// were dropped with the repeats of their end, so that 80 were granted within 9.951 s in place of 40.
+#[test]
+fn a_repeat_counts_to_the_end_of_its_window() {
+    let mut budget = Budget::new(BOUND);
+    let first = 10 * SECOND + 58 * MILLISECOND;
+    (1..=5).for_each(|entry| budget.lend(first, Entry(entry), 0, 0.0));
+    assert_eq!(left(&mut budget, first, 5), 40);
+    for pause in [9_000, 9_499, 9_951, 9_999] {
+        let now = first + pause * MILLISECOND;
+        (1..=5).for_each(|entry| budget.lend(now, Entry(entry), pause * MILLISECOND, 0.0));
+        assert_eq!(left(&mut budget, now, 5), 0, "after {pause} ms");
+    }
+}
+
 #[test]
 fn those_that_stopped_asking_or_are_gone_lend_nothing() {
     let mut budget = Budget::new(BOUND);
@@ -178,8 +193,10 @@
     fn a_series_of_dispatchers_keeps_the_bound(
         lengths in proptest::collection::vec(100_u64..12_000, 4),
         pace in 20_u64..400,
+        start in 0_u64..1_000,
     ) {
         let mut fleet = Fleet::new(4, 4);
+        fleet.now += start * MILLISECOND;
         for (dispatcher, length) in lengths.into_iter().enumerate() {
             let until = fleet.now + length * MILLISECOND;
             while fleet.now < until {
