test: no call of before is under way when the waits of an outage are looked at

Traced by the lines of that run: the instance had a call about the instances under way, which waits for ten seconds, when its way to the store fell silent; the stand-in answered it 10.0 s after its begin, in the middle of the outage, so that the store counted as there and the next calls waited again, as they should. On a machine with less to do the test is over by then.

Now the test first ends that call and waits until none of before is under way. What it demands is unchanged.

--- a/crates/drumusher/tests/routes/config.rs
+++ b/crates/drumusher/tests/routes/config.rs
@@ -124,6 +124,9 @@
     let door = &deployment.instances[0].door;
     door.set_away(Away::Silent);
     let known = || deployment.instances[0].lines().contains("what is in force stays");
+    // A call of before is still answered, also ten seconds later, and shows the store to be there.
+    deployment.store.put("keyed.instances", "another", "{}");
+    wait_for("no call of before is under way", || door.under_way() == 0);
     wait_for("the outage is known", known);
     // Calls of the other tables may have been under way.
     let before = door.failed_waits().len() + 3;
