--- a/crates/drumusher/tests/routes/doubt.rs
+++ b/crates/drumusher/tests/routes/doubt.rs
@@ -105,7 +105,7 @@
 
 /// All four that read the store get no answers, and say so. The two that they told read it by themselves then, and
 /// are answered at once, as when the store is just back: entries that ended meanwhile may have lapsed, and are held.
-/// Before, such instances took all servers for gone for a second, as far as the entries were not back.
+/// Without that, such instances took all servers for gone whose entries were not back yet.
 #[test]
 fn those_who_were_told_doubt_what_lapsed() {
     let deployment = Deployment::unconfigured(6);
