feat: lines for each repeat that is sent, and for an instance that begins to lend its repeats

What was missing to tell the hypotheses apart: when an attempt beyond the first was sent, how long before its dispatcher was asked, and with how much spent an instance turns to a dispatcher.

--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -4,7 +4,7 @@
     ask::{Ask, Entry},
     event::Event,
     order::Refusal,
-    time::Micros,
+    time::{MILLISECOND, Micros},
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -51,7 +51,13 @@
         let instances = self.shared.directory.load().instances.len();
         let lent = asked.lent.unwrap_or(0).max(0) as Micros;
         let spent = f64::from(asked.spent.unwrap_or(0)) / SPENT_WHOLE;
-        host.budget.lend(now, entry, lent, spent);
+        if host.budget.lend(now, entry, lent, spent) {
+            log::info!(
+                pool = pool.to_string().as_str(), entry = entry.0, lent_ms = lent / MILLISECOND,
+                spent = spent;
+                "an instance lends its repeats"
+            );
+        }
         match Attempt::from_wire(asked.attempt.unwrap_or(0)) {
             Attempt::First => host.budget.request(now),
             Attempt::Again => {}
--- a/crates/drumusher/src/process/dispatch/budget.rs
+++ b/crates/drumusher/src/process/dispatch/budget.rs
@@ -86,14 +86,15 @@
     }
 
     /// An instance asks, which has asked this dispatcher and no other for the time `lent`, and of whose
-    /// part `spent` of 1 was gone before.
-    pub fn lend(&mut self, now: Micros, entry: Entry, lent: Micros, spent: f64) {
+    /// part `spent` of 1 was gone before. Returns whether it lent nothing here before.
+    pub fn lend(&mut self, now: Micros, entry: Entry, lent: Micros, spent: f64) -> bool {
         let loan =
             Loan { since: now.saturating_sub(lent), asked: now, spent: spent.clamp(0.0, 1.0) };
         let known = self.loans.insert(entry, loan);
         if known.is_none_or(|known| known.spent != loan.spent) {
             self.lent = None;
         }
+        known.is_none()
     }
 
     /// The connection with an instance ended.
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -106,6 +106,8 @@
     unconnected: u32,
     /// Whether a dispatcher was asked.
     asked: bool,
+    /// When it was asked last.
+    asked_at: Micros,
     may_have_run: bool,
     /// Whether the line of its end was written.
     told: Cell<bool>,
@@ -146,6 +148,7 @@
             dispatcher: None,
             unconnected: 0,
             asked: false,
+            asked_at: 0,
             may_have_run: false,
             told: Cell::new(false),
             _hold: hold,
@@ -202,6 +205,7 @@
     pub async fn granted(&mut self) -> Result<Backend, Refused> {
         for _ in 0..MOST_UNUSABLE {
             let attempt = self.next_attempt();
+            self.asked_at = clock::now();
             match self.ticket.decide(self.avoid.clone(), attempt, self.due).await {
                 Decision::Run(Grant { server, source, expected, dispatcher }) => {
                     self.source = self.source_of(source);
@@ -274,6 +278,7 @@
         let head = self.request.head_with(&headers);
         let bodiless = self.request.method == Method::HEAD;
         self.sent += 1;
+        self.tell_repeat(backend);
         conn.send(&head, &self.request.body, bodiless).map_err(Failure::Broken)?;
         let until = self.first_until(began);
         let (head, answer) = self.head(&mut conn, until).await?;
@@ -299,6 +304,21 @@
         Ok((Brought::Whole(whole), conn))
     }
 
+    /// Writes a line for an attempt beyond the first, with the time since its dispatcher was asked for it. The bound
+    /// on repeats is over what is sent, so that the lines of all instances together show whether it holds.
+    fn tell_repeat(&self, backend: &Backend) {
+        if self.sent < 2 {
+            return;
+        }
+        log::info!(
+            request = self.request.head.id.as_str(), service = &*self.request.found.service,
+            server = &*backend.name, attempt = self.sent,
+            dispatcher = self.dispatcher.as_deref().unwrap_or(""),
+            waited_ms = clock::now().saturating_sub(self.asked_at) / MILLISECOND;
+            "request sent again"
+        );
+    }
+
     async fn connect(&mut self, backend: &Backend) -> Result<Conn, Failure> {
         let address = backend.address.parse().map_err(|_| Failure::NotConnected)?;
         let fresh = !self.request.found.kind.repeatable();
