--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -134,6 +134,7 @@
         repeatable: true,
         preemptions: 2,
         avoid: None,
+        apart: Vec::new(),
         output: 0,
         parts: Vec::new(),
     }
@@ -324,6 +325,7 @@
             attempt: Some(0),
             lent: Some(1_000_000),
             spent: None,
+            digest: Some(id.clone()),
             parts: None,
         };
         let grant = peer::Grant::new(
@@ -334,6 +336,7 @@
             None,
             None,
             None,
+            None,
         );
         let finish = peer::Finish::new(id.clone(), pool.clone(), 0, 210, None, Some(9_000));
         let report = peer::Progress::new(id.clone(), 210, None, Some(9_000));
--- a/crates/drumusher-log/tests/log/main.rs
+++ b/crates/drumusher-log/tests/log/main.rs
@@ -3,4 +3,5 @@
 mod boot;
 mod claim;
 mod config;
+mod quarantine;
 mod support;
--- a/crates/drumusher-platform/src/catalog.rs
+++ b/crates/drumusher-platform/src/catalog.rs
@@ -1,4 +1,5 @@
-//! The platform's store of small records: the configuration, the backend servers, the instances.
+//! The platform's store of small records: the configuration, the backend servers, the instances, and the requests
+//! that end backend servers.
 
 use crate::{
     Error,
@@ -14,6 +15,8 @@
     Servers,
     /// Instances by name.
     Instances,
+    /// Requests that end backend servers, by digest.
+    Quarantine,
 }
 
 impl Table {
@@ -23,6 +26,7 @@
             Table::Configuration => "configuration",
             Table::Servers => "servers",
             Table::Instances => "instances",
+            Table::Quarantine => "quarantine",
         }
     }
 }
@@ -79,12 +83,12 @@
         wait_ms: u64,
     ) -> impl Future<Output = Result<Changes, Error>>;
 
-    /// Writes records of [`Table::Instances`], all or none, in one call.
+    /// Writes records of [`Table::Instances`] or [`Table::Quarantine`], all or none, in one call.
     ///
     /// # Errors
     ///
     /// Any [`Error`]; after [`Error::NoAnswer`] they may have been written.
-    fn put(&self, records: &[Record]) -> impl Future<Output = Result<(), Error>>;
+    fn put(&self, table: Table, records: &[Record]) -> impl Future<Output = Result<(), Error>>;
 
     /// Understands a value of [`Table::Configuration`].
     ///
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -19,6 +19,8 @@
     NoServer,
     /// It would be a repeat, and the fleet may send no more of them now.
     NoRepeat,
+    /// Backend servers ended each time it ran.
+    HeldBack,
 }
 
 /// Why a request got the backend server it got.
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -213,20 +213,20 @@
         }
         let prefix = if self.policy.switches.affinity { ask.prefix } else { 0 };
         let usual = self.usual_gap();
-        let mut best: Option<(bool, f64, server::Key)> = None;
+        let mut best: Option<(bool, bool, f64, server::Key)> = None;
         for (key, server) in self.servers() {
             if !scope.has(server, now) {
                 continue;
             }
-            let avoided = ask.avoid == Some(key);
+            let (beside, avoided) = (ask.apart.contains(&key), ask.avoid == Some(key));
             let failing = server.failing(now).unwrap_or(0.0);
             let cost = server.cost(ask.prompt, prefix, usual) * (1.0 + FAILING * failing);
-            let better = best.is_none_or(|(a, c, _)| (avoided, cost) < (a, c));
+            let better = best.is_none_or(|(b, a, c, _)| (beside, avoided, cost) < (b, a, c));
             if better {
-                best = Some((avoided, cost, key));
+                best = Some((beside, avoided, cost, key));
             }
         }
-        let (_, _, server) = best?;
+        let (.., server) = best?;
         Some(Place { server, reading: Reading::default(), source: None, expected: 0 })
     }
 
--- a/crates/drumusher-schedule/src/pool/place.rs
+++ b/crates/drumusher-schedule/src/pool/place.rs
@@ -47,21 +47,21 @@
         let shared = work.shared().map_or(0.0, |part| f64::from(part.tokens));
         let unknown = again == 0 && self.policy.switches.usual_engine;
         let usual = if unknown { self.usual_engine(&work, on_side) } else { None };
-        let mut best: Option<(bool, f64, server::Key, Reading)> = None;
+        let mut best: Option<(bool, bool, f64, server::Key, Reading)> = None;
         for (key, server) in self.servers() {
             if !scope.has(server, now) {
                 continue;
             }
             let reading = server.engine().reading(&work, again, offered);
-            let avoided = ask.avoid == Some(key);
+            let (beside, avoided) = (ask.apart.contains(&key), ask.avoid == Some(key));
             let elsewhere = usual.is_some_and(|usual| usual != key);
             let strange = if elsewhere { shared * ELSEWHERE } else { 0.0 };
             let cost = server.engine().cost(now, &work, reading, on_side(key)) + strange;
-            if best.is_none_or(|(a, c, ..)| (avoided, cost) < (a, c)) {
-                best = Some((avoided, cost, key, reading));
+            if best.is_none_or(|(b, a, c, ..)| (beside, avoided, cost) < (b, a, c)) {
+                best = Some((beside, avoided, cost, key, reading));
             }
         }
-        let (_, _, server, reading) = best?;
+        let (.., server, reading) = best?;
         let source = source.filter(|_| reading.moved > 0).map(|(_, key)| key);
         let engine = self.servers[usize::from(server.0)].as_ref()?.engine();
         let expected = engine.wait(now) + engine.reading_time(reading) as Micros;
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -57,6 +57,8 @@
   17: optional i64 lent
   /* how much of its part of the fleet's repeats was spent before, by whoever it asked then, of 1000 */
   18: optional i16 spent
+  /* what tells the request from others when it comes again: 16 bytes */
+  19: optional binary digest
 }
 
 /* The dispatcher has the ask and grants it when its turn comes. */
@@ -104,6 +106,8 @@
   6: optional i64 expected
   /* how much of what its entries lent of the fleet's repeats is spent, of 1000 */
   7: optional i16 spent
+  /* whether it is tried on a backend server apart from other suspects */
+  8: optional bool alone
 }
 
 struct Refuse {
@@ -193,6 +197,20 @@
   2: required list<string> lines
 }
 
+/* A backend server ended while it ran a request. */
+struct Crash {
+  1: required binary id
+  2: required string pool
+  3: required binary digest
+  /* the start of the backend server that ended: its name, and when it started, in Unix milliseconds */
+  4: required string server
+  5: optional i64 born
+  /* as in its grant */
+  6: optional bool alone
+  7: required string workspace
+  8: required string route
+}
+
 union Message {
   1: Hello hello
   2: Challenge challenge
@@ -214,4 +232,5 @@
   18: Queued queued
   19: PieceRequest piece_request
   20: Piece piece
+  21: Crash crash
 }
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -333,10 +333,11 @@
   pub attempt: Option<i16>,
   pub lent: Option<i64>,
   pub spent: Option<i16>,
+  pub digest: Option<Vec<u8>>,
 }
 
 impl Ask {
-  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>> {
+  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18, digest: F19) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>>, F19: Into<Option<Vec<u8>>> {
     Ask {
       id,
       pool,
@@ -356,6 +357,7 @@
       attempt: attempt.into(),
       lent: lent.into(),
       spent: spent.into(),
+      digest: digest.into(),
     }
   }
 }
@@ -381,6 +383,7 @@
     let mut f_16: Option<i16> = None;
     let mut f_17: Option<i64> = None;
     let mut f_18: Option<i16> = None;
+    let mut f_19: Option<Vec<u8>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -466,6 +469,10 @@
           let val = i_prot.read_i16()?;
           f_18 = Some(val);
         },
+        19 => {
+          let val = i_prot.read_bytes()?;
+          f_19 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -498,6 +505,7 @@
       attempt: f_16,
       lent: f_17,
       spent: f_18,
+      digest: f_19,
     };
     Ok(ret)
   }
@@ -586,6 +594,11 @@
       o_prot.write_i16(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.digest {
+      o_prot.write_field_begin(&TFieldIdentifier::new("digest", TType::String, 19))?;
+      o_prot.write_bytes(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1018,10 +1031,11 @@
   pub source: Option<String>,
   pub expected: Option<i64>,
   pub spent: Option<i16>,
+  pub alone: Option<bool>,
 }
 
 impl Grant {
-  pub fn new<F5, F6, F7>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6, spent: F7) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<i16>> {
+  pub fn new<F5, F6, F7, F8>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6, spent: F7, alone: F8) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<i16>>, F8: Into<Option<bool>> {
     Grant {
       id,
       server,
@@ -1030,6 +1044,7 @@
       source: source.into(),
       expected: expected.into(),
       spent: spent.into(),
+      alone: alone.into(),
     }
   }
 }
@@ -1044,6 +1059,7 @@
     let mut f_5: Option<String> = None;
     let mut f_6: Option<i64> = None;
     let mut f_7: Option<i16> = None;
+    let mut f_8: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1079,6 +1095,10 @@
           let val = i_prot.read_i16()?;
           f_7 = Some(val);
         },
+        8 => {
+          let val = i_prot.read_bool()?;
+          f_8 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1098,6 +1118,7 @@
       source: f_5,
       expected: f_6,
       spent: f_7,
+      alone: f_8,
     };
     Ok(ret)
   }
@@ -1131,6 +1152,11 @@
       o_prot.write_i16(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.alone {
+      o_prot.write_field_begin(&TFieldIdentifier::new("alone", TType::Bool, 8))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2086,6 +2112,148 @@
   }
 }
 
+//
+// Crash
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Crash {
+  pub id: Vec<u8>,
+  pub pool: String,
+  pub digest: Vec<u8>,
+  pub server: String,
+  pub born: Option<i64>,
+  pub alone: Option<bool>,
+  pub workspace: String,
+  pub route: String,
+}
+
+impl Crash {
+  pub fn new<F5, F6>(id: Vec<u8>, pool: String, digest: Vec<u8>, server: String, born: F5, alone: F6, workspace: String, route: String) -> Crash where F5: Into<Option<i64>>, F6: Into<Option<bool>> {
+    Crash {
+      id,
+      pool,
+      digest,
+      server,
+      born: born.into(),
+      alone: alone.into(),
+      workspace,
+      route,
+    }
+  }
+}
+
+impl TSerializable for Crash {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Crash> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Vec<u8>> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<Vec<u8>> = None;
+    let mut f_4: Option<String> = None;
+    let mut f_5: Option<i64> = None;
+    let mut f_6: Option<bool> = None;
+    let mut f_7: Option<String> = None;
+    let mut f_8: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_bytes()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_bytes()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_string()?;
+          f_4 = Some(val);
+        },
+        5 => {
+          let val = i_prot.read_i64()?;
+          f_5 = Some(val);
+        },
+        6 => {
+          let val = i_prot.read_bool()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = i_prot.read_string()?;
+          f_7 = Some(val);
+        },
+        8 => {
+          let val = i_prot.read_string()?;
+          f_8 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Crash.id", &f_1)?;
+    verify_required_field_exists("Crash.pool", &f_2)?;
+    verify_required_field_exists("Crash.digest", &f_3)?;
+    verify_required_field_exists("Crash.server", &f_4)?;
+    verify_required_field_exists("Crash.workspace", &f_7)?;
+    verify_required_field_exists("Crash.route", &f_8)?;
+    let ret = Crash {
+      id: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      pool: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      digest: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      server: f_4.expect("auto-generated code should have checked for presence of required fields"),
+      born: f_5,
+      alone: f_6,
+      workspace: f_7.expect("auto-generated code should have checked for presence of required fields"),
+      route: f_8.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Crash");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("id", TType::String, 1))?;
+    o_prot.write_bytes(&self.id)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("pool", TType::String, 2))?;
+    o_prot.write_string(&self.pool)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("digest", TType::String, 3))?;
+    o_prot.write_bytes(&self.digest)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("server", TType::String, 4))?;
+    o_prot.write_string(&self.server)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.born {
+      o_prot.write_field_begin(&TFieldIdentifier::new("born", TType::I64, 5))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.alone {
+      o_prot.write_field_begin(&TFieldIdentifier::new("alone", TType::Bool, 6))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_begin(&TFieldIdentifier::new("workspace", TType::String, 7))?;
+    o_prot.write_string(&self.workspace)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("route", TType::String, 8))?;
+    o_prot.write_string(&self.route)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Message
 //
@@ -2112,6 +2280,7 @@
   Queued(Queued),
   PieceRequest(PieceRequest),
   Piece(Piece),
+  Crash(Crash),
 }
 
 impl TSerializable for Message {
@@ -2266,6 +2435,13 @@
           }
           received_field_count += 1;
         },
+        21 => {
+          let val = Crash::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Message::Crash(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -2400,6 +2576,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Message::Crash(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("crash", TType::Struct, 21))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -27,6 +27,7 @@
         attempt: Some(2),
         lent: Some(10_000_000),
         spent: Some(400),
+        digest: Some(vec![9; 16]),
         parts: Some(vec![Part::new(-7, 512)]),
     }
 }
@@ -64,6 +65,7 @@
         longest_name,
         i64::MAX,
         i16::MAX,
+        true,
     );
     let mut buffer = Vec::new();
     frame::write(&Message::Grant(grant), &mut buffer).expect("the message fits");
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -1,6 +1,7 @@
 //! The asks this instance owns, and which dispatcher has each. Without I/O: the peers thread feeds
 //! it and carries out what it says.
 
+mod crash;
 mod loan;
 mod table;
 mod view;
@@ -8,9 +9,11 @@
 
 use std::sync::Arc;
 
+use drumusher_log::quarantine::Digest;
 use drumusher_schedule::ask::{Id, Part};
 use drumusher_wire::peer::Message;
 
+pub use crash::{Crash, Crashes};
 pub use loan::Loans;
 pub use table::Table;
 pub use view::View;
@@ -29,6 +32,8 @@
     Finish(Id, i16, u32),
     /// A report on its running attempt.
     Progress(Id, Report),
+    /// A backend server ended while it ran a request.
+    Crash(Box<Crash>),
     /// The directory changed.
     Changed,
 }
@@ -55,6 +60,8 @@
     pub expected: u64,
     /// The dispatcher that granted it.
     pub dispatcher: Arc<str>,
+    /// Whether it is on trial there, apart from others.
+    pub alone: bool,
 }
 
 /// What a request is told.
@@ -124,6 +131,8 @@
     pub parts: Vec<Part>,
     /// What came before this ask.
     pub attempt: Attempt,
+    /// What tells it from others when it comes anew, if that is looked at.
+    pub digest: Option<Digest>,
     /// Where replies go.
     pub replies: async_channel::Sender<Reply>,
 }
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -10,7 +10,7 @@
 use drumusher_schedule::{ask::Id, time::Micros};
 use drumusher_wire::peer::{self, Message};
 
-use super::{Attempt, Input, Loans, Own, Reply, Report, Send, View, wire};
+use super::{Attempt, Crashes, Input, Loans, Own, Reply, Report, Send, View, wire};
 use crate::{
     process::clock,
     request::id,
@@ -46,13 +46,21 @@
     fresh: BTreeSet<Id>,
     /// To which dispatchers this instance lends its part of the repeats.
     loans: Loans,
+    /// Backend servers that ended under requests of this instance lately.
+    crashes: Crashes,
     view: View,
 }
 
 impl Table {
     /// An empty table of the instance that has this view of the others.
     pub fn new(view: View) -> Self {
-        Table { held: HashMap::new(), fresh: BTreeSet::new(), loans: Loans::new(), view }
+        Table {
+            held: HashMap::new(),
+            fresh: BTreeSet::new(),
+            loans: Loans::new(),
+            crashes: Crashes::default(),
+            view,
+        }
     }
 
     /// Sets for how long repeats count.
@@ -87,6 +95,7 @@
             Input::Open(own) => self.open(*own, sends),
             Input::Finish(id, outcome, produced) => self.finish(id, outcome, produced, sends),
             Input::Progress(id, report) => self.report(id, report),
+            Input::Crash(crash) => self.crashes.add(clock::now(), *crash, &self.view, sends),
             Input::Changed => {}
         }
     }
@@ -290,6 +299,7 @@
             };
             self.assign(id, owner, sends);
         }
+        self.crashes.reassign(clock::now(), &self.view, sends);
     }
 
     /// Gives an ask to another dispatcher and tells the old one to forget it.
--- a/crates/drumusher/src/process/broker/wire.rs
+++ b/crates/drumusher/src/process/broker/wire.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use drumusher_log::quarantine::Digest;
 use drumusher_schedule::ask::Part;
 use drumusher_wire::peer;
 
@@ -30,6 +31,7 @@
         attempt: Some(attempt as i16),
         lent: Some(clock::now().saturating_sub(loan.since) as i64),
         spent: (loan.brought > 0).then_some(loan.brought),
+        digest: own.digest.map(Digest::to_wire),
     }
 }
 
@@ -44,5 +46,6 @@
         source: grant.source.as_deref().map(Arc::from),
         expected: grant.expected.unwrap_or(0).max(0) as u64,
         dispatcher: from.clone(),
+        alone: grant.alone == Some(true),
     }
 }
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -1,4 +1,5 @@
-//! Following the platform's store: the configuration of routes, the backend servers, the instances.
+//! Following the platform's store: the configuration of routes, the backend servers, the instances, and the requests
+//! that end backend servers.
 //!
 //! What is in force changes only by what the store or another instance tells. While the store is
 //! away nothing is dropped. Entries that ended while it was away may have lapsed only because their
@@ -15,6 +16,7 @@
 mod kept;
 mod membership;
 mod passed;
+mod quarantine;
 mod records;
 mod sight;
 
@@ -32,6 +34,7 @@
     sync::Arc,
 };
 
+use drumusher_log::quarantine::Digest;
 use drumusher_platform::{
     Error,
     catalog::{Record, Store, Table},
@@ -75,6 +78,8 @@
     instances: BTreeMap<String, Instance>,
     arrivals: Arrivals,
     passed: Passed,
+    /// Requests of which the store is to be told what is known here.
+    unwritten: BTreeSet<Digest>,
 }
 
 /// Follows the store on the current thread until the ring is closed.
@@ -100,10 +105,12 @@
     rt::spawn(begin(catalog.clone()));
     rt::spawn(release(catalog.clone()));
     rt::spawn(kept::learn(catalog.clone()));
+    rt::spawn(quarantine::expire(catalog.clone()));
     while let Ok(input) = receiver.recv().await {
         match input {
             platform::Input::State(teller, snapshot) => catalog.offered(&teller, &snapshot),
             platform::Input::Enter(name, entry) => catalog.enter(name, entry),
+            platform::Input::Quarantine(digests) => catalog.quarantine(digests),
             // The others come only where there is a log service in place of a store.
             _ => {}
         }
@@ -183,6 +190,9 @@
     /// Puts what is new in a table into force. `teller` names the instance that read it; it is empty for this one.
     fn take(&self, news: News, teller: &str) {
         match news {
+            News::Whole(Table::Quarantine, _) | News::Changes(Table::Quarantine, _) => {
+                return self.take_quarantine(news);
+            }
             News::Whole(Table::Servers, records) => {
                 let there = records.iter().filter(|record| record.value.is_some());
                 let there: BTreeSet<String> = there.map(|record| record.key.clone()).collect();
--- a/crates/drumusher/src/process/catalog/follow.rs
+++ b/crates/drumusher/src/process/catalog/follow.rs
@@ -25,9 +25,10 @@
 /// Time beyond that within which such a call has failed, in milliseconds: the store's client waits 700 ms more for the
 /// answer, and timers fire late.
 pub(super) const FAILED_AFTER: u64 = 1_000;
-/// Longest wait for a change of the table of instances, in milliseconds: a new instance connects to
-/// a reader by itself, so that a lost call does no harm here.
-const WAIT_INSTANCES: u64 = 10_000;
+/// Longest wait for a change of a table that changes seldom, in milliseconds. Of a new instance others learn by its
+/// connection to a reader, and of a request that ends backend servers by its dispatcher, so that a lost call does no
+/// harm here.
+const WAIT_LONG: u64 = 10_000;
 /// One whom no reader told that it reads the store within this reads it itself: four heartbeats, half
 /// of the time within which a change has to be in force.
 pub(super) const TOLD_WITHIN: Micros = 1_000 * MILLISECOND;
@@ -72,6 +73,11 @@
     }
 }
 
+/// Whether a table changes so seldom that one call may wait long.
+fn waits_long(table: Table) -> bool {
+    matches!(table, Table::Instances | Table::Quarantine)
+}
+
 /// What a read of a table brought.
 pub(super) enum Read {
     /// Records, which were taken.
@@ -101,7 +107,8 @@
     /// that one waits for a change it finds nothing out, so that the failure of another call, say one that
     /// began before a cut which is over, holds up nobody.
     fn leaves_to_another(&self, table: Table) -> bool {
-        let read_before = self.shared.records().end(table) > 0;
+        // A table that changes seldom may be empty.
+        let read_before = waits_long(table) || self.shared.records().end(table) > 0;
         table != Table::Configuration && read_before && self.probing.get()
     }
 
@@ -145,7 +152,7 @@
         let away = self.shared.store_away.load(Ordering::Acquire);
         let first = self.shared.first_reader.load(Ordering::Acquire);
         match &self.shared.settings.store {
-            Some(_) if !away && table == Table::Instances => WAIT_INSTANCES,
+            Some(_) if !away && waits_long(table) => WAIT_LONG,
             Some(store) if !away && first => store.wait_ms,
             Some(store) if !away => store.wait_ms * WAIT_OTHERS,
             _ => 0,
--- a/crates/drumusher/src/process/catalog/membership.rs
+++ b/crates/drumusher/src/process/catalog/membership.rs
@@ -140,7 +140,7 @@
         }
         let own = Record { key: shared.name.to_string(), value: Some(shared.entry.clone()) };
         let began = clock::now();
-        match catalog.store.put(&[own]).await {
+        match catalog.store.put(Table::Instances, &[own]).await {
             Ok(()) => {
                 log::info!("this instance entered itself in the store");
                 backoff.reset();
@@ -159,7 +159,7 @@
     sleep(GATHER).await;
     let records = catalog.state.borrow_mut().arrivals.take(clock::now());
     let began = clock::now();
-    match catalog.store.put(&records).await {
+    match catalog.store.put(Table::Instances, &records).await {
         Ok(()) => log::info!(instances = records.len(); "instances were entered in the store"),
         // They ask again with each heartbeat.
         Err(error) => catalog.failed(Table::Instances, began, &error),
@@ -179,7 +179,7 @@
         let ends = lost.iter().map(|name| Record { key: name.to_string(), value: None });
         let ends: Vec<Record> = ends.collect();
         let began = clock::now();
-        match catalog.store.put(&ends).await {
+        match catalog.store.put(Table::Instances, &ends).await {
             Ok(()) => {
                 for end in &ends {
                     log::info!(instance = end.key.as_str(); "an instance out of reach for long is off the list");
--- a/crates/drumusher/src/process/catalog/records.rs
+++ b/crates/drumusher/src/process/catalog/records.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The tables, in the order of their ends.
-pub const TABLES: [Table; 3] = [Table::Configuration, Table::Servers, Table::Instances];
+pub const TABLES: [Table; 4] =
+    [Table::Configuration, Table::Servers, Table::Instances, Table::Quarantine];
 /// Latest changes of a table that are kept to tell others; beyond them the whole table is told.
 const RECENT: usize = 1_024;
 /// Most bytes of them. Of a key that changes often, such as the configuration, only the newest value matters
@@ -23,6 +24,7 @@
         Table::Configuration => 0,
         Table::Servers => 1,
         Table::Instances => 2,
+        Table::Quarantine => 3,
     }
 }
 
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -6,14 +6,18 @@
 //! | `asks` | asks of entries, as they come |
 //! | `budget` | repeats that may still be granted |
 //! | `host` | one pool with the names of its backend servers |
+//! | `suspects` | requests that end backend servers: who is tried, who is held back |
 //! | `tally` | requests that began to run, and how many run or wait, for the duties |
+//! | `trials` | those that run apart from each other |
 //! | `wire` | messages between instances as events, orders as messages |
 
 mod askers;
 mod asks;
 mod budget;
 mod host;
+mod suspects;
 mod tally;
+mod trials;
 mod wire;
 
 pub use askers::Askers;
@@ -28,7 +32,7 @@
 
 use crossbeam_channel::RecvTimeoutError;
 use drumusher_schedule::{
-    ask::Entry,
+    ask::{Entry, Outcome},
     event::{Event, Load},
     order::Order,
     pool,
@@ -59,7 +63,7 @@
 /// What the dispatch thread is told.
 pub enum Input {
     /// A message of an entry.
-    Message(Entry, Message),
+    Message(Entry, Box<Message>),
     /// An entry is gone.
     Gone(Entry),
     /// Configuration or directory changed.
@@ -142,7 +146,7 @@
 impl Dispatch {
     fn take(&mut self, input: Input) {
         match input {
-            Input::Message(entry, message) => self.message(entry, message),
+            Input::Message(entry, message) => self.message(entry, *message),
             Input::Gone(entry) => self.gone(entry),
             Input::Changed => self.changed(),
             Input::Load { pool, server, report } => self.load(&pool, &server, report),
@@ -163,7 +167,11 @@
             Message::Withdraw(withdraw) => {
                 let Some(id) = id::from_wire(&withdraw.id) else { return };
                 self.at(&withdraw.pool, Event::Withdraw(id));
+                if let Some(pool) = Pool::parse(&withdraw.pool) {
+                    self.end_suspect(&pool, id, Outcome::Cancelled);
+                }
             }
+            Message::Crash(crash) => self.crashed(&crash),
             Message::Progress(batch) => self.progress(&batch),
             Message::Finish(finish) => self.finish(&finish),
             _ => {}
@@ -174,6 +182,7 @@
         for host in self.hosts.values_mut() {
             host.askers.remove(entry);
             host.budget.remove(entry);
+            host.trials.gone(entry);
         }
         self.each(|_| Event::EntryGone(entry));
     }
@@ -196,6 +205,9 @@
         }
         let event = Event::Finish(id, outcome, produced);
         self.at(&finish.pool, event);
+        if let Some(pool) = Pool::parse(&finish.pool) {
+            self.end_suspect(&pool, id, outcome);
+        }
     }
 
     fn progress(&mut self, batch: &peer::ProgressBatch) {
@@ -205,6 +217,7 @@
             };
             if report.first_token.is_some() {
                 self.count_begun(&batch.pool, id);
+                self.begun_suspect(&batch.pool, id);
             }
             let produced = report.produced.max(0) as u32;
             let progress = wire::progress(id, produced, report.first_token, report.gap);
@@ -250,8 +263,12 @@
             };
             self.shared.telemetry.count_order(order);
             let spent = host.budget.spent(clock::now(), instances);
+            let alone = match order {
+                Order::Grant { id, server, .. } => host.trials.grant(*id, *server),
+                _ => None,
+            };
             let (entry, id, message, why) =
-                wire::order(order, &host.names, (spent * SPENT_WHOLE) as i16);
+                wire::order(order, &host.names, (spent * SPENT_WHOLE) as i16, alone);
             self.shared.explanations.add(id, format!("{pool}: {why}"));
             self.unsent.push_back((entry, message));
         }
@@ -279,7 +296,10 @@
         for (pool, host) in &mut self.hosts {
             host.tell_health(pool, now);
             host.askers.expire(now);
+            host.forget_ended();
         }
+        let pools: Vec<Pool> = self.hosts.keys().cloned().collect();
+        pools.iter().for_each(|pool| self.try_waiting(pool));
         let before = self.hosts.len();
         self.hosts.retain(|_, host| {
             let busy = host.pool.waiting() + host.pool.running() > 0;
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -1,14 +1,14 @@
 //! Asks of entries: counted, handed to the decisions, and acknowledged where they wait.
 
 use drumusher_schedule::{
-    ask::{Ask, Entry},
+    ask::{Ask, Entry, Outcome},
     event::Event,
     order::Refusal,
     time::{MILLISECOND, Micros},
 };
 use drumusher_wire::peer::{self, Message};
 
-use super::{Dispatch, OWN, SPENT_WHOLE, wire};
+use super::{Dispatch, OWN, SPENT_WHOLE, suspects::Admission, wire};
 use crate::{
     process::{broker::Attempt, clock},
     request::id,
@@ -16,30 +16,66 @@
 };
 
 impl Dispatch {
-    /// Takes an ask: hands it to the decisions, unless it is a repeat that the fleet may not send now.
+    /// Takes an ask: hands it to the decisions, unless its request waits for a trial or may not run, or it is a repeat
+    /// that the fleet may not send now.
     pub(super) fn ask(&mut self, entry: Entry, asked: peer::Ask) {
         let Some(pool) = Pool::parse(&asked.pool) else {
             return;
         };
         self.host(&pool);
-        if asked.server.is_none() && !self.count_attempt(entry, &asked, &pool) {
-            self.refuse_repeat(entry, asked.id);
+        let id = asked.id.clone();
+        match self.admit_suspect(&asked, &pool) {
+            Admission::Run => self.admit(entry, &asked, &pool),
+            Admission::Refuse => self.refuse_held(entry, id),
+            Admission::Wait => {
+                if let Some(host) = self.hosts.get_mut(&pool) {
+                    host.trials.wait(entry, asked);
+                }
+                self.tell_queued(entry, id);
+            }
+        }
+    }
+
+    /// The same for one that waited for a trial, of which its entry knows.
+    pub(super) fn ask_again(&mut self, entry: Entry, asked: peer::Ask) {
+        let Some(pool) = Pool::parse(&asked.pool) else {
             return;
+        };
+        match self.admit_suspect(&asked, &pool) {
+            Admission::Run => self.admit(entry, &asked, &pool),
+            Admission::Refuse => self.refuse_held(entry, asked.id),
+            Admission::Wait => {
+                if let Some(host) = self.hosts.get_mut(&pool) {
+                    host.trials.wait(entry, asked);
+                }
+            }
         }
-        let Some(ask) = self.read_ask(entry, &asked, &pool) else {
+    }
+
+    /// Hands an ask to the decisions.
+    fn admit(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) {
+        if asked.server.is_none() && !self.count_attempt(entry, asked, pool) {
+            self.refuse_repeat(entry, asked.id.clone());
+            if let Some(id) = id::from_wire(&asked.id) {
+                self.end_suspect(pool, id, Outcome::Cancelled);
+            }
+            return;
+        }
+        let Some(ask) = self.read_ask(entry, asked, pool) else {
             return;
         };
-        let declared = asked
-            .server
-            .as_deref()
-            .and_then(|name| self.hosts.get(&pool)?.known.get(name).copied());
+        let declared =
+            asked.server.as_deref().and_then(|name| self.hosts.get(pool)?.known.get(name).copied());
+        if let Some((host, server)) = self.hosts.get_mut(pool).zip(declared) {
+            host.trials.grant(ask.id, server);
+        }
         let event = match declared {
             Some(server) => Event::Declare(ask, server),
             None => Event::Ask(ask),
         };
-        self.handle(&pool, event);
-        self.note_asker(entry, &pool);
-        self.acknowledge(entry, &asked, &pool);
+        self.handle(pool, event);
+        self.note_asker(entry, pool);
+        self.acknowledge(entry, asked, pool);
     }
 
     /// Counts an ask as a request or a repeat. Returns whether it may be granted.
@@ -86,14 +122,20 @@
     fn acknowledge(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) {
         let waits = |id| self.hosts.get(pool).is_some_and(|host| host.pool.waits(id));
         if id::from_wire(&asked.id).is_some_and(waits) {
-            let queued = Message::Queued(peer::Queued::new(asked.id.clone()));
-            self.unsent.push_back((entry, queued));
-            self.flush();
+            self.tell_queued(entry, asked.id.clone());
         }
     }
 
+    fn tell_queued(&mut self, entry: Entry, id: Vec<u8>) {
+        self.unsent.push_back((entry, Message::Queued(peer::Queued::new(id))));
+        self.flush();
+    }
+
     fn read_ask(&self, entry: Entry, ask: &peer::Ask, pool: &Pool) -> Option<Ask> {
         let version = self.shared.version.load();
-        wire::ask(entry, ask, &version, &self.hosts.get(pool)?.known)
+        let host = self.hosts.get(pool)?;
+        let on_trial = id::from_wire(&ask.id).and_then(|id| host.trials.was_alone(id)).is_some();
+        let apart = if on_trial { host.trials.servers() } else { Vec::new() };
+        wire::ask(entry, ask, &version, &host.known, apart)
     }
 }
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -5,7 +5,9 @@
     sync::Arc,
 };
 
+use drumusher_log::quarantine::Digest;
 use drumusher_schedule::{
+    ask::Id,
     event::Event,
     policy::Policy,
     pool, rank,
@@ -13,7 +15,7 @@
     time::MILLISECOND,
 };
 
-use super::{Askers, Bound, Budget, Divisor};
+use super::{Askers, Bound, Budget, Divisor, trials::Trials};
 use crate::version::{Backend, Pool};
 
 /// What is believed of a backend server before anything was learned.
@@ -46,6 +48,10 @@
     pub(super) askers: Askers,
     /// The repeats that may be granted.
     pub(super) budget: Budget,
+    /// Those that are tried apart from each other.
+    pub(super) trials: Trials,
+    /// What tells requests from others, of those that were handed to the decisions.
+    pub(super) digests: HashMap<Id, Digest>,
     /// The health of each backend server as it was logged last, by key.
     told: Vec<&'static str>,
     /// When that was looked at last.
@@ -65,12 +71,24 @@
             own_word: BTreeMap::new(),
             askers: Askers::new(),
             budget: Budget::new(bound),
+            trials: Trials::default(),
+            digests: HashMap::new(),
             told: Vec::new(),
             looked: now,
             used: now,
         }
     }
 
+    /// Forgets what was kept of requests that ended without a word, with their entry.
+    pub(super) fn forget_ended(&mut self) {
+        let pool = &self.pool;
+        let is_known = |id: Id| pool.waits(id) || pool.running_request(id).is_some();
+        self.trials.keep(is_known);
+        if self.digests.len() > pool.waiting() + pool.running() {
+            self.digests.retain(|id, _| is_known(*id));
+        }
+    }
+
     /// The key of a name, a new one if it has none.
     fn key(&mut self, name: &Arc<str>) -> server::Key {
         if let Some(key) = self.known.get(name) {
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -14,12 +14,13 @@
 use crate::{process::clock, request::id, version::Version};
 
 /// Reads an ask of an entry. A class that is not known is taken for the lowest; `known` has the keys
-/// of the pool's backend servers.
+/// of the pool's backend servers, of which those in `apart` are to be kept apart from it.
 pub(super) fn ask(
     entry: Entry,
     wire: &peer::Ask,
     version: &Version,
     known: &HashMap<Arc<str>, server::Key>,
+    apart: Vec<server::Key>,
 ) -> Option<Ask> {
     let lowest = ClassKey(version.policy.classes.len() as u16 - 1);
     let avoid = wire.avoid.as_deref();
@@ -35,6 +36,7 @@
         repeatable: !wire.unrepeatable.unwrap_or(false),
         preemptions: wire.preemptions.unwrap_or(0).clamp(0, 255) as u8,
         avoid: avoid.and_then(|name| known.get(name).copied()),
+        apart,
         output: wire.output.unwrap_or(0).max(0) as u32,
         parts: wire.parts.iter().flatten().map(read_part).collect(),
     })
@@ -72,8 +74,14 @@
     }
 }
 
-/// An order as a message, with the reason in words. `spent` of the repeats that were lent are gone.
-pub(super) fn order(order: &Order, names: &[Arc<str>], spent: i16) -> (Entry, Id, Message, String) {
+/// An order as a message, with the reason in words. `spent` of the repeats that were lent are gone; `alone` tells of a
+/// request on trial whether it is apart from others.
+pub(super) fn order(
+    order: &Order,
+    names: &[Arc<str>],
+    spent: i16,
+    alone: Option<bool>,
+) -> (Entry, Id, Message, String) {
     match *order {
         Order::Grant { id, entry, server, source, expected, choice, waited } => {
             let name = names[usize::from(server.0)].to_string();
@@ -90,6 +98,7 @@
                 source,
                 expected: (expected > 0).then_some(expected as i64),
                 spent: (spent > 0).then_some(spent),
+                alone,
             };
             (entry, id, Message::Grant(grant), why)
         }
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -29,8 +29,11 @@
         }
         match message {
             Message::Ask(ask) => self.asked(number, ask),
-            Message::Withdraw(_) | Message::Progress(_) | Message::Finish(_) => {
-                let input = dispatch::Input::Message(Entry(number), message);
+            Message::Withdraw(_)
+            | Message::Progress(_)
+            | Message::Finish(_)
+            | Message::Crash(_) => {
+                let input = dispatch::Input::Message(Entry(number), Box::new(message));
                 self.dispatch(input);
             }
             Message::Grant(_)
@@ -71,7 +74,7 @@
             return;
         }
         let id = ask.id.clone();
-        let input = dispatch::Input::Message(Entry(number), Message::Ask(ask));
+        let input = dispatch::Input::Message(Entry(number), Box::new(Message::Ask(ask)));
         if !self.dispatch(input) {
             self.send_on(number, queue_full(id));
         }
--- a/crates/drumusher/src/process/platform/mod.rs
+++ b/crates/drumusher/src/process/platform/mod.rs
@@ -8,7 +8,7 @@
 
 use std::{cell::RefCell, rc::Rc, sync::Arc};
 
-use drumusher_log::{claim, config::Verdict};
+use drumusher_log::{claim, config::Verdict, quarantine::Digest};
 use drumusher_platform::Http;
 use drumusher_wire::peer;
 use ntex::{rt, time::Millis};
@@ -55,6 +55,8 @@
     State(Arc<str>, Vec<u8>),
     /// Another instance wants to be entered in the store: its name and its entry.
     Enter(String, String),
+    /// What is known of requests that end backend servers changed: the store is to be told.
+    Quarantine(Vec<Digest>),
 }
 
 /// The sending end of the platform ring.
@@ -118,6 +120,6 @@
         Input::Records(records) => configuration::relayed(context, records),
         Input::State(_, snapshot) => configuration::offered(context, &snapshot),
         // Only with a store, whose tasks take the other end of this ring.
-        Input::Enter(..) => {}
+        Input::Enter(..) | Input::Quarantine(_) => {}
     }
 }
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -10,7 +10,10 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 use drumusher_duty::usage::Tally;
-use drumusher_log::config::State;
+use drumusher_log::{
+    config::State,
+    quarantine::{self, Digest, Verdict},
+};
 use drumusher_platform::{catalog::Table, routing::Configuration};
 use drumusher_schedule::time::Micros;
 
@@ -44,6 +47,10 @@
     records: Mutex<catalog::Records>,
     /// What the dispatcher counted, to be told.
     tally: Mutex<Tally>,
+    /// What is known of requests that end backend servers.
+    quarantine: Mutex<quarantine::Table>,
+    /// How many of them are held back.
+    held: AtomicUsize,
     /// Whether this instance is one of those that read the store and tell the others.
     pub reader: AtomicBool,
     /// Whether it is the first of them.
@@ -118,6 +125,8 @@
             routing: ArcSwapOption::empty(),
             records: Mutex::default(),
             tally: Mutex::default(),
+            quarantine: Mutex::default(),
+            held: AtomicUsize::new(0),
             reader: AtomicBool::new(false),
             first_reader: AtomicBool::new(false),
             told: AtomicU64::new(0),
@@ -231,6 +240,25 @@
         self.tally.lock().expect("no holder panics")
     }
 
+    /// What is known of requests that end backend servers. After a change [`Shared::note_held`] is to be called.
+    pub fn quarantine(&self) -> MutexGuard<'_, quarantine::Table> {
+        self.quarantine.lock().expect("no holder panics")
+    }
+
+    /// Notes how many requests are held back, and says so if that changed.
+    pub fn note_held(&self) {
+        let held = self.quarantine().held();
+        if self.held.swap(held, Ordering::AcqRel) != held {
+            log::warn!(held = held; "requests are held back, since backend servers ended each time they ran");
+            self.telemetry.gauge("drumusher.quarantine.held", held as u64);
+        }
+    }
+
+    /// Whether a request is held back. Most of the time none is, which costs no lock.
+    pub fn is_held(&self, digest: Digest) -> bool {
+        self.held.load(Ordering::Acquire) > 0 && self.quarantine().verdict(digest) == Verdict::Held
+    }
+
     /// The offset of the table of servers before which ends of entries are no lapses, as far as is known.
     pub fn confirmed(&self) -> u64 {
         self.confirmed.load(Ordering::Acquire)
--- a/crates/drumusher/src/request/flow.rs
+++ b/crates/drumusher/src/request/flow.rs
@@ -167,6 +167,7 @@
         while self.replies.try_recv().is_ok() {}
         let own = Own {
             attempt: Attempt::First,
+            digest: None,
             id: self.id,
             pool: self.pool.clone(),
             area,
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -4,11 +4,13 @@
 //! |---|---|
 //! | `request` | the caller's request, and its head as it is sent |
 //! | `answer` | reads the head and the body of an answer |
+//! | `crash` | whether a backend server ended while it ran the request |
 //! | `failure` | why an attempt brought no answer |
 //! | `end` | whether another attempt follows, and the final answer |
 //! | `pace` | the pauses between the events of a stream |
 
 mod answer;
+mod crash;
 mod end;
 mod failure;
 mod pace;
@@ -21,6 +23,7 @@
 
 use std::{cell::Cell, sync::Arc};
 
+use drumusher_log::quarantine::Digest;
 use drumusher_platform::{dialect::Dialect, routing::Kind};
 use drumusher_schedule::{
     ask::{self, Outcome},
@@ -33,7 +36,7 @@
 };
 
 use super::{
-    Handle,
+    Handle, digest,
     relay::Relay,
     ticket::{Ask, Decision, Ticket},
 };
@@ -84,6 +87,8 @@
     pub worker: Handle<D>,
     /// The request.
     pub request: Request,
+    /// What tells it from others when it comes anew.
+    digest: Digest,
     /// Its place at the dispatcher.
     pub ticket: Ticket,
     /// When its final answer is due.
@@ -103,6 +108,8 @@
     expected: Micros,
     /// The instance that granted the latest attempt.
     dispatcher: Option<Arc<str>>,
+    /// Whether the latest attempt is on trial, apart from others.
+    alone: bool,
     unconnected: u32,
     /// Whether a dispatcher was asked.
     asked: bool,
@@ -122,6 +129,7 @@
         let least = request.head.deadline_ms.unwrap_or(u64::MAX).min(found.timeout_ms);
         let due = request.arrived + (least * MILLISECOND).saturating_sub(LAST);
         let parts = request.head.parts.iter();
+        let digest = digest::of(&shared.settings.fleet_secret, &request);
         let ask = Ask {
             pool: Pool::Service(found.service.clone()),
             workspace: found.workspace.clone().unwrap_or_else(|| "".into()),
@@ -131,11 +139,13 @@
             output: request.head.hint.unwrap_or(0),
             parts: parts.map(|p| ask::Part { id: p.id, tokens: p.tokens }).collect(),
             repeatable: found.kind.repeatable(),
+            digest,
         };
         let ticket = Ticket::new(shared, id::random(), ask);
         Exchange {
             worker,
             request,
+            digest,
             ticket,
             due,
             sent: 0,
@@ -146,6 +156,7 @@
             source_failed: false,
             expected: 0,
             dispatcher: None,
+            alone: false,
             unconnected: 0,
             asked: false,
             asked_at: 0,
@@ -204,10 +215,14 @@
     /// [`Refused`].
     pub async fn granted(&mut self) -> Result<Backend, Refused> {
         for _ in 0..MOST_UNUSABLE {
+            if self.worker.shared.is_held(self.digest) {
+                return Err(Refused { error: self.held_back(), repeat: false });
+            }
             let attempt = self.next_attempt();
             self.asked_at = clock::now();
             match self.ticket.decide(self.avoid.clone(), attempt, self.due).await {
-                Decision::Run(Grant { server, source, expected, dispatcher }) => {
+                Decision::Run(Grant { server, source, expected, dispatcher, alone }) => {
+                    self.alone = alone;
                     self.source = self.source_of(source);
                     self.expected = expected;
                     if let Some(backend) = self.usable(&server) {
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -48,6 +48,7 @@
             Failure::NotRun(_) => {}
             Failure::Broken(_) | Failure::Failed(_) => self.may_have_run = true,
         }
+        self.look_for_crash(backend, failure);
         let shared = &self.worker.shared;
         shared.telemetry.count("drumusher.attempt.failures", &[("reason", failure.word())]);
         log::info!(
@@ -136,6 +137,9 @@
 
     /// The error for a refusal of the dispatcher, by its number on the wire.
     pub(super) fn refusal(&self, refusal: i16, retry_after_ms: u64) -> Error {
+        if refusal == Refusal::HeldBack as i16 {
+            return self.held_back();
+        }
         let (kind, message) = match refusal {
             r if r == Refusal::QueueFull as i16 => (Kind::QueueFull, "the queue is full"),
             r if r == Refusal::WorkspaceLimit as i16 => {
@@ -149,6 +153,14 @@
         self.not_run(kind, message, retry_after_ms)
     }
 
+    /// The error for a request that is held back. It is final: nothing is said of when to come back.
+    pub(super) fn held_back(&self) -> Error {
+        let message =
+            "backend servers ended each time they ran this request, so that it is held back";
+        let ran = if self.may_have_run { Ran::Unknown } else { Ran::No };
+        Error::new(Kind::HeldBack, message).with_ran(ran)
+    }
+
     /// An error that says "not run" if that is true, and otherwise that the outcome is not known.
     pub(super) fn not_run(&self, kind: Kind, message: &str, retry_after_ms: u64) -> Error {
         if self.may_have_run {
--- a/crates/drumusher/src/routed/mod.rs
+++ b/crates/drumusher/src/routed/mod.rs
@@ -4,6 +4,7 @@
 //! | module | duty |
 //! |---|---|
 //! | [`entry`] | takes a caller's request, finds its route and workspace |
+//! | [`digest`] | what tells a request from others when it comes anew |
 //! | [`callers`] | callers' connections, for a planned stop |
 //! | [`ticket`] | one request's place at the dispatcher: ask, reports, end |
 //! | [`exchange`] | attempts at backend servers until there is an answer or none is possible |
@@ -11,6 +12,7 @@
 //! | [`refusal`] | answers of the instance's own |
 
 pub mod callers;
+pub mod digest;
 pub mod entry;
 pub mod exchange;
 pub mod refusal;
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use drumusher_log::quarantine::Digest;
 use drumusher_schedule::{
     ask::{Id, Outcome, Part},
     time::{MILLISECOND, Micros},
@@ -39,6 +40,8 @@
     pub parts: Vec<Part>,
     /// Whether it may be handed over again although it may have run.
     pub repeatable: bool,
+    /// What tells it from others when it comes anew.
+    pub digest: Digest,
 }
 
 /// What the dispatcher decided.
@@ -71,6 +74,11 @@
         Ticket { shared, id, ask, sender, replies, open: false, produced: 0 }
     }
 
+    /// Its identity at the dispatcher.
+    pub fn id(&self) -> Id {
+        self.id
+    }
+
     /// Asks, and waits until `until` for the decision.
     pub async fn decide(
         &mut self,
@@ -118,6 +126,7 @@
             output: ask.output,
             parts: ask.parts.clone(),
             attempt,
+            digest: Some(ask.digest),
             replies: self.sender.clone(),
         }
     }
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -1,6 +1,9 @@
 //! One connection to a backend server.
 
-use std::net::{SocketAddr, TcpStream};
+use std::{
+    io,
+    net::{SocketAddr, TcpStream},
+};
 
 use drumusher_platform::tcp;
 use drumusher_schedule::time::{MILLISECOND, Micros, SECOND};
@@ -56,9 +59,13 @@
             log::debug!("no connection to {address}: {error}");
             Error::NotConnected
         })?;
-        let idle_since = clock::now();
-        let codec = Codec::new();
-        Ok(Conn { io, socket, codec, sound: true, idle: IDLE_UNNAMED, idle_since })
+        Ok(Conn::of(io, socket))
+    }
+
+    /// A connection that is up.
+    fn of(io: Io, socket: TcpStream) -> Conn {
+        let (codec, idle_since) = (Codec::new(), clock::now());
+        Conn { io, socket, codec, sound: true, idle: IDLE_UNNAMED, idle_since }
     }
 
     /// Whether it may take a request now, one that is handed over at most once if `fresh`: such a
@@ -99,7 +106,7 @@
             }
             if gone() {
                 self.sound = false;
-                return Err(Error::Closed);
+                return Err(Error::Lost);
             }
             left -= slice;
         };
@@ -110,8 +117,9 @@
                 self.sound = false;
                 Ok(Piece::End)
             }
-            Ok(Ok(None)) => Err(Error::Closed),
+            Ok(Ok(None)) => Err(self.broken()),
             Ok(Err(Either::Left(error))) => Err(error),
+            Ok(Err(Either::Right(error))) if is_lost(&error) => Err(Error::Lost),
             Ok(Err(Either::Right(_))) => Err(Error::Closed),
         };
         match &piece {
@@ -127,6 +135,14 @@
         matches!(self.socket.take_error(), Ok(None))
     }
 
+    /// Why a connection ended before its answer was whole.
+    fn broken(&self) -> Error {
+        match self.socket.take_error() {
+            Ok(Some(error)) if is_lost(&error) => Error::Lost,
+            _ => Error::Closed,
+        }
+    }
+
     /// Learns from a head whether and how long the connection lasts.
     fn note(&mut self, head: &Head) {
         // An answer before the request was read: the rest of it may not meet another answer.
@@ -160,6 +176,36 @@
     }
 }
 
+/// Whether a connection failed since nothing was heard of the other side, and not by its word.
+fn is_lost(error: &io::Error) -> bool {
+    use io::ErrorKind::{HostUnreachable, NetworkUnreachable, TimedOut};
+    matches!(error.kind(), TimedOut | HostUnreachable | NetworkUnreachable)
+}
+
+/// Whether a backend server is there.
+#[derive(Debug)]
+pub enum Presence {
+    /// Its host says that nobody listens.
+    Refused,
+    /// It takes connections; this is one.
+    There(Conn),
+    /// Nobody answers, or what happened says nothing.
+    Unknown,
+}
+
+/// Finds out whether a backend server is there, within `limit`.
+pub async fn presence(address: SocketAddr, limit: Millis) -> Presence {
+    let config = SharedCfg::new("upstream").build();
+    match tcp::connect_watched(address, limit, config).await {
+        Ok((io, socket)) => Presence::There(Conn::of(io, socket)),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => Presence::Refused,
+        Err(error) => {
+            log::debug!("whether {address} is there is not known: {error}");
+            Presence::Unknown
+        }
+    }
+}
+
 fn keep_alive_seconds(head: &Head) -> Option<u64> {
     let value = head.headers.get("keep-alive")?.to_str().ok()?;
     let mut words = value.split(',').map(str::trim);
--- a/crates/drumusher/src/upstream/mod.rs
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -9,7 +9,7 @@
 pub mod conn;
 pub mod pool;
 
-pub use conn::Conn;
+pub use conn::{Conn, Presence, presence};
 pub use pool::Pool;
 
 use std::fmt;
@@ -25,6 +25,9 @@
     Malformed,
     /// Nothing came in time.
     Silent,
+    /// The backend server started again, or nothing is heard of its host any more: the connection is over although
+    /// nobody closed it.
+    Lost,
 }
 
 impl Error {
@@ -35,6 +38,7 @@
             Error::Closed => "closed",
             Error::Malformed => "malformed",
             Error::Silent => "silent",
+            Error::Lost => "lost",
         }
     }
 }
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -42,6 +42,7 @@
     let (replies, receiver) = async_channel::bounded(8);
     let own = Own {
         attempt: Attempt::First,
+        digest: None,
         id,
         pool: pool(),
         area: "suva".into(),
@@ -72,7 +73,8 @@
 
 fn grant(table: &mut Table, from: &Arc<str>, id: u128) -> Vec<Send> {
     let mut sends = Vec::new();
-    let grant = peer::Grant::new(id::to_wire(id), "engine-1".to_string(), 0, 0, None, None, None);
+    let grant =
+        peer::Grant::new(id::to_wire(id), "engine-1".to_string(), 0, 0, None, None, None, None);
     table.answer(from, Message::Grant(grant), &mut sends);
     sends
 }
--- a/crates/drumusher/tests/unit/records.rs
+++ b/crates/drumusher/tests/unit/records.rs
@@ -31,12 +31,12 @@
 #[test]
 fn what_is_long_holds_up_no_other_table() {
     let records = records();
-    let short = records.since(&[0; 3], 0, MOST).expect("servers are missing");
+    let short = records.since(&[0; 4], 0, MOST).expect("servers are missing");
     assert_eq!(tables(short), [Table::Servers]);
-    assert_eq!(records.ends_after(&[0; 3], MOST), [0, 2, 0]);
-    let all = records.since(&[0; 3], 0, usize::MAX).expect("all is missing");
+    assert_eq!(records.ends_after(&[0; 4], MOST), [0, 2, 0, 0]);
+    let all = records.since(&[0; 4], 0, usize::MAX).expect("all is missing");
     assert_eq!(tables(all), [Table::Configuration, Table::Servers]);
-    assert_eq!(records.ends_after(&[0; 3], usize::MAX), [1, 2, 0]);
+    assert_eq!(records.ends_after(&[0; 4], usize::MAX), [1, 2, 0, 0]);
     let long = records.of_table(Table::Configuration, 0, 0).expect("it is missing");
     assert_eq!(tables(long), [Table::Configuration]);
     assert!(records.of_table(Table::Configuration, 1, 0).is_none(), "it is known");
@@ -67,7 +67,7 @@
     let mut records = records();
     let ends = Record { key: "a".into(), value: None };
     records.append(Table::Servers, &[ends.clone(), record("a", 300)], 4);
-    let update = records.since(&[1, 2, 0], 0, MOST).expect("two changes are missing");
+    let update = records.since(&[1, 2, 0, 0], 0, MOST).expect("two changes are missing");
     let mut other = Records::new();
     other.append(Table::Servers, &[record("a", 200), record("b", 200)], 2);
     let news = other.take(update);
@@ -87,7 +87,7 @@
 fn an_update_says_what_is_confirmed(#[case] text: &str, #[case] confirmed: u64) {
     let update: Update = serde_json::from_str(text).expect("an update");
     assert_eq!(update.confirmed(), confirmed);
-    let told = |confirmed| serde_json::to_string(&records().since(&[0; 3], confirmed, MOST));
+    let told = |confirmed| serde_json::to_string(&records().since(&[0; 4], confirmed, MOST));
     assert!(told(1).is_ok_and(|text| text.contains(r#""doubtful":true,"confirmed":1"#)));
     assert!(told(2).is_ok_and(|text| text.contains(r#""doubtful":false,"confirmed":2"#)));
 }
