--- a/crates/drumusher-log/src/quarantine.rs
+++ b/crates/drumusher-log/src/quarantine.rs
@@ -100,6 +100,17 @@
     Held,
 }
 
+impl Verdict {
+    /// Its word for operators.
+    pub fn word(self) -> &'static str {
+        match self {
+            Verdict::Free => "free",
+            Verdict::Trial => "trial",
+            Verdict::Held => "held",
+        }
+    }
+}
+
 impl Record {
     /// What may be done with the request.
     pub fn verdict(&self) -> Verdict {
--- a/crates/drumusher-query/src/statement.rs
+++ b/crates/drumusher-query/src/statement.rs
@@ -32,6 +32,8 @@
     Config,
     /// The latest commands and their verdicts.
     Log,
+    /// Requests that end backend servers.
+    Quarantine,
 }
 
 /// How a `where` condition compares.
@@ -84,6 +86,8 @@
     Change(Change),
     /// Give a workspace a new API key.
     RotateKey(String, Option<u64>),
+    /// Let a request go that ended backend servers, by its digest.
+    Release(String),
 }
 
 /// Why a text is not a statement.
@@ -127,8 +131,8 @@
 }
 
 fn statement(input: &mut &str) -> Result<Statement> {
-    let verbs = "show, create, set, drop, drain, undrain or rotate";
-    alt((show, change, drain, rotate)).context(expected(verbs)).parse_next(input)
+    let verbs = "show, create, set, drop, drain, undrain, rotate or release";
+    alt((show, change, drain, rotate, release)).context(expected(verbs)).parse_next(input)
 }
 
 fn word<'a>(text: &'static str) -> impl Parser<&'a str, (), ErrMode<ContextError>> {
@@ -162,7 +166,7 @@
     let request = preceded(word("request"), cut_err(name)).map(Statement::Request);
     let listing = (table, selection).map(|(table, selection)| Statement::Show(table, selection));
     let tables = "running, waiting, engines, services, classes, workspaces, instances, config, \
-                  log or request";
+                  log, quarantine or request";
     cut_err(alt((request, listing))).context(expected(tables)).parse_next(input)
 }
 
@@ -176,7 +180,8 @@
         word("workspaces").value(Table::Workspaces),
         word("instances").value(Table::Instances),
         word("config").value(Table::Config),
-        word("log").value(Table::Log),
+        // One alternative takes nine.
+        alt((word("log").value(Table::Log), word("quarantine").value(Table::Quarantine))),
     ))
     .parse_next(input)
 }
@@ -317,3 +322,8 @@
     let (_, name, version) = (key, cut_err(name), if_version).parse_next(input)?;
     Ok(Statement::RotateKey(name, version))
 }
+
+fn release(input: &mut &str) -> Result<Statement> {
+    (Caseless("release"), multispace1).parse_next(input)?;
+    cut_err(name).map(Statement::Release).parse_next(input)
+}
--- a/crates/drumusher-query/tests/query/statement.rs
+++ b/crates/drumusher-query/tests/query/statement.rs
@@ -33,6 +33,7 @@
 #[case("  SHOW   Engines  ", Table::Engines)]
 #[case("show services", Table::Services)]
 #[case("show waiting", Table::Waiting)]
+#[case("show quarantine", Table::Quarantine)]
 fn a_table_is_named_in_any_case(#[case] text: &str, #[case] table: Table) {
     assert_eq!(parse(text), Ok(Statement::Show(table, Selection::default())));
 }
@@ -120,3 +121,10 @@
         }
     }
 }
+
+#[test]
+fn a_request_is_released_by_its_digest() {
+    let digest = "000000000000000000000000000000ff";
+    assert_eq!(parse(&format!("release {digest}")), Ok(Statement::Release(digest.into())));
+    assert!(parse("release").is_err());
+}
--- a/crates/drumusher/src/operator/command.rs
+++ b/crates/drumusher/src/operator/command.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use drumusher_log::config::{Change, Kind, Record, Value, Verb, Verdict};
+use drumusher_log::{
+    config::{Change, Kind, Record, Value, Verb, Verdict},
+    quarantine::Digest,
+};
 use ntex::{
     http::HeaderMap,
     time::{Millis, sleep, timeout},
@@ -57,6 +60,21 @@
     vec![row]
 }
 
+/// Lets a request go that ended backend servers. It is free here at once, and at the other instances as soon as the store
+/// tells them.
+pub(super) fn release(shared: &Arc<Shared>, text: &str) -> Vec<Row> {
+    let digest = Digest::parse(text);
+    let known = digest.filter(|digest| shared.quarantine().get(*digest).is_some());
+    let Some(digest) = known else {
+        return vec![rows::row(json!({"answer": "invalid", "reason": "no such request is known"}))];
+    };
+    shared.quarantine().clear(digest);
+    shared.note_held();
+    let told = shared.platform.try_send(Input::Quarantine(vec![digest])).is_ok();
+    let answer = if told { "accepted" } else { "unknown" };
+    vec![rows::row(json!({"answer": answer, "request": text}))]
+}
+
 async fn verdict(shared: &Arc<Shared>, author: &str, change: Change, headers: &HeaderMap) -> Row {
     let asked = headers.get(NONCE_HEADER).and_then(|value| value.to_str().ok());
     let nonce = asked.map_or_else(|| hex::encode(rand::random::<[u8; 12]>()), str::to_string);
--- a/crates/drumusher/src/operator/mod.rs
+++ b/crates/drumusher/src/operator/mod.rs
@@ -50,6 +50,7 @@
         Statement::Show(table, _) => format!("show {table:?}"),
         Statement::Request(request) => format!("show request {request}"),
         Statement::RotateKey(workspace, _) => format!("rotate key {workspace}"),
+        Statement::Release(digest) => format!("release {digest}"),
         Statement::Change(change) => {
             format!("{:?} {} {}", change.verb, change.kind.word(), change.name)
         }
@@ -94,6 +95,7 @@
         Statement::RotateKey(workspace, version) => {
             command::rotate(&shared, author, workspace, version, headers).await
         }
+        Statement::Release(digest) => command::release(&shared, &digest),
     };
     lines(&rows)
 }
@@ -151,6 +153,7 @@
         Table::Instances => vec![rows::instance(shared)],
         Table::Config => vec![rows::configuration(&shared.version.load().state)],
         Table::Log => rows::commands(&shared.version.load().state),
+        Table::Quarantine => rows::quarantine(&shared.quarantine()),
     }
 }
 
--- a/crates/drumusher/src/operator/rows.rs
+++ b/crates/drumusher/src/operator/rows.rs
@@ -2,7 +2,10 @@
 
 use std::{sync::Arc, time::UNIX_EPOCH};
 
-use drumusher_log::config::{State, Verdict};
+use drumusher_log::{
+    config::{State, Verdict},
+    quarantine,
+};
 use drumusher_schedule::{ask::Ask, pool, server::Server};
 use serde_json::{Value as Json, json};
 
@@ -178,6 +181,25 @@
     commands.collect()
 }
 
+/// The requests that end backend servers, with the evidence: which starts of backend servers ended while they ran there,
+/// and which of these on trial.
+pub fn quarantine(table: &quarantine::Table) -> Vec<Row> {
+    let rows = table.iter().map(|(digest, record)| {
+        let on_trial = record.ends.iter().filter(|(_, alone)| **alone);
+        row(json!({
+            "request": digest.text(),
+            "workspace": record.workspace,
+            "route": record.route,
+            "verdict": record.verdict().word(),
+            "since_ms": record.since_ms,
+            "latest_ms": record.latest_ms,
+            "ended": record.ends.keys().collect::<Vec<_>>(),
+            "ended_on_trial": on_trial.map(|(start, _)| start).collect::<Vec<_>>(),
+        }))
+    });
+    rows.collect()
+}
+
 /// The remembered spans of a trace.
 pub fn spans(shared: &Shared, trace: &str) -> Vec<Row> {
     let spans = shared.telemetry.spans_of(trace);
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -13,6 +13,7 @@
     http::{self, HttpService, HttpServiceConfig, Response, StatusCode},
     rt, server,
     time::{Millis, Seconds, sleep},
+    util::stream_recv,
 };
 
 use super::{
@@ -20,10 +21,13 @@
     serve::{self, Parts},
 };
 use crate::{
+    error::{Error, Kind},
+    operator,
     routed::{
         Worker,
         callers::Callers,
         entry::{self, Never},
+        refusal,
     },
     settings::Settings,
     upstream,
@@ -41,6 +45,10 @@
 const PRUNE: Millis = Millis(5_000);
 /// Time between two looks at that.
 const LOOK: Millis = Millis(100);
+/// The path of operators' statements.
+const QUERY: &str = "/operator/query";
+/// Longest statement of an operator, in bytes.
+const LONGEST_STATEMENT: usize = 16 * 1024;
 /// The path of the metrics.
 const METRICS: &str = "/metrics";
 
@@ -165,13 +173,35 @@
     let builder = builder.listen("status", listener, async move |_| {
         let shared = shared.clone();
         HttpService::h1(ntex::fn_service(move |request: http::Request| {
-            let response = status(&shared, &request);
-            async move { Ok::<Response, Never>(response) }
+            let shared = shared.clone();
+            async move { Ok::<Response, Never>(answer_status(shared, request).await) }
         }))
     });
     Ok(builder.map_err(|e| e.to_string())?.run())
 }
 
+/// Answers the balancer, a reader of metrics, or an operator.
+async fn answer_status(shared: Arc<Shared>, mut request: http::Request) -> Response {
+    if request.path() != QUERY {
+        return status(&shared, &request);
+    }
+    let author = match operator::author(&shared, request.headers()) {
+        Ok(author) => author,
+        Err(error) => return refusal::response(&error, false),
+    };
+    let mut payload = request.take_payload();
+    let mut statement = Vec::new();
+    while let Some(Ok(piece)) = stream_recv(&mut payload).await {
+        statement.extend_from_slice(&piece);
+        if statement.len() > LONGEST_STATEMENT {
+            let error = Error::new(Kind::TooLarge, "the statement is too long");
+            return refusal::response(&error, false);
+        }
+    }
+    let text = String::from_utf8_lossy(&statement).into_owned();
+    operator::answer(shared, &author, &text, request.headers()).await
+}
+
 fn status(shared: &Shared, request: &http::Request) -> Response {
     if request.path() == METRICS {
         return Response::Ok()
