--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -326,6 +326,7 @@
             lent: Some(1_000_000),
             spent: None,
             digest: Some(id.clone()),
+            sent: None,
             parts: None,
         };
         let grant = peer::Grant::new(
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -32,6 +32,15 @@
   2: required i32 tokens
 }
 
+/* What an instance sent for a pool in one part of the window in which repeats are bounded. */
+struct Count {
+  /* how many parts before the present one; a window has 20 */
+  1: required i32 age
+  /* requests that were asked for the first time */
+  2: required i32 requests
+  3: required i32 repeats
+}
+
 /* A request wants to run in a pool, or is declared as running there (server is set). */
 struct Ask {
   1: required binary id
@@ -53,12 +62,14 @@
   /* 0 or none: the request's first ask; 1: it was asked for before; 2: an attempt at it was handed over
      before */
   16: optional i16 attempt
-  /* how long the entry has asked this dispatcher and no other for the pool */
+  /* how long the entry has asked this dispatcher and no other for the pool; no longer sent */
   17: optional i64 lent
-  /* how much of its part of the fleet's repeats was spent before, by whoever it asked then, of 1000 */
+  /* how much of its part of the fleet's repeats is spent by other dispatchers, of 1000 */
   18: optional i16 spent
   /* what tells the request from others when it comes again: 16 bytes */
   19: optional binary digest
+  /* what the entry sent so far, unless the dispatcher knows it */
+  20: optional list<Count> sent
 }
 
 /* The dispatcher has the ask and grants it when its turn comes. */
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -309,6 +309,86 @@
   }
 }
 
+//
+// Count
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Count {
+  pub age: i32,
+  pub requests: i32,
+  pub repeats: i32,
+}
+
+impl Count {
+  pub fn new(age: i32, requests: i32, repeats: i32) -> Count {
+    Count {
+      age,
+      requests,
+      repeats,
+    }
+  }
+}
+
+impl TSerializable for Count {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Count> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i32> = None;
+    let mut f_2: Option<i32> = None;
+    let mut f_3: Option<i32> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i32()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i32()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i32()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Count.age", &f_1)?;
+    verify_required_field_exists("Count.requests", &f_2)?;
+    verify_required_field_exists("Count.repeats", &f_3)?;
+    let ret = Count {
+      age: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      requests: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      repeats: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Count");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("age", TType::I32, 1))?;
+    o_prot.write_i32(self.age)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("requests", TType::I32, 2))?;
+    o_prot.write_i32(self.requests)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("repeats", TType::I32, 3))?;
+    o_prot.write_i32(self.repeats)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Ask
 //
@@ -334,10 +414,11 @@
   pub lent: Option<i64>,
   pub spent: Option<i16>,
   pub digest: Option<Vec<u8>>,
+  pub sent: Option<Vec<Count>>,
 }
 
 impl Ask {
-  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18, digest: F19) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>>, F19: Into<Option<Vec<u8>>> {
+  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18, digest: F19, sent: F20) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>>, F19: Into<Option<Vec<u8>>>, F20: Into<Option<Vec<Count>>> {
     Ask {
       id,
       pool,
@@ -358,6 +439,7 @@
       lent: lent.into(),
       spent: spent.into(),
       digest: digest.into(),
+      sent: sent.into(),
     }
   }
 }
@@ -384,6 +466,7 @@
     let mut f_17: Option<i64> = None;
     let mut f_18: Option<i16> = None;
     let mut f_19: Option<Vec<u8>> = None;
+    let mut f_20: Option<Vec<Count>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -473,6 +556,16 @@
           let val = i_prot.read_bytes()?;
           f_19 = Some(val);
         },
+        20 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Count> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_1 = Count::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_1);
+          }
+          i_prot.read_list_end()?;
+          f_20 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -506,6 +599,7 @@
       lent: f_17,
       spent: f_18,
       digest: f_19,
+      sent: f_20,
     };
     Ok(ret)
   }
@@ -599,6 +693,15 @@
       o_prot.write_bytes(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.sent {
+      o_prot.write_field_begin(&TFieldIdentifier::new("sent", TType::List, 20))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, fld_var.len() as i32))?;
+      for e in fld_var {
+        e.write_to_out_protocol(o_prot)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -861,8 +964,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Progress> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_1 = Progress::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_1);
+            let list_elem_2 = Progress::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_2);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1433,8 +1536,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_2 = i_prot.read_i64()?;
-            val.push(list_elem_2);
+            let list_elem_3 = i_prot.read_i64()?;
+            val.push(list_elem_3);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -1551,8 +1654,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_3 = i_prot.read_bytes()?;
-            val.push(list_elem_3);
+            let list_elem_4 = i_prot.read_bytes()?;
+            val.push(list_elem_4);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1561,8 +1664,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_4 = i_prot.read_i64()?;
-            val.push(list_elem_4);
+            let list_elem_5 = i_prot.read_i64()?;
+            val.push(list_elem_5);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -1651,8 +1754,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_5 = i_prot.read_i64()?;
-            val.push(list_elem_5);
+            let list_elem_6 = i_prot.read_i64()?;
+            val.push(list_elem_6);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -2073,8 +2176,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_6 = i_prot.read_string()?;
-            val.push(list_elem_6);
+            let list_elem_7 = i_prot.read_string()?;
+            val.push(list_elem_7);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -3,7 +3,8 @@
 use drumusher_wire::{
     frame::{self, Error, LONGEST, PREFIX},
     peer::{
-        Answer, Ask, Grant, Hello, Message, Part, Piece, PieceRequest, Progress, ProgressBatch,
+        Answer, Ask, Count, Grant, Hello, Message, Part, Piece, PieceRequest, Progress,
+        ProgressBatch,
     },
 };
 use proptest::prelude::*;
@@ -28,6 +29,7 @@
         lent: Some(10_000_000),
         spent: Some(400),
         digest: Some(vec![9; 16]),
+        sent: Some(vec![Count::new(3, 40, 2)]),
         parts: Some(vec![Part::new(-7, 512)]),
     }
 }
--- a/crates/drumusher/src/process/broker/loan.rs
+++ b/crates/drumusher/src/process/broker/loan.rs
@@ -1,26 +1,45 @@
-//! To which dispatchers this instance lends its part of the fleet's repeats. Without I/O.
+//! What this instance tells the dispatchers that it asks: what it sent, and how much of its part of the fleet's repeats
+//! is spent elsewhere. Without I/O.
 
 use std::{collections::HashMap, sync::Arc};
 
 use drumusher_schedule::time::{Micros, SECOND};
 
-use crate::version::Pool;
+use crate::{
+    process::counts::{Counts, Part},
+    version::Pool,
+};
 
 /// For how long repeats count unless set.
 const WINDOW: Micros = 10 * SECOND;
+/// What stands for all of a part that is lent, as on the wire.
+const WHOLE: i32 = 1_000;
 
-/// What is lent to the dispatcher of one pool. Parts that are spent are numbers as on the wire.
+/// How much of the own part a dispatcher spent, as on the wire, and until when that counts.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    spent: i16,
+    until: Micros,
+}
+
+/// What is lent to the dispatcher of one pool.
 #[derive(Clone, Debug)]
-pub struct Loan {
+struct Loan {
     to: Arc<str>,
-    /// Since when no other dispatcher was asked.
-    pub since: Micros,
-    /// How much of the part was spent before.
-    pub brought: i16,
-    /// How much is spent by what the dispatcher said last, or the one before.
-    latest: i16,
-    /// When that was said.
-    heard: Micros,
+    /// Whether that one knows what this instance sent.
+    told: bool,
+    /// What each dispatcher spent.
+    shares: HashMap<Arc<str>, Share>,
+    counts: Counts,
+}
+
+/// What an ask tells its dispatcher.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Offer {
+    /// How much of the part is spent elsewhere, as on the wire.
+    pub spent: i16,
+    /// What this instance sent so far, unless the dispatcher knows it.
+    pub sent: Option<Vec<Part>>,
 }
 
 /// What is lent, by pool.
@@ -48,25 +67,59 @@
         self
     }
 
-    /// Lends the part for a pool to the dispatcher `to`, if it is not lent to it yet.
-    pub fn lend(&mut self, now: Micros, pool: &Pool, to: &Arc<str>) -> Loan {
-        let fresh = || Loan { to: to.clone(), since: now, brought: 0, latest: 0, heard: now };
-        let loan = self.loans.entry(pool.clone()).or_insert_with(fresh);
+    /// Lends the part for a pool to the dispatcher `to`, with an ask that is the first one for its request or not.
+    pub fn lend(&mut self, now: Micros, pool: &Pool, to: &Arc<str>, first: bool) -> Offer {
+        let loan = self.loans.entry(pool.clone()).or_insert_with(|| Loan {
+            to: to.clone(),
+            told: false,
+            shares: HashMap::new(),
+            counts: Counts::new(self.window),
+        });
         if loan.to != *to {
-            let over = now > loan.heard + self.window;
-            loan.brought = if over { 0 } else { loan.latest };
-            loan.latest = loan.brought;
-            loan.since = now;
-            loan.to = to.clone();
+            (loan.to, loan.told) = (to.clone(), false);
         }
-        loan.clone()
+        loan.shares.retain(|_, share| now <= share.until);
+        let sent = (!loan.told).then(|| loan.counts.told(now).collect());
+        if first {
+            loan.counts.request(now);
+        }
+        Offer { spent: loan.spent_elsewhere(), sent }
     }
 
-    /// Notes how much the dispatcher `from` says is spent of what was lent to it.
-    pub fn note(&mut self, now: Micros, pool: &Pool, from: &Arc<str>, spent: i16) {
+    /// The dispatcher `from` has an ask: it knows what came with it.
+    pub fn heard(&mut self, pool: &Pool, from: &Arc<str>) {
         if let Some(loan) = self.loans.get_mut(pool).filter(|loan| loan.to == *from) {
-            loan.latest = spent;
-            loan.heard = now;
+            loan.told = true;
+        }
+    }
+
+    /// The dispatcher `from` granted a request, a repeat or not, and says how much is spent of what was lent to it.
+    pub fn granted(&mut self, now: Micros, pool: &Pool, from: &Arc<str>, repeat: bool, spent: i16) {
+        self.heard(pool, from);
+        let Some(loan) = self.loans.get_mut(pool) else { return };
+        if repeat {
+            loan.counts.repeat(now, 1);
         }
+        if loan.to == *from {
+            let left = (WHOLE - i32::from(loan.spent_elsewhere())).max(0);
+            let spent = (i32::from(spent) * left / WHOLE) as i16;
+            loan.shares.insert(from.clone(), Share { spent, until: now + self.window });
+        }
+    }
+
+    /// There is a new connection with an instance, whose process may be another one: it knows nothing.
+    pub fn connected(&mut self, instance: &Arc<str>) {
+        for loan in self.loans.values_mut().filter(|loan| loan.to == *instance) {
+            loan.told = false;
+        }
+    }
+}
+
+impl Loan {
+    /// How much of the part others than the present dispatcher spent.
+    fn spent_elsewhere(&self) -> i16 {
+        let others = self.shares.iter().filter(|(name, _)| **name != self.to);
+        let sum: i32 = others.map(|(_, share)| i32::from(share.spent)).sum();
+        sum.min(WHOLE) as i16
     }
 }
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -129,13 +129,14 @@
             self.held.remove(&id);
             return;
         };
-        let loan = self.loans.lend(clock::now(), &held.own.pool, &to);
+        let again = held.asked && held.own.attempt == Attempt::First;
+        let attempt = if again { Attempt::Again } else { held.own.attempt };
+        let first = attempt == Attempt::First;
+        let offer = self.loans.lend(clock::now(), &held.own.pool, &to, first);
         let Some(held) = self.held.get_mut(&id) else {
             return;
         };
-        let again = held.asked && held.own.attempt == Attempt::First;
-        let attempt = if again { Attempt::Again } else { held.own.attempt };
-        let mut ask = wire::ask(&held.own, held.server.as_deref(), attempt, &loan);
+        let mut ask = wire::ask(&held.own, held.server.as_deref(), attempt, &offer);
         held.asked = true;
         held.owed = held.server.is_none().then(clock::now);
         ask.redirected = redirected.then_some(true);
@@ -258,6 +259,9 @@
 
     /// An instance cannot be reached, or can again.
     pub fn reachable(&mut self, instance: &Arc<str>, reachable: bool, sends: &mut Vec<Send>) {
+        if reachable {
+            self.loans.connected(instance);
+        }
         if self.view.reachable(clock::now(), instance, reachable) {
             self.reassign(sends);
         }
@@ -325,6 +329,7 @@
     /// Asks again whatever was asked of an instance whose connection broke but that can be reached
     /// again.
     pub fn repeat(&mut self, instance: &Arc<str>, sends: &mut Vec<Send>) {
+        self.loans.connected(instance);
         let asked = self.held.iter().filter(|(_, h)| h.dispatcher.as_ref() == Some(instance));
         let ids: Vec<Id> = asked.map(|(id, _)| *id).collect();
         for id in ids {
--- a/crates/drumusher/src/process/broker/table/answers.rs
+++ b/crates/drumusher/src/process/broker/table/answers.rs
@@ -8,7 +8,7 @@
 use super::Table;
 use crate::{
     process::{
-        broker::{CANCELLED, Reply, Send, wire},
+        broker::{Attempt, CANCELLED, Reply, Send, wire},
         clock,
     },
     request::id,
@@ -60,6 +60,7 @@
             return;
         };
         let (pool, spent) = (held.own.pool.clone(), grant.spent.unwrap_or(0));
+        let repeat = held.own.attempt == Attempt::Repeat;
         let grant = wire::grant(grant, from);
         held.server = Some(grant.server.clone());
         held.owed = None;
@@ -67,7 +68,7 @@
         if held.own.replies.try_send(Reply::Grant(grant)).is_err() {
             self.finish(id, CANCELLED, 0, sends);
         }
-        self.loans.note(clock::now(), &pool, from, spent);
+        self.loans.granted(clock::now(), &pool, from, repeat, spent);
     }
 
     /// Asks the dispatcher that another one names, if it can be reached; else the same one again.
@@ -96,6 +97,7 @@
         }
         if let Some(held) = self.held.get_mut(&id) {
             held.owed = None;
+            self.loans.heard(&held.own.pool, from);
         }
     }
 }
--- a/crates/drumusher/src/process/broker/wire.rs
+++ b/crates/drumusher/src/process/broker/wire.rs
@@ -6,12 +6,15 @@
 use drumusher_schedule::ask::Part;
 use drumusher_wire::peer;
 
-use super::{Attempt, Grant, Own, loan::Loan};
-use crate::{process::clock, request::id};
+use super::{Attempt, Grant, Offer, Own};
+use crate::{
+    process::{clock, counts},
+    request::id,
+};
 
-/// An ask for its dispatcher, to which this entry lends its part of the repeats; with the backend server
-/// it was granted, if it runs already.
-pub(super) fn ask(own: &Own, server: Option<&str>, attempt: Attempt, loan: &Loan) -> peer::Ask {
+/// An ask for its dispatcher, with what that is told of the repeats of this entry, and with the backend server it was
+/// granted, if it runs already.
+pub(super) fn ask(own: &Own, server: Option<&str>, attempt: Attempt, offer: &Offer) -> peer::Ask {
     peer::Ask {
         id: id::to_wire(own.id),
         pool: own.pool.to_string(),
@@ -29,12 +32,17 @@
         output: (own.output != 0).then_some(own.output as i32),
         parts: (!own.parts.is_empty()).then(|| own.parts.iter().map(part).collect()),
         attempt: Some(attempt as i16),
-        lent: Some(clock::now().saturating_sub(loan.since) as i64),
-        spent: (loan.brought > 0).then_some(loan.brought),
+        lent: None,
+        spent: (offer.spent > 0).then_some(offer.spent),
         digest: own.digest.map(Digest::to_wire),
+        sent: offer.sent.as_ref().map(|sent| sent.iter().map(count).collect()),
     }
 }
 
+fn count(part: &counts::Part) -> peer::Count {
+    peer::Count::new(part.age as i32, part.requests as i32, part.repeats as i32)
+}
+
 fn part(part: &Part) -> peer::Part {
     peer::Part::new(part.id as i64, part.tokens as i32)
 }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -179,9 +179,11 @@
     }
 
     fn gone(&mut self, entry: Entry) {
+        let now = clock::now();
+        let instances = self.shared.directory.load().instances.len();
         for host in self.hosts.values_mut() {
             host.askers.remove(entry);
-            host.budget.remove(entry);
+            host.budget.remove(now, entry, instances);
             host.trials.gone(entry);
         }
         self.each(|_| Event::EntryGone(entry));
@@ -257,11 +259,22 @@
     fn send(&mut self, pool: &Pool) {
         let orders = std::mem::take(&mut self.orders);
         let instances = self.shared.directory.load().instances.len();
+        let mut undone = Vec::new();
         for order in &orders {
             let Some(host) = self.hosts.get_mut(pool) else {
                 break;
             };
             self.shared.telemetry.count_order(order);
+            match order {
+                Order::Grant { id, entry, .. } => {
+                    if !host.grant_repeat(clock::now(), *id, instances) {
+                        undone.push((*entry, *id));
+                        continue;
+                    }
+                }
+                Order::Refuse { id, .. } => host.release_repeat(*id),
+                Order::Preempt { .. } => {}
+            }
             let spent = host.budget.spent(clock::now(), instances);
             let alone = match order {
                 Order::Grant { id, server, .. } => host.trials.grant(*id, *server),
@@ -275,6 +288,11 @@
         self.orders = orders;
         self.orders.clear();
         self.flush();
+        for (entry, id) in undone {
+            self.refuse_repeat(entry, id::to_wire(id));
+            self.handle(pool, Event::Finish(id, Outcome::Cancelled, 0));
+            self.end_suspect(pool, id, Outcome::Cancelled);
+        }
     }
 
     /// Hands messages to the peers thread. What its full ring does not take waits here, where the
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -4,7 +4,6 @@
     ask::{Ask, Entry, Outcome},
     event::Event,
     order::Refusal,
-    time::{MILLISECOND, Micros},
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -78,33 +77,35 @@
         self.acknowledge(entry, asked, pool);
     }
 
-    /// Counts an ask as a request or a repeat. Returns whether it may be granted.
+    /// Counts an ask that is a request; one that is a repeat is counted when it is granted. Returns whether it may be.
     fn count_attempt(&mut self, entry: Entry, asked: &peer::Ask, pool: &Pool) -> bool {
-        let Some(host) = self.hosts.get_mut(pool) else {
+        let (Some(host), Some(id)) = (self.hosts.get_mut(pool), id::from_wire(&asked.id)) else {
             return true;
         };
         let now = clock::now();
         let instances = self.shared.directory.load().instances.len();
-        let lent = asked.lent.unwrap_or(0).max(0) as Micros;
         let spent = f64::from(asked.spent.unwrap_or(0)) / SPENT_WHOLE;
         if !host.budget.knows(entry) {
             log::info!(
-                pool = pool.to_string().as_str(), entry = entry.0, lent_ms = lent / MILLISECOND,
-                spent = spent;
+                pool = pool.to_string().as_str(), entry = entry.0, spent = spent,
+                sent = asked.sent.as_ref().map_or(0, |sent| sent.iter().map(|part| part.repeats).sum::<i32>());
                 "an instance lends its repeats"
             );
         }
-        host.budget.lend(now, entry, lent, spent);
+        host.budget.lend(now, entry, spent);
+        if let Some(sent) = &asked.sent {
+            host.budget.bring(now, entry, sent.iter().map(wire::count));
+        }
         match Attempt::from_wire(asked.attempt.unwrap_or(0)) {
-            Attempt::First => host.budget.request(now),
+            Attempt::First => host.budget.request(now, entry),
             Attempt::Again => {}
-            Attempt::Repeat => return host.budget.repeat(now, instances),
+            Attempt::Repeat => return host.reserve_repeat(now, id, entry, instances),
         }
         true
     }
 
     /// Refuses a repeat: its entry ends the request with what the attempt before brought.
-    fn refuse_repeat(&mut self, entry: Entry, id: Vec<u8>) {
+    pub(super) fn refuse_repeat(&mut self, entry: Entry, id: Vec<u8>) {
         let refusal = Refusal::NoRepeat as i16;
         let refuse = Message::Refuse(peer::Refuse::new(id, refusal, 0));
         self.unsent.push_back((entry, refuse));
--- a/crates/drumusher/src/process/dispatch/budget.rs
+++ b/crates/drumusher/src/process/dispatch/budget.rs
@@ -1,33 +1,36 @@
 //! Repeats that a dispatcher may still grant. Without I/O.
 //!
-//! All instances together may send a service, in any window of time, so many repeats: a share of the
-//! requests for it and a fixed number on top. Every request asks its dispatcher for a backend server, and
-//! so does every repeat; the dispatcher counts both.
+//! All instances together may send a service, in any window of time, so many repeats: a share of the requests for it and
+//! a fixed number on top. Every request asks its dispatcher for a backend server, and so does every repeat; the
+//! dispatcher counts a request as it comes, and a repeat as it is granted, since it may wait for that. Until then its
+//! place is reserved.
 //!
-//! Of the fixed number each instance has an equal part, which it lends to the dispatcher that it asks. A
-//! dispatcher tells with each grant how much of what was lent to it is spent. Dispatchers change hands and
-//! the fleet may be divided between several, so an instance that turns to another one tells that one how
-//! much of its part is gone; it is whole again a window later.
+//! Dispatchers change hands, and the fleet may be divided between several. So each instance counts what it sends itself,
+//! and brings that along to a dispatcher that does not know it: what all who ask sent is known there, whoever granted it.
+//!
+//! Of the fixed number each instance has an equal part, which it lends to the dispatcher that it asks. Instances that ask
+//! another one may have spent it there. A dispatcher tells with each grant how much of what was lent to it is spent; an
+//! instance that turns to another one tells that one how much of its part is gone, until it no longer counts.
 //!
 //! Equal parts that nobody adds up are too small to be of use: of 630 repeats in 10 s each of 295 instances
 //! has two, also those that need none. Added up, one instance may use 504 (`unit::budget`).
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 
 use drumusher_schedule::{
     ask::Entry,
     time::{MILLISECOND, Micros},
 };
 
-/// Parts of the window in which counts are kept.
-const PARTS: u64 = 20;
+use crate::process::counts::{Counts, Part};
+
 /// Part of the fixed number that is used. What an instance that turned away from a dispatcher had lent may
 /// be spent there for as long as [`LENT_FOR`] says, and what instances believe about how many there are
 /// may differ for a moment.
 const SLACK_USED: f64 = 0.8;
 /// An instance that did not ask for this part of the window may have lent its part to another one.
 const LENT_FOR: u64 = 5;
-/// How long a sum over all loans is used again.
+/// How long a sum over all instances is used again.
 const SUM_FOR: Micros = 50 * MILLISECOND;
 
 /// The bound on repeats.
@@ -41,107 +44,153 @@
     pub window: Micros,
 }
 
-/// Counts of one part of the window.
-#[derive(Clone, Copy, Debug)]
-struct Part {
-    began: Micros,
-    requests: u32,
-    repeats: u32,
-}
-
-/// What an instance lent.
-#[derive(Clone, Copy, Debug)]
-struct Loan {
-    /// Since when it asks this dispatcher and no other.
-    since: Micros,
+/// An instance that asks.
+#[derive(Clone, Debug)]
+struct Account {
     /// When it asked last.
     asked: Micros,
-    /// How much of its part was spent elsewhere before, of 1.
+    /// Its repeats for which a place is reserved.
+    reserved: u32,
+    /// How much of its part of the fixed number is spent elsewhere, of 1.
     spent: f64,
+    /// What it sent, whoever granted it.
+    counts: Counts,
 }
 
-/// The requests and repeats of one service in the latest window, as its dispatcher counts them.
+/// The sums over all instances that ask.
+#[derive(Clone, Debug)]
+struct Sums {
+    at: Micros,
+    /// What they sent.
+    counts: Counts,
+    /// What they lend, in parts of one instance, without what is spent elsewhere.
+    left: f64,
+    /// The same with it.
+    whole: f64,
+}
+
+/// The requests and repeats of one service, as its dispatcher counts them.
 #[derive(Debug)]
 pub struct Budget {
     bound: Bound,
-    parts: VecDeque<Part>,
-    loans: HashMap<Entry, Loan>,
-    /// What is lent, in parts of an instance, and when that was added up.
-    lent: Option<(Micros, Lent)>,
-}
-
-/// What instances lend together, in parts of one.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lent {
-    /// Without what was spent elsewhere before.
-    left: f64,
-    /// With it.
-    whole: f64,
+    accounts: HashMap<Entry, Account>,
+    /// What was asked for and granted here.
+    here: Counts,
+    /// Repeats beyond their own part of instances that are gone.
+    gone: Counts,
+    /// Repeats that may be granted and are not yet.
+    reserved: u32,
+    sums: Option<Sums>,
 }
 
 impl Budget {
     /// Nobody asked yet.
     pub fn new(bound: Bound) -> Self {
-        Budget { bound, parts: VecDeque::new(), loans: HashMap::new(), lent: None }
+        let (here, gone) = (Counts::new(bound.window), Counts::new(bound.window));
+        Budget { bound, accounts: HashMap::new(), here, gone, reserved: 0, sums: None }
     }
 
-    /// An instance asks, which has asked this dispatcher and no other for the time `lent`, and of whose
-    /// part `spent` of 1 was gone before.
-    pub fn lend(&mut self, now: Micros, entry: Entry, lent: Micros, spent: f64) {
-        let loan =
-            Loan { since: now.saturating_sub(lent), asked: now, spent: spent.clamp(0.0, 1.0) };
-        let known = self.loans.insert(entry, loan);
-        if known.is_none_or(|known| known.spent != loan.spent) {
-            self.lent = None;
+    /// An instance asks, of whose part `spent` of 1 is gone elsewhere.
+    pub fn lend(&mut self, now: Micros, entry: Entry, spent: f64) {
+        let window = self.bound.window;
+        let counts = || Counts::new(window);
+        let fresh = || Account { asked: now, reserved: 0, spent: 0.0, counts: counts() };
+        let known = self.accounts.contains_key(&entry);
+        let account = self.accounts.entry(entry).or_insert_with(fresh);
+        let spent = spent.clamp(0.0, 1.0);
+        if !known || account.spent != spent {
+            self.sums = None;
         }
+        (account.asked, account.spent) = (now, spent);
+    }
+
+    /// Takes what an instance counted itself, in place of what is known of it.
+    pub fn bring(&mut self, now: Micros, entry: Entry, parts: impl IntoIterator<Item = Part>) {
+        let Some(account) = self.accounts.get_mut(&entry) else { return };
+        account.counts = Counts::new(self.bound.window);
+        parts.into_iter().for_each(|part| account.counts.bring(now, part));
+        self.sums = None;
     }
 
     /// Whether an instance asked before.
     pub fn knows(&self, entry: Entry) -> bool {
-        self.loans.contains_key(&entry)
+        self.accounts.contains_key(&entry)
     }
 
-    /// The connection with an instance ended.
-    pub fn remove(&mut self, entry: Entry) {
-        self.loans.remove(&entry);
-        self.lent = None;
+    /// The connection with an instance ended. What it sent beyond its own part was others', and stays counted.
+    pub fn remove(&mut self, now: Micros, entry: Entry, instances: usize) {
+        let Some(account) = self.accounts.remove(&entry) else { return };
+        let (requests, repeats) = account.counts.latest(now);
+        let own = self.bound.ratio * f64::from(requests) + self.slack(1.0, instances);
+        let beyond = (f64::from(repeats) - own).max(0.0).ceil();
+        self.gone.repeat(now, beyond as u32);
+        self.sums = None;
     }
 
     /// Counts a request.
-    pub fn request(&mut self, now: Micros) {
-        self.part(now).requests += 1;
+    pub fn request(&mut self, now: Micros, entry: Entry) {
+        self.here.request(now);
+        if let Some(account) = self.accounts.get_mut(&entry) {
+            account.counts.request(now);
+        }
+        if let Some(sums) = &mut self.sums {
+            sums.counts.request(now);
+        }
     }
 
-    /// Takes a repeat, where so many instances are listed; `false` if there is none left.
-    pub fn repeat(&mut self, now: Micros, instances: usize) -> bool {
-        let lent = self.lent(now).left;
-        if self.beyond_ratio(now) + 1.0 > self.slack(lent, instances) {
+    /// Reserves a place for a repeat of an instance, where so many are listed; `false` if there is none left.
+    pub fn reserve(&mut self, now: Micros, entry: Entry, instances: usize) -> bool {
+        if self.left(now, instances) < f64::from(self.reserved + 1) {
             return false;
         }
-        self.part(now).repeats += 1;
+        self.reserved += 1;
+        if let Some(account) = self.accounts.get_mut(&entry) {
+            account.reserved += 1;
+        }
         true
     }
 
-    /// How much of what is lent was spent in the latest window, of 1.
-    pub fn spent(&mut self, now: Micros, instances: usize) -> f64 {
-        let lent = self.lent(now);
-        let whole = self.slack(lent.whole, instances);
-        if whole <= 0.0 {
-            return 1.0;
+    /// A repeat of an instance for which a place is reserved is not wanted any more.
+    pub fn release(&mut self, entry: Entry) {
+        self.reserved = self.reserved.saturating_sub(1);
+        if let Some(account) = self.accounts.get_mut(&entry) {
+            account.reserved = account.reserved.saturating_sub(1);
+        }
+    }
+
+    /// A repeat for which a place is reserved is granted to an instance now; `false` if it came too late, since the
+    /// requests by which it was allowed are too long ago.
+    pub fn grant(&mut self, now: Micros, entry: Entry, instances: usize) -> bool {
+        let may_be_sent = self.left(now, instances) >= 1.0;
+        self.release(entry);
+        if !may_be_sent {
+            return false;
+        }
+        self.here.repeat(now, 1);
+        if let Some(account) = self.accounts.get_mut(&entry) {
+            account.counts.repeat(now, 1);
+        }
+        if let Some(sums) = &mut self.sums {
+            sums.counts.repeat(now, 1);
         }
-        let left = self.slack(lent.left, instances) - self.beyond_ratio(now).max(0.0);
-        (1.0 - left / whole).clamp(0.0, 1.0)
+        true
+    }
+
+    /// How much of what is lent, without what is spent elsewhere, was spent here in the latest window, of 1.
+    pub fn spent(&mut self, now: Micros, instances: usize) -> f64 {
+        let left = self.sums(now).left;
+        let (lent, spent) = (self.slack(left, instances), self.here.beyond(now, self.bound.ratio));
+        if spent <= 0.0 { 0.0 } else { (spent / lent.max(1.0)).min(1.0) }
     }
 
-    /// Repeats of the latest window beyond those that its requests allow; below zero if there are fewer. Of a part
-    /// that lies in the window with its end alone all repeats count, and no request.
-    fn beyond_ratio(&mut self, now: Micros) -> f64 {
-        self.part(now);
-        let oldest = now.saturating_sub(self.bound.window);
-        let whole = self.parts.iter().filter(|part| part.began >= oldest);
-        let requests: u32 = whole.map(|part| part.requests).sum();
-        let repeats: u32 = self.parts.iter().map(|part| part.repeats).sum();
-        f64::from(repeats) - self.bound.ratio * f64::from(requests)
+    /// How many repeats may be granted in all: by what all sent, and by what was granted here.
+    fn left(&mut self, now: Micros, instances: usize) -> f64 {
+        let ratio = self.bound.ratio;
+        let sums = self.sums(now);
+        let (left, whole, sent) = (sums.left, sums.whole, sums.counts.beyond(now, ratio));
+        let by_all = self.slack(whole, instances) - sent;
+        let by_own = self.slack(left, instances) - self.here.beyond(now, ratio);
+        by_all.min(by_own)
     }
 
     /// The repeats that some of the equal parts are, where so many instances are listed.
@@ -149,33 +198,31 @@
         self.bound.slack * SLACK_USED * (parts / instances.max(1) as f64).min(1.0)
     }
 
-    /// What is lent.
-    fn lent(&mut self, now: Micros) -> Lent {
-        if let Some((_, lent)) = self.lent.filter(|(at, _)| now < at + SUM_FOR) {
-            return lent;
+    /// The sums over the instances that ask. Of one that asked for nothing lately, and has no repeat that waits, the repeats
+    /// count, and neither its part nor its requests: it may ask another dispatcher.
+    fn sums(&mut self, now: Micros) -> &Sums {
+        let is_fresh = self.sums.as_ref().is_some_and(|sums| now < sums.at + SUM_FOR);
+        if !is_fresh {
+            self.sums = Some(self.add_up(now));
         }
-        let window = self.bound.window;
-        let mut lent = Lent::default();
-        for loan in self.loans.values().filter(|loan| now <= loan.asked + window / LENT_FOR) {
-            let fresh = now < loan.since + window;
-            lent.left += if fresh { 1.0 - loan.spent } else { 1.0 };
-            lent.whole += 1.0;
-        }
-        self.lent = Some((now, lent));
-        lent
+        self.sums.as_ref().expect("they were just added up")
     }
 
-    /// The part of the window that `now` falls in; parts that are over are dropped.
-    fn part(&mut self, now: Micros) -> &mut Part {
-        let length = (self.bound.window / PARTS).max(1);
-        let began = now - now % length;
-        let oldest = now.saturating_sub(self.bound.window + length);
-        while self.parts.front().is_some_and(|part| part.began < oldest) {
-            self.parts.pop_front();
-        }
-        if self.parts.back().is_none_or(|part| part.began != began) {
-            self.parts.push_back(Part { began, requests: 0, repeats: 0 });
+    fn add_up(&self, now: Micros) -> Sums {
+        let window = self.bound.window;
+        let mut sums = Sums { at: now, counts: Counts::new(window), left: 0.0, whole: 0.0 };
+        sums.counts.add(now, &self.gone);
+        for account in self.accounts.values() {
+            let lends = account.reserved > 0 || now <= account.asked + window / LENT_FOR;
+            if lends {
+                sums.left += 1.0 - account.spent;
+                sums.whole += 1.0;
+            }
+            for part in account.counts.told(now) {
+                let requests = if lends { part.requests } else { 0 };
+                sums.counts.bring(now, Part { requests, ..part });
+            }
         }
-        self.parts.back_mut().expect("a part was just entered")
+        sums
     }
 }
--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -7,7 +7,7 @@
 
 use drumusher_log::quarantine::Digest;
 use drumusher_schedule::{
-    ask::Id,
+    ask::{Entry, Id},
     event::Event,
     policy::Policy,
     pool, rank,
@@ -48,6 +48,8 @@
     pub(super) askers: Askers,
     /// The repeats that may be granted.
     pub(super) budget: Budget,
+    /// The repeats for which a place in the budget is reserved until they are granted, with who asks.
+    reserved: HashMap<Id, Entry>,
     /// Those that are tried apart from each other.
     pub(super) trials: Trials,
     /// What tells requests from others, of those that were handed to the decisions.
@@ -71,6 +73,7 @@
             own_word: BTreeMap::new(),
             askers: Askers::new(),
             budget: Budget::new(bound),
+            reserved: HashMap::new(),
             trials: Trials::default(),
             digests: HashMap::new(),
             told: Vec::new(),
@@ -79,11 +82,47 @@
         }
     }
 
+    /// Reserves a place in the budget for a repeat, where so many instances are listed; `false` if there is none left.
+    pub(super) fn reserve_repeat(
+        &mut self,
+        now: u64,
+        id: Id,
+        entry: Entry,
+        instances: usize,
+    ) -> bool {
+        if self.reserved.contains_key(&id) {
+            return true;
+        }
+        let granted = self.budget.reserve(now, entry, instances);
+        if granted {
+            self.reserved.insert(id, entry);
+        }
+        granted
+    }
+
+    /// A request is granted now: if it is a repeat it is counted. Returns whether it may be sent.
+    pub(super) fn grant_repeat(&mut self, now: u64, id: Id, instances: usize) -> bool {
+        match self.reserved.remove(&id) {
+            Some(entry) => self.budget.grant(now, entry, instances),
+            None => true,
+        }
+    }
+
+    /// A request is no longer wanted, or was refused.
+    pub(super) fn release_repeat(&mut self, id: Id) {
+        if let Some(entry) = self.reserved.remove(&id) {
+            self.budget.release(entry);
+        }
+    }
+
     /// Forgets what was kept of requests that ended without a word, with their entry.
     pub(super) fn forget_ended(&mut self) {
         let pool = &self.pool;
         let is_known = |id: Id| pool.waits(id) || pool.running_request(id).is_some();
         self.trials.keep(is_known);
+        for (_, entry) in self.reserved.extract_if(|id, _| !is_known(*id)) {
+            self.budget.release(entry);
+        }
         if self.digests.len() > pool.waiting() + pool.running() {
             self.digests.retain(|id, _| is_known(*id));
         }
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -89,6 +89,7 @@
         let Some(host) = self.hosts.get_mut(pool) else {
             return;
         };
+        host.release_repeat(id);
         let digest = host.digests.remove(&id);
         let others = host.trials.end(clock::now(), id);
         let answered = matches!(outcome, Outcome::Done | Outcome::Erred);
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use drumusher_schedule::{
-    ask::{Ask, Entry, Id, Outcome, Part},
+    ask::{self, Ask, Entry, Id, Outcome},
     event::Progress,
     order::Order,
     policy::{ClassKey, WorkspaceKey},
@@ -11,7 +11,11 @@
 };
 use drumusher_wire::peer::{self, Message};
 
-use crate::{process::clock, request::id, version::Version};
+use crate::{
+    process::{clock, counts::Part},
+    request::id,
+    version::Version,
+};
 
 /// Reads an ask of an entry. A class that is not known is taken for the lowest; `known` has the keys
 /// of the pool's backend servers, of which those in `apart` are to be kept apart from it.
@@ -42,8 +46,18 @@
     })
 }
 
-fn read_part(part: &peer::Part) -> Part {
-    Part { id: part.id as u64, tokens: part.tokens.max(0) as u32 }
+/// What an entry says that it sent in one part of the window.
+pub(super) fn count(count: &peer::Count) -> Part {
+    let number = |number: i32| number.max(0) as u32;
+    Part {
+        age: u64::from(number(count.age)),
+        requests: number(count.requests),
+        repeats: number(count.repeats),
+    }
+}
+
+fn read_part(part: &peer::Part) -> ask::Part {
+    ask::Part { id: part.id as u64, tokens: part.tokens.max(0) as u32 }
 }
 
 /// A report on an attempt.
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -26,6 +26,7 @@
 //! | [`telemetry`] | metrics and spans |
 //! | [`logs`] | log lines |
 //! | [`clock`] | the process's clock |
+//! | [`counts`] | requests and repeats by the time at which they were sent |
 //!
 //! The threads are joined by bounded rings. What a request does once (its ask and its finish) always
 //! passes, and is bounded by the number of requests held; reports that a full ring refuses are
@@ -34,6 +35,7 @@
 pub mod broker;
 pub mod catalog;
 pub mod clock;
+pub mod counts;
 pub mod dispatch;
 mod duties;
 pub mod explain;
--- a/crates/drumusher/tests/unit/budget.rs
+++ b/crates/drumusher/tests/unit/budget.rs
@@ -17,17 +17,22 @@
 
 const BOUND: Bound = Bound { ratio: 0.2, slack: 50.0, window: 10 * SECOND };
 
+/// Takes a repeat that is granted at once.
+fn repeat(budget: &mut Budget, now: Micros, entry: Entry, instances: usize) -> bool {
+    budget.reserve(now, entry, instances) && budget.grant(now, entry, instances)
+}
+
 /// How many repeats are left.
 fn left(budget: &mut Budget, now: Micros, instances: usize) -> usize {
-    (0..1_000).take_while(|_| budget.repeat(now, instances)).count()
+    (0..1_000).take_while(|_| repeat(budget, now, Entry(1), instances)).count()
 }
 
 #[test]
 fn repeats_are_a_share_of_the_requests_and_of_what_is_lent() {
     let mut budget = Budget::new(BOUND);
-    (1..=5).for_each(|entry| budget.lend(SECOND, Entry(entry), 0, 0.0));
+    (1..=5).for_each(|entry| budget.lend(SECOND, Entry(entry), 0.0));
     assert_eq!(left(&mut budget, SECOND, 5), 40, "four fifths of the slack");
-    (0..50).for_each(|_| budget.request(2 * SECOND));
+    (0..50).for_each(|_| budget.request(2 * SECOND, Entry(1)));
     assert_eq!(left(&mut budget, 2 * SECOND, 5), 10, "and a fifth of the requests");
 }
 
@@ -36,7 +41,7 @@
 #[test]
 fn what_hundreds_lend_serves_the_one_that_needs_it() {
     let mut budget = Budget::new(Bound { slack: 630.0, ..BOUND });
-    (0..295).for_each(|entry| budget.lend(SECOND, Entry(entry), 0, 0.0));
+    (0..295).for_each(|entry| budget.lend(SECOND, Entry(entry), 0.0));
     assert_eq!(left(&mut budget, SECOND, 295), 504);
 }
 
@@ -44,7 +49,7 @@
 #[test]
 fn a_part_of_the_fleet_has_its_part() {
     let mut budget = Budget::new(Bound { slack: 630.0, ..BOUND });
-    (0..98).for_each(|entry| budget.lend(SECOND, Entry(entry), 0, 0.0));
+    (0..98).for_each(|entry| budget.lend(SECOND, Entry(entry), 0.0));
     assert_eq!(left(&mut budget, SECOND, 295), 167);
 }
 
@@ -52,10 +57,10 @@
 #[test]
 fn what_was_spent_elsewhere_is_gone_for_a_window() {
     let mut budget = Budget::new(BOUND);
-    (1..=5).for_each(|entry| budget.lend(SECOND, Entry(entry), 0, 0.75));
+    (1..=5).for_each(|entry| budget.lend(SECOND, Entry(entry), 0.75));
     assert_eq!(left(&mut budget, SECOND, 5), 10);
     assert_eq!(budget.spent(SECOND, 5), 1.0);
-    (1..=5).for_each(|entry| budget.lend(12 * SECOND, Entry(entry), 11 * SECOND, 0.75));
+    (1..=5).for_each(|entry| budget.lend(12 * SECOND, Entry(entry), 0.0));
     assert_eq!(budget.spent(12 * SECOND, 5), 0.0);
     assert_eq!(left(&mut budget, 12 * SECOND, 5), 40);
 }
@@ -63,12 +68,12 @@
 #[test]
 fn what_is_older_than_the_window_does_not_count() {
     let mut budget = Budget::new(BOUND);
-    budget.lend(20 * SECOND, Entry(1), 0, 0.0);
+    budget.lend(20 * SECOND, Entry(1), 0.0);
     assert!(left(&mut budget, 20 * SECOND, 1) > 0);
-    budget.lend(29 * SECOND, Entry(1), 9 * SECOND, 0.0);
-    assert!(!budget.repeat(29 * SECOND, 1));
-    budget.lend(31 * SECOND, Entry(1), 11 * SECOND, 0.0);
-    assert!(budget.repeat(31 * SECOND, 1));
+    budget.lend(29 * SECOND, Entry(1), 0.0);
+    assert!(!repeat(&mut budget, 29 * SECOND, Entry(1), 1));
+    budget.lend(31 * SECOND, Entry(1), 0.0);
+    assert!(repeat(&mut budget, 31 * SECOND, Entry(1), 1));
 }
 
 /// A repeat counts for the whole window, whenever in a part of it it was granted. Parts that had begun a window ago
@@ -77,11 +82,11 @@
 fn a_repeat_counts_to_the_end_of_its_window() {
     let mut budget = Budget::new(BOUND);
     let first = 10 * SECOND + 58 * MILLISECOND;
-    (1..=5).for_each(|entry| budget.lend(first, Entry(entry), 0, 0.0));
+    (1..=5).for_each(|entry| budget.lend(first, Entry(entry), 0.0));
     assert_eq!(left(&mut budget, first, 5), 40);
     for pause in [9_000, 9_499, 9_951, 9_999] {
         let now = first + pause * MILLISECOND;
-        (1..=5).for_each(|entry| budget.lend(now, Entry(entry), pause * MILLISECOND, 0.0));
+        (1..=5).for_each(|entry| budget.lend(now, Entry(entry), 0.0));
         assert_eq!(left(&mut budget, now, 5), 0, "after {pause} ms");
     }
 }
@@ -89,10 +94,10 @@
 #[test]
 fn those_that_stopped_asking_or_are_gone_lend_nothing() {
     let mut budget = Budget::new(BOUND);
-    budget.lend(20 * SECOND, Entry(1), 0, 0.0);
+    budget.lend(20 * SECOND, Entry(1), 0.0);
     assert_eq!(left(&mut budget, 23 * SECOND, 1), 0);
-    budget.lend(24 * SECOND, Entry(1), 0, 0.0);
-    budget.remove(Entry(1));
+    budget.lend(24 * SECOND, Entry(1), 0.0);
+    budget.remove(24 * SECOND, Entry(1), 1);
     assert_eq!(left(&mut budget, 24 * SECOND, 1), 0);
 }
 
@@ -103,6 +108,8 @@
     now: Micros,
     requests: Vec<Micros>,
     repeats: Vec<Micros>,
+    /// Repeats that wait for their grant: when that comes, and of which instance by which dispatcher.
+    waiting: Vec<(Micros, usize, usize)>,
 }
 
 impl Fleet {
@@ -116,25 +123,53 @@
             now,
             requests: Vec::new(),
             repeats: Vec::new(),
+            waiting: Vec::new(),
         }
     }
 
     /// An instance asks a dispatcher, with a request or a repeat.
     fn ask(&mut self, instance: usize, dispatcher: usize, repeat: bool) {
+        self.ask_and_wait(instance, dispatcher, repeat, 0);
+        self.grant_due();
+    }
+
+    /// The same, where a repeat waits for its grant.
+    fn ask_and_wait(&mut self, instance: usize, dispatcher: usize, repeat: bool, wait: Micros) {
         let (now, count) = (self.now, self.loans.len());
         let (name, budget) = &mut self.dispatchers[dispatcher];
         let pool = Pool::Service("s".into());
-        let loan = self.loans[instance].lend(now, &pool, name);
-        let (lent, brought) = (now - loan.since, f64::from(loan.brought) / 1_000.0);
-        budget.lend(now, Entry(instance as u32), lent, brought);
+        let offer = self.loans[instance].lend(now, &pool, name, !repeat);
+        let entry = Entry(instance as u32);
+        budget.lend(now, entry, f64::from(offer.spent) / 1_000.0);
+        if let Some(sent) = offer.sent {
+            budget.bring(now, entry, sent);
+        }
         if !repeat {
-            budget.request(now);
+            budget.request(now, entry);
             self.requests.push(now);
-        } else if budget.repeat(now, count) {
-            self.repeats.push(now);
+        } else {
+            if budget.reserve(now, entry, count) {
+                self.waiting.push((now + wait, instance, dispatcher));
+            }
+            self.loans[instance].heard(&pool, name);
+            return;
         }
         let spent = (budget.spent(now, count) * 1_000.0) as i16;
-        self.loans[instance].note(now, &pool, name, spent);
+        self.loans[instance].granted(now, &pool, name, false, spent);
+    }
+
+    /// Grants the repeats whose time has come.
+    fn grant_due(&mut self) {
+        let (now, count) = (self.now, self.loans.len());
+        let pool = Pool::Service("s".into());
+        for (_, instance, dispatcher) in self.waiting.extract_if(.., |(at, ..)| *at <= now) {
+            let (name, budget) = &mut self.dispatchers[dispatcher];
+            if budget.grant(now, Entry(instance as u32), count) {
+                self.repeats.push(now);
+                let spent = (budget.spent(now, count) * 1_000.0) as i16;
+                self.loans[instance].granted(now, &pool, name, true, spent);
+            }
+        }
     }
 
     /// Whether the repeats of every window keep the bound as it is stated: a share of the requests of that window, of
@@ -173,6 +208,35 @@
     }
 }
 
+/// A dispatcher counted a repeat as it was asked for. While servers are down it waits, so that the repeats of two windows
+/// reached servers in one: 80 where 50 are allowed.
+#[test]
+fn a_repeat_counts_when_it_is_granted() {
+    let mut fleet = Fleet::new(1, 4);
+    for _ in 0..2 {
+        for number in 0..400 {
+            fleet.ask_and_wait(number % 4, 0, true, 11 * SECOND);
+        }
+        fleet.now += 11 * SECOND - MILLISECOND;
+    }
+    for _ in 0..30 {
+        fleet.now += SECOND / 2;
+        fleet.grant_due();
+    }
+    assert!(fleet.repeats.len() >= 40, "those that waited are granted");
+    assert!(fleet.keeps_the_stated_bound(), "{}", fleet.repeats.len());
+}
+
+/// An instance that is gone may have spent what others lent: that does not come back with its end.
+#[test]
+fn what_one_that_is_gone_spent_stays_spent() {
+    let mut budget = Budget::new(BOUND);
+    (1..=5).for_each(|entry| budget.lend(SECOND, Entry(entry), 0.0));
+    assert_eq!(left(&mut budget, SECOND, 5), 40, "all by the first one");
+    budget.remove(SECOND, Entry(1), 5);
+    assert_eq!(left(&mut budget, 2 * SECOND, 5), 0);
+}
+
 /// What was spent counts for one window. Instances that turn to and fro between dispatchers within it, as they do
 /// where one of them is cut off again and again, bring along what they were told with a new window each time: 17 s
 /// after 40 repeats, which count for 10 s, 2 are left in place of 42, and no more as long as dispatchers change.
@@ -259,6 +323,47 @@
         }
     }
 
+    /// The bound as it is stated holds however long repeats wait for their grants, while requests come in bursts.
+    #[test]
+    fn the_stated_bound_holds_however_long_repeats_wait(
+        steps in proptest::collection::vec(
+            (0_usize..4, any::<bool>(), 0_u64..400, 0_u64..8_000, 1_usize..30), 1..200),
+    ) {
+        let mut fleet = Fleet::new(1, 4);
+        fleet.now += 20 * SECOND;
+        for (instance, repeat, pause, wait, count) in steps {
+            fleet.now += pause * MILLISECOND;
+            fleet.grant_due();
+            (0..count).for_each(|_| fleet.ask_and_wait(instance, 0, repeat, wait * MILLISECOND));
+        }
+        for _ in 0..100 {
+            fleet.now += 100 * MILLISECOND;
+            fleet.grant_due();
+        }
+        prop_assert!(fleet.keeps_the_stated_bound());
+    }
+
+    /// The same where all instances turn from one dispatcher to the next together.
+    #[test]
+    fn the_stated_bound_holds_over_a_series_of_dispatchers(
+        steps in proptest::collection::vec(
+            (0_usize..4, any::<bool>(), 0_u64..1_000, 1_usize..60, 0_u8..10), 1..150),
+    ) {
+        let mut fleet = Fleet::new(4, 4);
+        fleet.now += 20 * SECOND;
+        let mut dispatcher = 0;
+        for (instance, repeat, pause, count, turn) in steps {
+            fleet.now += pause * MILLISECOND;
+            if turn == 0 {
+                dispatcher = (dispatcher + 1) % 4;
+                (0..4).for_each(|instance| fleet.ask(instance, dispatcher, false));
+                fleet.now += 60 * MILLISECOND;
+            }
+            (0..count).for_each(|_| fleet.ask(instance, dispatcher, repeat));
+        }
+        prop_assert!(fleet.keeps_the_stated_bound());
+    }
+
     /// The same over four dispatchers that take over from each other, each of which grants all it may.
     #[test]
     fn a_series_of_dispatchers_keeps_the_bound(
