fix: the clock of the process counts the time for which the machine was suspended

Nothing was seen of this: it was read in the code. The clock stood on one that does not count a suspension, so that a lease, a drain and what was heard of another instance looked as young after it as before. A holder of the duties would have gone on as one whose lease has long passed to another.

All of it stands on CLOCK_BOOTTIME now, in one place (drumusher-platform, by the nix crate): the clock of the process, the Unix time that is told, calls of duties and the planned stop. Timers stand still too: a call of a duty looks at the clock just before it writes, and a request that waits for its grant or for its answer looks at it every 0.1 s.

--- a/crates/drumusher-platform/src/duty.rs
+++ b/crates/drumusher-platform/src/duty.rs
@@ -1,9 +1,9 @@
 //! Duties that one instance at a time has towards the platform: telling who used how much, and ordering backend
 //! servers; and the part of the store in which the instances agree on who has them.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::collections::BTreeMap;
 
-use crate::Error;
+use crate::{Error, clock::Micros};
 
 /// The register that says who has the duties.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,8 +32,8 @@
     pub holder: &'a str,
     /// Rises whenever another instance has it.
     pub token: u64,
-    /// Nothing is sent after this.
-    pub until: Instant,
+    /// Nothing is sent after this, on the clock of the process.
+    pub until: Micros,
 }
 
 /// What the platform says of a call.
--- a/crates/drumusher-platform/src/lib.rs
+++ b/crates/drumusher-platform/src/lib.rs
@@ -2,13 +2,14 @@
 //!
 //! [`log`] is the platform's append-only log, [`members`] its list of instances and backend
 //! servers, [`load`] a backend server's own report. A change of an outside protocol is a change of
-//! one of these files. [`catalog`], [`routing`], [`engine`], [`duty`] and [`dialect`] are the traits and values of a
+//! one of these files. [`clock`] is the clock of the process. [`catalog`], [`routing`], [`engine`], [`duty`] and [`dialect`] are the traits and values of a
 //! platform that keeps configuration and servers in one store; the crate in `platform/` implements
 //! them. Unknown fields are ignored; missing ones are an [`Error::Malformed`].
 //!
 //! Futures are not `Send`: each belongs to the thread that made it.
 
 pub mod catalog;
+pub mod clock;
 pub mod dialect;
 pub mod duty;
 pub mod engine;
--- a/crates/drumusher-platform/src/once.rs
+++ b/crates/drumusher-platform/src/once.rs
@@ -6,13 +6,16 @@
 use std::{
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use ntex::rt;
 use socket2::SockRef;
 
-use crate::Error;
+use crate::{
+    Error,
+    clock::{self, Micros},
+};
 
 /// Longest head of an answer, in bytes.
 const LONGEST: usize = 16 * 1024;
@@ -32,8 +35,8 @@
     pub headers: Vec<(&'static str, String)>,
     /// The body, JSON.
     pub body: String,
-    /// Nothing is written after this.
-    pub until: Instant,
+    /// Nothing is written after this, on the clock of the process.
+    pub until: Micros,
     /// Longest time of all of it.
     pub within: Duration,
 }
@@ -48,10 +51,10 @@
 }
 
 fn exchange(call: &Call) -> Result<u16, Error> {
-    let end = Instant::now() + call.within;
+    let end = clock::now() + call.within.as_micros() as Micros;
     let mut stream = connect(call.address, end).map_err(|_| Error::Unreachable)?;
     let bytes = bytes(call);
-    if Instant::now() > call.until {
+    if clock::now() > call.until {
         return Err(Error::Unreachable);
     }
     let answered = write_and_read(&mut stream, &bytes, end);
@@ -62,14 +65,14 @@
     answered
 }
 
-fn connect(address: SocketAddr, end: Instant) -> io::Result<TcpStream> {
+fn connect(address: SocketAddr, end: Micros) -> io::Result<TcpStream> {
     let stream = TcpStream::connect_timeout(&address, left(end)?)?;
     stream.set_nodelay(true)?;
     SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
     Ok(stream)
 }
 
-fn write_and_read(stream: &mut TcpStream, bytes: &[u8], end: Instant) -> Result<u16, Error> {
+fn write_and_read(stream: &mut TcpStream, bytes: &[u8], end: Micros) -> Result<u16, Error> {
     let no_answer = |_| Error::NoAnswer;
     stream.set_write_timeout(Some(left(end).map_err(no_answer)?)).map_err(no_answer)?;
     stream.write_all(bytes).map_err(no_answer)?;
@@ -89,8 +92,8 @@
 }
 
 /// The time that is left, if there is any.
-fn left(end: Instant) -> io::Result<Duration> {
-    let left = end.saturating_duration_since(Instant::now());
+fn left(end: Micros) -> io::Result<Duration> {
+    let left = Duration::from_micros(end.saturating_sub(clock::now()));
     if left.is_zero() { Err(io::ErrorKind::TimedOut.into()) } else { Ok(left) }
 }
 
--- a/crates/drumusher/src/process/duties/hold.rs
+++ b/crates/drumusher/src/process/duties/hold.rs
@@ -6,7 +6,6 @@
 use std::{
     rc::Rc,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
 };
 
 use drumusher_duty::{
@@ -286,9 +285,7 @@
     }
 
     fn caller(&self, pass: Pass) -> Caller<'_> {
-        let left = pass.until.saturating_sub(clock::now());
-        let until = Instant::now() + Duration::from_micros(left);
-        Caller { holder: &self.shared.name, token: pass.token, until }
+        Caller { holder: &self.shared.name, token: pass.token, until: pass.until }
     }
 
     /// A call ended: the next one keeps the platform's rate, and waits longer after a failure.
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -34,7 +34,6 @@
 
 pub mod broker;
 pub mod catalog;
-pub mod clock;
 pub mod counts;
 pub mod dispatch;
 mod duties;
@@ -48,5 +47,6 @@
 pub mod shared;
 pub mod telemetry;
 
+pub use drumusher_platform::clock;
 pub use serve::run;
 pub use shared::Shared;
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -7,9 +7,9 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::{Duration, Instant},
 };
 
+use drumusher_schedule::time::MILLISECOND;
 use ntex::{
     io::Io,
     rt, server,
@@ -19,7 +19,7 @@
 use signal_hook::{consts::signal, iterator::Signals};
 
 use super::{
-    Shared, dispatch,
+    Shared, clock, dispatch,
     peers::{self, Peers, Rings},
     platform,
     shared::Receivers,
@@ -222,15 +222,16 @@
     while !shared.stopping() {
         sleep(LOOK).await;
     }
-    let accept = Duration::from_millis(shared.settings.stop_accept_ms);
-    let longest = Duration::from_millis(shared.settings.stop_longest_ms).mul_f64(GRACE_USED);
-    let since = Instant::now();
+    let accept = shared.settings.stop_accept_ms * MILLISECOND;
+    let longest = (shared.settings.stop_longest_ms * MILLISECOND) as f64 * GRACE_USED;
+    let since = clock::now();
     loop {
         let held = shared.requests.load(Ordering::Acquire);
-        if hurried.load(Ordering::Acquire) || since.elapsed() >= longest {
+        let lasted = clock::now() - since;
+        if hurried.load(Ordering::Acquire) || lasted as f64 >= longest {
             return held;
         }
-        if held == 0 && since.elapsed() >= accept {
+        if held == 0 && lasted >= accept {
             return 0;
         }
         sleep(LOOK).await;
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -365,7 +365,7 @@
     ///
     /// As [`Conn::piece`].
     pub async fn piece(&self, conn: &mut Conn, until: Micros) -> Result<Piece, upstream::Error> {
-        conn.piece(left(until), || self.started_again()).await
+        conn.piece(until, || self.started_again()).await
     }
 
     /// Whether the backend server of the latest attempt started again meanwhile.
@@ -380,9 +380,3 @@
         self.worker.conns.give(backend, conn);
     }
 }
-
-/// The time until `until`, at least a millisecond.
-pub fn left(until: Micros) -> Millis {
-    let left = until.saturating_sub(clock::now()) / MILLISECOND;
-    Millis(left.clamp(1, u64::from(u32::MAX)) as u32)
-}
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -18,6 +18,8 @@
     version::Pool,
 };
 
+/// Time between two looks at the clock of a request that waits: a part of the tightest target.
+const LOOK: Millis = Millis(100);
 /// Replies that may wait for a request.
 const REPLIES: usize = 8;
 
@@ -90,9 +92,12 @@
         self.open = true;
         self.shared.broker.send(Input::Open(Box::new(self.own(avoid, attempt))));
         loop {
+            // Timers stand still while the machine is suspended, and the time of a request does not.
             let left = until.saturating_sub(clock::now()) / MILLISECOND;
-            let reply = timeout(Millis(left.max(1) as u32), self.replies.recv()).await;
+            let slice = left.clamp(1, u64::from(LOOK.0)) as u32;
+            let reply = timeout(Millis(slice), self.replies.recv()).await;
             match reply {
+                Err(()) if clock::now() + MILLISECOND <= until => {}
                 Ok(Ok(Reply::Grant(grant))) => return Decision::Run(grant),
                 Ok(Ok(Reply::Refuse(refusal, retry_after))) => {
                     self.open = false;
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -91,24 +91,24 @@
         Ok(())
     }
 
-    /// Waits for the next piece of the answer, as long as the backend server is not `gone`.
+    /// Waits until `until` for the next piece of the answer, as long as the backend server is not `gone`. The clock is
+    /// looked at again and again: timers stand still while the machine is suspended, and the time of a request does not.
     ///
     /// # Errors
     ///
     /// Any [`Error`] but [`Error::NotConnected`]; the connection is of no use then.
-    pub async fn piece(&mut self, limit: Millis, gone: impl Fn() -> bool) -> Result<Piece, Error> {
-        let mut left = limit.0;
+    pub async fn piece(&mut self, until: Micros, gone: impl Fn() -> bool) -> Result<Piece, Error> {
         let received = loop {
-            let slice = left.min(LOOK.0);
+            let left = until.saturating_sub(clock::now()) / MILLISECOND;
+            let slice = left.clamp(1, u64::from(LOOK.0)) as u32;
             let received = timeout(Millis(slice), self.io.recv(&self.codec)).await;
-            if received.is_ok() || left == slice {
+            if received.is_ok() || clock::now() + MILLISECOND > until {
                 break received;
             }
             if gone() {
                 self.sound = false;
                 return Err(Error::Lost);
             }
-            left -= slice;
         };
         let piece = match received {
             Err(()) => Err(Error::Silent),
