--- a/crates/drumusher/tests/routes/quarantine.rs
+++ b/crates/drumusher/tests/routes/quarantine.rs
@@ -14,7 +14,7 @@
 };
 
 use drumusher_adapter_stand_in::{Ending, Fault, Run, Server, server::events};
-use drumusher_bench::fleet::wait_for;
+use drumusher_bench::fleet::{Mode, wait_for};
 
 use rstest::rstest;
 
@@ -281,6 +281,65 @@
     }
 }
 
+/// How an instance is out of touch while servers end.
+#[derive(Clone, Copy, Debug)]
+enum Out {
+    /// It is stopped, as a suspended machine is.
+    Frozen,
+    /// It reaches neither the store nor another instance, which reach each other through the store only.
+    CutOff,
+}
+
+/// An instance that was out of touch while servers ended knows the request soon after it is back: it reaches no server
+/// there later than three seconds after that.
+#[rstest]
+#[case(Out::Frozen)]
+#[case(Out::CutOff)]
+fn one_that_was_out_of_touch_knows_it(#[case] out: Out) {
+    let mut deployment = Deployment::empty(true);
+    (0..6).for_each(|number| deployment.add_server(&format!("d{number}"), DESK));
+    for number in 0..3 {
+        let door = deployment.store.door().expect("a way to the store");
+        deployment.add_instance_with(&format!("i{number}"), door, OPERATOR);
+    }
+    deployment.store.put("keyed.op", "config", &two_workspaces());
+    let serves = |at| answer(&deployment, at, &Call::get("/read/")).0 == 200;
+    wait_for("all serve", || (0..3).all(serves));
+    wait_for("all are listed", || {
+        let listed = ask(&deployment.instances[2], "show instances");
+        (0..3).all(|at| listed.contains(&format!("\"i{at}\"")))
+    });
+    end_under(&deployment, "d", "/read/x", true);
+    let call = Call::get("/read/x");
+    let back = &deployment.instances[2];
+    let relays = |at: usize| deployment.instances[at].relays.as_ref().expect("it has relays");
+    let cut = |mode| {
+        (0..3).for_each(|at| relays(at).peers.set(mode));
+        relays(2).store.set(mode);
+    };
+    match out {
+        Out::Frozen => back.signal("STOP"),
+        Out::CutOff => cut(Mode::Mute),
+    }
+    for at in 0..2 {
+        wait_for("the request is held back", || answer(&deployment, at, &call).1 == "held_back");
+    }
+    match out {
+        Out::Frozen => back.signal("CONT"),
+        Out::CutOff => cut(Mode::Open),
+    }
+    let since = Instant::now();
+    let reached = arrivals(&deployment, &call.path).len();
+    while since.elapsed() < 2 * KNOWN_WITHIN {
+        answer(&deployment, 2, &call);
+        thread::sleep(AGAIN);
+    }
+    let after = arrivals(&deployment, &call.path);
+    let late = after.iter().filter(|run| run.at > since + KNOWN_WITHIN).count();
+    assert!(late <= ALLOWED, "{late} of {} more arrivals", after.len() - reached);
+    assert_eq!(answer(&deployment, 2, &call).1, "held_back");
+}
+
 /// A connection that is reset, or an answer that is cut, is no end of a backend server.
 #[rstest]
 #[case(Fault::Reset)]
