--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -5,6 +5,7 @@
 //! | module | duty |
 //! |---|---|
 //! | `caller` | sends requests and checks each answer |
+//! | `ending` | a request that ends backend servers, and whether it is held back |
 //! | `fault` | draws faults from a seed, applies them and ends them |
 //! | `promise` | what was seen, and which promises it breaks |
 //!
@@ -12,6 +13,7 @@
 //! ever failed. `DRUMUSHER_SOAK=1000..1050 DRUMUSHER_SOAK_SECONDS=20` plays other seeds by hand.
 
 mod caller;
+mod ending;
 mod fault;
 mod promise;
 
@@ -83,10 +85,15 @@
     ends.0.parse().expect("a number")..ends.1.parse().expect("a number")
 }
 
-/// Plays one seed; what it returns tells the promises that were broken.
+/// Plays one seed; what it returns tells the promises that were broken. With odd seeds a request comes that ends backend
+/// servers.
 fn play(seed: u64, time: Duration) -> Vec<String> {
     let duties = Duties::start().expect("the platform starts");
     let mut deployment = deploy(&duties);
+    let ends = seed % 2 == 1;
+    if ends {
+        ending::prepare(&deployment);
+    }
     let journal = Journal::new();
     let stop = AtomicBool::new(false);
     let addresses = caller::addresses(&deployment);
@@ -96,6 +103,10 @@
             let stop = &stop;
             scope.spawn(move || caller.run(stop));
         }
+        if ends {
+            let (addresses, stop) = (&addresses, &stop);
+            scope.spawn(move || ending::come(addresses, stop));
+        }
         let since = Instant::now();
         let mut disturber = Disturber::new(seed, &mut deployment, &journal, &duties);
         while since.elapsed() < time {
@@ -105,6 +116,9 @@
         stop.store(true, Ordering::Release);
     });
     println!("seed {seed}: {}", journal.summary());
+    if ends {
+        ending::check_held(&deployment);
+    }
     check_recovered(&deployment, &journal);
     let calls = duties.calls().len();
     wait_for("duties go on after the faults", || duties.calls().len() > calls);
