--- a/crates/drumusher/tests/routes/quarantine.rs
+++ b/crates/drumusher/tests/routes/quarantine.rs
@@ -18,7 +18,10 @@
 
 use rstest::rstest;
 
-use crate::support::{Call, DESK, Deployment, Instance, MODEL, configuration};
+use crate::{
+    soak::knows_left,
+    support::{Call, DESK, Deployment, Instance, MODEL, configuration},
+};
 
 /// Within this after the third end all instances are to know the request.
 const KNOWN_WITHIN: Duration = Duration::from_secs(3);
@@ -89,18 +92,23 @@
     String::from_utf8_lossy(&output.stdout).into_owned()
 }
 
+/// How backend servers of a service end under a path.
+fn ending(deployment: &Deployment, service: &str, path: &str, renamed: bool) -> Ending {
+    Ending {
+        path: path.into(),
+        after: AFTER,
+        down: DOWN,
+        renamed,
+        service: service.into(),
+        store: deployment.store.clone(),
+    }
+}
+
 /// Lets the backend servers whose names begin with `prefix` end under a path.
 fn end_under(deployment: &Deployment, prefix: &str, path: &str, renamed: bool) {
     let service = if prefix == "d" { DESK } else { MODEL };
     for server in deployment.servers.iter().filter(|server| server.id.starts_with(prefix)) {
-        server.end_under(Some(Ending {
-            path: path.into(),
-            after: AFTER,
-            down: DOWN,
-            renamed,
-            service: service.into(),
-            store: deployment.store.clone(),
-        }));
+        server.end_under(Some(ending(deployment, service, path, renamed)));
     }
 }
 
@@ -356,3 +364,27 @@
     wait_for("it is served", || answer(&deployment, 0, &call).0 == 200);
     assert_eq!(ask(&deployment.instances[0], "show quarantine"), "");
 }
+
+/// The end of a backend server that leaves says nothing of what ran there.
+#[test]
+fn the_end_of_a_server_that_leaves_says_nothing() {
+    let deployment = deploy_with(1, 2);
+    let desks = || deployment.servers.iter().filter(|server| server.id.starts_with('d'));
+    desks().for_each(|server| server.set(Fault::Mute));
+    let call = Call::post("/book/x", "a booking");
+    thread::scope(|scope| {
+        let calls: Vec<_> =
+            (0..4).map(|_| scope.spawn(|| answer(&deployment, 0, &call).0)).collect();
+        wait_for("they run", || arrivals(&deployment, &call.path).len() >= 4);
+        for server in desks() {
+            let entry = server.entry(DESK, "draining");
+            deployment.store.put("keyed.servers", &server.id, &entry);
+        }
+        wait_for("it is known who leaves", || {
+            desks().all(|server| knows_left(&deployment.instances[0], &server.id))
+        });
+        desks().for_each(|server| server.end(&ending(&deployment, DESK, "/", false)));
+        assert!(calls.into_iter().all(|call| call.join().expect("an answer") != 200));
+    });
+    assert_eq!(ask(&deployment.instances[0], "show quarantine"), "");
+}
--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -31,6 +31,7 @@
 };
 use drumusher_bench::fleet::wait_for;
 
+pub use self::promise::knows_left;
 use self::{fault::Disturber, promise::Journal};
 use crate::{
     doubt,
