refactor: orders of the decisions in a module of their own, one way for asks that come and that waited

dispatch.rs held the carrying out of orders beside the loop; an ask that comes and one that waited for a trial went two ways with the same steps. Moved and joined, no change of logic.

--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -5,6 +5,7 @@
 //! | `askers` | for whom a pool is dispatched |
 //! | `asks` | asks of entries, as they come |
 //! | `budget` | repeats that may still be granted |
+//! | `orders` | carrying out what the decisions order |
 //! | `host` | one pool with the names of its backend servers |
 //! | `suspects` | requests that end backend servers: who is tried, who is held back |
 //! | `tally` | requests that began to run, and how many run or wait, for the duties |
@@ -15,6 +16,7 @@
 mod asks;
 mod budget;
 mod host;
+mod orders;
 mod suspects;
 mod tally;
 mod trials;
@@ -255,57 +257,6 @@
         }
     }
 
-    /// Sends the orders of one event, and notes why each was given.
-    fn send(&mut self, pool: &Pool) {
-        let orders = std::mem::take(&mut self.orders);
-        let instances = self.shared.directory.load().instances.len();
-        let mut undone = Vec::new();
-        for order in &orders {
-            let Some(host) = self.hosts.get_mut(pool) else {
-                break;
-            };
-            self.shared.telemetry.count_order(order);
-            match order {
-                Order::Grant { id, entry, .. } => {
-                    if !host.grant_repeat(clock::now(), *id, instances) {
-                        undone.push((*entry, *id));
-                        continue;
-                    }
-                }
-                Order::Refuse { id, .. } => host.release_repeat(*id),
-                Order::Preempt { .. } => {}
-            }
-            let spent = host.budget.spent(clock::now(), instances);
-            let alone = match order {
-                Order::Grant { id, server, .. } => host.trials.grant(*id, *server),
-                _ => None,
-            };
-            let (entry, id, message, why) =
-                wire::order(order, &host.names, (spent * SPENT_WHOLE) as i16, alone);
-            self.shared.explanations.add(id, format!("{pool}: {why}"));
-            self.unsent.push_back((entry, message));
-        }
-        self.orders = orders;
-        self.orders.clear();
-        self.flush();
-        for (entry, id) in undone {
-            self.refuse_repeat(entry, id::to_wire(id));
-            self.handle(pool, Event::Finish(id, Outcome::Cancelled, 0));
-            self.end_suspect(pool, id, Outcome::Cancelled);
-        }
-    }
-
-    /// Hands messages to the peers thread. What its full ring does not take waits here, where the
-    /// number of asks bounds it.
-    fn flush(&mut self) {
-        while let Some(next) = self.unsent.pop_front() {
-            if let Err(error) = self.replies.try_send(next) {
-                self.unsent.push_front(error);
-                return;
-            }
-        }
-    }
-
     fn tick(&mut self) {
         self.flush();
         self.each(|_| Event::Tick);
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -18,37 +18,29 @@
     /// Takes an ask: hands it to the decisions, unless its request waits for a trial or may not run, or it is a repeat
     /// that the fleet may not send now.
     pub(super) fn ask(&mut self, entry: Entry, asked: peer::Ask) {
-        let Some(pool) = Pool::parse(&asked.pool) else {
-            return;
-        };
-        self.host(&pool);
         let id = asked.id.clone();
-        match self.admit_suspect(&asked, &pool) {
-            Admission::Run => self.admit(entry, &asked, &pool),
-            Admission::Refuse => self.refuse_held(entry, id),
-            Admission::Wait => {
-                if let Some(host) = self.hosts.get_mut(&pool) {
-                    host.trials.wait(entry, asked);
-                }
-                self.tell_queued(entry, id);
-            }
+        if let Some(pool) = Pool::parse(&asked.pool) {
+            self.host(&pool);
+        }
+        if self.ask_or_wait(entry, asked) {
+            self.tell_queued(entry, id);
         }
     }
 
-    /// The same for one that waited for a trial, of which its entry knows.
-    pub(super) fn ask_again(&mut self, entry: Entry, asked: peer::Ask) {
+    /// The same for an ask that came before. Returns whether it waits for a trial.
+    pub(super) fn ask_or_wait(&mut self, entry: Entry, asked: peer::Ask) -> bool {
         let Some(pool) = Pool::parse(&asked.pool) else {
-            return;
+            return false;
         };
         match self.admit_suspect(&asked, &pool) {
             Admission::Run => self.admit(entry, &asked, &pool),
             Admission::Refuse => self.refuse_held(entry, asked.id),
             Admission::Wait => {
-                if let Some(host) = self.hosts.get_mut(&pool) {
-                    host.trials.wait(entry, asked);
-                }
+                let host = self.hosts.get_mut(&pool);
+                return host.is_some_and(|host| host.trials.wait(entry, asked));
             }
         }
+        false
     }
 
     /// Hands an ask to the decisions.
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -72,7 +72,7 @@
             return;
         };
         for waiting in host.trials.take_waiting() {
-            self.ask_again(waiting.entry, waiting.ask);
+            self.ask_or_wait(waiting.entry, waiting.ask);
         }
     }
 
@@ -125,36 +125,29 @@
         let host = Pool::parse(&crash.pool).and_then(|pool| self.hosts.get(&pool));
         let known = host.and_then(|host| host.trials.was_alone(id));
         let alone = known.unwrap_or(crash.alone == Some(true));
-        let end = End {
-            start: format!("{}@{}", crash.server, crash.born.unwrap_or(0)),
-            alone,
-            at_ms: clock::steady_unix_ms(),
-            workspace: &crash.workspace,
-            route: &crash.route,
-        };
-        let (changed, ends, verdict) = {
-            let mut table = self.shared.quarantine();
-            let changed = table.note(digest, end);
-            (
-                changed,
-                table.get(digest).map_or(0, |record| record.ends.len()),
-                table.verdict(digest),
-            )
-        };
-        if !changed {
-            return;
-        }
-        self.shared.telemetry.count("drumusher.quarantine.ends", &[]);
-        if verdict != Verdict::Free {
-            log::warn!(
-                digest = digest.text().as_str(), workspace = crash.workspace.as_str(),
-                route = crash.route.as_str(), server = crash.server.as_str(), alone = alone, ends = ends;
-                "a request was there when a backend server ended, again: {}",
-                if verdict == Verdict::Held { "held back" } else { "runs on trial" }
-            );
+        if self.shared.quarantine().note(digest, end(crash, alone)) {
+            self.shared.telemetry.count("drumusher.quarantine.ends", &[]);
+            self.log_suspect(digest, crash, alone);
+            self.shared.note_held();
+            self.tell_store(digest);
         }
-        self.shared.note_held();
-        self.tell_store(digest);
+    }
+
+    /// Writes a line for a request that was at an end before.
+    fn log_suspect(&self, digest: Digest, crash: &peer::Crash, alone: bool) {
+        let table = self.shared.quarantine();
+        let Some(record) = table.get(digest) else { return };
+        let what = match record.verdict() {
+            Verdict::Free => return,
+            Verdict::Trial => "runs on trial",
+            Verdict::Held => "held back",
+        };
+        log::warn!(
+            digest = digest.text().as_str(), workspace = crash.workspace.as_str(),
+            route = crash.route.as_str(), server = crash.server.as_str(), alone = alone,
+            ends = record.ends.len();
+            "a request was there when a backend server ended, again: {what}"
+        );
     }
 
     fn tell_store(&self, digest: Digest) {
@@ -165,3 +158,14 @@
         }
     }
 }
+
+/// What an entry tells as the end of a start of a backend server.
+fn end(crash: &peer::Crash, alone: bool) -> End<'_> {
+    End {
+        start: format!("{}@{}", crash.server, crash.born.unwrap_or(0)),
+        alone,
+        at_ms: clock::steady_unix_ms(),
+        workspace: &crash.workspace,
+        route: &crash.route,
+    }
+}
--- a/crates/drumusher/src/process/dispatch/trials.rs
+++ b/crates/drumusher/src/process/dispatch/trials.rs
@@ -54,9 +54,10 @@
         self.running.insert(id, trial);
     }
 
-    /// A request waits until it may be tried.
-    pub(super) fn wait(&mut self, entry: Entry, ask: peer::Ask) {
+    /// A request waits until it may be tried. Returns that it does.
+    pub(super) fn wait(&mut self, entry: Entry, ask: peer::Ask) -> bool {
         self.waiting.push_back(Waiting { entry, ask });
+        true
     }
 
     /// Takes all that wait, first one first.
