fix: what another instance says that it sent is bounded

Found by reading: parts of any age were kept until the window passed them, and sums of three claims of the largest number overflowed. What is too old is left out, and sums stay at the largest number. The new test fails on the code before.

--- a/crates/drumusher/src/process/counts.rs
+++ b/crates/drumusher/src/process/counts.rs
@@ -57,9 +57,10 @@
         }
     }
 
-    /// Adds a part that was counted elsewhere.
+    /// Adds a part that was counted elsewhere, unless it matters no more. Another instance may say anything.
     pub fn bring(&mut self, now: Micros, part: Part) {
-        let Some(number) = self.number(now).checked_sub(part.age) else { return };
+        let age = Some(part.age).filter(|age| *age <= 2 * PARTS);
+        let Some(number) = age.and_then(|age| self.number(now).checked_sub(age)) else { return };
         let at = match self.parts.binary_search_by_key(&number, |(number, _)| *number) {
             Ok(at) => at,
             Err(at) => {
@@ -67,8 +68,9 @@
                 at
             }
         };
-        self.parts[at].1.requests += part.requests;
-        self.parts[at].1.repeats += part.repeats;
+        let known = &mut self.parts[at].1;
+        known.requests = known.requests.saturating_add(part.requests);
+        known.repeats = known.repeats.saturating_add(part.repeats);
     }
 
     /// The parts that may still matter, each with its age.
--- a/crates/drumusher/tests/unit/budget.rs
+++ b/crates/drumusher/tests/unit/budget.rs
@@ -5,6 +5,7 @@
 use drumusher::{
     process::{
         broker::Loans,
+        counts::Part,
         dispatch::{Bound, Budget},
     },
     version::Pool,
@@ -227,6 +228,19 @@
     assert!(fleet.keeps_the_stated_bound(), "{}", fleet.repeats.len());
 }
 
+/// What another instance says that it sent may be anything: it breaks nothing, and what is too old is left out.
+#[test]
+fn what_an_instance_says_breaks_nothing() {
+    let mut budget = Budget::new(BOUND);
+    budget.lend(SECOND, Entry(1), 0.0);
+    let part = |age, repeats| Part { age, requests: u32::MAX, repeats };
+    let parts = [part(u64::MAX, 1), part(0, u32::MAX), part(0, u32::MAX), part(0, u32::MAX)];
+    budget.bring(SECOND, Entry(1), parts);
+    assert_eq!(left(&mut budget, SECOND, 1), 0);
+    budget.bring(SECOND, Entry(1), [part(41, 5_000)]);
+    assert_eq!(left(&mut budget, SECOND, 1), 40);
+}
+
 /// An instance that is gone may have spent what others lent: that does not come back with its end.
 #[test]
 fn what_one_that_is_gone_spent_stays_spent() {
