fix: the table of requests that end servers is read after the configuration, and not urgently while it is empty

A suspicion: the table has no end while it is empty, so that each instance that was told by nobody asked the store for it as urgently as for the configuration. It waits for that now, and for the pauses of one that others tell.

--- a/crates/drumusher/src/process/catalog/follow.rs
+++ b/crates/drumusher/src/process/catalog/follow.rs
@@ -45,7 +45,10 @@
     let mut backoff = Backoff::new();
     let mut known = catalog.shared.records().end(table) > 0;
     loop {
-        if catalog.is_told() || catalog.leaves_to_another(table) {
+        if catalog.is_told()
+            || catalog.leaves_to_another(table)
+            || catalog.waits_for_configuration(table)
+        {
             known = catalog.shared.records().end(table) > 0;
             catalog.rest();
             sleep(IDLE).await;
@@ -67,7 +70,8 @@
             Err(error) => {
                 catalog.failed(table, began, &error);
                 let reader = catalog.shared.reader.load(Ordering::Acquire);
-                sleep(backoff.next(reader || !known)).await;
+                let urgent = reader || !known && table != Table::Quarantine;
+                sleep(backoff.next(urgent)).await;
             }
         }
     }
@@ -112,6 +116,12 @@
         table != Table::Configuration && read_before && self.probing.get()
     }
 
+    /// Whether a table is left alone until there is a configuration, without which no request is taken: where hundreds of
+    /// instances start at once, the calls for it go before those for a table that is nearly always empty.
+    fn waits_for_configuration(&self, table: Table) -> bool {
+        table == Table::Quarantine && self.shared.routing.load().is_none()
+    }
+
     /// Reads a whole table, unless another instance told of more meanwhile.
     pub(super) async fn read(&self, table: Table) -> Result<Read, Error> {
         let page = self.store.newest(table).await?;
