feat: what backend servers say of themselves in their answers is read, told in a line at each change, and listed

Sight before any mend: no line, metric or table could tell whether an instance had heard that a backend server names a limit, leaves, or asks for rest, so that 'unheard', 'heard too late' and 'heard and lost again' looked alike.

The adapter reads the three headers into one typed value (a rate, a flag, a span; nonsense is told from silence; the answer of another server at the address says nothing). Each instance keeps it by the start of the server, bounded, writes a line at each change, has a gauge for each kind, and lists it with 'show notices': what, since when, heard by whom. Nothing is withheld yet.

Ruled out: reading the headers where they are used; a caller's own header cannot get there, since only answers are read.

--- a/crates/drumusher-platform/src/dialect.rs
+++ b/crates/drumusher-platform/src/dialect.rs
@@ -49,6 +49,36 @@
     pub last_event: Option<u64>,
 }
 
+/// Requests a second, in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rate(pub u32);
+
+impl Rate {
+    /// A number of requests a second; `None` if it is no rate. What is more than the type holds is the most it holds.
+    pub fn new(per_second: f64) -> Option<Rate> {
+        let is_rate = per_second.is_finite() && per_second >= 0.0;
+        is_rate.then(|| Rate((per_second * 1e3).round().min(f64::from(u32::MAX)) as u32))
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1e3
+    }
+}
+
+/// What a backend server says of itself in the head of an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Notice {
+    /// What it takes from all instances together, for as long as it says so.
+    pub limit: Option<Rate>,
+    /// Whether it is leaving, for good.
+    pub leaving: bool,
+    /// For how many milliseconds it wants no request from the instance that it answers.
+    pub rest_ms: Option<u64>,
+    /// Whether some of it could not be read: then its silence on a limit says nothing.
+    pub unclear: bool,
+}
+
 /// What a backend server's head says about the answer.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Answer {
@@ -58,6 +88,8 @@
     pub not_run: bool,
     /// Whether it carries the backend server's signature.
     pub signed: bool,
+    /// What the backend server says of itself; `None` if the answer comes from another one than is meant.
+    pub notice: Option<Notice>,
 }
 
 /// How the headers are read and written.
--- a/crates/drumusher-query/src/statement.rs
+++ b/crates/drumusher-query/src/statement.rs
@@ -34,6 +34,8 @@
     Log,
     /// Requests that end backend servers.
     Quarantine,
+    /// What backend servers said of themselves.
+    Notices,
 }
 
 /// How a `where` condition compares.
@@ -166,7 +168,7 @@
     let request = preceded(word("request"), cut_err(name)).map(Statement::Request);
     let listing = (table, selection).map(|(table, selection)| Statement::Show(table, selection));
     let tables = "running, waiting, engines, services, classes, workspaces, instances, config, \
-                  log, quarantine or request";
+                  log, quarantine, notices or request";
     cut_err(alt((request, listing))).context(expected(tables)).parse_next(input)
 }
 
@@ -181,7 +183,11 @@
         word("instances").value(Table::Instances),
         word("config").value(Table::Config),
         // One alternative takes nine.
-        alt((word("log").value(Table::Log), word("quarantine").value(Table::Quarantine))),
+        alt((
+            word("log").value(Table::Log),
+            word("quarantine").value(Table::Quarantine),
+            word("notices").value(Table::Notices),
+        )),
     ))
     .parse_next(input)
 }
--- a/crates/drumusher-query/tests/query/statement.rs
+++ b/crates/drumusher-query/tests/query/statement.rs
@@ -34,6 +34,7 @@
 #[case("show services", Table::Services)]
 #[case("show waiting", Table::Waiting)]
 #[case("show quarantine", Table::Quarantine)]
+#[case("show notices", Table::Notices)]
 fn a_table_is_named_in_any_case(#[case] text: &str, #[case] table: Table) {
     assert_eq!(parse(text), Ok(Statement::Show(table, Selection::default())));
 }
--- a/crates/drumusher/src/operator/mod.rs
+++ b/crates/drumusher/src/operator/mod.rs
@@ -78,6 +78,7 @@
                     | Table::Engines
                     | Table::Services
                     | Table::Instances
+                    | Table::Notices
             );
             let rows =
                 if everywhere { gather(&shared, text).await } else { local(&shared, text).await };
@@ -154,6 +155,7 @@
         Table::Config => vec![rows::configuration(&shared.version.load().state)],
         Table::Log => rows::commands(&shared.version.load().state),
         Table::Quarantine => rows::quarantine(&shared.quarantine()),
+        Table::Notices => rows::notices(shared),
     }
 }
 
--- a/crates/drumusher/src/operator/rows.rs
+++ b/crates/drumusher/src/operator/rows.rs
@@ -6,7 +6,7 @@
     config::{State, Verdict},
     quarantine,
 };
-use drumusher_schedule::{ask::Ask, pool, server::Server};
+use drumusher_schedule::{ask::Ask, pool, server::Server, time::MILLISECOND};
 use serde_json::{Value as Json, json};
 
 use crate::{
@@ -200,6 +200,29 @@
     rows.collect()
 }
 
+/// What backend servers said of themselves to this instance and is in force, with the time since they did.
+pub fn notices(shared: &Shared) -> Vec<Row> {
+    let now = clock::now();
+    let age_ms = |since: u64| now.saturating_sub(since) / MILLISECOND;
+    let rows = shared.notices.in_force(now).into_iter().map(|record| {
+        let limit = record.limit.rate().map(|rate| rate.per_second());
+        let rest = record.rest.filter(|(_, until)| now < *until);
+        row(json!({
+            "server": &*record.server,
+            "pool": record.pool.to_string(),
+            "heard_by": &*shared.name,
+            "limit_per_second": limit,
+            "limit_age_ms": limit.map(|_| age_ms(record.limit.since())),
+            "limit_heard_ms": limit.map(|_| age_ms(record.limit.named())),
+            "leaving": record.leaving.is_some(),
+            "leaving_age_ms": record.leaving.map(age_ms),
+            "rest_age_ms": rest.map(|(since, _)| age_ms(since)),
+            "rest_left_ms": rest.map(|(_, until)| (until - now) / MILLISECOND),
+        }))
+    });
+    rows.collect()
+}
+
 /// The remembered spans of a trace.
 pub fn spans(shared: &Shared, trace: &str) -> Vec<Row> {
     let spans = shared.telemetry.spans_of(trace);
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -27,6 +27,7 @@
 //! | [`logs`] | log lines |
 //! | [`clock`] | the process's clock |
 //! | [`counts`] | requests and repeats by the time at which they were sent |
+//! | [`notices`] | what backend servers last said of themselves |
 //!
 //! The threads are joined by bounded rings. What a request does once (its ask and its finish) always
 //! passes, and is bounded by the number of requests held; reports that a full ring refuses are
@@ -39,6 +40,7 @@
 mod duties;
 pub mod explain;
 pub mod logs;
+pub mod notices;
 pub mod peers;
 pub mod platform;
 pub mod ring;
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -204,6 +204,7 @@
 
 fn status(shared: &Shared, request: &http::Request) -> Response {
     if request.path() == METRICS {
+        shared.note_notices();
         return Response::Ok()
             .content_type("text/plain; version=0.0.4")
             .body(shared.telemetry.text());
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -18,7 +18,8 @@
 use drumusher_schedule::time::Micros;
 
 use super::{
-    broker, catalog, clock, dispatch, explain::Explanations, peers, platform, telemetry::Telemetry,
+    broker, catalog, clock, dispatch, explain::Explanations, notices::Notices, peers, platform,
+    telemetry::Telemetry,
 };
 use crate::{
     request::retry::Budgets,
@@ -51,6 +52,8 @@
     quarantine: Mutex<quarantine::Table>,
     /// How many of them are held back.
     held: AtomicUsize,
+    /// What backend servers last said of themselves in answers to this instance.
+    pub notices: Arc<Notices>,
     /// Whether this instance is one of those that read the store and tell the others.
     pub reader: AtomicBool,
     /// Whether it is the first of them.
@@ -127,6 +130,7 @@
             tally: Mutex::default(),
             quarantine: Mutex::default(),
             held: AtomicUsize::new(0),
+            notices: Arc::default(),
             reader: AtomicBool::new(false),
             first_reader: AtomicBool::new(false),
             told: AtomicU64::new(0),
@@ -259,6 +263,14 @@
         self.held.load(Ordering::Acquire) > 0 && self.quarantine().verdict(digest) == Verdict::Held
     }
 
+    /// Notes how many backend servers have something in force that they said of themselves.
+    pub fn note_notices(&self) {
+        let sum = self.notices.sum(clock::now());
+        self.telemetry.gauge("drumusher.servers.limited", sum.limited as u64);
+        self.telemetry.gauge("drumusher.servers.leaving", sum.leaving as u64);
+        self.telemetry.gauge("drumusher.servers.resting", sum.resting as u64);
+    }
+
     /// The offset of the table of servers before which ends of entries are no lapses, as far as is known.
     pub fn confirmed(&self) -> u64 {
         self.confirmed.load(Ordering::Acquire)
@@ -288,6 +300,7 @@
         if **self.directory.load() == directory {
             return false;
         }
+        self.notices.keep_listed(clock::now(), &directory);
         self.directory.store(Arc::new(directory));
         let _ = self.dispatch.try_send(dispatch::Input::Changed);
         let _ = self.broker.try_send(broker::Input::Changed);
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -7,12 +7,14 @@
 //! | `crash` | whether a backend server ended while it ran the request |
 //! | `failure` | why an attempt brought no answer |
 //! | `end` | whether another attempt follows, and the final answer |
+//! | `notice` | what backend servers say of themselves: heard, and looked at before anything is sent |
 //! | `pace` | the pauses between the events of a stream |
 
 mod answer;
 mod crash;
 mod end;
 mod failure;
+mod notice;
 mod pace;
 mod request;
 
@@ -45,6 +47,7 @@
     process::{
         broker::{Attempt, Grant},
         clock,
+        notices::Basis,
     },
     request::{hold::Hold, id},
     upstream::{self, Conn, answer::Piece},
@@ -108,6 +111,10 @@
     expected: Micros,
     /// The instance that granted the latest attempt.
     dispatcher: Option<Arc<str>>,
+    /// What its dispatcher knew of the limit of its backend server.
+    basis: Basis,
+    /// When it was handed over.
+    handed_at: Micros,
     /// Whether the latest attempt is on trial, apart from others.
     alone: bool,
     unconnected: u32,
@@ -156,6 +163,8 @@
             source_failed: false,
             expected: 0,
             dispatcher: None,
+            basis: Basis::default(),
+            handed_at: 0,
             alone: false,
             unconnected: 0,
             asked: false,
@@ -293,6 +302,7 @@
         let head = self.request.head_with(&headers);
         let bodiless = self.request.method == Method::HEAD;
         self.sent += 1;
+        self.handed_at = clock::now();
         self.tell_repeat(backend);
         conn.send(&head, &self.request.body, bodiless).map_err(Failure::Broken)?;
         let until = self.first_until(began);
--- a/crates/drumusher/src/routed/exchange/answer.rs
+++ b/crates/drumusher/src/routed/exchange/answer.rs
@@ -50,6 +50,7 @@
             };
             let answer = self.worker.dialect.read_answer(head.status, &head.headers);
             let own = answer.id.as_deref() == Some(self.request.head.id.as_str());
+            self.hear(&answer, own);
             if own || (answer.id.is_none() && answer.not_run) {
                 return Ok((head, answer));
             }
--- a/crates/drumusher/tests/routes/quarantine.rs
+++ b/crates/drumusher/tests/routes/quarantine.rs
@@ -8,7 +8,6 @@
 //! attempts, each within a tenth of a second after the same path began there.
 
 use std::{
-    process::Command,
     thread,
     time::{Duration, Instant},
 };
@@ -20,7 +19,7 @@
 
 use crate::{
     soak::knows_left,
-    support::{Call, DESK, Deployment, Instance, MODEL, configuration},
+    support::{Call, DESK, Deployment, Instance, MODEL, OPERATOR, ask, configuration},
 };
 
 /// Within this after the third end all instances are to know the request.
@@ -33,9 +32,6 @@
 const COMES: Duration = Duration::from_secs(9);
 /// A key of the other workspace.
 const OTHER_KEY: &str = "key-of-another";
-/// An operator whose key is `test`.
-const OPERATOR: &str = "[operators]\n\
-    desk = \"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\"\n";
 /// How long it runs before its backend server ends.
 const AFTER: Duration = Duration::from_millis(40);
 /// How long that is down.
@@ -82,16 +78,6 @@
     }
 }
 
-/// What an instance answers an operator.
-fn ask(instance: &Instance, statement: &str) -> String {
-    let asked = Command::new(env!("CARGO_BIN_EXE_drumusher"))
-        .args(["ask", "-a", &instance.status.to_string(), "-k", "test", statement])
-        .output();
-    let output = asked.expect("the program runs");
-    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
-    String::from_utf8_lossy(&output.stdout).into_owned()
-}
-
 /// How backend servers of a service end under a path.
 fn ending(deployment: &Deployment, service: &str, path: &str, renamed: bool) -> Ending {
     Ending {
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -25,6 +25,9 @@
 pub const MODEL: &str = "model";
 /// A key of workspace `vanua`.
 pub const KEY: &str = "key-of-vanua";
+/// Settings with an operator whose key is `test`.
+pub const OPERATOR: &str = "[operators]\n\
+    desk = \"9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08\"\n";
 /// Bytes of the path of a route that only makes a configuration large.
 const LARGE_PATH: usize = 480;
 /// Trials to start an instance on free ports.
@@ -331,6 +334,16 @@
     }
 }
 
+/// What an instance answers an operator.
+pub fn ask(instance: &Instance, statement: &str) -> String {
+    let asked = Command::new(env!("CARGO_BIN_EXE_drumusher"))
+        .args(["ask", "-a", &instance.status.to_string(), "-k", "test", statement])
+        .output();
+    let output = asked.expect("the program runs");
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
 /// The settings that are the same for all instances.
 const REST: &str = "[stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n";
 
