--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -7,6 +7,7 @@
 mod duties;
 mod entries;
 mod membership;
+mod notices;
 mod path;
 mod quarantine;
 mod soak;
