fix: a backend server that says in an answer that it leaves gets nothing more from who heard it

What callers saw: with the store silent a server that left got requests for 10 s more, from instances that had passed on its word; 2 s are allowed. It ends when it pleases, and what runs there then is cut.

Cause: as with the limit, nothing read it; the store's record was the only word that was believed, and came 13 s later.

The mend: each instance looks, as the last thing before it sends and again after connecting, whether the server said so in any answer to it: a refusal, the head of a stream, an answer to an earlier request on the connection. The dispatcher hears it from all entries, and plans without the server. A record that says 'ready', a configuration or a lapse of the entry change nothing; a new start is another server. An instance whose grant is given back tells its dispatcher why.

Why it holds: the bound is over what an instance sends after it passed the word on, and that instance itself keeps it, in touch with others or not.

Ruled out: the word as a record of the store, which is away when it matters.

--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -189,7 +189,8 @@
     ) -> Vec<Event> {
         let mut events = Vec::new();
         for (name, backend) in wanted {
-            let leaving = backend.leaving || self.own_word.contains_key(name);
+            let says_so = self.own_word.contains_key(name) || self.notices.leaves(name);
+            let leaving = backend.leaving || says_so;
             let slots = (backend.slots / divide).max(1);
             let options = options(slots, learned, rank::weight(pool, name));
             let mut applied = Applied { options, leaving, born_ms: backend.born_ms };
--- a/crates/drumusher/src/process/dispatch/notices.rs
+++ b/crates/drumusher/src/process/dispatch/notices.rs
@@ -26,6 +26,7 @@
 #[derive(Debug, Default)]
 struct Known {
     limit: Limit,
+    leaving: bool,
     /// The rate that the decisions were told last.
     rate: Option<f64>,
 }
@@ -47,6 +48,16 @@
         lifted || named
     }
 
+    /// A backend server says that it leaves. Returns whether that is new.
+    fn leave(&mut self, server: &Arc<str>) -> bool {
+        !std::mem::replace(&mut self.known.entry(server.clone()).or_default().leaving, true)
+    }
+
+    /// Whether a backend server said that it leaves.
+    pub(super) fn leaves(&self, server: &str) -> bool {
+        self.known.get(server).is_some_and(|known| known.leaving)
+    }
+
     /// A backend server is gone, or started again.
     pub(super) fn remove(&mut self, server: &str) {
         self.known.remove(server);
@@ -90,13 +101,17 @@
         let Some((server, _)) = host.start(&notice.server, born_ms) else { return };
         let now = clock::now();
         let limited = host.notices.take_limit(now, &server, notice);
-        if limited {
+        let leaves = notice.leaving == Some(true) && host.notices.leave(&server);
+        if limited || leaves {
             log::info!(
                 server = &*server, pool = notice.pool.as_str(), entry = entry.0,
                 limit_milli = notice.limit.unwrap_or(-1), leaving = notice.leaving == Some(true);
                 "an entry tells what a backend server says of itself"
             );
         }
+        if leaves {
+            self.refresh(&pool);
+        }
         if limited {
             self.share_limits(&pool);
         }
--- a/crates/drumusher/src/process/notices.rs
+++ b/crates/drumusher/src/process/notices.rs
@@ -284,6 +284,9 @@
 
     /// Why nothing that was granted on a basis may be sent now.
     fn withholds(&self, basis: Basis) -> Option<Withheld> {
+        if self.leaving.is_some() {
+            return Some(Withheld::Leaving);
+        }
         let allowed = basis.limited || self.limit.allows(basis.lifted);
         (!allowed).then_some(Withheld::Limited)
     }
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -271,14 +271,13 @@
         if self.source_failed {
             return None;
         }
-        self.usable(&name?)
+        self.usable(&name?).filter(|backend| !self.worker.shared.notices.leaves(backend))
     }
 
     /// The backend server, unless it is leaving or gone by the own view.
     fn usable(&self, server: &str) -> Option<Backend> {
         let pool = Pool::Service(self.request.found.service.clone());
-        let shared = &self.worker.shared;
-        let directory = shared.directory.load();
+        let directory = self.worker.shared.directory.load();
         directory.backend(&pool, server).filter(|backend| !backend.leaving).cloned()
     }
 
