test: limits, rests and leavings under changes of dispatchers, cuts, freezes, nonsense and new starts

Each demand that a mend of what servers say of themselves has to bear has a test: a limit holds while instances are killed, stopped or frozen one after the other, and while none reaches another; its end is noticed, also of one of none; nonsense holds up nothing; who cannot be served within the limits is told so with a time; a rest binds one instance and tells its callers how long; any answer says that its server leaves; a new start ends what was said. In virtual time, random sequences now have limits and rests too: no grant goes to a server at rest from its entry, nor beyond a limit, and all that waits is answered.

--- a/crates/drumusher-schedule/tests/schedule/invariants.rs
+++ b/crates/drumusher-schedule/tests/schedule/invariants.rs
@@ -8,7 +8,7 @@
     order::{Order, Refusal},
     policy::{ClassKey, WorkspaceKey},
     server::Key,
-    time::MILLISECOND,
+    time::{MILLISECOND, Micros, SECOND},
 };
 use proptest::prelude::*;
 
@@ -23,6 +23,8 @@
     Load { server: u16, running: u32, waiting: u32, lag: u64, full: bool },
     Leave { server: u16 },
     Gone { entry: u32 },
+    Limit { server: u16, per_second: Option<u32> },
+    Rest { server: u16, entry: u32, time: u64 },
     Pass { time: u64 },
 }
 
@@ -43,6 +45,12 @@
         ),
         1 => (1u16..3).prop_map(|server| Step::Leave { server }),
         1 => (1u32..3).prop_map(|entry| Step::Gone { entry }),
+        1 => (0u16..3, proptest::option::of(0u32..30)).prop_map(|(server, per_second)| {
+            Step::Limit { server, per_second }
+        }),
+        1 => (0u16..3, 0u32..3, 0u64..4_000).prop_map(|(server, entry, time)| {
+            Step::Rest { server, entry, time }
+        }),
         3 => (1u64..600).prop_map(|time| Step::Pass { time }),
     ];
     proptest::collection::vec(step, 0..160)
@@ -57,6 +65,10 @@
     waiting: BTreeSet<Id>,
     running: BTreeMap<Id, (Key, u16, bool)>,
     left: BTreeSet<Key>,
+    /// Until when a server rests from an entry.
+    rests: BTreeMap<(Entry, Key), Micros>,
+    /// The grants of servers that are limited, since they are.
+    limited: BTreeMap<Key, (u32, Vec<Micros>)>,
 }
 
 fn outcome(number: u8) -> Outcome {
@@ -83,6 +95,9 @@
                     assert!(self.waiting.remove(&id), "{id} was granted and did not wait");
                     assert!(!self.left.contains(&server), "{server:?} had left");
                     let ask = &asks[&id];
+                    let rest = self.rests.get(&(ask.entry, server));
+                    assert!(rest.is_none_or(|until| bench.now >= *until), "{server:?} rests");
+                    self.check_limit(server, bench.now);
                     self.running.insert(id, (server, ask.class.0, ask.repeatable));
                 }
                 Order::Refuse { id, refusal, .. } => {
@@ -105,6 +120,17 @@
     }
 }
 
+impl Entries {
+    /// A limited server gets no more in a second than its limit, one that was saved up and what comes due together.
+    fn check_limit(&mut self, server: Key, now: Micros) {
+        let Some((per_second, grants)) = self.limited.get_mut(&server) else { return };
+        grants.push(now);
+        let lately = grants.iter().filter(|at| now < **at + SECOND).count();
+        let most = f64::from(*per_second) * 1.1 + 1.0;
+        assert!(lately as f64 <= most, "{lately} of {per_second} a second");
+    }
+}
+
 fn event(step: &Step, id: Id, bench: &Bench, entries: &Entries) -> Option<Event> {
     Some(match step {
         Step::Ask { class, workspace, entry, age, repeatable } => Event::Ask(Ask {
@@ -139,6 +165,10 @@
         }),
         Step::Leave { server } => Event::Leave(Key(*server)),
         Step::Gone { entry } => Event::EntryGone(Entry(*entry)),
+        Step::Limit { server, per_second } => Event::Limit(Key(*server), per_second.map(f64::from)),
+        Step::Rest { server, entry, time } => {
+            Event::Rest(Entry(*entry), Key(*server), bench.now + time * MILLISECOND)
+        }
         Step::Pass { .. } => return None,
     })
 }
@@ -172,9 +202,18 @@
                 }
                 Event::Finish(id, ..) => drop(entries.running.remove(id)),
                 Event::Withdraw(id) => drop(entries.waiting.remove(id)),
+                Event::Limit(key, Some(rate)) => {
+                    drop(entries.limited.insert(*key, (*rate as u32, Vec::new())));
+                }
+                Event::Limit(key, None) => drop(entries.limited.remove(key)),
+                Event::Rest(entry, key, until) => {
+                    let end = entries.rests.entry((*entry, *key)).or_default();
+                    *end = *until.max(end);
+                }
                 Event::Leave(key) => drop(entries.left.insert(*key)),
                 Event::EntryGone(entry) => {
                     let of_entry = |id: &Id| asks[id].entry == *entry;
+                    entries.rests.retain(|(of, _), _| of != entry);
                     entries.waiting.retain(|id| !of_entry(id));
                     entries.running.retain(|id, _| !of_entry(id));
                 }
@@ -199,7 +238,7 @@
         policy.queue = QUEUE;
         let mut bench = Bench::new(policy, 3, 3);
         for (at, step) in steps.iter().enumerate() {
-            if let Step::Ask { .. } = step {
+            if let Step::Ask { .. } | Step::Limit { .. } | Step::Rest { .. } = step {
                 let event = event(step, at as Id + 1, &bench, &Entries::default());
                 event.map(|event| bench.tell(event));
             }
--- a/crates/drumusher/tests/routes/notices.rs
+++ b/crates/drumusher/tests/routes/notices.rs
@@ -19,7 +19,8 @@
     server::notice::{REST_ALLOWS, late, over_limit, unrested},
 };
 
-use drumusher_bench::fleet::wait_for;
+use drumusher_bench::fleet::{Mode, wait_for};
+use rstest::rstest;
 
 use crate::support::{Call, DESK, Deployment, OPERATOR, ask, configuration};
 
@@ -32,7 +33,12 @@
 
 /// Instances, and so many plain servers.
 fn deploy(instances: usize, servers: usize) -> Deployment {
-    let mut deployment = Deployment::empty(false);
+    deploy_behind(instances, servers, false)
+}
+
+/// The same, with relays before the instances or not.
+fn deploy_behind(instances: usize, servers: usize, relayed: bool) -> Deployment {
+    let mut deployment = Deployment::empty(relayed);
     (0..servers).for_each(|number| deployment.add_server(&format!("d{number}"), DESK));
     for number in 0..instances {
         let door = deployment.store.door().expect("a way to the store");
@@ -47,18 +53,24 @@
     deployment
 }
 
-/// The path of requests that an instance takes, by which arrivals tell who sent them.
-fn path(at: usize) -> String {
-    format!("/read/i{at}")
+/// The path of requests that a process of an instance takes, by which arrivals tell who sent them.
+fn path(deployment: &Deployment, at: usize) -> String {
+    format!("/read/i{at}-{}", deployment.instances[at].starts)
 }
 
-/// Which instance sent a request.
-fn sender(arrival: &Arrival) -> Option<usize> {
-    arrival.path.strip_prefix("/read/i")?.parse().ok()
+/// Which process sent a request.
+fn sender(arrival: &Arrival) -> Option<String> {
+    arrival.path.strip_prefix("/read/i").map(String::from)
 }
 
 /// Callers who come at the instances in turn, without waiting for answers, for a time. Returns the statuses.
 fn come(deployment: &Deployment, rate: u64, time: Duration) -> Vec<u16> {
+    let all: Vec<usize> = (0..deployment.instances.len()).collect();
+    come_at(deployment, &all, rate, time)
+}
+
+/// The same at some of the instances.
+fn come_at(deployment: &Deployment, some: &[usize], rate: u64, time: Duration) -> Vec<u16> {
     let since = Instant::now();
     let pause = Duration::from_secs(1) / rate as u32;
     thread::scope(|scope| {
@@ -67,9 +79,10 @@
             if since.elapsed() > time {
                 break;
             }
-            let at = number as usize % deployment.instances.len();
+            let at = some[number as usize % some.len()];
             callers.push(scope.spawn(move || {
-                deployment.call(at, &Call::get(&path(at))).map_or(0, |answer| answer.status)
+                let call = Call::get(&path(deployment, at));
+                deployment.call(at, &call).map_or(0, |answer| answer.status)
             }));
             thread::sleep((pause * (number + 1)).saturating_sub(since.elapsed()));
         }
@@ -165,3 +178,203 @@
         assert!(deployment.instances.iter().map(sum).sum::<f64>() >= 1.0, "{name}");
     }
 }
+
+/// What becomes of instances while a server is limited.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// They are killed one after the other and start again, the dispatcher among them.
+    Killed,
+    /// They are told to stop one after the other and start again.
+    Rolled,
+    /// They are stopped and go on, as suspended machines do.
+    Frozen,
+    /// None reaches another one, for a while.
+    CutOff,
+}
+
+/// A limit is kept by all together although dispatchers change and the fleet is divided. What is counted against it are
+/// those that were told; a process that starts again is another one.
+#[rstest]
+#[case(Trouble::Killed)]
+#[case(Trouble::Rolled)]
+#[case(Trouble::Frozen)]
+#[case(Trouble::CutOff)]
+fn a_limit_is_kept_although_dispatchers_change(#[case] trouble: Trouble) {
+    let mut deployment = deploy_behind(4, 3, true);
+    let in_need = deployment.servers[0].clone();
+    in_need.say(Notice::limit("3"));
+    come(&deployment, RATE, Duration::from_secs(4));
+    for at in 0..4 {
+        disturb(&mut deployment, at, trouble);
+        let up: Vec<usize> = match trouble {
+            Trouble::CutOff => (0..4).collect(),
+            _ => (0..4).filter(|other| *other != at).collect(),
+        };
+        come_at(&deployment, &up, RATE, Duration::from_millis(1_200));
+        restore(&mut deployment, at, trouble);
+        come(&deployment, RATE, Duration::from_millis(800));
+    }
+    let over = over(&in_need, 3.0);
+    println!("{trouble:?}: {over} beyond what is allowed");
+    assert!(over <= 0.0, "{trouble:?}: {over} more than allowed");
+}
+
+fn disturb(deployment: &mut Deployment, at: usize, trouble: Trouble) {
+    let instance = &mut deployment.instances[at];
+    match trouble {
+        Trouble::Killed => instance.signal("KILL"),
+        Trouble::Rolled => instance.signal("TERM"),
+        Trouble::Frozen => instance.signal("STOP"),
+        Trouble::CutOff => set_peers(deployment, Mode::Mute),
+    }
+}
+
+fn restore(deployment: &mut Deployment, at: usize, trouble: Trouble) {
+    let instance = &mut deployment.instances[at];
+    match trouble {
+        Trouble::Killed | Trouble::Rolled => {
+            wait_for("the process is gone", || instance.ended().is_some());
+            instance.restart();
+        }
+        Trouble::Frozen => instance.signal("CONT"),
+        Trouble::CutOff => set_peers(deployment, Mode::Open),
+    }
+}
+
+fn set_peers(deployment: &Deployment, mode: Mode) {
+    let relays = deployment.instances.iter().filter_map(|instance| instance.relays.as_ref());
+    relays.for_each(|relays| relays.peers.set(mode));
+}
+
+/// A limit that ends is noticed, also one of none: the server gets requests again as before.
+#[rstest]
+#[case("0")]
+#[case("0.2")]
+#[case("5")]
+fn a_limit_that_ends_is_noticed(#[case] limit: &str) {
+    let deployment = deploy(2, 2);
+    let server = &deployment.servers[0];
+    server.say(Notice::limit(limit));
+    come(&deployment, RATE, Duration::from_secs(2));
+    server.say(Notice::default());
+    let lifted = |at: usize| ask(&deployment.instances[at], "show notices").is_empty();
+    wait_for("no limit is in force", || {
+        come(&deployment, RATE, Duration::from_millis(200));
+        lifted(0) && lifted(1)
+    });
+    let before = server.arrivals().len();
+    wait_for("it gets as much as before", || {
+        come(&deployment, RATE, Duration::from_millis(500));
+        server.arrivals().len() > before + 20
+    });
+}
+
+/// What cannot be read, or is more than any server takes, holds up nothing.
+#[rstest]
+#[case(Notice::limit("abc"))]
+#[case(Notice::limit("-1"))]
+#[case(Notice::limit("NaN"))]
+#[case(Notice::limit("1e30"))]
+#[case(Notice::limit("1000"))]
+#[case(Notice { leaving: Some("0".into()), ..Notice::default() })]
+fn nonsense_holds_up_nothing(#[case] notice: Notice) {
+    let deployment = deploy(2, 1);
+    deployment.servers[0].say(notice);
+    let statuses = come(&deployment, RATE, Duration::from_secs(1));
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
+/// All servers of a service are limited: callers who cannot be in time are told so truly, with a time to come back.
+#[test]
+fn who_cannot_be_served_within_the_limits_is_told_so() {
+    let deployment = deploy(2, 2);
+    deployment.servers.iter().for_each(|server| server.say(Notice::limit("1")));
+    let statuses = come(&deployment, RATE, Duration::from_secs(4));
+    assert!(statuses.iter().all(|status| [200, 429, 503].contains(status)), "{statuses:?}");
+    let call = Call::get(&path(&deployment, 0));
+    let refused = || deployment.call(0, &call.anew()).ok().filter(|answer| answer.status != 200);
+    let mut answer = None;
+    wait_for("one is refused", || {
+        answer = refused();
+        answer.is_some()
+    });
+    let answer = answer.expect("it is refused");
+    let again: f64 = answer.header("retry-after").and_then(|t| t.parse().ok()).expect("a time");
+    assert!(again > 0.0 && answer.text().contains(r#""ran":"no""#), "{again}: {}", answer.text());
+}
+
+/// The only server rests for one instance: its callers are told at once how long, and nothing is sent; another instance
+/// goes on.
+#[test]
+fn where_all_servers_rest_callers_are_told_how_long() {
+    let deployment = deploy(2, 1);
+    let server = &deployment.servers[0];
+    server.say(Notice::rest("20"));
+    server.set(Fault::Full);
+    let call = Call::get(&path(&deployment, 0));
+    assert_ne!(deployment.call(0, &call.anew()).expect("an answer").status, 200);
+    server.set(Fault::None);
+    let reached = server.arrivals().len();
+    for _ in 0..5 {
+        let answer = deployment.call(0, &call.anew()).expect("an answer");
+        assert_eq!(answer.status, 503);
+        let again: f64 = answer.header("retry-after").and_then(|t| t.parse().ok()).expect("a time");
+        assert!((1.0..=20.0).contains(&again), "{again}");
+    }
+    assert_eq!(server.arrivals().len(), reached, "nothing is sent there");
+    let other = Call::get(&path(&deployment, 1));
+    wait_for("the other one is served", || {
+        deployment.call(1, &other.anew()).is_ok_and(|answer| answer.status == 200)
+    });
+}
+
+/// The word comes beside any answer: of a plain request, one that is turned away, one that fails, or a stream.
+#[rstest]
+#[case(Fault::None, "/read/")]
+#[case(Fault::Full, "/read/")]
+#[case(Fault::Fails, "/read/")]
+#[case(Fault::Crossed, "/read/")]
+#[case(Fault::None, "/talk/")]
+fn any_answer_says_that_its_server_leaves(#[case] fault: Fault, #[case] path: &str) {
+    let deployment = Deployment::new(1);
+    let prefix = if path == "/read/" { "d" } else { "m" };
+    let mut of_service = deployment.servers.iter().filter(|server| server.id.starts_with(prefix));
+    let (leaving, other) = (of_service.next().expect("one"), of_service.next().expect("two"));
+    leaving.say(Notice::leaving());
+    leaving.set(fault);
+    // So that the first one is tried.
+    other.set(Fault::Full);
+    wait_for("the instance was told", || {
+        let _ = deployment.call(0, &Call::get(path));
+        deployment.instances[0].lines().contains("says that it leaves")
+    });
+    [leaving, other].iter().for_each(|server| server.set(Fault::None));
+    let reached = leaving.arrivals().len();
+    for _ in 0..20 {
+        wait_for("it is served", || {
+            deployment.call(0, &Call::get(path)).is_ok_and(|answer| answer.status == 200)
+        });
+    }
+    assert_eq!(leaving.arrivals().len(), reached);
+}
+
+/// All servers of a service leave: callers are told at once that nothing ran. A new start of one is another server.
+#[test]
+fn a_new_start_ends_what_was_said() {
+    let deployment = deploy(2, 1);
+    let server = &deployment.servers[0];
+    server.say(Notice::leaving());
+    come(&deployment, RATE, Duration::from_millis(300));
+    let reached = server.arrivals().len();
+    let statuses = come(&deployment, RATE, Duration::from_secs(1));
+    assert!(statuses.iter().all(|status| *status == 503), "{statuses:?}");
+    assert_eq!(server.arrivals().len(), reached);
+    server.say(Notice::default());
+    deployment.store.put("keyed.servers", &server.id, &server.entry_born(DESK, "ready", 9));
+    for at in 0..2 {
+        wait_for("it is served", || {
+            let call = Call::get(&path(&deployment, at));
+            deployment.call(at, &call).is_ok_and(|answer| answer.status == 200)
+        });
+    }
+}
