test: in the soak backend servers name limits, ask for rest and say that they leave, and it is looked at who keeps to it

Limits of nothing to a thousand a second, some of which cannot be read, rests, both at once, for up to nine seconds, beside all other faults; a server that leaves says so. What counts as told is a process since it was last killed, paused, or cut from others.

--- a/crates/drumusher/tests/routes/soak/caller.rs
+++ b/crates/drumusher/tests/routes/soak/caller.rs
@@ -63,7 +63,7 @@
                 self.probe(at);
             } else {
                 let call = self.draw();
-                self.journal.sends(&call);
+                self.journal.sends(&call, at);
                 self.exchange(at, &call);
             }
             thread::sleep(Duration::from_millis(self.random.random_range(PAUSE_MS)));
--- a/crates/drumusher/tests/routes/soak/fault.rs
+++ b/crates/drumusher/tests/routes/soak/fault.rs
@@ -5,11 +5,14 @@
     time::{Duration, Instant},
 };
 
-use drumusher_adapter_stand_in::{Away, Fault, duty::Duties};
+use drumusher_adapter_stand_in::{Away, Fault, Notice, duty::Duties};
 use drumusher_bench::fleet::{Mode, Relay};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use super::promise::{self, Journal};
+use super::{
+    notice,
+    promise::{self, Journal},
+};
 use crate::{
     duties::scalable,
     support::{DESK, Deployment, MODEL, Relays, large_configuration},
@@ -19,6 +22,8 @@
 const PAUSE_MS: std::ops::Range<u64> = 20..450;
 /// How long a fault lasts, in milliseconds.
 const LASTS_MS: std::ops::Range<u64> = 80..2_500;
+/// How long a backend server says something of itself, in milliseconds: a limit is to be kept within 3 s.
+const SAYS_MS: std::ops::Range<u64> = 1_000..9_000;
 /// Longest delay of a piece by a relay, in milliseconds.
 const LATE_MS: u64 = 120;
 /// Bytes a second that a narrow relay carries.
@@ -63,6 +68,8 @@
     Restart(usize),
     /// A backend server is well.
     Well(usize),
+    /// A backend server says nothing of itself any more.
+    Quiet(usize),
     /// The platform takes calls of duties.
     Take,
     /// The store serves an instance.
@@ -127,7 +134,8 @@
             46..54 => self.signal("KILL", Cure::Restart),
             54..62 => self.signal("TERM", Cure::Restart),
             62..65 => self.hang_up(),
-            65..79 => self.server(),
+            65..75 => self.server(),
+            75..79 => self.say(),
             79..84 => self.door(),
             84..88 => self.store(),
             88..91 => self.deployment.store.forget("keyed.servers"),
@@ -155,6 +163,13 @@
         [callers, peers, store][place % 3]
     }
 
+    /// Notes that the connections of an instance with others are disturbed or mended, if the relay is one of these.
+    fn interrupt_peers(&self, place: usize) {
+        if place % 3 == 1 {
+            self.journal.interrupts(place / 3);
+        }
+    }
+
     /// A relay passes late, little at a time, or nothing.
     fn relay(&mut self) {
         let place = self.any_relay();
@@ -163,6 +178,7 @@
         let modes = [Mode::Late(late), narrow, Mode::MuteTo, Mode::MuteBack, Mode::Mute];
         let mode = modes[self.random.random_range(0..modes.len())];
         self.relay_at(place).set(mode);
+        self.interrupt_peers(place);
         self.later(Cure::Open(place));
     }
 
@@ -176,6 +192,7 @@
     fn reset(&mut self) {
         let place = self.any_relay();
         self.relay_at(place).reset();
+        self.interrupt_peers(place);
     }
 
     /// Sends a signal to an instance that is up.
@@ -185,6 +202,7 @@
             return;
         }
         self.down.push(at);
+        self.journal.interrupts(at);
         self.deployment.instances[at].signal(signal);
         self.later(cure(at));
     }
@@ -205,6 +223,25 @@
         self.later(Cure::Well(at));
     }
 
+    /// A backend server says something of itself for longer than other faults last. One that asks for rest turns requests
+    /// away meanwhile.
+    fn say(&mut self) {
+        let at = self.random.random_range(0..self.deployment.servers.len());
+        let notice = notice::draw(&mut self.random);
+        let server = &self.deployment.servers[at];
+        if self.journal.left().contains(&server.id) {
+            return;
+        }
+        if notice.rest.is_some() {
+            server.set(Fault::Full);
+            self.later(Cure::Well(at));
+        }
+        self.deployment.servers[at].say(notice);
+        let lasts = Duration::from_millis(self.random.random_range(SAYS_MS));
+        self.due.retain(|(_, other)| *other != Cure::Quiet(at));
+        self.due.push((Instant::now() + lasts, Cure::Quiet(at)));
+    }
+
     /// The store turns one instance away.
     fn door(&mut self) {
         let at = self.random.random_range(0..self.deployment.instances.len());
@@ -248,6 +285,7 @@
         self.replaced += 1;
         let service = service_of(id);
         self.deployment.add_server(&format!("{}r{}", &id[..1], self.replaced), service);
+        self.deployment.server(id).say(Notice::leaving());
         self.deployment.store.put("keyed.servers", id, entry);
         self.journal.leaves(id);
     }
@@ -280,14 +318,19 @@
     /// Ends one fault.
     fn end(&mut self, cure: Cure) {
         match cure {
-            Cure::Open(place) => self.relay_at(place).set(Mode::Open),
+            Cure::Open(place) => {
+                self.relay_at(place).set(Mode::Open);
+                self.interrupt_peers(place);
+            }
             Cure::Continue(at) => {
                 self.journal.thaws(format!("i{at}"));
                 self.deployment.instances[at].signal("CONT");
+                self.journal.interrupts(at);
                 self.down.retain(|down| *down != at);
             }
             Cure::Restart(at) => self.restart(at),
             Cure::Well(at) => self.deployment.servers[at].set(Fault::None),
+            Cure::Quiet(at) => self.quiet(at),
             Cure::Take => self.duties.set_away(Away::No),
             Cure::Serve(at) => self.deployment.instances[at].door.set_away(Away::No),
             Cure::Return(lapsed) => self.store_returns(&lapsed),
@@ -302,9 +345,18 @@
         }
         self.journal.restarts(at);
         self.deployment.instances[at].restart();
+        self.journal.interrupts(at);
         self.down.retain(|down| *down != at);
     }
 
+    /// A backend server says nothing of itself any more, unless it leaves.
+    fn quiet(&mut self, at: usize) {
+        let server = &self.deployment.servers[at];
+        if !self.journal.left().contains(&server.id) {
+            server.say(Notice::default());
+        }
+    }
+
     /// The store serves all again, and owners enter what lapsed.
     fn store_returns(&mut self, lapsed: &[usize]) {
         for instance in &self.deployment.instances {
--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -7,6 +7,7 @@
 //! | `caller` | sends requests and checks each answer |
 //! | `ending` | a request that ends backend servers, and whether it is held back |
 //! | `fault` | draws faults from a seed, applies them and ends them |
+//! | `notice` | what backend servers say of themselves, and whether instances keep to it |
 //! | `promise` | what was seen, and which promises it breaks |
 //!
 //! `cargo test -p drumusher --test routes -- soak::` plays the short list of CI and every seed that
@@ -15,6 +16,7 @@
 mod caller;
 mod ending;
 mod fault;
+mod notice;
 mod promise;
 
 use std::{
@@ -124,6 +126,7 @@
     let calls = duties.calls().len();
     wait_for("duties go on after the faults", || duties.calls().len() > calls);
     let mut broken = journal.broken(&deployment.servers);
+    broken.extend(notice::broken(&deployment.servers, &journal));
     broken.extend(deployment.instances.iter().filter_map(promise::panicked));
     broken.extend(duties.fault(APART, &journal.thawed()));
     if !broken.is_empty() {
--- a/crates/drumusher/tests/routes/soak/promise.rs
+++ b/crates/drumusher/tests/routes/soak/promise.rs
@@ -29,6 +29,10 @@
 #[derive(Default)]
 struct Inner {
     sent: BTreeMap<String, Call>,
+    /// At which instance each request was sent.
+    taken: BTreeMap<String, usize>,
+    /// When each instance was paused, went on, ended, or had its connections with others disturbed or mended.
+    interrupted: BTreeMap<usize, Vec<Instant>>,
     promised: BTreeSet<String>,
     shown: BTreeMap<usize, Shown>,
     starts: BTreeMap<usize, u32>,
@@ -85,9 +89,26 @@
         self.with(|inner| inner.thawed.clone())
     }
 
-    /// A request is about to be sent.
-    pub fn sends(&self, call: &Call) {
-        self.with(|inner| inner.sent.insert(call.id.clone(), call.clone()));
+    /// A request is about to be sent to an instance.
+    pub fn sends(&self, call: &Call, at: usize) {
+        self.with(|inner| {
+            inner.sent.insert(call.id.clone(), call.clone());
+            inner.taken.insert(call.id.clone(), at);
+        });
+    }
+
+    /// An instance is paused, goes on, ends, or its connections with others are disturbed or mended.
+    pub fn interrupts(&self, at: usize) {
+        self.with(|inner| inner.interrupted.entry(at).or_default().push(Instant::now()));
+    }
+
+    /// Who sent a request that arrived at a moment: its instance, and how often that was interrupted before.
+    pub fn sender(&self, id: &str, arrived: Instant) -> Option<(usize, usize)> {
+        self.with(|inner| {
+            let at = *inner.taken.get(id)?;
+            let interrupted = inner.interrupted.get(&at).into_iter().flatten();
+            Some((at, interrupted.filter(|when| **when <= arrived).count()))
+        })
     }
 
     /// An answer came: whole or not, it has to be this request's own.
