fix: an engine that says for how long it takes no more is given nothing for that time

What callers saw, as far as the code shows: a report of 503 with Retry-After shut an engine for 0.2 s, whatever time it named, and the grants that followed were refused by it again, each a wasted attempt.

Found by going through all heads that the product reads.

The mend: the time goes along with the report, bounded at a minute; a later report that takes more ends it. The test grants at the next look on the code before, 0.2 s after the report.

--- a/crates/drumusher-bench/src/policy/simulation.rs
+++ b/crates/drumusher-bench/src/policy/simulation.rs
@@ -231,7 +231,7 @@
             What::Loads => self.loads(),
             What::Reported(server, as_of, running, waiting) => {
                 let server = server::Key(server);
-                self.tell(Event::Load(Load { server, as_of, running, waiting, full: false }));
+                self.tell(Event::Load(Load { server, as_of, running, waiting, full: None }));
             }
             What::Tick => {
                 self.tell(Event::Tick);
--- a/crates/drumusher-platform/src/load.rs
+++ b/crates/drumusher-platform/src/load.rs
@@ -39,7 +39,7 @@
 pub enum Answer {
     /// Its report.
     Report(Report),
-    /// It takes no more for so many seconds.
+    /// It takes no more for so many seconds; 0 if it does not say how long.
     Full(u64),
 }
 
@@ -57,7 +57,7 @@
     async fn load(&self, address: &str) -> Result<Answer, Error> {
         let answer = self.get(&format!("http://{address}/load")).await?;
         if answer.status.as_u16() == 503 {
-            return Ok(Answer::Full(answer.retry_after.unwrap_or(1)));
+            return Ok(Answer::Full(answer.retry_after.unwrap_or(0)));
         }
         answer.json().map(Answer::Report)
     }
--- a/crates/drumusher-schedule/src/event.rs
+++ b/crates/drumusher-schedule/src/event.rs
@@ -33,8 +33,8 @@
     pub running: u32,
     /// Requests waiting in it.
     pub waiting: u32,
-    /// Whether it refused to take more.
-    pub full: bool,
+    /// For how long it takes no more, if it said so; 0 if it did not say how long.
+    pub full: Option<Micros>,
 }
 
 /// Something that happened.
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -59,6 +59,8 @@
     foreign: u32,
     history: VecDeque<(Micros, u32)>,
     full_until: Micros,
+    /// Whether its last report said that it takes no more.
+    says_full: bool,
     gap: f64,
     gap_samples: u32,
     first_token: f64,
@@ -92,6 +94,7 @@
             foreign: 0,
             history: VecDeque::with_capacity(HISTORY),
             full_until: 0,
+            says_full: false,
             gap: 0.0,
             gap_samples: 0,
             first_token: 0.0,
--- a/crates/drumusher-schedule/src/server/window.rs
+++ b/crates/drumusher-schedule/src/server/window.rs
@@ -48,15 +48,21 @@
     pub fn report(&mut self, load: &Load, now: Micros) {
         let reported = load.running + load.waiting;
         self.foreign = reported.saturating_sub(self.running_at(load.as_of));
-        if load.full {
-            self.full_until = now + FULL_FOR;
+        match load.full {
+            Some(time) => {
+                self.full_until = self.full_until.max(now + time.max(FULL_FOR));
+                self.says_full = true;
+            }
+            // It takes more before the time is over that it named.
+            None if std::mem::take(&mut self.says_full) => self.full_until = now,
+            None => {}
         }
         self.bound(load, now);
     }
 
     /// It refused a request for lack of room.
     pub(super) fn refuse(&mut self, now: Micros) {
-        self.full_until = now + FULL_FOR;
+        self.full_until = self.full_until.max(now + FULL_FOR);
         if self.options.learned {
             self.limit = (self.limit - 1.0).max(1.0);
         }
--- a/crates/drumusher-schedule/tests/schedule/invariants.rs
+++ b/crates/drumusher-schedule/tests/schedule/invariants.rs
@@ -161,7 +161,7 @@
             as_of: bench.now.saturating_sub(lag * MILLISECOND),
             running: *running,
             waiting: *waiting,
-            full: *full,
+            full: full.then_some(lag * MILLISECOND),
         }),
         Step::Leave { server } => Event::Leave(Key(*server)),
         Step::Gone { entry } => Event::EntryGone(Entry(*entry)),
--- a/crates/drumusher-schedule/tests/schedule/pool.rs
+++ b/crates/drumusher-schedule/tests/schedule/pool.rs
@@ -300,13 +300,13 @@
 #[test]
 fn lagging_reports_bound_what_others_have_sent() {
     let mut bench = Bench::new(policy(), 1, 4);
-    let load = Load { server: Key(0), as_of: bench.now, running: 3, waiting: 0, full: false };
+    let load = Load { server: Key(0), as_of: bench.now, running: 3, waiting: 0, full: None };
     bench.tell(Event::Load(load));
     let now = bench.now;
     assert_eq!(granted(&bench.ask(ask(1, URGENT, now))), [(1, 0)]);
     assert_eq!(granted(&bench.ask(ask(2, URGENT, now))), []);
     // An old report that shows the own grant only says nothing of others.
-    let load = Load { server: Key(0), as_of: bench.now, running: 1, waiting: 0, full: false };
+    let load = Load { server: Key(0), as_of: bench.now, running: 1, waiting: 0, full: None };
     assert_eq!(granted(&bench.tell(Event::Load(load))), [(2, 0)]);
 }
 
@@ -471,3 +471,21 @@
     let on_first = bench.pool.each_running().filter(|running| running.server == Key(0)).count();
     assert_eq!(on_first, 3);
 }
+
+/// A server that says for how long it takes no more gets nothing in that time, unless it says before that it does.
+#[test]
+fn one_that_is_full_by_its_report_gets_nothing_for_the_time_it_named() {
+    let mut bench = Bench::new(policy(), 1, 4);
+    let report =
+        |now, full| Event::Load(Load { server: Key(0), as_of: now, running: 0, waiting: 0, full });
+    let now = bench.now;
+    bench.tell(report(now, Some(3 * SECOND)));
+    assert_eq!(granted(&bench.ask(ask(1, URGENT, now))), []);
+    assert_eq!(granted(&bench.pass(2_900 * MILLISECOND)), []);
+    assert_eq!(granted(&bench.pass(200 * MILLISECOND)), [(1, 0)]);
+    let now = bench.now;
+    bench.tell(report(now, Some(60 * SECOND)));
+    assert_eq!(granted(&bench.ask(ask(2, URGENT, now))), []);
+    let now = bench.now;
+    assert_eq!(granted(&bench.tell(report(now, None))), [(2, 0)]);
+}
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -105,8 +105,8 @@
     pub running: u32,
     /// Requests waiting.
     pub waiting: u32,
-    /// Whether the backend server takes no more.
-    pub full: bool,
+    /// For how many microseconds the backend server takes no more, if it said so; 0 if it did not say how long.
+    pub full: Option<u64>,
 }
 
 /// The sending end of the dispatch ring.
--- a/crates/drumusher/src/process/platform/load.rs
+++ b/crates/drumusher/src/process/platform/load.rs
@@ -1,6 +1,7 @@
 //! Reading the load reports of the backend servers that this instance dispatches.
 
 use drumusher_platform::load::{Answer, Load, State};
+use drumusher_schedule::time::SECOND;
 use ntex::{
     rt,
     time::{Millis, sleep},
@@ -12,6 +13,9 @@
     version::{Backend, Pool},
 };
 
+/// Longest time for which an engine is believed to take no more, in seconds, unless it says so again.
+const LONGEST_FULL_S: u64 = 60;
+
 /// Reads all reports every so often, for ever.
 pub(super) async fn follow(context: Context) {
     let pause = Millis(context.shared.settings.platform.load_ms as u32);
@@ -36,11 +40,14 @@
             age: clock::unix_ms().saturating_sub(report.as_of_ms) * 1_000,
             running: report.running,
             waiting: report.waiting,
-            full: false,
+            full: None,
+        }),
+        Ok(Answer::Full(seconds)) => Some(dispatch::Report {
+            age: 0,
+            running: 0,
+            waiting: 0,
+            full: Some(seconds.min(LONGEST_FULL_S) * SECOND),
         }),
-        Ok(Answer::Full(_)) => {
-            Some(dispatch::Report { age: 0, running: 0, waiting: 0, full: true })
-        }
         Err(_) => {
             context.shared.telemetry.count("drumusher.load.failures", &[]);
             return;
