fix: the store is told of each request that is cleared, also of one whose record was not read back yet

A request that was written as a suspect and answered before its record had been read back was cleared here only; the record came back, and the request was a suspect again at all instances. Now the store is told whenever something was known.

--- a/crates/drumusher-log/src/quarantine.rs
+++ b/crates/drumusher-log/src/quarantine.rs
@@ -13,20 +13,21 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Ends from which on a request runs only on trial. An innocent request is at one end by chance, and at the second
-/// one seldom: of 9 backend servers that end in turn one in 9 by the placement of its repeat.
+/// Ends from which on a request runs only on trial: one end has many beside it, and a second one few of these, since
+/// their repeats go to different backend servers. Chosen, not measured against others.
 const TRIAL_AFTER: usize = 2;
 /// Ends on trial from which on a request is held back. One may be another's: a backend server that ends by itself,
-/// or a suspect that nobody knows yet.
+/// or a suspect that nobody knows yet. With [`TRIAL_AFTER`] a request ends four backend servers where it comes one after
+/// the other.
 const HELD_AFTER: usize = 2;
 /// Most ends that are remembered of a request.
 const MOST_ENDS: usize = 8;
-/// Most requests that are known. One takes some 300 bytes at each instance.
+/// Most requests that are known: with eight ends of long names each some 600 bytes as they are written, and so 0.6 MB.
 pub const MOST: usize = 1_024;
-/// How long a suspect is remembered after the latest end, in milliseconds. Callers come back within minutes.
+/// How long a suspect is remembered after the latest end, in milliseconds. Chosen: callers come back within minutes.
 const SUSPECT_FOR_MS: u64 = 10 * 60_000;
 /// How long a request is held back after the latest end, in milliseconds; then it has another trial, since its backend
-/// servers may have been mended.
+/// servers may have been mended. Chosen: two ends an hour are borne, and an operator can let it go sooner.
 const HELD_FOR_MS: u64 = 60 * 60_000;
 
 /// What tells a request from others when it comes anew: a keyed hash of its workspace, method, host, path and body.
@@ -212,9 +213,11 @@
         changed
     }
 
-    /// The request got an answer, or an operator lets it go. Returns whether the store has to be told.
+    /// The request got an answer, or an operator lets it go. Returns whether it was known: then the store has to be told,
+    /// also of one that it is not known to have. What was written may not have been read back yet, and would come back as
+    /// a suspect for good.
     pub fn clear(&mut self, digest: Digest) -> bool {
-        self.records.remove(&digest).is_some_and(|record| record.stored)
+        self.records.remove(&digest).is_some()
     }
 
     /// Takes what the store has of a request. Ends that are known here and not there stay.
--- a/crates/drumusher/src/operator/command.rs
+++ b/crates/drumusher/src/operator/command.rs
@@ -64,11 +64,9 @@
 /// tells them.
 pub(super) fn release(shared: &Arc<Shared>, text: &str) -> Vec<Row> {
     let digest = Digest::parse(text);
-    let known = digest.filter(|digest| shared.quarantine().get(*digest).is_some());
-    let Some(digest) = known else {
+    let Some(digest) = digest.filter(|digest| shared.quarantine().clear(*digest)) else {
         return vec![rows::row(json!({"answer": "invalid", "reason": "no such request is known"}))];
     };
-    shared.quarantine().clear(digest);
     shared.note_held();
     let told = shared.platform.try_send(Input::Quarantine(vec![digest])).is_ok();
     let answer = if told { "accepted" } else { "unknown" };
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -4,6 +4,8 @@
 use drumusher_schedule::{
     ask::{Entry, Id, Outcome},
     order::Refusal,
+    pool,
+    server::Server,
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -14,8 +16,8 @@
     version::Pool,
 };
 
-/// Of so many backend servers that take work, one may have a trial whose outcome is open: each may take a backend server
-/// away for some seconds.
+/// Of so many backend servers that take work, one may have a trial whose outcome is open: each may take its backend server
+/// away for some seconds, and two thirds are to be left if all do. Chosen, not measured against others.
 const SERVERS_A_TRIAL: usize = 3;
 
 /// Whether a request may be handed to the decisions.
@@ -45,10 +47,7 @@
             return Admission::Refuse;
         }
         if verdict != Verdict::Free {
-            let good = host.pool.servers();
-            let good =
-                good.filter(|(_, server)| !server.leaving() && server.next_probe().is_none());
-            let most = (good.count() / SERVERS_A_TRIAL).max(1);
+            let most = most_trials(&host.pool);
             if !runs_already && !host.trials.may_begin(digest, most) {
                 return Admission::Wait;
             }
@@ -103,17 +102,10 @@
 
     /// A request was answered: no backend server ends by it.
     fn clear(&mut self, digest: Digest) {
-        let stored = {
-            let mut table = self.shared.quarantine();
-            if table.get(digest).is_none() {
-                return;
-            }
-            table.clear(digest)
-        };
-        if stored {
+        if self.shared.quarantine().clear(digest) {
             self.tell_store(digest);
+            self.shared.note_held();
         }
-        self.shared.note_held();
     }
 
     /// An entry tells that a backend server ended while it ran a request.
@@ -159,6 +151,13 @@
     }
 }
 
+/// How many trials whose outcome is open a pool may have.
+fn most_trials(pool: &pool::Pool) -> usize {
+    let takes_work = |server: &Server| !server.leaving() && server.next_probe().is_none();
+    let good = pool.servers().filter(|(_, server)| takes_work(server));
+    (good.count() / SERVERS_A_TRIAL).max(1)
+}
+
 /// What an entry tells as the end of a start of a backend server.
 fn end(crash: &peer::Crash, alone: bool) -> End<'_> {
     End {
--- a/crates/drumusher/src/process/dispatch/trials.rs
+++ b/crates/drumusher/src/process/dispatch/trials.rs
@@ -121,7 +121,7 @@
         self.waiting.is_empty()
     }
 
-    /// Keeps of those that run only what `runs` or waits for its grant.
+    /// Forgets those that the decisions do not know: they were refused, or their entry is gone.
     pub(super) fn keep(&mut self, is_known: impl Fn(Id) -> bool) {
         self.running.retain(|id, _| is_known(*id));
     }
--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -10,8 +10,8 @@
     version::{Backend, Pool},
 };
 
-/// Longest wait for a sign that a backend server is there: one that ended refuses a connection in 2 ms between
-/// availability zones.
+/// Longest wait for a sign that a backend server is there. One that ended refuses a connection within a round trip; one
+/// that says nothing for longer than connecting may take anyway shows nothing.
 const PROBE: Millis = Millis(200);
 
 impl<D: Dialect> Exchange<D> {
