--- a/crates/drumusher/src/process/dispatch/host.rs
+++ b/crates/drumusher/src/process/dispatch/host.rs
@@ -212,8 +212,10 @@
         for name in gone {
             self.applied.remove(&name);
             self.own_word.remove(&name);
+            // With what is known of its limit the decisions forget the limit: nobody would lift it when it is back.
             self.notices.remove(&name);
-            events.push(Event::Leave(self.key(&name)));
+            let key = self.key(&name);
+            events.extend([Event::Leave(key), Event::Limit(key, None)]);
         }
         events
     }
--- a/crates/drumusher/tests/unit/host.rs
+++ b/crates/drumusher/tests/unit/host.rs
@@ -80,3 +80,16 @@
     assert_eq!(refresh(&Backend { leaving: true, ..born(Some(2_000)) }), [(1, true)]);
     assert_eq!(refresh(&Backend { leaving: true, ..born(Some(3_000)) }), [(1, true), (2, true)]);
 }
+
+/// A limit is forgotten with the entry of its server. It had stayed with the decisions, where nobody lifted it any more: a
+/// server whose entry was back after an outage was granted at the rate of before for good, unless it named a limit again.
+#[test]
+fn a_limit_ends_with_the_entry_of_its_server() {
+    let bound = Bound { ratio: 0.2, slack: 1.0, window: 1 };
+    let mut host = Host::new(Arc::new(Policy::new(Vec::new(), Vec::new())), 0, bound);
+    let backend = backend();
+    let wanted = BTreeMap::from([(backend.name.clone(), &backend)]);
+    host.refresh("p", &wanted, true, 1);
+    let events = host.refresh("p", &BTreeMap::new(), true, 1);
+    assert!(events.iter().any(|event| matches!(event, Event::Limit(_, None))), "{events:?}");
+}
