fix: an instance that learns from a grant that a limit is over forgets it

Found by reading: an instance that heard a limit and nothing after it kept it in its list and gauge for good, although its dispatcher knew of the end from others and its grants were obeyed; an operator would have looked for a server in need that is none. It takes the end from the grant.

--- a/crates/drumusher/src/process/notices.rs
+++ b/crates/drumusher/src/process/notices.rs
@@ -151,8 +151,10 @@
         if self.len.load(Ordering::Acquire) == 0 {
             return None;
         }
-        let records = self.lock();
-        let record = records.get(&server.name).filter(|record| record.born_ms >= server.born_ms)?;
+        let mut records = self.lock();
+        let record = records.get_mut(&server.name);
+        let record = record.filter(|record| record.born_ms >= server.born_ms)?;
+        record.learn(basis);
         Some((record.withholds(now, basis)?, record.clone()))
     }
 
@@ -263,6 +265,13 @@
         changed
     }
 
+    /// Takes what the dispatcher of a grant heard of the limit from others.
+    fn learn(&mut self, basis: Basis) {
+        if basis.lifted.is_some_and(|lifted| self.limit.lift(lifted)) {
+            self.log("others heard that a backend server names no limit any more");
+        }
+    }
+
     /// A rest ends when the later one of two ends. Returns whether that is new.
     fn take_rest(&mut self, now: Micros, until: Micros) -> bool {
         match &mut self.rest {
--- a/crates/drumusher/tests/unit/notices.rs
+++ b/crates/drumusher/tests/unit/notices.rs
@@ -118,8 +118,9 @@
     assert_eq!(why(&notices, NOW, &server, COUNTED), None);
     let before = Basis { limited: false, lifted: Some(NOW - SECOND) };
     assert_eq!(why(&notices, NOW, &server, before), Some(Withheld::Limited));
-    let after = Basis { limited: false, lifted: Some(NOW + SECOND) };
-    assert_eq!(why(&notices, NOW + 2 * SECOND, &server, after), None);
+    let after = Basis { limited: false, lifted: Some(NOW + 2 * SECOND) };
+    assert_eq!(why(&notices, NOW + 3 * SECOND, &server, after), None);
+    assert!(notices.in_force(NOW + 3 * SECOND).is_empty(), "it is known here from now on");
 }
 
 /// An answer without a limit lifts it, unless its request was sent before or just after the limit was named: answers
