--- a/crates/drumusher/tests/unit/notices.rs
+++ b/crates/drumusher/tests/unit/notices.rs
@@ -1,6 +1,6 @@
 //! What an instance keeps of what backend servers say of themselves, and what it lets through.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Instant};
 
 use drumusher::{
     process::notices::{Basis, Limit, Notices, Record, Withheld},
@@ -189,3 +189,30 @@
     assert_eq!(known.rate(), None);
     assert!(known.name(NOW + 4 * SECOND, Rate(500)));
 }
+
+/// What hearing and looking cost where no server says anything and where a thousand do. Prints the figures; for ones that
+/// count, run it in release with `--nocapture`. Without any of it a request cost neither.
+#[test]
+fn what_it_costs_is_told() {
+    const ROUNDS: u64 = 100_000;
+    for servers in [0, 1, 1_000] {
+        let notices = Notices::default();
+        for number in 0..servers {
+            hear(&notices, NOW, &server(&format!("s{number}"), None), limit(5_000));
+        }
+        let (one, said) = (server("s0", None), limit(5_000));
+        let said = if servers == 0 { Notice::default() } else { said };
+        let began = Instant::now();
+        for round in 0..ROUNDS {
+            hear(&notices, NOW + round, &one, said);
+        }
+        let hearing = began.elapsed();
+        let began = Instant::now();
+        let free = (0..ROUNDS).filter(|round| why(&notices, NOW + round, &one, COUNTED).is_none());
+        assert_eq!(free.count() as u64, ROUNDS);
+        println!(
+            "{servers} servers: {hearing:?} to hear, {:?} to look, {ROUNDS} times",
+            began.elapsed()
+        );
+    }
+}
