fix: of a limit an instance lends its part for the whole window in which it asked

Found by reading: parts of a limit were counted of instances that had asked within two seconds, as with repeats. In a large fleet, or a small one with little traffic, many ask for a service only now and then, and a limited server would have got less than it takes: of 3 instances with one request a second together some half. It is the window now; an instance that cannot be reached is removed at once, so that a divided fleet counts nobody twice for longer than that takes to be seen.

--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -272,7 +272,7 @@
         }
         let pools: Vec<Pool> = self.hosts.keys().cloned().collect();
         pools.iter().for_each(|pool| self.try_waiting(pool));
-        pools.iter().for_each(|pool| self.share_limits(pool));
+        self.look_at_limits();
         let before = self.hosts.len();
         self.hosts.retain(|_, host| {
             let busy = host.pool.waiting() + host.pool.running() > 0;
--- a/crates/drumusher/src/process/dispatch/budget.rs
+++ b/crates/drumusher/src/process/dispatch/budget.rs
@@ -183,9 +183,12 @@
         if spent <= 0.0 { 0.0 } else { (spent / lent.max(1.0)).min(1.0) }
     }
 
-    /// The part of all instances, where so many are listed, that lend to this dispatcher now.
-    pub fn part(&mut self, now: Micros, instances: usize) -> f64 {
-        (self.sums(now).whole / instances.max(1) as f64).min(1.0)
+    /// The part of all instances, where so many are listed, that asked this dispatcher in the latest window. Some of a large
+    /// fleet ask for a service only now and then; one that cannot be reached any more is removed at once.
+    pub fn part(&self, now: Micros, instances: usize) -> f64 {
+        let asked = |account: &&Account| now <= account.asked + self.bound.window;
+        let asked = self.accounts.values().filter(asked).count();
+        (asked as f64 / instances.max(1) as f64).min(1.0)
     }
 
     /// How many repeats may be granted in all: by what all sent, and by what was granted here.
--- a/crates/drumusher/src/process/dispatch/notices.rs
+++ b/crates/drumusher/src/process/dispatch/notices.rs
@@ -7,7 +7,7 @@
 use std::{collections::HashMap, sync::Arc};
 
 use drumusher_platform::dialect::Rate;
-use drumusher_schedule::{ask::Entry, event::Event, server, time::Micros};
+use drumusher_schedule::{ask::Entry, event::Event, pool, time::Micros};
 use drumusher_wire::peer;
 
 use super::Dispatch;
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Notices {
     known: HashMap<Arc<str>, Known>,
+    /// When the rates were looked at last.
+    looked: Micros,
 }
 
 impl Notices {
@@ -69,12 +71,14 @@
         Basis { limited: limit.rate().is_some(), lifted: limit.lifted() }
     }
 
+    /// Whether the rates are to be looked at again.
+    fn are_due(&self, now: Micros) -> bool {
+        !self.known.is_empty() && now >= self.looked + pool::TICK
+    }
+
     /// The rates that the decisions are to be told, where `part` of each limit is this dispatcher's.
-    pub(super) fn rates(&mut self, part: impl FnOnce() -> f64) -> Vec<(Arc<str>, Option<f64>)> {
-        if self.known.is_empty() {
-            return Vec::new();
-        }
-        let part = part();
+    fn rates(&mut self, now: Micros, part: f64) -> Vec<(Arc<str>, Option<f64>)> {
+        self.looked = now;
         let mut changed = Vec::new();
         for (server, known) in &mut self.known {
             let rate = known.limit.tried().map(|rate| rate.per_second() * part);
@@ -113,25 +117,29 @@
             self.refresh(&pool);
         }
         if limited {
-            self.share_limits(&pool);
+            self.share_limits(&pool, now);
         }
         if let Some(left) = notice.rest.filter(|left| *left > 0) {
             self.handle(&pool, Event::Rest(entry, key, now + left as u64));
         }
     }
 
+    /// Looks at the rates of all pools where that is due.
+    pub(super) fn look_at_limits(&mut self) {
+        let now = clock::now();
+        let due = self.hosts.iter().filter(|(_, host)| host.notices.are_due(now));
+        let due: Vec<Pool> = due.map(|(pool, _)| pool.clone()).collect();
+        due.iter().for_each(|pool| self.share_limits(pool, now));
+    }
+
     /// Tells the decisions of a pool at which rates they may grant, by who lends limits to this dispatcher now.
-    pub(super) fn share_limits(&mut self, pool: &Pool) {
+    fn share_limits(&mut self, pool: &Pool, now: Micros) {
         let instances = self.shared.directory.load().instances.len();
         let Some(host) = self.hosts.get_mut(pool) else { return };
-        let budget = &mut host.budget;
-        let rates = host.notices.rates(|| budget.part(clock::now(), instances));
-        for (server, rate) in rates {
-            let key: Option<server::Key> =
-                self.hosts.get(pool).and_then(|host| host.known.get(&server).copied());
-            if let Some(key) = key {
-                self.handle(pool, Event::Limit(key, rate));
-            }
-        }
+        let part = host.budget.part(now, instances);
+        let rates = host.notices.rates(now, part);
+        let known = |(server, rate)| Some(Event::Limit(*host.known.get(&server)?, rate));
+        let events: Vec<Event> = rates.into_iter().filter_map(known).collect();
+        events.into_iter().for_each(|event| self.handle(pool, event));
     }
 }
--- a/crates/drumusher/tests/unit/budget.rs
+++ b/crates/drumusher/tests/unit/budget.rs
@@ -399,3 +399,15 @@
         }
     }
 }
+
+/// Who asked within the window lends its part of what is shared by equal parts, also if it asks seldom; who is gone does not.
+#[test]
+fn who_asks_now_and_then_lends_its_part() {
+    let mut budget = Budget::new(BOUND);
+    (1..=4).for_each(|entry| budget.lend(SECOND, Entry(entry), 0.0));
+    assert_eq!(budget.part(9 * SECOND, 8), 0.5);
+    budget.remove(9 * SECOND, Entry(1), 8);
+    assert_eq!(budget.part(9 * SECOND, 8), 0.375);
+    assert_eq!(budget.part(9 * SECOND, 2), 1.0, "it knows of fewer than there are");
+    assert_eq!(budget.part(12 * SECOND, 8), 0.0);
+}
