--- a/crates/drumusher/src/process/notices.rs
+++ b/crates/drumusher/src/process/notices.rs
@@ -85,6 +85,21 @@
     pub lifted: Option<Micros>,
 }
 
+/// An answer, as far as it says something of its backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Answer<'a> {
+    /// The pool of the request.
+    pub pool: &'a Pool,
+    /// The backend server that answers.
+    pub server: &'a Backend,
+    /// When the request was sent; 0 if that is not known.
+    pub sent: Micros,
+    /// What its grant was based on.
+    pub basis: Basis,
+    /// What is said.
+    pub notice: &'a Notice,
+}
+
 /// How many backend servers have something in force.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Sum {
@@ -105,16 +120,10 @@
 }
 
 impl Notices {
-    /// Takes what a backend server said in the answer to a request that was sent at a time on that basis. Returns what its
-    /// dispatcher is to be told.
-    pub fn hear(
-        &self,
-        now: Micros,
-        (pool, server): (&Pool, &Backend),
-        (sent, basis): (Micros, Basis),
-        notice: &Notice,
-    ) -> Option<Record> {
-        let says_something = *notice != Notice::default() || basis.limited;
+    /// Takes what a backend server says of itself in an answer that came now. Returns what its dispatcher is to be told.
+    pub fn hear(&self, now: Micros, answer: &Answer<'_>) -> Option<Record> {
+        let Answer { pool, server, .. } = *answer;
+        let says_something = *answer.notice != Notice::default() || answer.basis.limited;
         if !says_something && self.len.load(Ordering::Acquire) == 0 {
             return None;
         }
@@ -130,7 +139,7 @@
         if record.born_ms < server.born_ms {
             *record = Record::new(pool, server);
         }
-        let told = record.take(now, sent, basis, notice).then(|| record.clone());
+        let told = record.take(now, answer).then(|| record.clone());
         if records.len() > MOST {
             let oldest = records.values().min_by_key(|record| record.heard);
             let oldest = oldest.map(|record| record.server.clone());
@@ -228,9 +237,10 @@
     }
 
     /// Takes what an answer said. Returns whether the dispatcher is to be told.
-    fn take(&mut self, now: Micros, sent: Micros, basis: Basis, notice: &Notice) -> bool {
+    fn take(&mut self, now: Micros, answer: &Answer<'_>) -> bool {
+        let notice = answer.notice;
         self.heard = now;
-        let mut changed = self.take_limit(now, sent, notice);
+        let mut changed = self.take_limit(now, answer.sent, notice);
         if notice.leaving && self.leaving.is_none() {
             self.leaving = Some(now);
             self.log("a backend server says that it leaves");
@@ -243,7 +253,7 @@
             self.log("a backend server says of itself what cannot be read");
         }
         // Others may have heard a limit of which this instance knows nothing: they are told that it was not named.
-        let is_named = notice.limit.is_some() || basis.limited && !notice.unclear;
+        let is_named = notice.limit.is_some() || answer.basis.limited && !notice.unclear;
         let due = is_named && now >= self.told + TOLD_EVERY;
         if changed || due {
             self.told = now;
--- a/crates/drumusher/src/routed/exchange/notice.rs
+++ b/crates/drumusher/src/routed/exchange/notice.rs
@@ -4,7 +4,11 @@
 
 use super::Exchange;
 use crate::{
-    process::{broker::Input, clock, notices::Withheld},
+    process::{
+        broker::Input,
+        clock,
+        notices::{self, Withheld},
+    },
     version::{Backend, Pool},
 };
 
@@ -18,8 +22,9 @@
         let shared = &self.worker.shared;
         let pool = Pool::Service(self.request.found.service.clone());
         let sent = if own { self.handed_at } else { 0 };
-        let heard = (sent, self.basis);
-        let told = shared.notices.hear(clock::now(), (&pool, backend), heard, notice);
+        let answer =
+            notices::Answer { pool: &pool, server: backend, sent, basis: self.basis, notice };
+        let told = shared.notices.hear(clock::now(), &answer);
         if let Some(record) = told {
             shared.broker.send(Input::Notice(Box::new(record)));
         }
--- a/crates/drumusher/tests/unit/notices.rs
+++ b/crates/drumusher/tests/unit/notices.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Instant};
 
 use drumusher::{
-    process::notices::{Basis, Limit, Notices, Record, Withheld},
+    process::notices::{Answer, Basis, Limit, Notices, Record, Withheld},
     version::{Backend, Directory, Pool},
 };
 use drumusher_platform::dialect::{Notice, Rate};
@@ -48,7 +48,18 @@
 
 /// Hears the answer to a request that was sent 20 ms before on an unaware grant.
 fn hear(notices: &Notices, at: Micros, server: &Backend, notice: Notice) -> Option<Record> {
-    notices.hear(at, (&pool(), server), (at - 20 * MILLISECOND, UNAWARE), &notice)
+    hear_answer(notices, at, server, (at - 20 * MILLISECOND, UNAWARE), notice)
+}
+
+/// Hears the answer to a request that was sent at a time on a grant.
+fn hear_answer(
+    notices: &Notices,
+    at: Micros,
+    server: &Backend,
+    (sent, basis): (Micros, Basis),
+    notice: Notice,
+) -> Option<Record> {
+    notices.hear(at, &Answer { pool: &pool(), server, sent, basis, notice: &notice })
 }
 
 fn why(notices: &Notices, at: Micros, server: &Backend, basis: Basis) -> Option<Withheld> {
@@ -133,7 +144,7 @@
 fn what_lifts_a_limit(#[case] notice: Notice, #[case] sent: Micros, #[case] lifted: bool) {
     let (notices, server) = (Notices::default(), server("a", None));
     hear(&notices, NOW, &server, limit(0));
-    let told = notices.hear(NOW + 2 * SECOND, (&pool(), &server), (sent, COUNTED), &notice);
+    let told = hear_answer(&notices, NOW + 2 * SECOND, &server, (sent, COUNTED), notice);
     assert_eq!(why(&notices, NOW + 2 * SECOND, &server, UNAWARE).is_none(), lifted);
     assert!(!lifted || told.is_some_and(|record| record.limit.lifted() == Some(sent)));
 }
@@ -142,7 +153,7 @@
 #[test]
 fn the_dispatcher_is_told_that_a_limit_is_not_named() {
     let (notices, server) = (Notices::default(), server("a", None));
-    let told = notices.hear(NOW, (&pool(), &server), (NOW - SECOND, COUNTED), &Notice::default());
+    let told = hear_answer(&notices, NOW, &server, (NOW - SECOND, COUNTED), Notice::default());
     assert_eq!(told.and_then(|record| record.limit.lifted()), Some(NOW - SECOND));
 }
 
