test: a new dispatcher is brought what servers said, and plans by rests

Two mutants had survived, since an instance gives back what it may not send and all mends itself: asks that bring nothing to a new dispatcher, and a dispatcher that does not plan by rests. The first fails the new test of the broker; the second the new demand that nothing is given back where all servers rest.

--- a/crates/drumusher/tests/routes/notices.rs
+++ b/crates/drumusher/tests/routes/notices.rs
@@ -322,6 +322,8 @@
         assert!((1.0..=20.0).contains(&again), "{again}");
     }
     assert_eq!(server.arrivals().len(), reached, "nothing is sent there");
+    let returned = deployment.instances[0].metric(&["grants_returned"]);
+    assert_eq!(returned, 0.0, "its dispatcher plans by it, and grants nothing");
     let other = Call::get(&path(&deployment, 1));
     wait_for("the other one is served", || {
         deployment.call(1, &other.anew()).is_ok_and(|answer| answer.status == 200)
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -3,10 +3,15 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use drumusher::{
-    process::broker::{Attempt, Input, Own, Reply, Report, Send, Table, View},
+    process::{
+        broker::{Attempt, Input, Own, Reply, Report, Send, Table, View},
+        clock,
+        notices::{Answer, Basis, Notices},
+    },
     request::id,
-    version::{Directory, Instance, Pool},
+    version::{Backend, Directory, Instance, Pool},
 };
+use drumusher_platform::dialect::Notice;
 use drumusher_wire::peer::{self, Message};
 use proptest::prelude::*;
 
@@ -344,3 +349,43 @@
     view.readers().iter().for_each(|reader| view.reads(NOW, reader, false));
     assert_eq!(view.teller(NOW), Some(first));
 }
+
+/// What a backend server said is brought to a dispatcher with the first ask that it gets, and told at once to the one that
+/// is asked already.
+#[test]
+fn a_new_dispatcher_is_brought_what_servers_said() {
+    let notices = Arc::new(Notices::default());
+    let mut table = table().with_notices(notices.clone());
+    let server = Backend {
+        name: "engine-1".into(),
+        area: "suva".into(),
+        address: "127.0.0.1:1".into(),
+        slots: 8,
+        leaving: false,
+        born_ms: None,
+        availability_zone: "suva".into(),
+        spot: false,
+    };
+    let notice = Notice { leaving: true, ..Notice::default() };
+    let (pool, basis) = (pool(), Basis::default());
+    let answer = Answer { pool: &pool, server: &server, sent: 0, basis, notice: &notice };
+    let record = notices.hear(clock::now(), &answer).expect("it is new");
+    let brought = |sends: &[Send]| {
+        let (to, ask) = asked(sends).expect("it is asked");
+        (to, ask.notices.iter().flatten().map(|notice| notice.server.clone()).collect::<Vec<_>>())
+    };
+    let (sends, _replies) = open(&mut table, 1);
+    let (first, names) = brought(&sends);
+    assert_eq!(names, ["engine-1"]);
+    grant(&mut table, &first, 1);
+    let (sends, _replies) = open(&mut table, 2);
+    assert_eq!(brought(&sends), (first.clone(), Vec::new()), "it knows");
+    let mut sends = Vec::new();
+    table.take(Input::Notice(Box::new(record)), &mut sends);
+    assert!(matches!(&sends[..], [Send { to, message: Message::Notice(_) }] if *to == first));
+    let mut sends = Vec::new();
+    table.reachable(&first, false, &mut sends);
+    let (second, names) = brought(&sends);
+    assert_ne!(second, first);
+    assert_eq!(names, ["engine-1"]);
+}
