test: those who were told doubt what lapsed: waits until they have no call of their own under way

Traced by its lines: it ceased to read for others at 27.687, and the end reached it at 29.1498 by itself (no teller), the store not away, 0.2 ms after another instance read it: its long call of before, of 1.5 s, was still under way, so that it had the store by itself throughout, and believed rightly. The demand is unchanged; the test waits first until the two that are told have no call under way, as another test of the kind does.

--- a/crates/drumusher/tests/routes/doubt.rs
+++ b/crates/drumusher/tests/routes/doubt.rs
@@ -112,6 +112,12 @@
     deployment.store.put("keyed.op", "config", &configuration(1, ""));
     deployment.wait_serving();
     wait_for("four instances read the store", || readers(&deployment) == four_by_rank());
+    // One that read it for a moment at the start may have a long call under way. It has the store by itself until that ends,
+    // and believes what it is told there.
+    for at in (0..6).filter(|at| !four_by_rank().contains(at)) {
+        let door = &deployment.instances[at].door;
+        wait_for("no call of before is under way", || door.under_way() == 0);
+    }
     for at in four_by_rank() {
         deployment.instances[at].door.set_away(Away::Reset);
     }
