test: the ends of each round are written before all instances are killed

Traced by its lines: of the ends of rounds two and three none was written before the processes were killed, although the test waits for that: lines are added to those of processes before, and the one of round one satisfied the wait of all rounds. So one end was known after three rounds, as it must be, and the count of ends that are allowed assumes three.

The test now waits for a line that was not there before the round; what it demands is unchanged.

--- a/crates/drumusher/tests/routes/quarantine.rs
+++ b/crates/drumusher/tests/routes/quarantine.rs
@@ -174,11 +174,14 @@
     let mut deployment = deploy(2);
     end_under(&deployment, "d", "/open/x", false);
     let call = Call::get("/open/x");
+    // Lines are added to those of processes before.
+    let written = |deployment: &Deployment| -> usize {
+        deployment.instances.iter().map(|i| i.lines().matches("was written").count()).sum()
+    };
     for round in 1..=3 {
+        let before = written(&deployment);
         deployment.call(round % 2, &call.anew()).expect("an answer");
-        wait_for("the end is written", || {
-            deployment.instances.iter().any(|i| i.lines().contains("was written"))
-        });
+        wait_for("the end is written", || written(&deployment) > before);
         for instance in &mut deployment.instances {
             instance.signal("KILL");
             wait_for("the process is gone", || instance.ended().is_some());
