fix: a connection that closes after the request was written counts as sent

Cause: each failure that the HTTP library calls one of connecting was taken for a request that was not sent. It also calls it so if the connection ends after head and body were written, without a cause. The calls to the log service are classified in the same way, by the same words.

Ruled out: connections that are refused or time out; they carry their I/O error and still count as not sent.

Now only a failure to connect with a cause counts as not sent, in one function for both. A request that may not be repeated gets a connection of its own, so that a closed idle one does not leave its outcome unknown; a repeatable one is sent once more over a new connection within the same attempt. If that one is refused the backend server may have ended while it ran the request, and the attempt counts as sent. Stalls are told apart from broken connections.

Failed before: attempt::a_request_that_was_received_counts_as_sent (NotSent although the server received the request). The other two tests of attempt:: guard the second sending, which did not exist.

--- a/crates/drumusher-platform/src/http.rs
+++ b/crates/drumusher-platform/src/http.rs
@@ -166,8 +166,5 @@
 }
 
 fn send_error(error: &ClientError) -> Error {
-    match error {
-        ClientError::Connect(_) => Error::Unreachable,
-        _ => Error::NoAnswer,
-    }
+    if tcp::is_unsent(error) { Error::Unreachable } else { Error::NoAnswer }
 }
--- a/crates/drumusher-platform/src/tcp.rs
+++ b/crates/drumusher-platform/src/tcp.rs
@@ -12,6 +12,7 @@
 
 use ntex::{
     SharedCfg,
+    client::error::{self, ClientError},
     connect::{Connect, ConnectError, ConnectServiceError},
     http::Uri,
     io::Io,
@@ -55,6 +56,12 @@
     connecting.await.map_err(|_| io::Error::other("the thread pool is closed"))?
 }
 
+/// Whether a request certainly was not sent. The library reports a connection that ends after the request was written
+/// as a failure to connect without a cause.
+pub fn is_unsent(error: &ClientError) -> bool {
+    matches!(error, ClientError::Connect(cause) if !matches!(cause, error::ConnectError::Disconnected(None)))
+}
+
 /// Connector for the HTTP client, whose URLs name hosts by IP address and port.
 pub fn connector(
     limit: Millis,
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -199,7 +199,7 @@
         .set_keepalive(Seconds(75));
     let server = HttpServer::new(async move || {
         let shared = shared.clone();
-        let client = attempt::client(&shared.settings.backend).await;
+        let client = attempt::Client::new(&shared.settings.backend).await;
         let client = client.expect("the options of the client are valid");
         App::new()
             .state(http::Worker { shared, client })
--- a/crates/drumusher/src/request/attempt.rs
+++ b/crates/drumusher/src/request/attempt.rs
@@ -2,7 +2,7 @@
 
 use drumusher_platform::tcp;
 use ntex::{
-    client::{Client, ClientRequest, ClientResponse, Connector, error::ClientError},
+    client::{self, ClientRequest, ClientResponse, Connector, error::ClientError},
     http::{Method, Payload},
     time::{Millis, timeout},
     util::{Bytes, stream_recv},
@@ -25,8 +25,12 @@
     NotSent,
     /// The backend server has no capacity; the request was not run.
     Full,
-    /// The connection broke, or nothing was received in time.
+    /// The connection was closed before any response; the request may have run.
+    Closed,
+    /// The connection broke during the response.
     Broken,
+    /// Nothing was received in time.
+    Stalled,
     /// The backend server responded with an error status.
     Failed(u16),
     /// The response belongs to another request.
@@ -44,22 +48,41 @@
         match self {
             Error::NotSent => "no connection",
             Error::Full => "takes no more",
+            Error::Closed => "closed without a response",
             Error::Broken => "broke off",
+            Error::Stalled => "stalled",
             Error::Failed(_) => "failed",
             Error::Mismatched => "answered another request",
         }
     }
 }
 
-/// Creates the HTTP client of one HTTP worker.
-///
-/// # Errors
-///
-/// An error message if the library cannot create the client.
-pub async fn client(settings: &Settings) -> Result<Client, String> {
+/// HTTP client of one HTTP worker.
+#[derive(Clone)]
+pub struct Client {
+    /// Reuses idle connections.
+    pooled: client::Client,
+    /// Opens a connection for each request. A backend server may close an idle connection at the moment at which it is
+    /// reused, and whether it ran the request is unknown then.
+    unpooled: client::Client,
+}
+
+impl Client {
+    /// Creates a client without connections.
+    ///
+    /// # Errors
+    ///
+    /// An error message if the library cannot create the client.
+    pub async fn new(settings: &Settings) -> Result<Client, String> {
+        let (pooled, unpooled) = (build(settings).await?, build(settings).await?);
+        Ok(Client { pooled, unpooled })
+    }
+}
+
+async fn build(settings: &Settings) -> Result<client::Client, String> {
     let limit = Millis(settings.connect_ms as u32);
     let connector = Connector::new().limit(MAX_CONNECTIONS).connector(tcp::connector(limit));
-    Client::builder()
+    client::Client::builder()
         .connector::<()>(connector)
         .disable_redirects()
         .no_default_headers()
@@ -86,46 +109,77 @@
     pub headers: &'a [(&'static str, String)],
     /// Request body.
     pub body: Bytes,
+    /// Whether it may be sent more than once.
+    pub repeatable: bool,
 }
 
-/// Sends a request and waits for the head of the response.
+/// Sends a request and waits for the head of the response. If a reused connection turns out to be closed, a repeatable
+/// request is sent again over a new one.
 ///
 /// # Errors
 ///
 /// Any [`Error`] but [`Error::Failed`]; the caller of this function has to check the status.
 pub async fn send(client: &Client, request: AttemptRequest<'_>) -> Result<ClientResponse, Error> {
-    let request_id = id::to_text(request.id);
+    let unpooled = || encode(&client.unpooled, &request).force_close();
+    if !request.repeatable {
+        return transmit(unpooled(), &request).await;
+    }
+    match transmit(encode(&client.pooled, &request), &request).await {
+        // The backend server may have ended while it ran the request.
+        Err(Error::Closed) => match transmit(unpooled(), &request).await {
+            Err(Error::NotSent) => Err(Error::Closed),
+            sent => sent,
+        },
+        sent => sent,
+    }
+}
+
+fn encode(client: &client::Client, request: &AttemptRequest<'_>) -> ClientRequest {
     let url = format!("http://{}{}", request.address, request.path);
-    let mut outgoing: ClientRequest = client
-        .request(request.method, url.as_str())
-        .header(REQUEST_ID_HEADER, request_id.as_str())
+    let mut outgoing = client
+        .request(request.method.clone(), url.as_str())
+        .header(REQUEST_ID_HEADER, id::to_text(request.id).as_str())
         .header(TRACEPARENT, request.traceparent.as_str());
     for (name, value) in request.headers {
         outgoing = outgoing.header(*name, value.as_str());
     }
-    let sent = outgoing.send_body(request.body).await;
-    let response = sent.map_err(|error| match error {
-        ClientError::Connect(_) => Error::NotSent,
-        _ => Error::Broken,
-    })?;
+    outgoing
+}
+
+async fn transmit(
+    outgoing: ClientRequest,
+    request: &AttemptRequest<'_>,
+) -> Result<ClientResponse, Error> {
+    let sent = outgoing.send_body(request.body.clone()).await;
+    let response = sent.map_err(|error| classify(&error))?;
     let echoed = response.header(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
-    if echoed.is_some_and(|echoed| echoed != request_id) {
+    if echoed.is_some_and(|echoed| echoed != id::to_text(request.id)) {
         return Err(Error::Mismatched);
     }
     Ok(response)
 }
 
+fn classify(error: &ClientError) -> Error {
+    match error {
+        _ if tcp::is_unsent(error) => Error::NotSent,
+        ClientError::Connect(_) | ClientError::Send(_) => Error::Closed,
+        ClientError::Timeout => Error::Stalled,
+        _ => Error::Broken,
+    }
+}
+
 /// Returns the next chunk of a response body, or `None` at its end.
 ///
 /// # Errors
 ///
-/// [`Error::Broken`] if the connection breaks or nothing is received within `timeout_ms`.
+/// [`Error::Broken`] if the connection breaks, [`Error::Stalled`] if nothing is received within `longest_ms`.
 pub async fn next_chunk(payload: &mut Payload, longest_ms: u64) -> Result<Option<Bytes>, Error> {
     let next = timeout(Millis(longest_ms as u32), stream_recv(payload)).await;
     match next {
         Ok(Some(Ok(bytes))) => Ok(Some(bytes)),
         Ok(None) => Ok(None),
-        Ok(Some(Err(_))) | Err(_) => Err(Error::Broken),
+        Ok(Some(Err(_))) => Err(Error::Broken),
+        Err(()) => Err(Error::Stalled),
     }
 }
 
--- a/crates/drumusher/src/request/completion.rs
+++ b/crates/drumusher/src/request/completion.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use futures_util::stream::unfold;
-use ntex::{client::Client, http::HeaderMap, util::Bytes, web::HttpResponse};
+use ntex::{http::HeaderMap, util::Bytes, web::HttpResponse};
 use serde_json::{Map, Value};
 use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
-    claim, head::Head, id, in_flight::InFlight, lifecycle::Lifecycle, response,
+    attempt, claim, head::Head, id, in_flight::InFlight, lifecycle::Lifecycle, response,
     stream::CompletionStream, trace::Span,
 };
 use crate::{
@@ -54,7 +54,7 @@
 /// Handles a completion request.
 pub async fn serve(
     shared: Arc<Shared>,
-    client: Client,
+    client: attempt::Client,
     kind: CompletionKind,
     headers: &HeaderMap,
     body: Bytes,
@@ -73,7 +73,7 @@
 
 async fn execute(
     shared: Arc<Shared>,
-    client: Client,
+    client: attempt::Client,
     kind: CompletionKind,
     headers: &HeaderMap,
     body: Bytes,
--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 
 use ntex::{
-    client::Client,
     http::{HeaderMap, Method, StatusCode},
     time::{Millis, timeout},
     util::{Bytes, BytesMut},
@@ -12,6 +11,7 @@
 use serde_json::json;
 
 use super::{
+    attempt,
     completion::{self, CompletionKind},
     head::Head,
     in_flight::InFlight,
@@ -30,7 +30,7 @@
     /// State shared by the process.
     pub shared: Arc<Shared>,
     /// HTTP client for backend servers.
-    pub client: Client,
+    pub client: attempt::Client,
 }
 
 /// Registers the routes.
--- a/crates/drumusher/src/request/service.rs
+++ b/crates/drumusher/src/request/service.rs
@@ -5,7 +5,7 @@
 use drumusher_log::config;
 use drumusher_schedule::ask::Outcome;
 use ntex::{
-    client::{Client, ClientResponse},
+    client::ClientResponse,
     http::{HeaderMap, Method},
     util::{Bytes, BytesMut},
     web::HttpResponse,
@@ -55,7 +55,7 @@
 /// Handles a service call.
 pub async fn serve(
     shared: Arc<Shared>,
-    client: Client,
+    client: attempt::Client,
     call: Call<'_>,
     in_flight: InFlight,
 ) -> HttpResponse {
@@ -72,7 +72,7 @@
 
 async fn execute(
     shared: Arc<Shared>,
-    client: Client,
+    client: attempt::Client,
     call: &Call<'_>,
     in_flight: InFlight,
     (request_id, span): (u128, &Span),
@@ -115,7 +115,7 @@
 
 async fn run_attempts(
     lifecycle: &mut Lifecycle,
-    client: &Client,
+    client: &attempt::Client,
     call: &Call<'_>,
     settings: &config::Service,
     mut claim: Option<Claim>,
@@ -166,7 +166,7 @@
 
 async fn attempt(
     lifecycle: &Lifecycle,
-    client: &Client,
+    client: &attempt::Client,
     call: &Call<'_>,
     settings: &config::Service,
     backend: &Backend,
@@ -181,10 +181,11 @@
         traceparent: span.traceparent(),
         headers: &headers,
         body: call.body.clone(),
+        repeatable: lifecycle.repeatable,
     };
     let timeout = ntex::time::Millis(settings.timeout_ms as u32);
     let sent = ntex::time::timeout(timeout, attempt::send(client, request)).await;
-    let response = sent.unwrap_or(Err(attempt::Error::Broken))?;
+    let response = sent.unwrap_or(Err(attempt::Error::Stalled))?;
     read_response(response, settings.timeout_ms).await
 }
 
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -2,7 +2,6 @@
 
 use drumusher_schedule::ask::Outcome;
 use ntex::{
-    client::Client,
     http::{Method, Payload},
     util::{Bytes, Either, select},
 };
@@ -33,7 +32,7 @@
     pub lifecycle: Lifecycle,
     /// Scanner, which holds what was delivered so far.
     pub scanner: Scanner,
-    client: Client,
+    client: attempt::Client,
     kind: CompletionKind,
     body: Map<String, Value>,
     claim: Option<Claim>,
@@ -56,7 +55,7 @@
     /// Creates a stream without an attempt. `body` is the client's request body in the form that engines accept.
     pub fn new(
         lifecycle: Lifecycle,
-        client: Client,
+        client: attempt::Client,
         kind: CompletionKind,
         body: Map<String, Value>,
         claim: Option<Claim>,
@@ -138,6 +137,7 @@
                 traceparent: span.traceparent(),
                 headers: &headers,
                 body,
+                repeatable: self.lifecycle.repeatable,
             },
         );
         let response = match select(sent, self.lifecycle.await_preemption()).await {
--- /dev/null
+++ b/crates/drumusher/tests/unit/attempt.rs
@@ -0,0 +1,102 @@
+//! Sending of attempts to backend servers over HTTP.
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::TcpListener,
+    thread::{self, JoinHandle},
+};
+
+use drumusher::{
+    request::attempt::{self, AttemptRequest, Client},
+    settings::Backend,
+};
+use ntex::{http::Method, util::Bytes};
+
+const BODY: &[u8] = b"a booking";
+const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// Starts a server that reads one request from each of `responses.len()` connections and closes it after sending the
+/// response. Returns its address, and the thread that returns the bodies.
+fn serve(responses: Vec<&'static [u8]>) -> (String, JoinHandle<Vec<Vec<u8>>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let server = thread::spawn(move || {
+        let answer = |response: &[u8]| {
+            let (connection, _) = listener.accept().expect("a connection");
+            let mut reader = BufReader::new(connection);
+            let body = read_body(&mut reader);
+            reader.get_mut().write_all(response).expect("the response is sent");
+            body
+        };
+        responses.into_iter().map(answer).collect()
+    });
+    (address, server)
+}
+
+fn read_body(reader: &mut impl BufRead) -> Vec<u8> {
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).expect("a line of the head");
+        if line == "\r\n" {
+            break;
+        }
+        if let Some(value) = line.to_ascii_lowercase().strip_prefix("content-length:") {
+            length = value.trim().parse().expect("a length");
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).expect("the body");
+    body
+}
+
+/// Sends a request. Returns the status of the response.
+async fn send(address: &str, repeatable: bool) -> Result<u16, attempt::Error> {
+    let settings = Backend {
+        connect_ms: 10_000,
+        first_byte_ms: 10_000,
+        stall_ms: 10_000,
+        attempts: 4,
+        retry_share: 0.2,
+    };
+    let client = Client::new(&settings).await.expect("a client");
+    let request = AttemptRequest {
+        address,
+        method: Method::POST,
+        path: "/bookings",
+        id: 1,
+        traceparent: String::new(),
+        headers: &[],
+        body: Bytes::from_static(BODY),
+        repeatable,
+    };
+    attempt::send(&client, request).await.map(|response| response.status().as_u16())
+}
+
+/// Guards against a connection that ends after it took a request and counts as one that was never established, so that
+/// a request that may not be repeated is sent again although it may have run.
+#[ntex::test]
+async fn a_request_that_was_received_counts_as_sent() {
+    let (address, server) = serve(vec![b""]);
+    let error = send(&address, false).await.expect_err("no response");
+    assert_eq!(server.join().expect("the server ends"), [BODY]);
+    assert!(!error.not_run(), "{error:?} although the server received the request");
+}
+
+/// Guards against an attempt that fails because the backend server closes an idle connection while it is reused.
+#[ntex::test]
+async fn a_repeatable_request_is_sent_again_over_a_new_connection() {
+    let (address, server) = serve(vec![b"", RESPONSE]);
+    assert_eq!(send(&address, true).await, Ok(200));
+    assert_eq!(server.join().expect("the server ends"), [BODY, BODY]);
+}
+
+/// Guards against a request that counts as not run since its second connection was refused, although the backend server
+/// may have ended while it ran the request.
+#[ntex::test]
+async fn a_request_that_was_sent_twice_counts_as_sent() {
+    let (address, server) = serve(vec![b""]);
+    let error = send(&address, true).await.expect_err("no response");
+    assert_eq!(server.join().expect("the server ends"), [BODY]);
+    assert!(!error.not_run(), "{error:?} although the server received the request");
+}
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the crate's modules that start no process.
 
 mod arrival_token;
+mod attempt;
 mod backoff;
 mod broker;
 mod budget;
