fix: a stream that has begun is not cut for the number of its attempts

What callers saw: a stream ended with "incomplete" after a few of its tokens although its engines worked again after each pause. In engine_pause::…::case_3_repeated_pauses that was a summary after 1 to 26 of 1,500 tokens; 24 streams and eight pauses in series left none whole (the users' measurement).

Cause: `Lifecycle::may_retry` allowed `backend.attempts` (4) attempts in all. It counted those that brought tokens, so that the fourth pause ended any stream, and those that the dispatcher itself had preempted, so that two preemptions and two pauses did. The trace of t21: granted, preempted after 6 tokens; broke off after 7; preempted after 8; broke off after 10, "attempts used up".

Of 79 streams that were cut in 22 failed runs of 64, 48 had one or two preemptions beside their failures, 14 had four failures with new tokens before each, and 17 the entry's bound on waiting, which is another fault. Ruled out by the logs: the retry budget (no line of it), refusals by a dispatcher (none), the test client's timeout (bodies ended with the error event).

Now failures count, not attempts, and only those since the answer last got on: after a stall one token is enough, after a broken connection 32, since a request that ends its engines gets a token or two from each. A request that gets nothing still ends after four failures. An answer that has begun takes nothing from the retry budget, also if the attempt that broke brought nothing: a pause that catches more streams in that state than the budget holds would cut the rest.

Failed before, pass now: begun_streams::a_stream_that_goes_on_after_each_pause_is_whole (4 and 20 pauses) and …::a_stream_that_was_preempted_survives_as_many_pauses_as_others.

--- a/crates/drumusher/src/request/lifecycle.rs
+++ b/crates/drumusher/src/request/lifecycle.rs
@@ -12,7 +12,7 @@
 use log::Level;
 use ntex::time::{Millis, sleep, timeout};
 
-use super::{arrival_token, head::Head, id, in_flight::InFlight, trace::Span};
+use super::{arrival_token, attempt, head::Head, id, in_flight::InFlight, trace::Span};
 use crate::{
     error::{Error, Kind, Ran},
     process::{
@@ -35,6 +35,9 @@
 const MAX_OVERFLOW_ZONES: usize = 2;
 /// Time that a dispatcher may take in addition to the class's wait bound, in milliseconds.
 const DISPATCHER_GRACE_MS: u64 = 10_000;
+/// Tokens that have to be delivered before a connection breaks, for the failures before it to be forgotten. A request
+/// that crashes its engines gets a token or two from each attempt.
+const MIN_PROGRESS_TOKENS: u32 = 32;
 
 /// A request from its arrival to its end.
 pub struct Lifecycle {
@@ -58,8 +61,8 @@
     pub produced: u32,
     /// Number of attempts made.
     pub attempts: u32,
-    /// Tokens delivered before the latest attempt.
-    produced_before_attempt: u32,
+    /// Tokens delivered before the latest failure.
+    produced_at_failure: u32,
     preemptions: u8,
     avoid: Option<Arc<str>>,
     replies: async_channel::Receiver<Reply>,
@@ -67,7 +70,7 @@
     zones: Vec<Arc<str>>,
     outstanding: bool,
     started: u64,
-    /// Number of failures that were retried, and the backoff before the latest retry.
+    /// Consecutive failures without progress, and the backoff before the latest retry. Preempted attempts did not fail.
     failures: u32,
     last_backoff: Micros,
     /// Outcome, for the log line.
@@ -98,7 +101,7 @@
             prefix: 0,
             produced: 0,
             attempts: 0,
-            produced_before_attempt: 0,
+            produced_at_failure: 0,
             preemptions: 0,
             avoid: None,
             replies,
@@ -282,30 +285,40 @@
     /// Counts an attempt that is about to be sent.
     pub fn begin_attempt(&mut self) {
         self.attempts += 1;
-        self.produced_before_attempt = self.produced;
     }
 
     /// Returns whether a failed attempt may be retried. A request that may not be repeated is still retried if it
-    /// certainly did not run, for example because no connection was established. An attempt that delivered tokens is
-    /// continued rather than repeated and costs no retry budget: one pause of an engine breaks more streams than a
-    /// budget can accumulate.
-    pub fn may_retry(&mut self, server: &str, not_run: bool) -> bool {
+    /// certainly did not run, for example because no connection was established. Only consecutive failures count
+    /// against the bound on attempts. An answer that has begun costs no retry budget, since the caller would lose what
+    /// it has: one pause of an engine breaks more streams than a budget can accumulate.
+    pub fn may_retry(&mut self, server: &str, error: attempt::Error) -> bool {
         self.avoid = Some(server.into());
+        if self.has_progressed(error) {
+            (self.failures, self.last_backoff) = (0, 0);
+        }
         self.failures += 1;
-        let allowed = self.repeatable || not_run;
-        let continued = self.produced > self.produced_before_attempt;
+        self.produced_at_failure = self.produced;
+        let allowed = self.repeatable || error.not_run();
         allowed
-            && self.attempts < self.shared.settings.backend.attempts
-            && (continued || self.spend_retry())
+            && self.failures < self.shared.settings.backend.attempts
+            && (self.produced > 0 || self.spend_retry())
+    }
+
+    /// Whether enough was delivered since the latest failure for it to be forgotten. A stall is not the fault of a
+    /// request that got tokens before it; a broken connection may be, if they were few.
+    fn has_progressed(&self, error: attempt::Error) -> bool {
+        let delivered = self.produced - self.produced_at_failure;
+        let required = if error == attempt::Error::Stalled { 1 } else { MIN_PROGRESS_TOKENS };
+        delivered >= required
     }
 
     fn spend_retry(&self) -> bool {
-        let acquire_backend = self.shared.budgets.spend(&self.head.class);
-        if !acquire_backend {
+        let allowed = self.shared.budgets.spend(&self.head.class);
+        if !allowed {
             let class = &*self.head.class;
             self.shared.telemetry.count("drumusher.retries.refused", &[("class", class)]);
         }
-        acquire_backend
+        allowed
     }
 
     /// Logs why an attempt failed.
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -295,7 +295,7 @@
             self.ended = true;
             return Ok(());
         }
-        if self.lifecycle.may_retry(&backend.name, error.not_run()) {
+        if self.lifecycle.may_retry(&backend.name, error) {
             return Ok(());
         }
         self.ended = true;
--- /dev/null
+++ b/crates/drumusher/tests/fleet/begun_streams.rs
@@ -0,0 +1,135 @@
+//! A stream that has begun is not cut while its backend server works again after each fault.
+
+use std::thread::JoinHandle;
+
+use drumusher_bench::{
+    client::Response,
+    fleet::{Fleet, wait_for},
+    stand_in::engine::answer,
+};
+use rstest::rstest;
+
+use crate::support::{address_of, engine_stat, fleet, join_all, spawn_each, stream, switch};
+
+/// Length of the streams, in tokens.
+const TOKENS: u32 = 1_500;
+/// Concurrency window of an engine before anything was learned of it, in requests.
+const SLOTS: usize = 16;
+/// A short stall timeout, so that attempts fail soon after their engine stops.
+const SETTINGS: &str = "[backend]\nstall_ms = 1000\n";
+/// A window wider than the batch of the engine, however long its steps take: the dispatcher preempts for the requests
+/// that wait in the engine's own queue.
+const WIDE_WINDOW: &str = "[decisions]\noff = [\"windows\"]\n";
+/// One instance and one engine, with the step time of the engine.
+fn one_engine(step_ms: f64, settings: &str) -> (Fleet, String) {
+    let fleet = fleet(&["suva"], 1, 1, settings);
+    let engine = address_of(&fleet, "suva-engine-0");
+    switch(&engine, &format!(r#"{{"batch": {SLOTS}, "step_ms": {step_ms}}}"#));
+    (fleet, engine)
+}
+
+/// Starts streams of one class. Returns the threads that read them.
+fn start(
+    fleet: &Fleet,
+    class: &'static str,
+    count: usize,
+    tokens: u32,
+) -> Vec<JoinHandle<(String, u32, Response)>> {
+    let http = fleet.instances[0].http.clone();
+    spawn_each(count, move |number| {
+        let tag = format!("{class}{number}");
+        let response = stream(&http, class, &tag, tokens).expect("a response");
+        (tag, tokens, response)
+    })
+}
+
+/// Asserts that streams are whole. Prints for each other one its last event, the decisions on it and its log lines.
+fn assert_all_whole(fleet: &Fleet, streams: Vec<JoinHandle<(String, u32, Response)>>) {
+    let mut cut = Vec::new();
+    for (tag, tokens, response) in join_all(streams) {
+        let whole = response.streamed_text() == answer(&tag, tokens);
+        if response.status != 200 || !whole || !response.body.ends_with("data: [DONE]\n\n") {
+            let events = response.body.matches("\"token_index\"").count();
+            let last = response.body.trim_end().rsplit("\n\n").next().unwrap_or("");
+            let trace = trace(fleet, &response);
+            let broken = response.broken;
+            cut.push(format!("{tag}: {events} events, broken: {broken}, last {last}\n{trace}"));
+        }
+    }
+    assert!(cut.is_empty(), "{}", cut.join("\n"));
+}
+
+/// The decisions on a request, and the log lines about it.
+fn trace(fleet: &Fleet, response: &Response) -> String {
+    let id = response.header("x-request-id").unwrap_or("none").to_string();
+    let rows = fleet.ask(0, &format!("show request {id}")).expect("a response").lines();
+    let steps = rows.iter().map(|row| format!("{} {}", row["time_ms"], row["what"]));
+    let lines = fleet.instances[0].lines();
+    let logged = lines.lines().filter(|line| line.contains(&id) && line.contains("ended"));
+    steps.chain(logged.map(String::from)).collect::<Vec<String>>().join("\n")
+}
+
+/// Number of attempts that failed.
+fn failed_attempts(fleet: &Fleet) -> usize {
+    fleet.instances[0].lines().matches("attempt ended").count()
+}
+
+/// Pauses the engine until the attempts of `count` streams failed, and waits until all run again with new tokens.
+fn pause(fleet: &Fleet, engine: &str, count: usize) {
+    let before = failed_attempts(fleet);
+    switch(engine, r#"{"hang": true}"#);
+    wait_for("the attempts failed", || failed_attempts(fleet) >= before + count);
+    let tokens = engine_stat(engine, "tokens");
+    switch(engine, r#"{"hang": false}"#);
+    wait_for("the streams go on", || {
+        let progress = engine_stat(engine, "tokens") > tokens + 20 * count as u64;
+        progress && engine_stat(engine, "running") == count as u64 || ended(fleet) > 0
+    });
+}
+
+/// Number of requests that ended without a complete response.
+fn ended(fleet: &Fleet) -> usize {
+    fleet.instances[0].lines().matches("request ended").count()
+}
+
+/// Guards against a bound on the attempts of a request that counts those which brought tokens.
+#[rstest]
+#[case::as_many_as_attempts(4)]
+#[case::many(20)]
+fn a_stream_that_goes_on_after_each_pause_is_whole(#[case] pauses: usize) {
+    let (fleet, engine) = one_engine(20.0, "[backend]\nstall_ms = 300\n");
+    let streams = start(&fleet, "summary", 1, TOKENS);
+    wait_for("the stream runs", || engine_stat(&engine, "tokens") > 20);
+    for _ in 0..pauses {
+        pause(&fleet, &engine, 1);
+    }
+    switch(&engine, r#"{"step_ms": 1.0}"#);
+    assert_all_whole(&fleet, streams);
+}
+
+/// Guards against preemptions that count as attempts, so that fewer failures than usual end a request that was
+/// preempted.
+#[test]
+fn a_stream_that_was_preempted_survives_as_many_pauses_as_others() {
+    let (fleet, engine) = one_engine(20.0, &format!("{SETTINGS}{WIDE_WINDOW}"));
+    let mut streams = start(&fleet, "urgent", SLOTS - 1, TOKENS);
+    wait_for("the urgent streams run", || engine_stat(&engine, "running") == SLOTS as u64 - 1);
+    streams.extend(start(&fleet, "summary", 1, TOKENS));
+    wait_for("all streams run", || engine_stat(&engine, "running") == SLOTS as u64);
+    for preemptions in 1..=2 {
+        assert_all_whole(&fleet, start(&fleet, "urgent", 1, 2));
+        wait_for("the summary goes on", || {
+            let resumed = engine_stat(&engine, "resumed") == preemptions;
+            resumed && engine_stat(&engine, "running") == SLOTS as u64
+        });
+        let tokens = engine_stat(&engine, "tokens");
+        wait_for("all have new tokens", || {
+            engine_stat(&engine, "tokens") > tokens + 4 * SLOTS as u64
+        });
+    }
+    for _ in 0..2 {
+        pause(&fleet, &engine, SLOTS);
+    }
+    switch(&engine, r#"{"step_ms": 1.0}"#);
+    assert_all_whole(&fleet, streams);
+}
--- a/crates/drumusher/tests/fleet/main.rs
+++ b/crates/drumusher/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 
 mod at_most_once;
 mod bad_input;
+mod begun_streams;
 mod complete_response;
 mod configuration;
 mod draining;
