fix: a preemption that crosses the end of its attempt does not discard the next grant

What callers would see: a stream that has begun waits for 40 s and ends with "no dispatcher replied in time". By the steps of the code and unit tests; not seen end to end.

Cause: a dispatcher may order a preemption before it learns that the attempt has ended. The broker passed it on to a request that waits for its next grant; the request then discarded its replies, among them a grant that had arrived, and submitted itself again, which the dispatcher ignored as known.

Now a preemption without a grant goes nowhere, a request that waits ignores one that arrived earlier, as routed requests did already, and a submission while a grant is on the way leaves that grant. Both kinds of requests share the decision of the dispatcher (`broker::Decision`).

Failed before: preemption::a_preemption_of_an_ended_attempt_is_not_passed_on and …::a_grant_on_the_way_survives_another_submission.

--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -83,6 +83,28 @@
     Preempt,
 }
 
+/// A dispatcher's decision on a request that waits for one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// The request may run on a backend server.
+    Granted(Grant),
+    /// Refused: the reason (the wire's number), and the microseconds after which to try again.
+    Refused(i16, u64),
+    /// No decision arrived in time.
+    Expired,
+}
+
+impl Reply {
+    /// The decision that it brings; `None` for a preemption.
+    pub fn into_decision(self) -> Option<Decision> {
+        match self {
+            Reply::Grant(grant) => Some(Decision::Granted(grant)),
+            Reply::Refuse(refusal, retry_after) => Some(Decision::Refused(refusal, retry_after)),
+            Reply::Preempt => None,
+        }
+    }
+}
+
 /// How a dispatch request relates to earlier ones for the same request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Attempt {
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -126,9 +126,13 @@
         }
     }
 
-    /// Adds a request and sends it to its dispatcher.
+    /// Adds a request and sends it to its dispatcher. One that is submitted again while its grant is on the way to it
+    /// stays as it is.
     fn open(&mut self, request: DispatchRequest, sends: &mut Vec<Outgoing>) {
         let id = request.id;
+        if self.pending.get(&id).is_some_and(|pending| pending.server.is_some()) {
+            return;
+        }
         let dispatcher = self.view.dispatcher(&request.pool, &request.area);
         let pending = Pending {
             request,
--- a/crates/drumusher/src/process/broker/table/answers.rs
+++ b/crates/drumusher/src/process/broker/table/answers.rs
@@ -32,7 +32,9 @@
             }
             Message::Preempt(preempt) => {
                 let Some(id) = id::from_wire(&preempt.id) else { return };
-                if self.is_pending_with(id, from) {
+                // Without a grant it is for an attempt that ended before the order arrived.
+                let granted = self.pending.get(&id).is_some_and(|p| p.server.is_some());
+                if granted && self.is_pending_with(id, from) {
                     let _ = self.pending[&id].request.replies.try_send(Reply::Preempt);
                 }
             }
--- a/crates/drumusher/src/request/lifecycle.rs
+++ b/crates/drumusher/src/request/lifecycle.rs
@@ -17,7 +17,7 @@
     error::{Error, Kind, Ran},
     process::{
         Shared,
-        broker::{Attempt, CANCELLED, DispatchRequest, Grant, Input, Reply, Report},
+        broker::{Attempt, CANCELLED, Decision, DispatchRequest, Grant, Input, Reply, Report},
         clock,
     },
     version::{Backend, Pool},
@@ -130,13 +130,13 @@
             let span = self.span.child(self.shared.telemetry.tracer(), "ask");
             span.set_attribute("drumusher.availability_zone", zone.to_string());
             self.request_grant(zone);
-            let reply = self.await_reply().await;
-            match reply {
-                Some((Reply::Grant(Grant { server, dispatcher, .. }), at)) => {
+            match self.await_decision().await {
+                Decision::Granted(Grant { server, dispatcher, .. }) => {
+                    let granted_at = clock::now();
                     span.set_attribute("drumusher.dispatcher", dispatcher.to_string());
                     span.set_attribute("drumusher.server", server.to_string());
                     span.end();
-                    if let Some(backend) = self.usable_backend(&server, at) {
+                    if let Some(backend) = self.usable_backend(&server, granted_at) {
                         return Ok(backend);
                     }
                     // The dispatcher will learn the same shortly; until then, another server is preferred.
@@ -144,14 +144,13 @@
                     self.finish_attempt(Outcome::Cancelled);
                     sleep(UNUSABLE_GRANT_PAUSE).await;
                 }
-                Some((Reply::Refuse(refusal, retry_after), _)) => {
+                Decision::Refused(refusal, retry_after) => {
                     span.fail("refused");
                     span.end();
                     self.outstanding = false;
                     self.overflow(refusal, retry_after)?;
                 }
-                Some((Reply::Preempt, _)) => {}
-                None => {
+                Decision::Expired => {
                     span.fail("no answer");
                     self.finish_attempt(Outcome::Cancelled);
                     let message = "no dispatcher replied in time";
@@ -194,17 +193,27 @@
         self.shared.broker.send(Input::Open(Box::new(request)));
     }
 
-    /// Waits for the dispatcher's reply and records when it arrived.
-    async fn await_reply(&self) -> Option<(Reply, u64)> {
-        let longest = self.head.settings.wait_ms + DISPATCHER_GRACE_MS;
-        let reply = timeout(Millis(longest as u32), self.replies.recv()).await;
-        reply.ok()?.ok().map(|reply| (reply, clock::now()))
+    /// Waits for the dispatcher's decision.
+    async fn await_decision(&self) -> Decision {
+        let longest = Millis((self.head.settings.wait_ms + DISPATCHER_GRACE_MS) as u32);
+        timeout(longest, self.next_decision()).await.unwrap_or(Decision::Expired)
+    }
+
+    /// The next reply that is a decision. A preemption is for an attempt that has already ended.
+    async fn next_decision(&self) -> Decision {
+        loop {
+            match self.replies.recv().await.map(Reply::into_decision) {
+                Ok(Some(decision)) => return decision,
+                Ok(None) => {}
+                Err(_) => return Decision::Expired,
+            }
+        }
     }
 
     /// Returns the granted backend server, unless it is leaving or missing in this instance's directory, or the grant
     /// has expired.
-    fn usable_backend(&self, server: &str, acquire_backend: u64) -> Option<Backend> {
-        if clock::now() > acquire_backend + GRANT_EXPIRY {
+    fn usable_backend(&self, server: &str, granted_at: u64) -> Option<Backend> {
+        if clock::now() > granted_at + GRANT_EXPIRY {
             return None;
         }
         let directory = self.shared.directory.load();
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -9,11 +9,10 @@
 use crate::{
     error::{Error, Kind as ErrorKind},
     process::{
-        broker::{Attempt, Grant},
+        broker::{Attempt, Decision, Grant},
         clock,
         notices::Withheld,
     },
-    routed::ticket::Decision,
     version::{Backend, Pool},
 };
 
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -12,7 +12,7 @@
 use crate::{
     process::{
         Shared,
-        broker::{Attempt, CANCELLED, DispatchRequest, Grant, Input, Reply, Report},
+        broker::{Attempt, CANCELLED, Decision, DispatchRequest, Input, Reply, Report},
         clock,
     },
     version::Pool,
@@ -46,17 +46,6 @@
     pub digest: Digest,
 }
 
-/// Decision of the dispatcher.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Decision {
-    /// The request may run on a backend server.
-    Granted(Grant),
-    /// Refused: the reason's code on the wire, and the time in microseconds after which to retry.
-    Refused(i16, Micros),
-    /// No decision arrived in time.
-    Expired,
-}
-
 /// A request's registration with the dispatcher; dropping it cancels the request or releases its grant.
 pub struct Ticket {
     shared: Arc<Shared>,
@@ -96,15 +85,16 @@
             let left = until.saturating_sub(clock::now()) / MILLISECOND;
             let slice = left.clamp(1, u64::from(CLOCK_CHECK.0)) as u32;
             let reply = timeout(Millis(slice), self.replies.recv()).await;
-            match reply {
+            match reply.map(|reply| reply.map(Reply::into_decision)) {
                 Err(()) if clock::now() + MILLISECOND <= until => {}
-                Ok(Ok(Reply::Grant(grant))) => return Decision::Granted(grant),
-                Ok(Ok(Reply::Refuse(refusal, retry_after))) => {
-                    self.outstanding = false;
-                    return Decision::Refused(refusal, retry_after);
+                Ok(Ok(Some(decision))) => {
+                    if let Decision::Refused(..) = decision {
+                        self.outstanding = false;
+                    }
+                    return decision;
                 }
                 // A preemption of the previous attempt, which had already ended.
-                Ok(Ok(Reply::Preempt)) => {}
+                Ok(Ok(None)) => {}
                 Ok(Err(_)) | Err(()) => {
                     self.finish(Outcome::Cancelled);
                     return Decision::Expired;
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -12,6 +12,7 @@
 mod hosted_pool;
 mod notices;
 mod options;
+mod preemption;
 mod records;
 mod registrations;
 mod replica;
