fix: the entry does not end a begun answer that its dispatcher lets wait

Cause: the dispatcher lets an answer that has begun wait without a bound for its next slot; the entry gave it up by a bound of its own.

Now such a request is submitted again when the time is over, and goes on waiting. A dispatcher that still has it leaves it as it is, one that lost it admits it. New requests are given up as before.

--- a/crates/drumusher/src/request/lifecycle.rs
+++ b/crates/drumusher/src/request/lifecycle.rs
@@ -129,8 +129,8 @@
             };
             let span = self.span.child(self.shared.telemetry.tracer(), "ask");
             span.set_attribute("drumusher.availability_zone", zone.to_string());
-            self.request_grant(zone);
-            match self.await_decision().await {
+            self.request_grant(zone.clone());
+            match self.await_decision(&zone).await {
                 Decision::Granted(Grant { server, dispatcher, .. }) => {
                     let granted_at = clock::now();
                     span.set_attribute("drumusher.dispatcher", dispatcher.to_string());
@@ -168,9 +168,15 @@
         }
     }
 
+    /// Requests a grant from the dispatcher of an availability zone, and discards replies to earlier requests.
     fn request_grant(&mut self, area: Arc<str>) {
         while self.replies.try_recv().is_ok() {}
-        let request = DispatchRequest {
+        self.outstanding = true;
+        self.shared.broker.send(Input::Open(Box::new(self.dispatch_request(area))));
+    }
+
+    fn dispatch_request(&self, area: Arc<str>) -> DispatchRequest {
+        DispatchRequest {
             attempt: Attempt::First,
             digest: None,
             id: self.id,
@@ -188,15 +194,23 @@
             output: 0,
             parts: Vec::new(),
             replies: self.sender.clone(),
-        };
-        self.outstanding = true;
-        self.shared.broker.send(Input::Open(Box::new(request)));
+        }
     }
 
-    /// Waits for the dispatcher's decision.
-    async fn await_decision(&self) -> Decision {
+    /// Waits for the dispatcher's decision. A new request is given up if none arrives in time. One whose answer has
+    /// begun is submitted again instead, since its dispatcher may let it wait for longer.
+    async fn await_decision(&self, zone: &Arc<str>) -> Decision {
         let longest = Millis((self.head.settings.wait_ms + DISPATCHER_GRACE_MS) as u32);
-        timeout(longest, self.next_decision()).await.unwrap_or(Decision::Expired)
+        loop {
+            if let Ok(decision) = timeout(longest, self.next_decision()).await {
+                return decision;
+            }
+            if self.produced == 0 {
+                return Decision::Expired;
+            }
+            let request = self.dispatch_request(zone.clone());
+            self.shared.broker.send(Input::Open(Box::new(request)));
+        }
     }
 
     /// The next reply that is a decision. A preemption is for an attempt that has already ended.
--- a/crates/drumusher/tests/fleet/begun_streams.rs
+++ b/crates/drumusher/tests/fleet/begun_streams.rs
@@ -20,6 +20,9 @@
 /// A window wider than the batch of the engine, however long its steps take: the dispatcher preempts for the requests
 /// that wait in the engine's own queue.
 const WIDE_WINDOW: &str = "[decisions]\noff = [\"windows\"]\n";
+/// Step time with which a full batch neither widens nor narrows the window, in milliseconds.
+const STEADY_STEP_MS: f64 = 26.0;
+
 /// One instance and one engine, with the step time of the engine.
 fn one_engine(step_ms: f64, settings: &str) -> (Fleet, String) {
     let fleet = fleet(&["suva"], 1, 1, settings);
@@ -133,3 +136,22 @@
     switch(&engine, r#"{"step_ms": 1.0}"#);
     assert_all_whole(&fleet, streams);
 }
+
+/// Guards against an entry that gives up on a stream that has begun and waits for a slot, which its dispatcher lets
+/// wait for longer than its class allows.
+#[test]
+fn a_stream_that_has_begun_may_wait_long_for_its_next_slot() {
+    let (fleet, engine) = one_engine(STEADY_STEP_MS, SETTINGS);
+    fleet.command(0, "create class digest tier = 2 first_token = 10s wait = 1s");
+    let mut streams = start(&fleet, "urgent", SLOTS - 1, TOKENS);
+    wait_for("the urgent streams run", || engine_stat(&engine, "running") == SLOTS as u64 - 1);
+    streams.extend(start(&fleet, "digest", 1, TOKENS));
+    wait_for("all streams run", || engine_stat(&engine, "running") == SLOTS as u64);
+    streams.extend(start(&fleet, "urgent", 1, TOKENS));
+    wait_for("the digest was stopped", || engine_stat(&engine, "cancelled") == 1);
+    // Longer than the class's wait bound and the grace of the dispatcher.
+    let steps = engine_stat(&engine, "steps");
+    wait_for("the digest has waited", || engine_stat(&engine, "steps") > steps + 400);
+    switch(&engine, r#"{"step_ms": 1.0}"#);
+    assert_all_whole(&fleet, streams);
+}
