fix: a request that asks again over a new connection is not lost with the old one

What callers would see: a request that waits is never answered; shown in the decisions alone, suspected behind ten streams whose asks were stuck for 41 s after "closing a connection on which asks are not answered".

Cause: a dispatcher ignored an ask for a request that it knew, and confirmed it to the new connection, so that the entry's timer stopped. The end of the old connection, noticed later, removed the request, since it was still bound to it. A grant that was lost with the old connection was not given again either.

Now the request is bound to the connection over which it was asked for last, running ones too. A grant whose attempt has not started is repeated. If an attempt had started, its end was lost, and the ask is admitted as a new one.

Failed before: begun::an_ask_over_a_new_connection_outlives_the_old_one, begun::a_request_that_asks_again_gets_its_grant_again.

--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -2,7 +2,7 @@
 
 use super::{Pool, position};
 use crate::{
-    ask::{Ask, Key, State, Waiting},
+    ask::{Ask, Key, Outcome, State, Waiting},
     order::{Order, Refusal},
     policy::WorkspaceKey,
     time::{MILLISECOND, Micros, SECOND},
@@ -19,7 +19,7 @@
 
 impl Pool {
     pub(super) fn admit(&mut self, now: Micros, ask: Ask, orders: &mut Vec<Order>) {
-        if self.keys.contains_key(&ask.id) {
+        if self.answer_again(now, &ask, orders) {
             return;
         }
         self.take_over(now, &ask);
@@ -39,6 +39,27 @@
         self.shed_excess_wait(now, tier, orders);
     }
 
+    /// Handles an ask for a known request, which its entry instance sends again if it has no answer or a new connection.
+    /// Returns `false` if the request has to be admitted: an attempt that started has ended since, and the report of
+    /// its end was lost.
+    fn answer_again(&mut self, now: Micros, ask: &Ask, orders: &mut Vec<Order>) -> bool {
+        let Some(key) = self.keys.get(&ask.id).copied() else {
+            return false;
+        };
+        self.rebind(key, ask.entry);
+        match self.requests.get(key.0 as usize) {
+            Some(State::Running(running)) if running.started => {
+                self.finish(now, ask.id, Outcome::Cancelled, 0);
+                false
+            }
+            Some(State::Running(_)) => {
+                self.repeat_grant(now, ask.id, orders);
+                true
+            }
+            _ => true,
+        }
+    }
+
     /// Refusals that do not depend on other workspaces.
     fn early_refusal(&mut self, now: Micros, ask: &Ask) -> Option<Refusal> {
         let serving = self.servers().any(|(_, server)| !server.leaving());
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -2,7 +2,7 @@
 
 use super::{Pool, placement::Placement, scope::Scope};
 use crate::{
-    ask::{Ask, Key, Running, State, Waiting},
+    ask::{Ask, Id, Key, Running, State, Waiting},
     engine::Prefill,
     order::{Choice, Order},
     policy::{ClassKey, WorkspaceKey},
@@ -209,6 +209,24 @@
         true
     }
 
+    /// Repeats the grant of a request whose attempt has not started.
+    pub(super) fn repeat_grant(&mut self, now: Micros, id: Id, orders: &mut Vec<Order>) {
+        let Some((_, running)) = self.running_mut(id) else {
+            return;
+        };
+        running.last_report = now;
+        orders.push(Order::Grant {
+            id,
+            entry: running.ask.entry,
+            server: running.server,
+            source: None,
+            expected: 0,
+            choice: if running.reserved { Choice::Floor } else { Choice::LeastLoaded },
+            waited: 0,
+            overtaken: 0,
+        });
+    }
+
     fn choice(&self, ask: &Ask, server: server::Key, scope: Scope, reserved: bool) -> Choice {
         let has_prefix = self.servers[usize::from(server.0)]
             .as_ref()
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -2,7 +2,7 @@
 
 use super::Pool;
 use crate::{
-    ask::{Ask, Id, Outcome, State, Waiting},
+    ask::{Ask, Entry, Id, Key, Outcome, State, Waiting},
     engine::{Prefill, Prompt},
     event::Progress,
     server,
@@ -12,7 +12,8 @@
 impl Pool {
     /// Restores a running grant that an earlier dispatcher gave.
     pub(super) fn restore(&mut self, now: Micros, ask: Ask, server: server::Key) {
-        if self.keys.contains_key(&ask.id) {
+        if let Some(key) = self.keys.get(&ask.id).copied() {
+            self.rebind(key, ask.entry);
             return;
         }
         self.take_over(now, &ask);
@@ -42,6 +43,16 @@
         }
     }
 
+    /// Binds a request to the connection over which its entry instance asked for it last, so that the end of an earlier
+    /// one does not drop it.
+    pub(super) fn rebind(&mut self, key: Key, entry: Entry) {
+        match self.requests.get_mut(key.0 as usize) {
+            Some(State::Waiting(waiting)) => waiting.ask.entry = entry,
+            Some(State::Running(running)) => running.ask.entry = entry,
+            None => {}
+        }
+    }
+
     /// How an engine obtains a prompt without transferring any of it.
     fn local_prefill(&mut self, ask: &Ask, server: server::Key) -> Prefill {
         let prompt =
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduling decisions.
 
+mod begun;
 mod cooldown;
 mod engine;
 mod invariants;
