fix: the limit of a workspace's waiting requests does not cut answers that have begun

What callers would see: a stream that is preempted or breaks ends with workspace_limit, if its workspace has as many waiting requests as it may have.

Cause: a stream that goes on asks like a new request, and the limit made no difference.

A workspace has at most as many begun answers as requests that were admitted, so that the queue stays bounded.

Failed before: begun::an_answer_that_has_begun_is_not_refused_for_the_limit_of_its_workspace.

--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -71,7 +71,9 @@
         }
         let limit = self.policy.workspace(ask.workspace).map_or(0, |w| w.queue);
         let waiting = self.share.usage(ask.workspace).waiting;
-        (limit > 0 && waiting >= limit).then_some(Refusal::WorkspaceLimit)
+        // An answer that has begun would be lost.
+        let limited = limit > 0 && waiting >= limit && ask.produced == 0;
+        limited.then_some(Refusal::WorkspaceLimit)
     }
 
     fn enqueue(&mut self, now: Micros, ask: Ask) {
--- a/crates/drumusher-schedule/tests/schedule/begun.rs
+++ b/crates/drumusher-schedule/tests/schedule/begun.rs
@@ -5,7 +5,25 @@
     event::Event,
 };
 
-use crate::support::{Harness, URGENT, ask, granted, policy};
+use crate::support::{BULK, Harness, URGENT, ask, granted, policy, refused};
+
+/// Guards against a stream that is cut when it breaks or is preempted, since its workspace has as many waiting requests
+/// as it may have.
+#[test]
+fn an_answer_that_has_begun_is_not_refused_for_the_limit_of_its_workspace() {
+    let mut policy = policy();
+    policy.workspaces[0].queue = 1;
+    let mut harness = Harness::new(policy, 1, 1);
+    let now = harness.now;
+    assert_eq!(granted(&harness.ask(ask(1, BULK, now))), [(1, 0)]);
+    assert_eq!(refused(&harness.ask(ask(2, URGENT, now))), []);
+    assert_eq!(refused(&harness.ask(ask(3, URGENT, now))), [3], "a new request is refused");
+    harness.progress(1, 1, 0);
+    let mut orders = harness.finish(1, Outcome::Preempted);
+    orders.extend(harness.ask(ask(4, URGENT, now)));
+    assert_eq!((granted(&orders), refused(&orders)), (vec![(2, 0)], vec![]));
+    assert_eq!(refused(&harness.ask(Ask { produced: 1, ..ask(1, BULK, now) })), []);
+}
 
 /// Guards against a request that is lost with the first of two connections over which its entry instance asked.
 #[test]
