fix: no attempt is preempted on a backend server that is down

Cause: an urgent stream that goes on after a break is always past its target, so that it asks for a slot by preemption. Whether the end of the attempt frees a slot was judged by the rate limit only; a server that is down, slow or leaving gives its slot to nobody.

Failed before: begun::no_attempt_is_preempted_on_a_server_that_is_down.

--- a/crates/drumusher-schedule/src/pool/preempt.rs
+++ b/crates/drumusher-schedule/src/pool/preempt.rs
@@ -4,7 +4,7 @@
 use crate::{
     ask::{Id, Key, Running, State},
     order::{Order, Preemption},
-    server::{self, Server},
+    server::{self, Health, Server},
     time::Micros,
 };
 
@@ -112,7 +112,8 @@
     }
 
     /// The attempt below `tier` with the least work to lose: the latest grant of the lowest tier.
-    /// Attempts on a rate-limited backend server are excluded, since their end frees no capacity.
+    /// Attempts are excluded where their end frees no capacity: on a rate-limited backend server, and on one that gets
+    /// no requests now.
     fn cheapest_below(&self, tier: u8) -> Option<Key> {
         let lower = self.preemptible.range(tier + 1..).rev();
         let latest = lower.flat_map(|(_, attempts)| attempts.iter().rev());
@@ -123,7 +124,9 @@
         let Some(State::Running(running)) = self.requests.get(key.0 as usize) else {
             return false;
         };
-        self.server_at(running.server).is_some_and(|server| server.rate_limit().is_none())
+        self.server_at(running.server).is_some_and(|server| {
+            server.rate_limit().is_none() && server.health() == Health::Good && !server.leaving()
+        })
     }
 
     /// Orders the preemption of one attempt.
--- a/crates/drumusher-schedule/tests/schedule/begun.rs
+++ b/crates/drumusher-schedule/tests/schedule/begun.rs
@@ -3,9 +3,11 @@
 use drumusher_schedule::{
     ask::{Ask, Entry, Outcome},
     event::Event,
+    server::Health,
+    time::SECOND,
 };
 
-use crate::support::{BULK, Harness, URGENT, ask, granted, policy, refused};
+use crate::support::{BULK, Harness, URGENT, ask, granted, policy, preempted, refused};
 
 /// Guards against a stream that is cut when it breaks or is preempted, since its workspace has as many waiting requests
 /// as it may have.
@@ -52,3 +54,23 @@
     assert_eq!(granted(&harness.ask(begun(now))), [(1, 0)], "its attempt ended unnoticed");
     assert_eq!(harness.pool.running(), 1);
 }
+
+/// Guards against attempts that are preempted on a backend server that is down, which frees no slot.
+#[test]
+fn no_attempt_is_preempted_on_a_server_that_is_down() {
+    let mut harness = Harness::new(policy(), 1, 4);
+    let now = harness.now;
+    harness.ask(ask(1, BULK, now));
+    harness.ask(ask(2, URGENT, now));
+    harness.ask(ask(3, URGENT, now));
+    harness.progress(1, 1, 0);
+    harness.now += 5 * SECOND;
+    let mut orders = Vec::new();
+    for id in [2, 3, 2] {
+        orders.extend(harness.finish(id, Outcome::Failed));
+        orders.extend(harness.ask(Ask { produced: 8, ..ask(id, URGENT, now) }));
+    }
+    let (_, server) = harness.pool.servers().next().expect("there is one");
+    assert!(matches!(server.health(), Health::Down(..)));
+    assert_eq!(preempted(&orders), []);
+}
