fix: a stream may go on in an availability zone that refused it once

What callers would see: a stream that began in another zone ends with no_server when it breaks there, although its own zone has room again.

Cause: each refusal took a zone from the request's list, which was made once, at its arrival. Found by reading.

The list is made anew for each attempt. Within one attempt a zone that refused is still not asked twice.

Failed before: begun_streams::a_stream_returns_to_a_zone_that_refused_it.

--- a/crates/drumusher/src/request/lifecycle.rs
+++ b/crates/drumusher/src/request/lifecycle.rs
@@ -91,7 +91,7 @@
         shared.budgets.earn(&head.class);
         Lifecycle {
             repeatable: head.settings.repeatable,
-            zones: zones(&shared, &pool, id),
+            zones: Vec::new(),
             shared,
             id,
             head,
@@ -122,6 +122,8 @@
     /// The error to respond with.
     pub async fn acquire_backend(&mut self) -> Result<Backend, Error> {
         self.back_off().await;
+        // A zone that refused the request earlier may have room again.
+        self.zones = zones(&self.shared, &self.pool, self.id);
         loop {
             let Some(zone) = self.zones.first().cloned() else {
                 let message = format!("no backend server serves {}", self.pool);
--- a/crates/drumusher/tests/fleet/begun_streams.rs
+++ b/crates/drumusher/tests/fleet/begun_streams.rs
@@ -155,3 +155,35 @@
     switch(&engine, r#"{"step_ms": 1.0}"#);
     assert_all_whole(&fleet, streams);
 }
+
+/// Guards against a stream that never returns to an availability zone that refused it once.
+#[test]
+fn a_stream_returns_to_a_zone_that_refused_it() {
+    let mut fleet = fleet(&["suva", "nadi"], 1, 1, SETTINGS);
+    let (own, other) = (address_of(&fleet, "suva-engine-0"), address_of(&fleet, "nadi-engine-0"));
+    set_leaving(&mut fleet, "suva-engine-0", true);
+    wait_for("requests go to the other zone", || reached_by_request(&fleet, &other));
+    switch(&other, r#"{"step_ms": 20.0}"#);
+    let streams = start(&fleet, "urgent", 1, TOKENS);
+    wait_for("the stream runs in the other zone", || engine_stat(&other, "running") > 0);
+    set_leaving(&mut fleet, "suva-engine-0", false);
+    wait_for("requests go to their own zone", || reached_by_request(&fleet, &own));
+    // Each attempt there ends without a new token from now on.
+    switch(&other, r#"{"truncate_at": 1}"#);
+    assert_all_whole(&fleet, streams);
+    assert_eq!(engine_stat(&own, "resumed"), 1);
+}
+
+/// Sets whether the member lists report a backend server as leaving.
+fn set_leaving(fleet: &mut Fleet, name: &str, leaving: bool) {
+    let backend = fleet.backends.iter_mut().find(|backend| backend.name == name);
+    backend.expect("a backend server of that name").leaving = leaving;
+    fleet.publish().expect("the member lists are updated");
+}
+
+/// Whether a request to instance 0 reaches an engine.
+fn reached_by_request(fleet: &Fleet, engine: &str) -> bool {
+    let before = engine_stat(engine, "requests");
+    assert_all_whole(fleet, start(fleet, "urgent", 1, 2));
+    engine_stat(engine, "requests") > before
+}
