fix: an ask again updates the waiting request that it is for

What callers would see: a stream that has begun ends with wait_bound, queue_full or no_server like a new request. By the steps of the code and a test of the decisions; not seen end to end.

Cause: a dispatcher whose connection with an entry was lost keeps its waiting ask until it notices. Meanwhile the request may run elsewhere and get tokens. When it asks here again only the connection was replaced, so that the dispatcher went on with `produced` 0, and with the `avoid` of that time.

Now the ask is replaced as well. Class, workspace and arrival stay, since they are its position in the queue.

Failed before: begun::an_answer_that_began_elsewhere_waits_like_one_that_has_begun (refused).

--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -46,7 +46,7 @@
         let Some(key) = self.keys.get(&ask.id).copied() else {
             return false;
         };
-        self.rebind(key, ask.entry);
+        self.rebind(key, ask);
         match self.requests.get(key.0 as usize) {
             Some(State::Running(running)) if running.started => {
                 self.finish(now, ask.id, Outcome::Cancelled, 0);
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -2,7 +2,7 @@
 
 use super::Pool;
 use crate::{
-    ask::{Ask, Entry, Id, Key, Outcome, State, Waiting},
+    ask::{Ask, Id, Key, Outcome, State, Waiting},
     engine::{Prefill, Prompt},
     event::Progress,
     server,
@@ -13,7 +13,7 @@
     /// Restores a running grant that an earlier dispatcher gave.
     pub(super) fn restore(&mut self, now: Micros, ask: Ask, server: server::Key) {
         if let Some(key) = self.keys.get(&ask.id).copied() {
-            self.rebind(key, ask.entry);
+            self.rebind(key, &ask);
             return;
         }
         self.take_over(now, &ask);
@@ -44,11 +44,14 @@
     }
 
     /// Binds a request to the connection over which its entry instance asked for it last, so that the end of an earlier
-    /// one does not drop it.
-    pub(super) fn rebind(&mut self, key: Key, entry: Entry) {
+    /// one does not drop it. A waiting one may have run elsewhere since it was queued, but keeps its position.
+    pub(super) fn rebind(&mut self, key: Key, ask: &Ask) {
         match self.requests.get_mut(key.0 as usize) {
-            Some(State::Waiting(waiting)) => waiting.ask.entry = entry,
-            Some(State::Running(running)) => running.ask.entry = entry,
+            Some(State::Waiting(waiting)) => {
+                let Ask { class, workspace, arrived, .. } = waiting.ask;
+                waiting.ask = Ask { class, workspace, arrived, ..ask.clone() };
+            }
+            Some(State::Running(running)) => running.ask.entry = ask.entry,
             None => {}
         }
     }
--- a/crates/drumusher-schedule/tests/schedule/begun.rs
+++ b/crates/drumusher-schedule/tests/schedule/begun.rs
@@ -74,3 +74,22 @@
     assert!(matches!(server.health(), Health::Down(..)));
     assert_eq!(preempted(&orders), []);
 }
+
+/// Guards against an answer that began elsewhere and is refused like a new request, since its dispatcher kept an ask
+/// from before it began.
+#[test]
+fn an_answer_that_began_elsewhere_waits_like_one_that_has_begun() {
+    let mut harness = Harness::new(policy(), 1, 1);
+    let now = harness.now;
+    assert_eq!(granted(&harness.ask(ask(1, URGENT, now))), [(1, 0)]);
+    harness.progress(1, 1, 0);
+    harness.ask(ask(2, URGENT, now));
+    harness.ask(Ask { produced: 5, entry: Entry(2), ..ask(2, URGENT, now) });
+    let mut orders = Vec::new();
+    for produced in 2..60 {
+        harness.progress(1, produced, 0);
+        orders.extend(harness.advance(SECOND));
+    }
+    assert_eq!(refused(&orders), []);
+    assert_eq!(granted(&harness.finish(1, Outcome::Done)), [(2, 0)]);
+}
