fix: an attempt that is declared no longer waits

What callers would see: a request in the queue gets a slot later than it could, or an engine gets one request too many; by a test of the decisions, not seen end to end.

Cause: a dispatcher may still have a request as waiting that another one has granted since. The declaration was ignored for a known request. It used to be dropped with its old connection; since requests are bound to the new connection it stayed, was granted a second time, and the running attempt was not counted.

Now the declaration replaces the waiting request.

Failed before: begun::a_declared_attempt_no_longer_waits (1 waiting, 2 running, instead of 0 and 3).

--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -13,8 +13,12 @@
     /// Restores a running grant that an earlier dispatcher gave.
     pub(super) fn restore(&mut self, now: Micros, ask: Ask, server: server::Key) {
         if let Some(key) = self.keys.get(&ask.id).copied() {
-            self.rebind(key, &ask);
-            return;
+            if self.waiting_at(key).is_none() {
+                self.rebind(key, &ask);
+                return;
+            }
+            // Another dispatcher has granted it since.
+            self.remove_waiting(key);
         }
         self.take_over(now, &ask);
         let waiting = Waiting {
--- a/crates/drumusher-schedule/tests/schedule/begun.rs
+++ b/crates/drumusher-schedule/tests/schedule/begun.rs
@@ -3,7 +3,7 @@
 use drumusher_schedule::{
     ask::{Ask, Entry, Outcome},
     event::Event,
-    server::Health,
+    server::{Health, Key},
     time::SECOND,
 };
 
@@ -93,3 +93,18 @@
     assert_eq!(refused(&orders), []);
     assert_eq!(granted(&harness.finish(1, Outcome::Done)), [(2, 0)]);
 }
+
+/// Guards against an attempt that is declared while its dispatcher still has it as waiting, and is granted again.
+#[test]
+fn a_declared_attempt_no_longer_waits() {
+    let mut harness = Harness::new(policy(), 2, 1);
+    let now = harness.now;
+    assert_eq!(granted(&harness.ask(ask(1, URGENT, now))).len(), 1);
+    assert_eq!(granted(&harness.ask(ask(2, URGENT, now))).len(), 1);
+    harness.ask(ask(3, URGENT, now));
+    harness.handle(Event::Declare(Ask { entry: Entry(2), ..ask(3, URGENT, now) }, Key(1)));
+    assert_eq!((harness.pool.waiting(), harness.pool.running()), (0, 3));
+    assert_eq!(granted(&harness.finish(1, Outcome::Done)), []);
+    harness.finish(3, Outcome::Done);
+    assert_eq!(harness.pool.running(), 1);
+}
