fix: a grant that is being preempted is not given again

What callers would see: an urgent request waits although an attempt was preempted for it; by a test of the decisions, not seen end to end.

Cause: a request whose grant was lost with its connection asks again and got the same grant again, also if its preemption had been ordered. That order was lost with the connection too, the attempt could not be preempted any more, and the preemption counted as under way until the attempt ended, so that none was ordered in its place.

Now such a grant ends, and the request is admitted again.

Failed before: begun::a_repeated_grant_is_not_being_preempted (the grant was repeated).

--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -48,7 +48,7 @@
         };
         self.rebind(key, ask);
         match self.requests.get(key.0 as usize) {
-            Some(State::Running(running)) if running.started => {
+            Some(State::Running(running)) if running.started || running.stopping => {
                 self.finish(now, ask.id, Outcome::Cancelled, 0);
                 false
             }
--- a/crates/drumusher-schedule/tests/schedule/begun.rs
+++ b/crates/drumusher-schedule/tests/schedule/begun.rs
@@ -108,3 +108,17 @@
     harness.finish(3, Outcome::Done);
     assert_eq!(harness.pool.running(), 1);
 }
+
+/// Guards against a preemption that is lost with the connection of its entry instance and counts as under way for as
+/// long as the attempt runs, so that another urgent request gets no slot.
+#[test]
+fn a_repeated_grant_is_not_being_preempted() {
+    let mut harness = Harness::new(policy(), 1, 1);
+    let now = harness.now;
+    assert_eq!(granted(&harness.ask(ask(1, BULK, now))), [(1, 0)]);
+    harness.now += SECOND / 2;
+    assert_eq!(preempted(&harness.ask(ask(2, URGENT, now))), [1]);
+    let mut orders = harness.ask(Ask { entry: Entry(2), ..ask(1, BULK, now) });
+    orders.extend(harness.advance(SECOND / 10));
+    assert_eq!(granted(&orders), [(2, 0)], "the slot is free for the urgent request");
+}
