fix: no attempt is preempted for the queue of a backend server that is down

What callers would see: a summary is stopped in an outage of its engine, for urgent requests that wait in the queue of the same engine. By a test of the decisions, not seen end to end.

Cause: excluded servers that are down where slots are freed for waiting requests, but not where attempts are stopped for requests in the server's own queue. The latest load report of a paused engine counts them for as long as it stays the latest.

Failed before: begun::no_attempt_is_preempted_for_the_queue_of_a_server_that_is_down.

--- a/crates/drumusher-schedule/src/pool/preempt.rs
+++ b/crates/drumusher-schedule/src/pool/preempt.rs
@@ -60,8 +60,9 @@
             return;
         }
         let queued = |(key, server): (server::Key, &Server)| {
-            let (waiting, as_of) =
-                server.reported_queue().filter(|_| server.rate_limit().is_none())?;
+            let down = matches!(server.health(), Health::Down(..));
+            let frees_capacity = server.rate_limit().is_none() && !down;
+            let (waiting, as_of) = server.reported_queue().filter(|_| frees_capacity)?;
             Some((key, waiting as usize, as_of))
         };
         let queued: Vec<_> = self.servers().filter_map(queued).collect();
--- a/crates/drumusher-schedule/tests/schedule/begun.rs
+++ b/crates/drumusher-schedule/tests/schedule/begun.rs
@@ -2,7 +2,7 @@
 
 use drumusher_schedule::{
     ask::{Ask, Entry, Outcome},
-    event::Event,
+    event::{Event, Load},
     server::{Health, Key},
     time::SECOND,
 };
@@ -122,3 +122,26 @@
     orders.extend(harness.advance(SECOND / 10));
     assert_eq!(granted(&orders), [(2, 0)], "the slot is free for the urgent request");
 }
+
+/// Guards against attempts that are preempted on a backend server that is down for requests that wait in its own queue.
+#[test]
+fn no_attempt_is_preempted_for_the_queue_of_a_server_that_is_down() {
+    let mut harness = Harness::new(policy(), 1, 4);
+    let now = harness.now;
+    harness.ask(ask(1, BULK, now));
+    for id in 2..=4 {
+        harness.ask(ask(id, URGENT, now));
+    }
+    harness.progress(1, 1, 0);
+    harness.progress(4, 0, 0);
+    harness.now += 4 * SECOND;
+    for id in [2, 3, 2] {
+        harness.finish(id, Outcome::Failed);
+        harness.ask(Ask { produced: 8, ..ask(id, URGENT, now) });
+    }
+    let (_, server) = harness.pool.servers().next().expect("there is one");
+    assert!(matches!(server.health(), Health::Down(..)));
+    let (server, as_of) = (Key(0), harness.now);
+    harness.handle(Event::Load(Load { server, as_of, running: 2, waiting: 1, full: None }));
+    assert_eq!(preempted(&harness.advance(SECOND / 10)), []);
+}
