fix: a request that is submitted again stays with its dispatcher

What callers would see: a begun answer that waits for long counts as a new request, and its slot may be booked at two dispatchers; a retry whose grant is repeated is counted twice, or refused with the budget empty.

Cause: the broker replaced the pending request, and with it the dispatcher that had it, without a withdrawal. The dispatcher counted the ask before it saw that the grant was only repeated.

Now the broker asks the same dispatcher again, as for a request that was sent before, and an ask for a grant whose attempt has not started is not counted.

Failed before: preemption::a_request_that_is_submitted_again_is_asked_for_again. The counting has no test of its own.

--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -126,11 +126,14 @@
         }
     }
 
-    /// Adds a request and sends it to its dispatcher. One that is submitted again while its grant is on the way to it
-    /// stays as it is.
+    /// Adds a request and sends it to its dispatcher. One that is submitted again is asked for again there, unless its
+    /// grant is on the way to it.
     fn open(&mut self, request: DispatchRequest, sends: &mut Vec<Outgoing>) {
         let id = request.id;
-        if self.pending.get(&id).is_some_and(|pending| pending.server.is_some()) {
+        if let Some(pending) = self.pending.get(&id) {
+            if pending.server.is_none() {
+                self.ask(id, false, sends);
+            }
             return;
         }
         let dispatcher = self.view.dispatcher(&request.pool, &request.area);
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -82,6 +82,10 @@
         else {
             return true;
         };
+        // Counted before; the scheduler repeats its grant.
+        if hosted.scheduler.running_request(id).is_some_and(|running| !running.started) {
+            return true;
+        }
         let now = clock::now();
         let instances = self.shared.directory.load().instances.len();
         let spent = f64::from(message.spent.unwrap_or(0)) / SPENT_SCALE;
--- a/crates/drumusher/tests/unit/preemption.rs
+++ b/crates/drumusher/tests/unit/preemption.rs
@@ -98,3 +98,22 @@
     assert!(matches!(replies.try_recv(), Ok(Reply::Grant(_))));
     assert!(replies.is_empty(), "{:?}", replies.try_recv());
 }
+
+/// Guards against a request that is submitted again and counts as a new one, or leaves its dispatcher without a word.
+#[test]
+fn a_request_that_is_submitted_again_is_asked_for_again() {
+    let mut table = table();
+    let (sender, _replies) = async_channel::bounded(8);
+    let attempts = |sends: &[Outgoing]| -> Vec<Option<i16>> {
+        let asks = sends.iter().filter_map(|send| match &send.message {
+            Message::Ask(ask) => Some(ask.attempt),
+            _ => None,
+        });
+        asks.collect()
+    };
+    let first = attempts(&open(&mut table, &sender));
+    let second = attempts(&open(&mut table, &sender));
+    assert_eq!((first.len(), second.len()), (1, 1));
+    assert_ne!(first, second, "the second ask counts as one of a request that was sent before");
+    assert_eq!(table.len(), 1);
+}
