test: orders of events in which a removal is held beside a reader that has the store

Lines tell why a return of the store is believed, and which sources an instance uses. Some of these tests fail on this code; no fix.

--- a/crates/drumusher/src/process/catalog/apply.rs
+++ b/crates/drumusher/src/process/catalog/apply.rs
@@ -8,6 +8,8 @@
     routing::Server,
 };
 
+use drumusher_schedule::time::MILLISECOND;
+
 use super::{Catalog, Entries, TableUpdate, membership::Instance};
 use crate::process::clock;
 
@@ -109,11 +111,16 @@
     ) {
         let end = self.shared.records().end(Table::Servers);
         let Some(value) = record.value else {
+            let now = clock::now();
             let entries = &mut self.state.borrow_mut().entries;
             let held = entries.remove(&record.key, end);
+            let recovered_ms = entries.health().recovered_for(now).map(|time| time / MILLISECOND);
+            let (reported_ms, reader_ms) = self.report_ages(now);
             log::info!(
                 server = record.key.as_str(), held = held, teller = source, end:% = end,
-                confirmed:% = entries.confirmed(), away = entries.health().is_down();
+                confirmed:% = entries.confirmed(), away = entries.health().is_down(),
+                recovered_ms:? = recovered_ms, reported_ms = reported_ms, reader_ms = reader_ms,
+                fed = self.is_fed();
                 "server's entry ended"
             );
             return;
--- a/crates/drumusher/src/process/catalog/health.rs
+++ b/crates/drumusher/src/process/catalog/health.rs
@@ -99,6 +99,11 @@
         self.failed_at.is_some()
     }
 
+    /// Time since the store answered again after an outage; `None` if there was none.
+    pub fn recovered_for(&self, now: Micros) -> Option<Micros> {
+        self.recovered_at.map(|recovered_at| now.saturating_sub(recovered_at))
+    }
+
     /// Whether entries that are missing in what is read now may only have expired during an outage.
     pub fn is_uncertain(&self, now: Micros) -> bool {
         self.is_down()
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -143,7 +143,7 @@
 
     /// Whether another instance polls the store and relays updates to this one. Assumed during start-up if other
     /// instances are listed.
-    fn is_fed(&self) -> bool {
+    pub(super) fn is_fed(&self) -> bool {
         let shared = &self.shared;
         let now = clock::now();
         if shared.reader.load(Ordering::Acquire) {
@@ -253,12 +253,28 @@
     fn note_answer(&self, era: Era) {
         self.observe_era(era);
         let suspected = self.is_outage_reported();
-        if self.state.borrow_mut().entries.health_mut().record_success(clock::now(), suspected) {
-            log::info!(suspected = suspected; "the store answers again");
+        let now = clock::now();
+        let was_down = self.state.borrow().entries.health().is_down();
+        if self.state.borrow_mut().entries.health_mut().record_success(now, suspected) {
+            let (reported_ms, reader_ms) = self.report_ages(now);
+            log::info!(
+                suspected = suspected, was_down = was_down, reported_ms = reported_ms,
+                reader_ms = reader_ms, fed = self.is_fed();
+                "the store answers again"
+            );
         }
         self.shared.store_unavailable.store(false, Ordering::Release);
     }
 
+    /// Ages, in milliseconds, of the latest report of a source that the store does not answer, and of the latest
+    /// report of another instance that it reads the store.
+    pub(super) fn report_ages(&self, now: Micros) -> (u64, u64) {
+        let age = |at: u64| now.saturating_sub(at) / MILLISECOND;
+        let shared = &self.shared;
+        let reported = age(shared.store_outage_reported.load(Ordering::Acquire));
+        (reported, age(shared.store_reader_seen.load(Ordering::Acquire)))
+    }
+
     /// Whether the latest report from the readers that feed this instance was that the store does not answer them.
     fn is_outage_reported(&self) -> bool {
         let unread = self.shared.store_outage_reported.load(Ordering::Acquire);
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -111,7 +111,12 @@
                 self.subscribe(reader);
             }
         }
-        self.inner.borrow_mut().sources = sources;
+        let mut inner = self.inner.borrow_mut();
+        if inner.sources != sources {
+            let names = sources.iter().map(|source| &**source).collect::<Vec<_>>().join(",");
+            log::info!(sources = names.as_str(); "sources of the store's records");
+        }
+        inner.sources = sources;
     }
 
     /// Whether a reader does not know of the subscription: there is no connection, or it was opened before the
@@ -181,6 +186,7 @@
         inner.table.set_store_readable(now, instance, reads || !is_source);
         if !reads && is_source && !self.shared.reader.load(Ordering::Acquire) {
             self.shared.store_outage_reported.store(now, Ordering::Release);
+            self.shared.telemetry.count("drumusher.store.outage_reports", &[]);
         }
     }
 
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -14,5 +14,6 @@
 mod soak;
 mod streams;
 mod support;
+mod suspected_outages;
 mod transfer;
 mod uncertain_removals;
