fix: a removal that was relayed unconfirmed is confirmed by reads without changes

What callers saw: requests went to a server that had left, for as long as nothing else changed in the table of servers.

Cause: an instance records how far it has read the table itself only when an answer brings records. A removal that it already had from another reader, not confirmed, is before the offset at which it polls, so empty answers never cover it. If the reader that relayed it loses the store before it can confirm it, nobody does.

Ruled out: that the receiver had no store or was uncertain itself. In the test its calls are answered for the whole wait, and it reads from the offset after the removal.

Fix: an empty answer says that the table ends at the offset of the call, so it records a read up to there. Whether that read confirms or accepts anything is still decided by the availability of the store as seen by the instance.

--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -217,7 +217,11 @@
         self.note_answer(from.era);
         match changes {
             Changes::ResyncRequired => Ok(Outcome::Dropped),
-            Changes::Records(records, _) if records.is_empty() => Ok(Outcome::Unchanged),
+            Changes::Records(records, _) if records.is_empty() => {
+                // A removal before `from` may have been relayed unconfirmed, and no later record may ever follow it.
+                self.record_read(table, from);
+                Ok(Outcome::Unchanged)
+            }
             Changes::Records(records, end) => {
                 self.record_read(table, end);
                 // Later changes may have been relayed meanwhile.
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -62,7 +62,7 @@
 }
 
 /// Whether the first `count` instances are registered in the store.
-fn all_registered(deployment: &Deployment, count: usize) -> bool {
+pub fn all_registered(deployment: &Deployment, count: usize) -> bool {
     let entered =
         |at: &usize| deployment.store.newest("keyed.instances", &format!("i{at}")).is_some();
     (0..count).filter(entered).count() == count
--- a/crates/drumusher/tests/routes/uncertain_removals.rs
+++ b/crates/drumusher/tests/routes/uncertain_removals.rs
@@ -16,7 +16,7 @@
 use drumusher_bench::fleet::wait_for;
 
 use crate::{
-    membership::{expected_readers, readers},
+    membership::{all_registered, expected_readers, readers},
     support::{Deployment, Instance, configuration},
 };
 
@@ -144,3 +144,30 @@
         assert!(line.contains("\"held\":\"true\""), "{line}");
     }
 }
+
+/// A removal that one reader relays while it is uncertain, and that no later record follows, is accepted once
+/// the other reader has the store, even if the first one loses it before it can confirm anything. Guards
+/// against a server that has left and gets requests for as long as nothing else changes.
+#[test]
+fn relayed_removal_is_accepted_without_later_changes() {
+    let deployment = Deployment::new(2);
+    wait_for("all instances are registered", || all_registered(&deployment, 2));
+    let [receiver, relay] = [&deployment.instances[0], &deployment.instances[1]];
+    relay.store_endpoint.set_outage(Outage::Reset);
+    wait_for("the outage is logged", || relay.log().contains("what is in force stays"));
+    receiver.store_endpoint.silence_topic("keyed.servers");
+    let calls = receiver.store_endpoint.calls_about("keyed.servers");
+    wait_for("a call that gets no response is in flight", || {
+        receiver.store_endpoint.calls_about("keyed.servers") > calls
+    });
+    let returns = || relay.log().matches("the store answers again").count();
+    let before = returns();
+    relay.store_endpoint.set_outage(Outage::None);
+    wait_for("the store answers the relay again", || returns() > before);
+    deployment.store.remove("keyed.servers", "d1");
+    wait_for("the relay reads the removal", || relay.log().contains("server's entry ended"));
+    relay.store_endpoint.set_outage(Outage::Reset);
+    wait_for("the removal is relayed", || receiver.log().contains("server's entry ended"));
+    receiver.store_endpoint.silence_topic("");
+    wait_for("the removal is accepted", || removals_accepted(receiver, "d1") > 0);
+}
