fix: a reader without answers stays passed over while it says so

What callers saw: removals that are certain applied up to 2 s late, so a server that had left got requests for longer.

Cause: the mark of a reader that gets no answers from the store was cleared by its next such report once it was no source any more. An instance went to and fro between two readers without answers and did not turn to the one that had the store, or turned away from it after a heartbeat.

Fix: the mark is kept by each report of a reader, source or not. Instances that are no readers are never marked. The readers are those computed at the latest heartbeat interval, since ranking some 300 instances at each heartbeat that arrives would be costly.

Evidence: suspected_outages::source_without_answers_stays_replaced, one run each, the ten tests of its module side by side, load average 3 and 10: before, failed (timed out); after, passed.

--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -124,6 +124,8 @@
     next_gather: i64,
     /// The divisor of this instance's capacity last sent to the dispatch thread.
     capacity_divisor: u32,
+    /// The readers of the store, by rank, as of the latest heartbeat interval.
+    readers: Vec<Arc<str>>,
     /// The readers that this instance subscribed to.
     sources: Vec<Arc<str>>,
     /// The latest encoded update that was relayed, with what it was made from.
@@ -159,6 +161,7 @@
             gathers: HashMap::new(),
             next_gather: 1,
             capacity_divisor: 1,
+            readers: Vec::new(),
             sources: Vec::new(),
             cached_state: None,
             cached_updates: Default::default(),
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -105,7 +105,7 @@
             log::info!(reads = own; "whether this instance reads the store for others");
         }
         let source = self.inner.borrow().table.view().assigned_reader(clock::now());
-        let sources = if own { readers } else { source.into_iter().collect() };
+        let sources = if own { readers.clone() } else { source.into_iter().collect() };
         for reader in sources.iter().filter(|reader| **reader != self.shared.name) {
             if self.needs_subscription(reader) {
                 self.subscribe(reader);
@@ -117,6 +117,7 @@
             log::info!(sources = names.as_str(); "sources of the store's records");
         }
         inner.sources = sources;
+        inner.readers = readers;
     }
 
     /// Whether a reader does not know of the subscription: there is no connection, or it was opened before the
@@ -183,7 +184,9 @@
         }
         let mut inner = self.inner.borrow_mut();
         let is_source = inner.sources.contains(instance);
-        inner.table.set_store_readable(now, instance, reads || !is_source);
+        // The list is computed once per heartbeat interval: ranking hundreds of instances at each heartbeat is costly.
+        let is_reader = inner.readers.contains(instance);
+        inner.table.set_store_readable(now, instance, reads || !is_reader);
         if !reads && is_source && !self.shared.reader.load(Ordering::Acquire) {
             self.shared.store_outage_reported.store(now, Ordering::Release);
             self.shared.telemetry.count("drumusher.store.outage_reports", &[]);
