wire: a heartbeat may say that its sender has had the store steadily

An optional field, additive: earlier releases skip it, and its absence means that nothing is known. Written by hand in the generator's form, since there is no Thrift compiler here; wire::the_latest_messages_round_trip covers it. Not sent yet.

--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -179,6 +179,8 @@
   8: optional i64 confirmed_era
   /* the version of the configuration in force */
   9: optional i64 version
+  /* whether the sender reads the store itself and got answers to all its calls for two seconds; never passed on */
+  10: optional bool steady
 }
 
 /* Records of the configuration stream, passed on in offset order. */
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -1691,10 +1691,11 @@
   pub eras: Option<Vec<i64>>,
   pub confirmed_era: Option<i64>,
   pub version: Option<i64>,
+  pub steady: Option<bool>,
 }
 
 impl Heartbeat {
-  pub fn new<F2, F3, F4, F5, F6, F7, F8, F9>(offset: i64, leaving: F2, ends: F3, reads: F4, entry: F5, confirmed: F6, eras: F7, confirmed_era: F8, version: F9) -> Heartbeat where F2: Into<Option<bool>>, F3: Into<Option<Vec<i64>>>, F4: Into<Option<bool>>, F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<Vec<i64>>>, F8: Into<Option<i64>>, F9: Into<Option<i64>> {
+  pub fn new<F2, F3, F4, F5, F6, F7, F8, F9, F10>(offset: i64, leaving: F2, ends: F3, reads: F4, entry: F5, confirmed: F6, eras: F7, confirmed_era: F8, version: F9, steady: F10) -> Heartbeat where F2: Into<Option<bool>>, F3: Into<Option<Vec<i64>>>, F4: Into<Option<bool>>, F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<Vec<i64>>>, F8: Into<Option<i64>>, F9: Into<Option<i64>>, F10: Into<Option<bool>> {
     Heartbeat {
       offset,
       leaving: leaving.into(),
@@ -1705,6 +1706,7 @@
       eras: eras.into(),
       confirmed_era: confirmed_era.into(),
       version: version.into(),
+      steady: steady.into(),
     }
   }
 }
@@ -1721,6 +1723,7 @@
     let mut f_7: Option<Vec<i64>> = None;
     let mut f_8: Option<i64> = None;
     let mut f_9: Option<i64> = None;
+    let mut f_10: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1776,6 +1779,10 @@
           let val = i_prot.read_i64()?;
           f_9 = Some(val);
         },
+        10 => {
+          let val = i_prot.read_bool()?;
+          f_10 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1794,6 +1801,7 @@
       eras: f_7,
       confirmed_era: f_8,
       version: f_9,
+      steady: f_10,
     };
     Ok(ret)
   }
@@ -1851,6 +1859,11 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.steady {
+      o_prot.write_field_begin(&TFieldIdentifier::new("steady", TType::Bool, 10))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -104,7 +104,8 @@
     let request = Message::PieceRequest(PieceRequest::new(0, 7, 16_384, 42, 1));
     assert_eq!(round_trip(&request), request);
     let ends = (vec![4, 0, 7, 0], vec![2, 1, 2, 0]);
-    let heartbeat = Heartbeat::new(11, true, ends.0.clone(), true, None, 3, ends.1.clone(), 1, 27);
+    let heartbeat =
+        Heartbeat::new(11, true, ends.0.clone(), true, None, 3, ends.1.clone(), 1, 27, true);
     assert_eq!(round_trip(&Message::Heartbeat(heartbeat.clone())), Message::Heartbeat(heartbeat));
     let request = Message::StateRequest(StateRequest::new(11, ends.0, true, ends.1));
     assert_eq!(round_trip(&request), request);
