fix: reports of an outage are refuted by a reader that has had the store

What callers saw: a server that had left kept getting requests for up to 2 s longer, although one reader had the store throughout and the instance read the removal itself. The other way round, an instance whose source had died while all other readers reported an outage suspected nothing and dropped lapsed entries at once, which loses servers that are there.

Cause: the words of different readers were compared by who spoke last, so that one reader's report of an outage just after another's word that it reads made an outage suspected. Any answer after idling counts as a first one, also that of an older call of an instance that is fed. And only reports of an instance's own sources counted.

Fix: a reader says of itself, in heartbeats, that the store has answered all its calls for RECOVERY_GRACE. An outage is suspected if any reader reports one, unless such a word came within RELAY_TIMEOUT or well after the report. A reader's word ends with its next heartbeat that lacks it and when the reader becomes unreachable: an instance may become a reader within that second because the other one died. A hold that rests on suspicion alone ends with the next such word; those after an own failure or a restore stay, so Health keeps the two apart. Nothing is passed on, so no doubt can circulate. Earlier releases never send the word, so beside them more is held. No call to the store is added.

Limits: a reader notices an outage only when a call fails, up to 3.8 s late, and says meanwhile that it is steady; the same holds for the positions that it confirms, as before.

Unit tests cover Reports and Health.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -26,8 +26,9 @@
 
 pub use backoff::Backoff;
 pub use entries::Entries;
-pub use health::{Health, RECOVERY_GRACE};
+pub use health::{Health, RECOVERY_GRACE, Reports};
 pub use membership::{Registrations, entry};
+pub use poll::RELAY_TIMEOUT;
 pub use records::{Ends, Records, TABLES, TableUpdate, Update};
 pub use skipped::Skipped;
 
@@ -35,7 +36,7 @@
     cell::{Cell, RefCell},
     collections::{BTreeMap, BTreeSet},
     rc::Rc,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
 };
 
 use drumusher_log::{
@@ -176,8 +177,14 @@
         let removed = {
             let entries = &mut self.state.borrow_mut().entries;
             entries.confirm(self.shared.confirmed());
+            entries
+                .health_mut()
+                .record_steady(self.shared.store_steady_seen.load(Ordering::Acquire));
             entries.remove_confirmed(clock::now())
         };
+        let steady = self.shared.reader.load(Ordering::Acquire)
+            && self.state.borrow().entries.health().is_stable(clock::now());
+        self.shared.telemetry.gauge("drumusher.store.steady", u64::from(steady));
         self.publish_removals(&removed);
         if self.state.borrow_mut().entries.accept_restored(clock::now()) {
             log::info!(
--- a/crates/drumusher/src/process/catalog/health.rs
+++ b/crates/drumusher/src/process/catalog/health.rs
@@ -2,6 +2,8 @@
 
 use drumusher_schedule::time::{MILLISECOND, Micros, SECOND};
 
+use super::RELAY_TIMEOUT;
+
 /// Entries that expired during an outage are written again by their owners within this time after the store's
 /// return, as its operator specifies.
 pub const RECOVERY_GRACE: Micros = 2_000 * MILLISECOND;
@@ -11,6 +13,25 @@
 /// up.
 const DETECTION_TIME: Micros = 4 * SECOND;
 
+/// When readers last reported on the store; 0 if none has.
+#[derive(Clone, Copy, Debug)]
+pub struct Reports {
+    /// That it does not answer.
+    pub outage: Micros,
+    /// That it has answered all calls for [`RECOVERY_GRACE`]. Earlier versions of the program never report that.
+    pub steady: Micros,
+}
+
+impl Reports {
+    /// Whether there may have been an outage. Readers are heard at different times, so that the order of their reports
+    /// alone shows nothing: one that has had the store refutes the others for as long as it is heard from.
+    pub fn suggest_outage(&self, now: Micros) -> bool {
+        self.outage > 0
+            && self.outage + RELAY_TIMEOUT >= self.steady
+            && now >= self.steady + RELAY_TIMEOUT
+    }
+}
+
 /// Availability of the store as seen by this instance's own calls.
 ///
 /// Only own calls count. Other instances share confirmed positions (see [`super::Entries`]), which never start a
@@ -20,8 +41,10 @@
 pub struct Health {
     /// When the latest call failed, unless one was answered since.
     failed_at: Option<Micros>,
-    /// When the store answered again after an outage.
+    /// When the store answered again after an outage that an own call saw, or was restored.
     recovered_at: Option<Micros>,
+    /// When the store first answered after an outage that only other instances saw.
+    suspected_at: Option<Micros>,
     /// Since when the store has answered every call; `None` if no calls are made.
     healthy_since: Option<Micros>,
     /// Failures of calls that lasted this long are ignored.
@@ -33,6 +56,7 @@
         Health {
             failed_at: None,
             recovered_at: None,
+            suspected_at: None,
             healthy_since: None,
             detection_time: DETECTION_TIME,
         }
@@ -52,16 +76,23 @@
     }
 
     /// Records an answered call. Returns whether it ends an outage: one seen by an own failed call or, on the first
-    /// call after an idle period, one reported by the readers that fed this instance until then, which is
-    /// `suspected`.
+    /// call after an idle period, one reported by the readers, which is `suspected`.
     pub fn record_success(&mut self, now: Micros, suspected: bool) -> bool {
         let first = self.healthy_since.is_none();
         self.healthy_since.get_or_insert(now);
-        let was_down = self.failed_at.take().is_some() || first && suspected;
+        let was_down = self.failed_at.take().is_some();
         if was_down {
             self.recovered_at = Some(now);
+        } else if first && suspected {
+            self.suspected_at = Some(now);
         }
-        was_down
+        was_down || first && suspected
+    }
+
+    /// Records that at `at` a reader reported that the store has answered all its calls: an outage that was only
+    /// suspected by then was none. One seen by own calls, or a restore, stays.
+    pub fn record_steady(&mut self, at: Micros) {
+        self.suspected_at.take_if(|suspected_at| at >= *suspected_at);
     }
 
     /// Records a failed call that began at `began`. Returns whether the failure makes removals uncertain. Calls for
@@ -91,6 +122,7 @@
         if self.failed_at.is_some_and(|failed_at| now >= failed_at + self.detection_time) {
             self.failed_at = None;
             self.recovered_at = None;
+            self.suspected_at = None;
         }
     }
 
@@ -101,18 +133,25 @@
 
     /// Time since the store answered again after an outage; `None` if there was none.
     pub fn recovered_for(&self, now: Micros) -> Option<Micros> {
-        self.recovered_at.map(|recovered_at| now.saturating_sub(recovered_at))
+        let ended_at = self.recovered_at.max(self.suspected_at);
+        ended_at.map(|ended_at| now.saturating_sub(ended_at))
     }
 
     /// Whether entries that are missing in what is read now may only have expired during an outage.
     pub fn is_uncertain(&self, now: Micros) -> bool {
-        self.is_down()
-            || self.recovered_at.is_some_and(|recovered_at| now < recovered_at + RECOVERY_GRACE)
+        let ended_at = self.recovered_at.max(self.suspected_at);
+        self.is_down() || ended_at.is_some_and(|ended_at| now < ended_at + RECOVERY_GRACE)
     }
 
     /// Whether the store has been available for longer than expired entries may be missing, so that the removals
     /// read here are real, also for instances that have seen less of the store.
     pub fn is_stable(&self, now: Micros) -> bool {
-        self.healthy_since.is_some_and(|healthy_since| now >= healthy_since + RECOVERY_GRACE)
+        self.stable_since().is_some_and(|since| now >= since)
+    }
+
+    /// When the store becomes stable, or became so, unless a call fails before; `None` if no calls are made or the
+    /// latest one failed.
+    pub fn stable_since(&self) -> Option<Micros> {
+        self.healthy_since.map(|healthy_since| healthy_since + RECOVERY_GRACE)
     }
 }
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{Either, select};
 use ntex::time::{Millis, sleep};
 
-use super::{Backoff, Catalog, TableUpdate};
+use super::{Backoff, Catalog, Reports, TableUpdate};
 use crate::process::clock;
 
 /// Delay after a change, so that changes close together are read in one call. The first reader relays them with its
@@ -32,7 +32,7 @@
 const LONG_WAIT_MS: u64 = 10_000;
 /// An instance that hears from no reader for this long polls the store itself. Four heartbeat intervals, and half
 /// of the time within which a change has to be in force.
-pub(super) const RELAY_TIMEOUT: Micros = 1_000 * MILLISECOND;
+pub const RELAY_TIMEOUT: Micros = 1_000 * MILLISECOND;
 /// How long after its start an instance expects to be fed by the readers. When 84 instances started at once on an
 /// eighth of a core each, most of them received updates within two seconds.
 const STARTUP_TIME: Micros = 2_000 * MILLISECOND;
@@ -256,8 +256,8 @@
     /// Records that the store answered a call, with data of an era.
     fn note_answer(&self, era: Era) {
         self.observe_era(era);
-        let suspected = self.is_outage_reported();
         let now = clock::now();
+        let suspected = self.reports().suggest_outage(now);
         let was_down = self.state.borrow().entries.health().is_down();
         if self.state.borrow_mut().entries.health_mut().record_success(now, suspected) {
             let (reported_ms, reader_ms) = self.report_ages(now);
@@ -267,10 +267,17 @@
                 "the store answers again"
             );
         }
+        self.publish_stability();
         self.shared.store_unavailable.store(false, Ordering::Release);
     }
 
-    /// Ages, in milliseconds, of the latest report of a source that the store does not answer, and of the latest
+    /// Publishes since when the store is stable for this instance, for its heartbeats.
+    pub(super) fn publish_stability(&self) {
+        let since = self.state.borrow().entries.health().stable_since().unwrap_or(0);
+        self.shared.store_stable_since.store(since, Ordering::Release);
+    }
+
+    /// Ages, in milliseconds, of the latest report of a reader that the store does not answer, and of the latest
     /// report of another instance that it reads the store.
     pub(super) fn report_ages(&self, now: Micros) -> (u64, u64) {
         let age = |at: u64| now.saturating_sub(at) / MILLISECOND;
@@ -279,16 +286,17 @@
         (reported, age(shared.store_reader_seen.load(Ordering::Acquire)))
     }
 
-    /// Whether the latest report from the readers that feed this instance was that the store does not answer them.
-    fn is_outage_reported(&self) -> bool {
-        let unread = self.shared.store_outage_reported.load(Ordering::Acquire);
-        unread > 0 && unread >= self.shared.store_reader_seen.load(Ordering::Acquire)
+    /// The latest reports of the readers about the store.
+    fn reports(&self) -> Reports {
+        let outage = self.shared.store_outage_reported.load(Ordering::Acquire);
+        Reports { outage, steady: self.shared.store_steady_seen.load(Ordering::Acquire) }
     }
 
     /// Records that updates are relayed, so that this instance makes no calls.
     fn note_idle(&self) {
         if self.is_fed() {
             self.state.borrow_mut().entries.health_mut().record_idle(clock::now());
+            self.publish_stability();
         }
     }
 
@@ -307,6 +315,7 @@
         // reads the store: when four of nine readers lost the store without an error, they went on reporting it for
         // 1.7 s.
         self.shared.store_unavailable.store(true, Ordering::Release);
+        self.publish_stability();
         if !is_current {
             log::info!(table = table.word(), lasted_ms = lasted; "a long call failed: the store {error}");
         } else if !was_down {
--- a/crates/drumusher/src/process/catalog/restore.rs
+++ b/crates/drumusher/src/process/catalog/restore.rs
@@ -39,6 +39,7 @@
         self.shared.telemetry.count("drumusher.store.restores", &[]);
         log::warn!(era = era, known = known; "the store came back from a copy; lost records are written again");
         self.state.borrow_mut().entries.health_mut().record_restore(clock::now());
+        self.publish_stability();
         for table in self.restores.borrow().iter() {
             // A full channel already holds a notice of a restore.
             let _ = table.try_send(());
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -126,6 +126,8 @@
     capacity_divisor: u32,
     /// The readers of the store, by rank, as of the latest heartbeat interval.
     readers: Vec<Arc<str>>,
+    /// The readers whose latest word was that the store has answered all their calls, and when it came.
+    steady: HashMap<Arc<str>, Micros>,
     /// The readers that this instance subscribed to.
     sources: Vec<Arc<str>>,
     /// The latest encoded update that was relayed, with what it was made from.
@@ -162,6 +164,7 @@
             next_gather: 1,
             capacity_divisor: 1,
             readers: Vec::new(),
+            steady: HashMap::new(),
             sources: Vec::new(),
             cached_state: None,
             cached_updates: Default::default(),
--- a/crates/drumusher/src/process/peers/heartbeat.rs
+++ b/crates/drumusher/src/process/peers/heartbeat.rs
@@ -63,7 +63,7 @@
             eras: self.eras(),
             confirmed_era: confirmed.map(|place| place.era as i64),
             version: self.version(),
-            steady: None,
+            steady: self.is_steady().then_some(true),
         })
     }
 
--- a/crates/drumusher/src/process/peers/session.rs
+++ b/crates/drumusher/src/process/peers/session.rs
@@ -109,6 +109,8 @@
         log::warn!("instance {instance} cannot be reached");
         let mut sends = Vec::new();
         self.inner.borrow_mut().table.set_reachable(instance, false, &mut sends);
+        // It may have lost the store just before it became unreachable.
+        self.note_steadiness(instance, false);
         self.query_unreachable(instance);
         self.send_all(sends);
         self.update_capacity_divisor();
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -8,7 +8,7 @@
 
 use super::{Peers, pieces::PIECE_BYTES};
 use crate::process::{
-    catalog::{Ends, LARGE_UPDATE_BYTES},
+    catalog::{Ends, LARGE_UPDATE_BYTES, RELAY_TIMEOUT},
     clock, platform,
 };
 
@@ -72,6 +72,13 @@
         self.shared.reader.load(Ordering::Acquire) && !away
     }
 
+    /// Whether this instance reads the store, and has seen it available for so long that nothing it reads may merely
+    /// have lapsed.
+    pub(super) fn is_steady(&self) -> bool {
+        let since = self.shared.store_stable_since.load(Ordering::Acquire);
+        self.reads() && since > 0 && clock::now() >= since
+    }
+
     /// This instance's entry while it is not known to be in the store; `None` without a store.
     pub(super) fn missing_entry(&self) -> Option<String> {
         self.shared.settings.store.as_ref()?;
@@ -147,7 +154,7 @@
         was_behind: bool,
     ) {
         let reads = heartbeat.reads == Some(true) && self.has_eras(heartbeat);
-        self.note_reader_status(instance, reads);
+        self.note_reader_status(instance, reads, reads && heartbeat.steady == Some(true));
         let era = heartbeat.confirmed_era.unwrap_or(0).max(0) as u64;
         let confirmed = heartbeat.confirmed.unwrap_or(0).max(0) as u64;
         self.shared.confirm(Position::new(era, confirmed));
@@ -174,23 +181,42 @@
         }
     }
 
-    /// Notes whether another instance reads the store and receives answers. A source that receives none is replaced
-    /// by another one that may: when it remained the only source, four instances read the store themselves just
+    /// Notes whether another instance reads the store and receives answers, and whether it has received them for so
+    /// long that it is `steady`. A source that receives none is replaced by another one that may: when it remained the only source, four instances read the store themselves just
     /// after its return, and dropped all entries that had expired meanwhile.
-    fn note_reader_status(&self, instance: &Arc<str>, reads: bool) {
+    fn note_reader_status(&self, instance: &Arc<str>, reads: bool, steady: bool) {
         let now = clock::now();
         if reads {
             self.shared.store_reader_seen.store(now, Ordering::Release);
         }
         let mut inner = self.inner.borrow_mut();
-        let is_source = inner.sources.contains(instance);
         // The list is computed once per heartbeat interval: ranking hundreds of instances at each heartbeat is costly.
         let is_reader = inner.readers.contains(instance);
         inner.table.set_store_readable(now, instance, reads || !is_reader);
-        if !reads && is_source && !self.shared.reader.load(Ordering::Acquire) {
+        if !reads && is_reader && !self.shared.reader.load(Ordering::Acquire) {
             self.shared.store_outage_reported.store(now, Ordering::Release);
             self.shared.telemetry.count("drumusher.store.outage_reports", &[]);
         }
+        drop(inner);
+        self.note_steadiness(instance, steady);
+    }
+
+    /// Notes whether the latest word of another instance is that the store has answered all its calls for long enough.
+    /// Its earlier word does not count any more if it is not: it may be from just before an outage.
+    pub(super) fn note_steadiness(&self, instance: &Arc<str>, steady: bool) {
+        let now = clock::now();
+        let steady_by = &mut self.inner.borrow_mut().steady;
+        if steady {
+            steady_by.insert(instance.clone(), now);
+        } else {
+            steady_by.remove(instance);
+        }
+        let steady_seen = steady_by.values().max().copied().unwrap_or(0);
+        self.shared.store_steady_seen.store(steady_seen, Ordering::Release);
+        let reported = self.shared.store_outage_reported.load(Ordering::Acquire);
+        if steady_seen > reported + RELAY_TIMEOUT {
+            self.shared.store_outage_reported.store(0, Ordering::Release);
+        }
     }
 
     /// Handles a subscription: sends what the other instance lacks, now and from now on.
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -62,9 +62,14 @@
     pub first_reader: AtomicBool,
     /// Time at which another instance last reported that it reads the store; 0 if none has.
     pub store_reader_seen: AtomicU64,
-    /// Time at which a reader that feeds this instance last reported that the store does not answer; 0 if
-    /// none has.
+    /// Time at which a reader last reported, while this instance was none, that the store does not answer; 0 if
+    /// none has, or if another reader was heard to have the store well after it.
     pub store_outage_reported: AtomicU64,
+    /// Time of the latest report of a reader that the store has answered all its calls for long enough, unless that
+    /// reader said otherwise since or became unreachable; 0 if there is none.
+    pub store_steady_seen: AtomicU64,
+    /// Time from which on this instance's own calls show the store to be stable; 0 if they don't.
+    pub store_stable_since: AtomicU64,
     /// Whether the latest call to the store failed.
     pub store_unavailable: AtomicBool,
     /// Latest known era of the store, which counts its restores from a backup; 0 until one is known.
@@ -141,6 +146,8 @@
             first_reader: AtomicBool::new(false),
             store_reader_seen: AtomicU64::new(0),
             store_outage_reported: AtomicU64::new(0),
+            store_steady_seen: AtomicU64::new(0),
+            store_stable_since: AtomicU64::new(0),
             store_unavailable: AtomicBool::new(true),
             store_era: AtomicU64::new(0),
             confirmed: Mutex::default(),
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -362,6 +362,13 @@
         Some(&first),
         "the first reader is asked again"
     );
+    let later = NOW + 1_900_000;
+    view.set_store_readable(later, &first, false);
+    assert_eq!(
+        view.assigned_reader(NOW + 2_100_000).as_ref(),
+        Some(&second),
+        "the first reader still gets no answers"
+    );
     view.set_store_readable(NOW, &first, true);
     assert_eq!(view.assigned_reader(NOW).as_ref(), Some(&first));
     view.readers().iter().for_each(|reader| view.set_store_readable(NOW, reader, false));
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use drumusher::process::catalog::{Entries, Health, RECOVERY_GRACE, Skipped};
+use drumusher::process::catalog::{
+    Entries, Health, RECOVERY_GRACE, RELAY_TIMEOUT, Reports, Skipped,
+};
 use drumusher_log::position::Position;
 use drumusher_platform::{catalog::Table, routing::Server};
 use proptest::prelude::*;
@@ -227,6 +229,49 @@
     assert!(!health.is_uncertain(3_000 + RECOVERY_GRACE));
 }
 
+/// A suspected outage was none if a reader then reports that it has had the store. Guards against removals that are
+/// held for two seconds beside such a reader, and against entries dropped on a report of before.
+#[test]
+fn a_report_of_a_steady_reader_ends_a_suspicion() {
+    let mut health = Health::new();
+    assert!(health.record_success(5_000, true));
+    health.record_steady(4_999);
+    assert!(health.is_uncertain(5_001), "the report is from before");
+    health.record_steady(5_000);
+    assert!(!health.is_uncertain(5_001));
+}
+
+/// What this instance has seen itself is no suspicion: another reader's report does not end it.
+#[rstest]
+fn a_report_of_a_steady_reader_does_not_end_an_own_outage(#[values(false, true)] restored: bool) {
+    let mut health = Health::new();
+    if restored {
+        assert!(health.record_success(1_000, true));
+        health.record_restore(2_000);
+    } else {
+        health.record_failure(1_000, 1_000);
+        assert!(health.record_success(2_000, true));
+    }
+    health.record_steady(3_000);
+    assert!(health.is_uncertain(2_000 + RECOVERY_GRACE - 1));
+    assert!(!health.is_uncertain(2_000 + RECOVERY_GRACE));
+}
+
+/// An outage is suspected if readers report it, unless one that has had the store is heard from, whoever spoke last.
+#[test]
+fn reports_of_an_outage_are_refuted_by_a_steady_reader() {
+    const T: u64 = 10 * RELAY_TIMEOUT;
+    let suggest = |outage, steady, now| Reports { outage, steady }.suggest_outage(now);
+    assert!(!suggest(0, 0, T), "nobody reported one");
+    assert!(suggest(T, 0, T), "earlier versions report no more than that");
+    assert!(!suggest(T, T - 1, T), "a report that comes last");
+    assert!(!suggest(T - 1, T, T));
+    assert!(!suggest(T, T - RELAY_TIMEOUT + 1, T));
+    assert!(suggest(T, T - RELAY_TIMEOUT, T), "the steady reader is not heard from any more");
+    assert!(suggest(T, T, T + RELAY_TIMEOUT), "it fell silent just after the report");
+    assert!(!suggest(T, T + RELAY_TIMEOUT + 1, 3 * T), "it was heard well after the report");
+}
+
 /// An earlier failure is forgotten while updates are relayed, once the readers would have detected the outage too.
 #[test]
 fn a_failure_is_forgotten_while_idle() {
