fix: an instance that is no reader keeps unconfirmed removals to itself

What callers saw: a removal that a reader had confirmed applied late where another instance was quicker: one that reads the store for itself, and has not had it for long enough to confirm anything, relayed the removal without confirmation, and the receivers held it.

Fix: an update from an instance that is no reader leaves the servers out while they hold a removal beyond the confirmed position. Other tables and servers' updates without such a removal go out at once as before. A whole table lists no removals and is sent as before; so are pieces that are asked for.

Evidence: unit::records::unconfirmed_removals_are_left_out covers the choice. The effect between instances has no forced test.

--- a/crates/drumusher/src/process/catalog/records.rs
+++ b/crates/drumusher/src/process/catalog/records.rs
@@ -221,6 +221,18 @@
         Update { doubtful, confirmed, confirmed_era, parts }
     }
 
+    /// Positions from which an instance at `ends` gets no update of the servers if that would hold a removal that is not
+    /// confirmed. A whole table lists no removals.
+    pub fn without_unconfirmed_removals(&self, ends: &Ends, confirmed: Position) -> Ends {
+        let index = index_of(Table::Servers);
+        let log = &self.logs[index];
+        let mut without = *ends;
+        if log.removes_beyond(ends[index], confirmed) {
+            without[index] = log.end;
+        }
+        without
+    }
+
     /// The positions that an instance at `ends` reaches with the update of [`Records::since`].
     pub fn ends_after(&self, ends: &Ends, max_bytes: usize) -> Ends {
         std::array::from_fn(|index| {
@@ -288,6 +300,16 @@
         (missing <= self.recent.len()).then_some(missing)
     }
 
+    /// Whether the changes that an instance at `end` lacks hold a removal after `confirmed`.
+    fn removes_beyond(&self, end: Position, confirmed: Position) -> bool {
+        let missing = self.missing(end).unwrap_or(0) as u64;
+        let offsets = (0..missing).map(|back| self.end.offset - back);
+        let mut changes = self.recent.iter().rev().zip(offsets);
+        changes.any(|(entry, offset)| {
+            entry.value.is_none() && Position::new(self.end.era, offset) > confirmed
+        })
+    }
+
     /// Size in bytes of what an instance at `end` lacks.
     fn bytes_since(&self, end: Position) -> usize {
         match self.missing(end) {
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -277,11 +277,26 @@
                 if conn.replica.receives_large_updates() { usize::MAX } else { PIECE_BYTES };
             (conn.replica.expected(now), conn.instance.clone(), max_bytes)
         };
-        let ends = self.shared.records().ends_after(&known, max_bytes);
+        let (from, ends) = {
+            let confirmed = self.shared.confirmed();
+            let records = self.shared.records();
+            // The receiver would hold a removal that is not confirmed; a reader that has had the store sends it with its
+            // confirmation.
+            let from = if self.shared.reader.load(Ordering::Acquire) {
+                known
+            } else {
+                records.without_unconfirmed_removals(&known, confirmed)
+            };
+            let mut ends = records.ends_after(&from, max_bytes);
+            for table in (0..ends.len()).filter(|table| from[*table] != known[*table]) {
+                ends[table] = known[table];
+            }
+            (from, ends)
+        };
         if let Some(conn) = self.inner.borrow_mut().conns.get_mut(&number) {
             conn.replica.record_sent(now, ends);
         }
-        let Some(snapshot) = self.encoded_update(&known, &ends, max_bytes) else {
+        let Some(snapshot) = self.encoded_update(&from, &ends, max_bytes) else {
             return;
         };
         if snapshot.len() >= LARGE_UPDATE_BYTES {
--- a/crates/drumusher/tests/unit/records.rs
+++ b/crates/drumusher/tests/unit/records.rs
@@ -53,6 +53,42 @@
     assert!(records.of_table(Table::Configuration, at(1), START).is_none(), "it is known");
 }
 
+/// A removal that is not confirmed keeps the servers out of an update, whatever comes with it; confirmed removals and
+/// other changes do not.
+#[rstest]
+#[case::removed(2, 2, true)]
+#[case::put_after_it(3, 2, false)]
+#[case::confirmed(2, 3, false)]
+#[case::of_an_earlier_era(2, 0, true)]
+fn unconfirmed_removals_are_left_out(
+    #[case] known: u64,
+    #[case] confirmed: u64,
+    #[case] left_out: bool,
+) {
+    let mut records = records();
+    let removal = Record { key: "a".into(), value: None };
+    records.append(Table::Servers, &[removal, record("c", 200)], at(4));
+    let ends = [START, at(known), START, START];
+    let confirmed = if confirmed == 0 { Position::new(0, 9) } else { at(confirmed) };
+    let from = records.without_unconfirmed_removals(&ends, confirmed);
+    let update = records.since(&from, confirmed, usize::MAX).expect("a configuration at least");
+    assert_eq!(from[1], if left_out { at(4) } else { at(known) });
+    assert_eq!(!tables_from(update, known).contains(&Table::Servers), left_out);
+}
+
+/// The tables that an update brings to an instance that knows the servers up to `known`.
+fn tables_from(update: Update, known: u64) -> Vec<Table> {
+    let mut records = Records::new();
+    records.append(Table::Servers, &[], at(known));
+    let updates = records.merge(update).into_iter();
+    let table = |update| match update {
+        TableUpdate::Snapshot(table, _)
+        | TableUpdate::Restored(table, _)
+        | TableUpdate::Changes(table, _) => table,
+    };
+    updates.map(table).collect()
+}
+
 /// Of a large value that changed several times only the latest is stored and sent.
 #[test]
 fn only_the_latest_large_value_is_sent() {
