fix: a refuted suspicion ends before the next removal is read

A hold for a suspicion ended at the next check, every 100 ms and later on a busy machine, so that a removal read in between was held although a reader had refuted the suspicion. It is now looked at with each answer of the store too.

That the check was late is suspected, not shown.

--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -259,6 +259,8 @@
         let now = clock::now();
         let suspected = self.reports().suggest_outage(now);
         let was_down = self.state.borrow().entries.health().is_down();
+        // What is read next must not be held for a suspicion that a reader has refuted since the latest check.
+        self.state.borrow_mut().entries.health_mut().record_steady(self.reports().steady);
         if self.state.borrow_mut().entries.health_mut().record_success(now, suspected) {
             let (reported_ms, reader_ms) = self.report_ages(now);
             log::info!(
