--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -11,7 +11,7 @@
 use futures_util::future::{Either, select};
 use ntex::time::{Millis, sleep};
 
-use super::{Backoff, Catalog, TableUpdate};
+use super::{Backoff, Catalog, Reports, TableUpdate};
 use crate::process::clock;
 
 /// Delay after a change, so that changes close together are read in one call. The first reader relays them with its
@@ -32,7 +32,7 @@
 const LONG_WAIT_MS: u64 = 10_000;
 /// An instance that hears from no reader for this long polls the store itself. Four heartbeat intervals, and half
 /// of the time within which a change has to be in force.
-pub(super) const RELAY_TIMEOUT: Micros = 1_000 * MILLISECOND;
+pub const RELAY_TIMEOUT: Micros = 1_000 * MILLISECOND;
 /// How long after its start an instance expects to be fed by the readers. When 84 instances started at once on an
 /// eighth of a core each, most of them received updates within two seconds.
 const STARTUP_TIME: Micros = 2_000 * MILLISECOND;
@@ -143,7 +143,7 @@
 
     /// Whether another instance polls the store and relays updates to this one. Assumed during start-up if other
     /// instances are listed.
-    fn is_fed(&self) -> bool {
+    pub(super) fn is_fed(&self) -> bool {
         let shared = &self.shared;
         let now = clock::now();
         if shared.reader.load(Ordering::Acquire) {
@@ -217,7 +217,11 @@
         self.note_answer(from.era);
         match changes {
             Changes::ResyncRequired => Ok(Outcome::Dropped),
-            Changes::Records(records, _) if records.is_empty() => Ok(Outcome::Unchanged),
+            Changes::Records(records, _) if records.is_empty() => {
+                // A removal before `from` may have been relayed unconfirmed, and no later record may ever follow it.
+                self.record_read(table, from);
+                Ok(Outcome::Unchanged)
+            }
             Changes::Records(records, end) => {
                 self.record_read(table, end);
                 // Later changes may have been relayed meanwhile.
@@ -252,23 +256,49 @@
     /// Records that the store answered a call, with data of an era.
     fn note_answer(&self, era: Era) {
         self.observe_era(era);
-        let suspected = self.is_outage_reported();
-        if self.state.borrow_mut().entries.health_mut().record_success(clock::now(), suspected) {
-            log::info!(suspected = suspected; "the store answers again");
+        let now = clock::now();
+        let suspected = self.reports().suggest_outage(now);
+        let was_down = self.state.borrow().entries.health().is_down();
+        // What is read next must not be held for a suspicion that a reader has refuted since the latest check.
+        self.state.borrow_mut().entries.health_mut().record_steady(self.reports().steady);
+        if self.state.borrow_mut().entries.health_mut().record_success(now, suspected) {
+            let (reported_ms, reader_ms) = self.report_ages(now);
+            log::info!(
+                suspected = suspected, was_down = was_down, reported_ms = reported_ms,
+                reader_ms = reader_ms, fed = self.is_fed();
+                "the store answers again"
+            );
         }
+        self.publish_stability();
         self.shared.store_unavailable.store(false, Ordering::Release);
     }
 
-    /// Whether the latest report from the readers that feed this instance was that the store does not answer them.
-    fn is_outage_reported(&self) -> bool {
-        let unread = self.shared.store_outage_reported.load(Ordering::Acquire);
-        unread > 0 && unread >= self.shared.store_reader_seen.load(Ordering::Acquire)
+    /// Publishes since when the store is stable for this instance, for its heartbeats.
+    pub(super) fn publish_stability(&self) {
+        let since = self.state.borrow().entries.health().stable_since().unwrap_or(0);
+        self.shared.store_stable_since.store(since, Ordering::Release);
+    }
+
+    /// Ages, in milliseconds, of the latest report of a reader that the store does not answer, and of the latest
+    /// report of another instance that it reads the store.
+    pub(super) fn report_ages(&self, now: Micros) -> (u64, u64) {
+        let age = |at: u64| now.saturating_sub(at) / MILLISECOND;
+        let shared = &self.shared;
+        let reported = age(shared.store_outage_reported.load(Ordering::Acquire));
+        (reported, age(shared.store_reader_seen.load(Ordering::Acquire)))
+    }
+
+    /// The latest reports of the readers about the store.
+    fn reports(&self) -> Reports {
+        let outage = self.shared.store_outage_reported.load(Ordering::Acquire);
+        Reports { outage, steady: self.shared.store_steady_seen.load(Ordering::Acquire) }
     }
 
     /// Records that updates are relayed, so that this instance makes no calls.
     fn note_idle(&self) {
         if self.is_fed() {
             self.state.borrow_mut().entries.health_mut().record_idle(clock::now());
+            self.publish_stability();
         }
     }
 
@@ -287,6 +317,7 @@
         // reads the store: when four of nine readers lost the store without an error, they went on reporting it for
         // 1.7 s.
         self.shared.store_unavailable.store(true, Ordering::Release);
+        self.publish_stability();
         if !is_current {
             log::info!(table = table.word(), lasted_ms = lasted; "a long call failed: the store {error}");
         } else if !was_down {
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -62,7 +62,7 @@
 }
 
 /// Whether the first `count` instances are registered in the store.
-fn all_registered(deployment: &Deployment, count: usize) -> bool {
+pub fn all_registered(deployment: &Deployment, count: usize) -> bool {
     let entered =
         |at: &usize| deployment.store.newest("keyed.instances", &format!("i{at}")).is_some();
     (0..count).filter(entered).count() == count
@@ -89,6 +89,10 @@
     wait_for("the remaining reader confirms the server entries", || {
         deployment.instances[readers[left]].metric(&["entries_confirmed"]) >= SERVER_RECORDS
     });
+    // What it confirms may be another reader's word.
+    wait_for("the remaining reader has had the store for long enough", || {
+        deployment.instances[readers[left]].metric(&["store_steady"]) >= 1.0
+    });
     for at in readers.iter().filter(|at| **at != readers[left]) {
         deployment.instances[*at].store_endpoint.set_outage(outage);
     }
