test: streams in a series of pauses, and with a lost dispatcher

24 streams of both classes outlive five pauses in series of two engines, and three while their dispatcher is paused or killed. Guards against streams that are cut for the number of their attempts, when there are many of them.

--- a/crates/drumusher/tests/fleet/begun_streams.rs
+++ b/crates/drumusher/tests/fleet/begun_streams.rs
@@ -9,7 +9,9 @@
 };
 use rstest::rstest;
 
-use crate::support::{address_of, engine_stat, fleet, join_all, spawn_each, stream, switch};
+use crate::support::{
+    address_of, assert_whole, dispatcher, engine_stat, fleet, join_all, spawn_each, stream, switch,
+};
 
 /// Length of the streams, in tokens.
 const TOKENS: u32 = 1_500;
@@ -187,3 +189,104 @@
     assert_all_whole(fleet, start(fleet, "urgent", 1, 2));
     engine_stat(engine, "requests") > before
 }
+
+/// Streams of both classes, in turn, at instances that are named by their index.
+fn start_mixed(
+    fleet: &Fleet,
+    instances: &[usize],
+    count: usize,
+) -> Vec<JoinHandle<(String, u32, Response)>> {
+    let addresses: Vec<String> =
+        instances.iter().map(|number| fleet.instances[*number].http.clone()).collect();
+    spawn_each(count, move |number| {
+        let tag = format!("t{number}");
+        let class = ["urgent", "summary"][number % 2];
+        let http = &addresses[number % addresses.len()];
+        let response = stream(http, class, &tag, TOKENS).expect("a response");
+        (tag, TOKENS, response)
+    })
+}
+
+/// Sum of a counter over engines.
+fn sum(engines: &[String], what: &str) -> u64 {
+    engines.iter().map(|engine| engine_stat(engine, what)).sum()
+}
+
+/// Number of log lines with a text, over all instances.
+fn logged(fleet: &Fleet, text: &str) -> usize {
+    fleet.instances.iter().map(|instance| instance.lines().matches(text).count()).sum()
+}
+
+/// Pauses engines until each of their attempts failed, and waits until they produce tokens again. Runs `meanwhile` while
+/// they are paused.
+fn pause_all(fleet: &Fleet, engines: &[String], meanwhile: impl FnOnce()) {
+    let (before, running) = (logged(fleet, "attempt ended"), sum(engines, "running") as usize);
+    engines.iter().for_each(|engine| switch(engine, r#"{"hang": true}"#));
+    meanwhile();
+    wait_for("attempts failed", || {
+        logged(fleet, "attempt ended") >= before + running.div_ceil(2).max(1)
+    });
+    let tokens = sum(engines, "tokens");
+    engines.iter().for_each(|engine| switch(engine, r#"{"hang": false}"#));
+    wait_for("the streams go on", || sum(engines, "tokens") > tokens + 20 * running as u64);
+}
+
+/// Two engines with slow steps, and their addresses.
+fn two_engines(instances: usize) -> (Fleet, Vec<String>) {
+    let fleet = fleet(&["suva"], instances, 2, SETTINGS);
+    let engines: Vec<String> =
+        (0..2).map(|number| address_of(&fleet, &format!("suva-engine-{number}"))).collect();
+    for engine in &engines {
+        switch(engine, &format!(r#"{{"batch": {SLOTS}, "step_ms": 20.0}}"#));
+    }
+    (fleet, engines)
+}
+
+/// Guards against pauses of all engines in series that leave no stream whole.
+#[test]
+fn many_streams_survive_a_series_of_pauses() {
+    let (fleet, engines) = two_engines(1);
+    let streams = start_mixed(&fleet, &[0], 24);
+    wait_for("all streams run", || sum(&engines, "running") == 24);
+    for _ in 0..5 {
+        pause_all(&fleet, &engines, || {});
+    }
+    engines.iter().for_each(|engine| switch(engine, r#"{"step_ms": 1.0}"#));
+    assert_all_whole(&fleet, streams);
+}
+
+/// Guards against streams that are lost if their dispatcher is paused or killed while their engines are paused.
+#[rstest]
+#[case::paused(false)]
+#[case::killed(true)]
+fn streams_survive_pauses_and_a_lost_dispatcher(#[case] kill: bool) {
+    let (mut fleet, engines) = two_engines(3);
+    let http = fleet.instances[0].http.clone();
+    assert_eq!(stream(&http, "urgent", "first", 3).expect("a response").status, 200);
+    let lost = dispatcher(&fleet, "model:draft");
+    let entries: Vec<usize> = (0..3).filter(|number| *number != lost).collect();
+    let streams = start_mixed(&fleet, &entries, 24);
+    wait_for("all streams run", || sum(&engines, "running") == 24);
+    pause_all(&fleet, &engines, || {});
+    if kill {
+        let before = logged(&fleet, "attempt ended");
+        engines.iter().for_each(|engine| switch(engine, r#"{"hang": true}"#));
+        wait_for("an attempt failed", || logged(&fleet, "attempt ended") > before);
+        fleet.instances[lost].kill();
+        let tokens = sum(&engines, "tokens");
+        engines.iter().for_each(|engine| switch(engine, r#"{"hang": false}"#));
+        wait_for("the streams go on", || sum(&engines, "tokens") > tokens + 480);
+    } else {
+        pause_all(&fleet, &engines, || {
+            let before = logged(&fleet, "attempt ended");
+            fleet.instances[lost].signal("STOP");
+            wait_for("an attempt failed", || logged(&fleet, "attempt ended") > before);
+            fleet.instances[lost].signal("CONT");
+        });
+    }
+    pause_all(&fleet, &engines, || {});
+    engines.iter().for_each(|engine| switch(engine, r#"{"step_ms": 1.0}"#));
+    for (tag, tokens, response) in join_all(streams) {
+        assert_whole(&response, &tag, tokens);
+    }
+}
