test: the bounds on failures of a stream that does not get on

A stream whose attempts break without a new token, or after a token each, ends with "incomplete" after four failures.

--- a/crates/drumusher/tests/fleet/begun_streams.rs
+++ b/crates/drumusher/tests/fleet/begun_streams.rs
@@ -290,3 +290,27 @@
         assert_whole(&response, &tag, tokens);
     }
 }
+
+/// Guards against a bound on failures that is lost: an engine that never gets on ends a request after `attempts`
+/// failures, and so does a request that breaks its connection after a token each time.
+#[rstest]
+#[case::never_gets_on(false)]
+#[case::breaks_after_a_token(true)]
+fn a_request_that_does_not_get_on_is_given_up(#[case] a_token_each_time: bool) {
+    let (fleet, engine) = one_engine(20.0, SETTINGS);
+    let mut limit = 1;
+    switch(&engine, &format!(r#"{{"truncate_at": {limit}}}"#));
+    let streams = start(&fleet, "urgent", 1, TOKENS);
+    wait_for("the request is given up", || {
+        if a_token_each_time && failed_attempts(&fleet) >= limit {
+            limit += 1;
+            switch(&engine, &format!(r#"{{"truncate_at": {limit}}}"#));
+        }
+        ended(&fleet) == 1
+    });
+    assert_eq!(failed_attempts(&fleet), 4, "{}", fleet.instances[0].lines());
+    let (tag, _, response) = join_all(streams).remove(0);
+    let text = response.streamed_text();
+    assert!(!text.is_empty() && answer(&tag, 4).starts_with(&text), "{}", response.body);
+    assert!(response.body.contains("incomplete"), "{}", response.body);
+}
