--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -1,7 +1,10 @@
 //! Streams: complete events, each once; resumed on another backend server, or cut so that they do not look
 //! complete.
 
-use std::io::{Read, Write};
+use std::{
+    io::{Read, Write},
+    thread,
+};
 
 use drumusher_adapter_stand_in::{
     Fault,
@@ -190,3 +193,47 @@
         }
     }
 }
+
+/// Guards against a resumable stream that is cut although it has attempts left: its servers stall after an event each
+/// time, less often than the route allows.
+#[rstest]
+#[case::one(1)]
+fn resumable_stream_survives_stalls_within_its_attempts(#[case] count: usize) {
+    /// Stalls of each stream.
+    const STALLS: usize = 3;
+    /// More attempts than stalls: some end before a busy server has read the request.
+    const ATTEMPTS: usize = 12;
+    let deployment = Deployment::new(1);
+    let text = configuration(2, "late");
+    let text = text.replace("\"TimeoutMs\":3000", "\"TimeoutMs\":40000");
+    let attempts = format!("\"MaxAttempts\":{ATTEMPTS}");
+    deployment.store.put("keyed.op", "config", &text.replace("\"MaxAttempts\":2", &attempts));
+    wait_for("the configuration is in force", || {
+        deployment.send(0, &Request::get("/late/")).is_ok_and(|response| response.status == 200)
+    });
+    let servers = ["m1", "m2"].map(|id| deployment.server(id));
+    servers.iter().for_each(|server| server.set(Fault::CutStreamLater));
+    let requests: Vec<Request> = (0..count).map(|_| Request::post("/talk/", "x")).collect();
+    let responses: Vec<_> = thread::scope(|scope| {
+        let send = |request| deployment.send(0, request).expect("a response");
+        let sent: Vec<_> =
+            requests.iter().map(|request| scope.spawn(move || send(request))).collect();
+        wait_for("each stream stalled often or ended", || {
+            let stalled = |request: &Request| deployment.runs(&request.id) >= STALLS;
+            requests
+                .iter()
+                .zip(&sent)
+                .all(|(request, thread)| stalled(request) || thread.is_finished())
+        });
+        servers.iter().for_each(|server| server.set(Fault::None));
+        sent.into_iter().map(|thread| thread.join().expect("the thread ends")).collect()
+    });
+    for (request, response) in requests.iter().zip(responses) {
+        let log = deployment.instances[0].log();
+        let lines: Vec<&str> = log.lines().filter(|line| line.contains(&request.id)).collect();
+        let whole = response.complete && response.text() == events(&request.id);
+        let spent = deployment.instances[0].metric(&["budget_spent"]);
+        let trace = format!("refused by the retry budget: {spent}\n{}", lines.join("\n"));
+        assert!(whole, "{} {}\n{trace}", response.status, response.text());
+    }
+}
