test: FAILS: a begun stream whose only engine rejects its attempts for a while

Callers saw the stream end with "incomplete" after 61 tokens, 1.6 s after the engine began to close its connections: "broke off", then three attempts "closed without a response", the last two as probes 0.5 and 1 s after the engine was down. `Lifecycle::may_retry` decided (failures < backend.attempts): nothing came in between, so that one outage counts as four failures. Attempts that stall before their first token do the same with a short first_byte_ms.

Whether one outage may use up all attempts of a begun stream, which the dispatcher chooses as its probe, is a question of the bound on requests that never get on; the tests show what callers see.

--- a/crates/drumusher/tests/fleet/begun_streams.rs
+++ b/crates/drumusher/tests/fleet/begun_streams.rs
@@ -4,7 +4,7 @@
 
 use drumusher_bench::{
     client::Response,
-    fleet::{Fleet, wait_for},
+    fleet::{Fleet, Relay, wait_for},
     stand_in::engine::answer,
 };
 use rstest::rstest;
@@ -314,3 +314,58 @@
     assert!(!text.is_empty() && answer(&tag, 4).starts_with(&text), "{}", response.body);
     assert!(response.body.contains("incomplete"), "{}", response.body);
 }
+
+/// How an engine rejects attempts at once.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Rejects {
+    /// It closes its connections.
+    Closes,
+    /// It answers with status 500.
+    Fails,
+}
+
+/// Guards against a stream that is cut because its only engine rejected the attempts to go on for a while.
+#[rstest]
+#[case::closes(Rejects::Closes)]
+#[case::fails(Rejects::Fails)]
+fn a_stream_survives_an_engine_that_rejects_attempts_for_a_while(#[case] rejects: Rejects) {
+    let (mut fleet, engine) = one_engine(20.0, SETTINGS);
+    let relay = Relay::new(engine.parse().expect("an address")).expect("the relay starts");
+    let backend = fleet.backends.iter_mut().find(|backend| backend.name == "suva-engine-0");
+    backend.expect("the engine").address = relay.address();
+    fleet.publish().expect("the member lists are updated");
+    wait_for("requests go through the relay", || {
+        let before = relay.bytes();
+        reached_by_request(&fleet, &engine) && relay.bytes() > before + 500
+    });
+    let streams = start(&fleet, "urgent", 1, TOKENS);
+    let tokens = engine_stat(&engine, "tokens");
+    wait_for("the stream runs", || engine_stat(&engine, "tokens") > tokens + 60);
+    if rejects == Rejects::Fails {
+        switch(&engine, r#"{"fail": true}"#);
+    }
+    // The running attempts break, and the next ones are rejected.
+    relay.cut(true);
+    relay.cut(rejects == Rejects::Closes);
+    let before = failed_attempts(&fleet);
+    wait_for("several attempts were rejected", || {
+        failed_attempts(&fleet) >= before + 4 || ended(&fleet) > 0
+    });
+    relay.cut(false);
+    switch(&engine, r#"{"fail": false, "step_ms": 1.0}"#);
+    assert_all_whole(&fleet, streams);
+}
+
+/// Guards against a stream that is cut because several attempts to go on ended before their first token, although its
+/// engine works again.
+#[test]
+fn a_stream_survives_attempts_that_end_before_their_first_token() {
+    let settings = "[backend]\nstall_ms = 300\nfirst_byte_ms = 300\n";
+    let (fleet, engine) = one_engine(20.0, settings);
+    let streams = start(&fleet, "urgent", 1, TOKENS);
+    wait_for("the stream runs", || engine_stat(&engine, "tokens") > 60);
+    switch(&engine, r#"{"hang": true}"#);
+    wait_for("several attempts failed", || failed_attempts(&fleet) >= 5 || ended(&fleet) > 0);
+    switch(&engine, r#"{"hang": false, "step_ms": 1.0}"#);
+    assert_all_whole(&fleet, streams);
+}
