fix: an unchanged table confirms relayed removals only with a stable store

What callers would see: servers that are there get no requests, since their entries, which lapsed in an outage, are dropped within two seconds after the store's return.

Cause: since an empty answer accepts all removals before the offset of the call, also those that were relayed unconfirmed. An instance that begins to read just then, and heard no report of the outage, is not uncertain. A reader whose call failed late and whose next one was answered within a heartbeat interval never reports the outage.

Fix: an empty answer counts only once the store has been stable for this instance, that is for two seconds. Removals relayed by an uncertain reader are then certain here too; the check each 100 ms completes them without another call.

Evidence: a trial of the unit test on the code before, with record_read as read_changes called it, failed: the removal was accepted at once. No routes test was run on this change.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -203,6 +203,14 @@
         }
     }
 
+    /// Records that the store answered that a table has no changes after `end`.
+    fn record_unchanged(&self, table: Table, end: Position) {
+        if table == Table::Servers {
+            let removed = self.state.borrow_mut().entries.record_unchanged(end, clock::now());
+            self.publish_removals(&removed);
+        }
+    }
+
     /// Publishes the confirmed position and, if entries were removed, the directory.
     fn publish_removals(&self, removed: &[String]) {
         let confirmed = self.state.borrow().entries.confirmed();
--- a/crates/drumusher/src/process/catalog/entries.rs
+++ b/crates/drumusher/src/process/catalog/entries.rs
@@ -35,6 +35,8 @@
     health: Health,
     /// Position up to which this instance has read the table itself.
     read_end: Position,
+    /// Position at which the store said that the table ends. What is before it may have been relayed.
+    known_end: Position,
     /// Removals before this position are applied here.
     accepted_end: Position,
     /// Removals before this position are confirmed by an instance that has seen the store continuously available.
@@ -86,13 +88,21 @@
         self.remove_confirmed(now)
     }
 
+    /// Records that the store answered that the table ends at `end`, up to which others may have relayed it. That
+    /// makes relayed removals certain only with a stable store: whoever read them may have seen an outage of which
+    /// this instance knows nothing.
+    pub fn record_unchanged(&mut self, end: Position, now: Micros) -> Vec<String> {
+        self.known_end = self.known_end.max(end);
+        self.remove_confirmed(now)
+    }
+
     /// Accepts removals, and confirms them to other instances, as far as the store's availability permits by now.
     fn advance(&mut self, now: Micros) {
         if !self.health.is_uncertain(now) {
             self.accepted_end = self.accepted_end.max(self.read_end);
         }
         if self.health.is_stable(now) {
-            self.confirm(self.read_end);
+            self.confirm(self.read_end.max(self.known_end));
         }
     }
 
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -219,7 +219,7 @@
             Changes::ResyncRequired => Ok(Outcome::Dropped),
             Changes::Records(records, _) if records.is_empty() => {
                 // A removal before `from` may have been relayed unconfirmed, and no later record may ever follow it.
-                self.record_read(table, from);
+                self.record_unchanged(table, from);
                 Ok(Outcome::Unchanged)
             }
             Changes::Records(records, end) => {
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -142,6 +142,18 @@
     assert_eq!(removed, ["a"]);
 }
 
+/// An instance that has just begun to read the store learns nothing from an answer without changes about a removal that
+/// was relayed unconfirmed. Guards against entries that lapsed in an outage that only the relaying reader saw.
+#[test]
+fn an_unchanged_table_confirms_removals_only_with_a_stable_store() {
+    let mut entries = entries();
+    assert!(entries.remove("a", at(3)));
+    entries.health_mut().record_success(1_000, false);
+    assert!(entries.record_unchanged(at(3), 1_000).is_empty());
+    assert!(entries.remove_confirmed(1_000 + RECOVERY_GRACE - 1).is_empty());
+    assert_eq!(entries.remove_confirmed(1_000 + RECOVERY_GRACE), ["a"]);
+}
+
 /// An instance that has just begun to read the store applies removals, but confirms none to others: the store may
 /// have been unavailable before.
 #[test]
