--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -182,8 +182,9 @@
     }
 
     /// Notes whether another instance reads the store and receives answers, and whether it has received them for so
-    /// long that it is `steady`. A source that receives none is replaced by another one that may: when it remained the only source, four instances read the store themselves just
-    /// after its return, and dropped all entries that had expired meanwhile.
+    /// long that it is `steady`. A source that receives none is replaced by another one that may: when it remained the
+    /// only source, four instances read the store themselves just after its return, and dropped all entries that had
+    /// expired meanwhile.
     fn note_reader_status(&self, instance: &Arc<str>, reads: bool, steady: bool) {
         let now = clock::now();
         if reads {
