fix: a report that its reader takes back refutes no suspicion

What callers would see: entries that lapsed in an outage are dropped within the two seconds after the store's return.

Cause: one report of a reader that it has had the store ended a suspicion for good. A reader that was paused through an outage may say so on waking, before its broken calls fail, and take it back with its next heartbeat.

Now the suspicion stays, and counts for nothing while such a report stands. What was accepted meanwhile stays accepted.

--- a/crates/drumusher/src/process/catalog/health.rs
+++ b/crates/drumusher/src/process/catalog/health.rs
@@ -45,6 +45,8 @@
     recovered_at: Option<Micros>,
     /// When the store first answered after an outage that only other instances saw.
     suspected_at: Option<Micros>,
+    /// When a reader last reported that the store has answered all its calls; 0 if none does.
+    steady_at: Micros,
     /// Since when the store has answered every call; `None` if no calls are made.
     healthy_since: Option<Micros>,
     /// Failures of calls that lasted this long are ignored.
@@ -57,6 +59,7 @@
             failed_at: None,
             recovered_at: None,
             suspected_at: None,
+            steady_at: 0,
             healthy_since: None,
             detection_time: DETECTION_TIME,
         }
@@ -89,10 +92,10 @@
         was_down || first && suspected
     }
 
-    /// Records that at `at` a reader reported that the store has answered all its calls: an outage that was only
-    /// suspected by then was none. One seen by own calls, or a restore, stays.
+    /// Records when a reader last reported that the store has answered all its calls, or 0 once none does. While one
+    /// does, an outage that was only suspected before was none. One seen by own calls, or a restore, stays.
     pub fn record_steady(&mut self, at: Micros) {
-        self.suspected_at.take_if(|suspected_at| at >= *suspected_at);
+        self.steady_at = at;
     }
 
     /// Records a failed call that began at `began`. Returns whether the failure makes removals uncertain. Calls for
@@ -131,15 +134,20 @@
         self.failed_at.is_some()
     }
 
+    /// When the latest outage ended, also one that is only suspected and not refuted; `None` if there was none.
+    fn outage_ended_at(&self) -> Option<Micros> {
+        let suspected_at = self.suspected_at.filter(|suspected_at| self.steady_at < *suspected_at);
+        self.recovered_at.max(suspected_at)
+    }
+
     /// Time since the store answered again after an outage; `None` if there was none.
     pub fn recovered_for(&self, now: Micros) -> Option<Micros> {
-        let ended_at = self.recovered_at.max(self.suspected_at);
-        ended_at.map(|ended_at| now.saturating_sub(ended_at))
+        self.outage_ended_at().map(|ended_at| now.saturating_sub(ended_at))
     }
 
     /// Whether entries that are missing in what is read now may only have expired during an outage.
     pub fn is_uncertain(&self, now: Micros) -> bool {
-        let ended_at = self.recovered_at.max(self.suspected_at);
+        let ended_at = self.outage_ended_at();
         self.is_down() || ended_at.is_some_and(|ended_at| now < ended_at + RECOVERY_GRACE)
     }
 
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -284,6 +284,17 @@
     assert!(!suggest(T, T + RELAY_TIMEOUT + 1, 3 * T), "it was heard well after the report");
 }
 
+/// Guards against a suspicion that stays refuted by a report which its reader took back, as after a pause.
+#[test]
+fn a_report_that_is_taken_back_refutes_no_suspicion() {
+    let mut health = Health::new();
+    assert!(health.record_success(5_000, true));
+    health.record_steady(6_000);
+    assert!(!health.is_uncertain(6_500));
+    health.record_steady(0);
+    assert!(health.is_uncertain(7_000));
+}
+
 /// An earlier failure is forgotten while updates are relayed, once the readers would have detected the outage too.
 #[test]
 fn a_failure_is_forgotten_while_idle() {
