fix: one outage of an engine does not cut the streams that it runs

What callers saw: a stream ended as incomplete after 61 of 1,500 tokens because its only engine closed connections, answered 500 or stayed silent for less than a second, and worked again afterwards.

Cause: each rejected attempt to go on was a failure without progress, and four of them end a request. The bound is meant for requests that break their engines.

Fix: once a response has begun, attempts that are rejected before any token are one outage, bounded by 60 s without a token instead of by number. A closed connection counts as such only if a second connection without a request is closed too; if that is refused, the engine ended, which may be the request's doing, and the failure counts as before.

Ruled out: more attempts (a request could crash more engines); load reports (they go to the dispatcher's instance).

--- a/crates/drumusher/src/request/lifecycle.rs
+++ b/crates/drumusher/src/request/lifecycle.rs
@@ -6,13 +6,14 @@
     ask::{Id, Outcome},
     order::Refusal,
     rank,
-    retry::backoff,
-    time::{MILLISECOND, Micros},
+    time::MILLISECOND,
 };
 use log::Level;
 use ntex::time::{Millis, sleep, timeout};
 
-use super::{arrival_token, attempt, head::Head, id, in_flight::InFlight, trace::Span};
+use super::{
+    arrival_token, attempt, failures::Failures, head::Head, id, in_flight::InFlight, trace::Span,
+};
 use crate::{
     error::{Error, Kind, Ran},
     process::{
@@ -35,9 +36,6 @@
 const MAX_OVERFLOW_ZONES: usize = 2;
 /// Time that a dispatcher may take in addition to the class's wait bound, in milliseconds.
 const DISPATCHER_GRACE_MS: u64 = 10_000;
-/// Tokens that have to be delivered before a connection breaks, for the failures before it to be forgotten. A request
-/// that crashes its engines gets a token or two from each attempt.
-const MIN_PROGRESS_TOKENS: u32 = 32;
 
 /// A request from its arrival to its end.
 pub struct Lifecycle {
@@ -61,8 +59,6 @@
     pub produced: u32,
     /// Number of attempts made.
     pub attempts: u32,
-    /// Tokens delivered before the latest failure.
-    produced_at_failure: u32,
     preemptions: u8,
     avoid: Option<Arc<str>>,
     replies: async_channel::Receiver<Reply>,
@@ -70,9 +66,7 @@
     zones: Vec<Arc<str>>,
     outstanding: bool,
     started: u64,
-    /// Consecutive failures without progress, and the backoff before the latest retry. Preempted attempts did not fail.
-    failures: u32,
-    last_backoff: Micros,
+    failures: Failures,
     /// Outcome, for the log line.
     outcome: Cell<&'static str>,
     _in_flight: InFlight,
@@ -101,15 +95,13 @@
             prefix: 0,
             produced: 0,
             attempts: 0,
-            produced_at_failure: 0,
             preemptions: 0,
             avoid: None,
             replies,
             sender,
             outstanding: false,
             started: clock::now(),
-            failures: 0,
-            last_backoff: 0,
+            failures: Failures::new(),
             outcome: Cell::new("caller gone"),
             _in_flight: in_flight,
         }
@@ -162,11 +154,11 @@
         }
     }
 
-    /// Backs off before the second and each later retry. The first retry goes to another server at once.
+    /// Backs off before a retry.
     async fn back_off(&mut self) {
-        if self.failures > 1 {
-            self.last_backoff = backoff(self.last_backoff, rand::random());
-            sleep(Millis((self.last_backoff / MILLISECOND) as u32)).await;
+        let pause = self.failures.next_backoff(rand::random()) / MILLISECOND;
+        if pause > 0 {
+            sleep(Millis(pause as u32)).await;
         }
     }
 
@@ -318,23 +310,10 @@
     /// it has: one pause of an engine breaks more streams than a budget can accumulate.
     pub fn may_retry(&mut self, server: &str, error: attempt::Error) -> bool {
         self.avoid = Some(server.into());
-        if self.has_progressed(error) {
-            (self.failures, self.last_backoff) = (0, 0);
-        }
-        self.failures += 1;
-        self.produced_at_failure = self.produced;
+        let attempts = self.shared.settings.backend.attempts;
+        let within_bounds = self.failures.record(clock::now(), self.produced, error, attempts);
         let allowed = self.repeatable || error.not_run();
-        allowed
-            && self.failures < self.shared.settings.backend.attempts
-            && (self.produced > 0 || self.spend_retry())
-    }
-
-    /// Whether enough was delivered since the latest failure for it to be forgotten. A stall is not the fault of a
-    /// request that got tokens before it; a broken connection may be, if they were few.
-    fn has_progressed(&self, error: attempt::Error) -> bool {
-        let delivered = self.produced - self.produced_at_failure;
-        let required = if error == attempt::Error::Stalled { 1 } else { MIN_PROGRESS_TOKENS };
-        delivered >= required
+        allowed && within_bounds && (self.produced > 0 || self.spend_retry())
     }
 
     fn spend_retry(&self) -> bool {
--- a/crates/drumusher/src/request/mod.rs
+++ b/crates/drumusher/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod claim;
 pub mod completion;
+pub mod failures;
 pub mod head;
 pub mod http;
 pub mod id;
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -106,6 +106,9 @@
                 }
                 Either::Left(Ok(None)) if self.scanner.finished() => self.finish(active).await,
                 Either::Left(Ok(None)) => self.handle_break(active, attempt::Error::Broken)?,
+                Either::Left(Err(attempt::Error::Stalled)) if active.first_token.is_none() => {
+                    self.handle_break(active, attempt::Error::NoResponse)?;
+                }
                 Either::Left(Err(error)) => self.handle_break(active, error)?,
                 Either::Right(()) => self.preempt(active),
             }
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -82,6 +82,12 @@
         !self.io.is_closed() && no_unread_data && idle < max_idle
     }
 
+    /// Whether the backend server closes it within `limit`, although no request was sent on it.
+    pub async fn is_closed_within(self, limit: Millis) -> bool {
+        let received = timeout(limit, self.io.recv(&self.codec)).await;
+        matches!(received, Ok(Ok(None) | Err(Either::Right(_))))
+    }
+
     /// Sends the head and body of a request.
     ///
     /// # Errors
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -8,6 +8,7 @@
 mod catalog;
 mod directory;
 mod explain;
+mod failures;
 mod fetch;
 mod hosted_pool;
 mod notices;
