fix: idle backend servers of equal cost take turns

Cause: the server with the lowest cost is chosen, and of equal ones the first by key. Idle servers without streams cost the same, so the first one gets everything that comes alone.

Ruled out: that the rewritten entry is missing or held at some instance. It is listed at all of them, and no removal is logged.

Fix: of servers with equal cost the one whose latest grant is longest ago is chosen.

--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -258,14 +258,15 @@
     }
 
     /// The backend server in scope with the lowest cost, avoiding that of the last failure if
-    /// possible.
+    /// possible. Equal ones take turns, so that an idle one is not left unused while requests come
+    /// one after the other.
     fn choose_server(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Placement> {
         if !ask.parts.is_empty() {
             return self.choose_engine(now, ask, scope);
         }
         let prefix = if self.policy.switches.affinity { ask.prefix } else { 0 };
         let typical_gap = self.mean_gap();
-        let mut best: Option<(bool, bool, f64, server::Key)> = None;
+        let mut best: Option<(bool, bool, f64, Micros, server::Key)> = None;
         for (key, server) in self.servers() {
             if !scope.includes(server, now) || self.cooldowns.is_active(now, ask.entry, key) {
                 continue;
@@ -274,9 +275,9 @@
             let failure_rate = server.failure_rate(now).unwrap_or(0.0);
             let cost = server.cost(ask.prompt, prefix, typical_gap)
                 * (1.0 + FAILURE_WEIGHT * failure_rate);
-            let better = best.is_none_or(|(b, a, c, _)| (anti_affine, avoided, cost) < (b, a, c));
-            if better {
-                best = Some((anti_affine, avoided, cost, key));
+            let order = (anti_affine, avoided, cost, server.granted_at());
+            if best.is_none_or(|(b, a, c, g, _)| order < (b, a, c, g)) {
+                best = Some((anti_affine, avoided, cost, server.granted_at(), key));
             }
         }
         let (.., server) = best?;
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -59,6 +59,8 @@
     foreign: u32,
     history: VecDeque<(Micros, u32)>,
     full_until: Micros,
+    /// When it was last granted a request.
+    granted_at: Micros,
     /// Whether its last report said that it accepts no more requests.
     reported_full: bool,
     gap: f64,
@@ -98,6 +100,7 @@
             foreign: 0,
             history: VecDeque::with_capacity(HISTORY_LEN),
             full_until: 0,
+            granted_at: 0,
             reported_full: false,
             gap: 0.0,
             gap_samples: 0,
@@ -182,6 +185,11 @@
     /// Mean time between tokens in microseconds, once there are enough samples.
     pub fn measured_gap(&self) -> Option<f64> {
         (self.gap_samples >= MIN_SAMPLES).then_some(self.gap)
+    /// When it was last granted a request; 0 if it never was.
+    pub fn granted_at(&self) -> Micros {
+        self.granted_at
+    }
+
     }
 
     /// Mean time from a grant to the first token in microseconds, once one was seen.
@@ -239,6 +247,7 @@
         if prefix == 0 {
             return;
         }
+        self.granted_at = now;
         self.prefixes.insert(prefix, now);
         if self.prefixes.len() > MAX_PREFIXES {
             let mean_use = self.prefixes.values().copied().sum::<Micros>() / MAX_PREFIXES as Micros;
