fix: of equal backend servers a random one is chosen, in place of fixed turns

Cause: a fixed turn repeats the pattern of the senders.

Fix: the draw is a hash of the request's identity and the server, the same at every dispatcher.

--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -1,5 +1,7 @@
 //! Granting free slots to waiting requests.
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::{
     Pool,
     placement::Placement,
@@ -276,15 +278,16 @@
     }
 
     /// The backend server in scope with the lowest cost, avoiding that of the last failure if
-    /// possible. Equal ones take turns, so that an idle one is not left unused while requests come
-    /// one after the other.
+    /// possible. Of equal ones it is a random one, by the request's identity: an idle server is not
+    /// left unused while requests come one after the other, and no server gets all those of one entry
+    /// when several take turns.
     fn choose_server(&mut self, now: Micros, ask: &Ask, scope: Scope) -> Option<Placement> {
         if !ask.parts.is_empty() {
             return self.choose_engine(now, ask, scope);
         }
         let prefix = if self.policy.switches.affinity { ask.prefix } else { 0 };
         let typical_gap = self.mean_gap();
-        let mut best: Option<(bool, bool, f64, Micros, server::Key)> = None;
+        let mut best: Option<(bool, bool, f64, u64, server::Key)> = None;
         for (key, server) in self.servers() {
             if !scope.includes(server, now) || self.cooldowns.is_active(now, ask.entry, key) {
                 continue;
@@ -293,9 +296,10 @@
             let failure_rate = server.failure_rate(now).unwrap_or(0.0);
             let cost = server.cost(ask.prompt, prefix, typical_gap)
                 * (1.0 + FAILURE_WEIGHT * failure_rate);
-            let order = (anti_affine, avoided, cost, server.granted_at());
-            if best.is_none_or(|(b, a, c, g, _)| order < (b, a, c, g)) {
-                best = Some((anti_affine, avoided, cost, server.granted_at(), key));
+            let draw = xxh3_64_with_seed(&key.0.to_le_bytes(), ask.id as u64);
+            let order = (anti_affine, avoided, cost, draw);
+            if best.is_none_or(|(b, a, c, d, _)| order < (b, a, c, d)) {
+                best = Some((anti_affine, avoided, cost, draw, key));
             }
         }
         let (.., server) = best?;
--- a/crates/drumusher-schedule/src/rank.rs
+++ b/crates/drumusher-schedule/src/rank.rs
@@ -54,7 +54,9 @@
 where
     C: Into<Candidate<'a>>,
 {
-    order(role, candidates).into_iter().next()
+    let candidates = candidates.into_iter().map(Into::into);
+    let keyed = candidates.map(|candidate| (candidate.sort_key(role), candidate.name));
+    keyed.min_by(compare).map(|(_, name)| name)
 }
 
 /// All candidates in their order for `role`.
@@ -65,6 +67,11 @@
     let candidates = candidates.into_iter().map(Into::into);
     let keyed = candidates.map(|candidate| (candidate.sort_key(role), candidate.name));
     let mut keyed: Vec<(f64, &str)> = keyed.collect();
-    keyed.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
+    keyed.sort_by(compare);
     keyed.into_iter().map(|(_, name)| name).collect()
 }
+
+/// The order of two candidates by their sort keys; names decide between equal ones.
+fn compare(one: &(f64, &str), other: &(f64, &str)) -> std::cmp::Ordering {
+    one.0.total_cmp(&other.0).then_with(|| other.1.cmp(one.1))
+}
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -59,8 +59,6 @@
     options: Options,
     window: f64,
     running: u32,
-    /// When it was last granted a request.
-    granted_at: Micros,
     foreign: u32,
     history: VecDeque<(Micros, u32)>,
     full_until: Micros,
@@ -100,7 +98,6 @@
             options,
             window: f64::from(options.first_slots.min(options.slots)),
             running: 0,
-            granted_at: 0,
             foreign: 0,
             history: VecDeque::with_capacity(HISTORY_LEN),
             full_until: 0,
@@ -185,11 +182,6 @@
         self.running
     }
 
-    /// When it was last granted a request; 0 if it never was.
-    pub fn granted_at(&self) -> Micros {
-        self.granted_at
-    }
-
     /// Requests on it that this dispatcher did not grant, according to its reports.
     pub fn foreign(&self) -> u32 {
         self.foreign
@@ -247,7 +239,6 @@
     /// Records a grant.
     pub fn start(&mut self, now: Micros, prefix: u64) {
         self.running += 1;
-        self.granted_at = now;
         if let Some(limiter) = &mut self.limiter {
             limiter.take(now);
         }
--- a/crates/drumusher/src/process/catalog/health.rs
+++ b/crates/drumusher/src/process/catalog/health.rs
@@ -93,9 +93,15 @@
     }
 
     /// Records when a reader last reported that the store has answered all its calls, or 0 once none does. While one
-    /// does, an outage that was only suspected before was none. One seen by own calls, or a restore, stays.
+    /// does, an outage that was only suspected before was none. One seen by own calls, or a restore, stays. What it says
+    /// after this instance's first answered call covers the time before that call too, so that a new reader whose calls
+    /// never failed takes over that the store is stable.
     pub fn record_steady(&mut self, at: Micros) {
         self.steady_at = at;
+        let since = self.healthy_since.filter(|since| self.recovered_at.is_none() && at >= *since);
+        if let Some(since) = since {
+            self.healthy_since = Some(since.min(at.saturating_sub(RECOVERY_GRACE)));
+        }
     }
 
     /// Records a failed call that began at `began`. Returns whether the failure makes removals uncertain. Calls for
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -242,6 +242,24 @@
     assert!(!health.is_uncertain(3_000 + RECOVERY_GRACE));
 }
 
+/// A new reader confirms removals at once if one that has had the store says so after its first call. Guards against
+/// removals that are held for two seconds because the other readers lost the store just after the new one began.
+#[test]
+fn a_new_reader_takes_over_stability_from_a_steady_one() {
+    let mut health = Health::new();
+    health.record_success(10_000_000, false);
+    health.record_steady(9_999_999);
+    assert!(!health.is_stable(10_500_000), "the report may be from before an outage");
+    health.record_steady(10_250_000);
+    assert!(health.is_stable(10_250_000));
+    health.record_failure(11_000_000, 11_000_000);
+    assert!(!health.is_stable(11_000_000));
+    health.record_success(11_100_000, false);
+    health.record_steady(11_200_000);
+    assert!(!health.is_stable(11_200_000), "an own failure counts more than a report");
+    assert!(health.is_stable(11_100_000 + RECOVERY_GRACE));
+}
+
 /// A suspected outage was none if a reader then reports that it has had the store. Guards against removals that are
 /// held for two seconds beside such a reader, and against entries dropped on a report of before.
 #[test]
