--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -283,7 +283,7 @@
             let records = self.shared.records();
             // The receiver would hold a removal that is not confirmed; a reader that has had the store sends it with its
             // confirmation.
-            let from = if self.shared.reader.load(Ordering::Acquire) {
+            let from = if self.relays_unconfirmed_removals() {
                 known
             } else {
                 records.without_unconfirmed_removals(&known, confirmed)
@@ -307,6 +307,14 @@
         self.send_on(number, Message::State(peer::State::new(position, snapshot)));
     }
 
+    /// Whether this instance passes on removals that are not confirmed: as a reader, unless another one that has had the
+    /// store for long enough is heard from.
+    fn relays_unconfirmed_removals(&self) -> bool {
+        let steady_seen = self.shared.store_steady_seen.load(Ordering::Acquire);
+        let reader = self.shared.reader.load(Ordering::Acquire);
+        reader && (self.is_steady() || clock::now() >= steady_seen + RELAY_TIMEOUT)
+    }
+
     /// The encoded update from `known` up to `ends`, with the tables whose part is shorter than `max_bytes`; `None`
     /// if there is none. The latest one is cached: when all instances start at once, most of them know the same
     /// positions.
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -30,7 +30,7 @@
 }
 
 fn ids(entries: &Entries) -> Vec<String> {
-    entries.servers().map(|server| server.id.clone()).collect()
+    entries.servers().map(|server| server.id.to_string()).collect()
 }
 
 fn entries() -> Entries {
