fix: a server that a dispatcher holds takes no memory for a history that it does not have

What callers saw: instances of 160 MB came near their limit when they decided for a large pool themselves.

Cause: each server of a pool reserved 128 places of 16 bytes for the history of its grants when it was added.

Fix: the history grows as it is used.

--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -13,7 +13,7 @@
 use self::{
     gap::{MIN_SAMPLES, TokenGap, moving_average},
     rate::Limiter,
-    window::{HISTORY_LEN, Sample},
+    window::Sample,
 };
 use crate::{
     ask::Outcome,
@@ -99,7 +99,7 @@
             window: f64::from(options.first_slots.min(options.slots)),
             running: 0,
             foreign: 0,
-            history: VecDeque::with_capacity(HISTORY_LEN),
+            history: VecDeque::new(),
             full_until: 0,
             reported_full: false,
             gap: 0.0,
--- a/crates/drumusher-schedule/src/server/window.rs
+++ b/crates/drumusher-schedule/src/server/window.rs
@@ -22,7 +22,7 @@
 /// Reports no further apart than this are the same one, read twice.
 const SAME_REPORT: Micros = 2 * MILLISECOND;
 /// How many changes of the number of own grants are remembered, to compare with a lagging report.
-pub(super) const HISTORY_LEN: usize = 128;
+const HISTORY_LEN: usize = 128;
 
 /// The request counts of a load report.
 #[derive(Clone, Copy, Debug)]
--- a/crates/drumusher/tests/memory.rs
+++ b/crates/drumusher/tests/memory.rs
@@ -1,5 +1,5 @@
-//! Memory that an instance needs for the table of backend servers. The only test of its process, since it reads the
-//! resident size of the process.
+//! Memory that an instance needs for the table of backend servers, and for the pools that it dispatches. The only test
+//! of its process, since it reads the resident size of the process.
 
 use std::sync::Arc;
 
@@ -11,11 +11,20 @@
     catalog::{Record, Table},
     routing::Server,
 };
+use drumusher_schedule::{
+    event::Event,
+    policy::Policy,
+    pool::Pool,
+    server::{Key, Options},
+};
 
 /// Bytes for each server. A third of an instance of 160 MB is for twice the 10,000 servers of a large fleet, and for all
 /// else that it holds: 32 MB of it for the servers.
 const MAX_BYTES_PER_SERVER: usize = 1_600;
 const SERVERS: usize = 10_000;
+/// Bytes for each server of a dispatched pool before anything is learned of it. An instance that decides for itself for a
+/// moment holds a cell of 1,024 servers for each pool; three of them may take 5 MB.
+const MAX_BYTES_PER_DISPATCHED_SERVER: usize = 1_600;
 
 /// What an instance holds of the table.
 #[derive(Default)]
@@ -95,6 +104,16 @@
     let kept = resident().saturating_sub(settled);
     println!("{settled} bytes resident, {kept} more after four changes of each server");
     assert!(kept <= settled / 64, "{kept} bytes more after changes");
+    let before = resident();
+    let mut pool = Pool::new(Arc::new(Policy::new(Vec::new(), Vec::new())), 0);
+    for key in 0..SERVERS {
+        let event = Event::Server(Key(key as u16), Options::default());
+        pool.handle(0, event, &mut Vec::new());
+    }
+    let per_server = resident().saturating_sub(before) / SERVERS;
+    println!("{per_server} bytes for each dispatched server");
+    assert!(per_server <= MAX_BYTES_PER_DISPATCHED_SERVER, "{per_server} bytes for each server");
+    assert_eq!(pool.servers().count(), SERVERS);
     assert_eq!(tables.directory.pools.len(), 1);
     assert_eq!(tables.records.keys(Table::Servers).count(), 2 * SERVERS);
 }
