perf: fewer connections to dispatchers of cells, fewer calls to the store

Change: cells of up to 1,024 servers, so that a zone of 1,578 engines has two; a dispatcher then passes over 800 servers for each of some 40 requests a second.

--- a/crates/drumusher/src/process/catalog/health.rs
+++ b/crates/drumusher/src/process/catalog/health.rs
@@ -105,7 +105,7 @@
     }
 
     /// Records a failed call that began at `began`. Returns whether the failure makes removals uncertain. Calls for
-    /// the instances wait for ten seconds, and may fail that long after an outage.
+    /// the instances wait for twenty seconds, and may fail that long after an outage.
     pub fn record_failure(&mut self, began: Micros, now: Micros) -> bool {
         if now >= began + self.detection_time {
             return false;
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -29,7 +29,7 @@
 /// Longest wait for a change of a rarely changing table, in milliseconds. A lost call does no harm here: other
 /// instances learn of a new instance from its connection to a reader, and of a quarantined request from its
 /// dispatcher.
-const LONG_WAIT_MS: u64 = 10_000;
+const LONG_WAIT_MS: u64 = 20_000;
 /// An instance that hears from no reader for this long polls the store itself. Four heartbeat intervals, and half
 /// of the time within which a change has to be in force.
 pub const RELAY_TIMEOUT: Micros = 1_000 * MILLISECOND;
--- a/crates/drumusher/src/process/peers/heartbeat.rs
+++ b/crates/drumusher/src/process/peers/heartbeat.rs
@@ -21,7 +21,7 @@
 const CONNECT_TIMEOUT: u64 = 400 * MILLISECOND;
 /// Most pools to whose dispatchers a connection is kept open before they have requests. Each costs two
 /// heartbeats of some 40 bytes per [`HEARTBEAT_INTERVAL`].
-const MAX_PRECONNECTED: usize = 16;
+const MAX_PRECONNECTED: usize = 8;
 /// Interval between checks for unanswered asks.
 const UNANSWERED_CHECK_INTERVAL: Millis = Millis(32);
 /// A check that is this late shows that this process was paused, in microseconds.
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -238,11 +238,23 @@
     reader.finish(settings)
 }
 
+/// Default time within which a change in the store has to be in force, in milliseconds.
+const DEFAULT_APPLY_MS: u64 = 6_000;
+/// Shortest default of `store.wait_ms`.
+const MIN_STORE_WAIT_MS: u64 = 1_500;
+
+/// How long a call to the store waits for a change if a change has to be in force within `apply_ms`: two thirds of it.
+/// A change is delivered at once; only a reader whose answer was lost learns of it with its next call.
+fn store_wait_ms(apply_ms: u64) -> u64 {
+    (apply_ms * 2 / 3).clamp(MIN_STORE_WAIT_MS, 30_000)
+}
+
 fn read(reader: &mut Reader) -> Settings {
     let availability_zone = reader.name("instance.availability_zone");
     let store = reader.optional_address("store.address");
     let peer = reader.address("instance.peer");
-    let wait_ms = reader.count("store.wait_ms", 4_000, 100, 30_000);
+    let apply_ms = reader.count("store.apply_ms", DEFAULT_APPLY_MS, 100, 600_000);
+    let wait_ms = reader.count("store.wait_ms", store_wait_ms(apply_ms), 100, 30_000);
     let spread_ms = reader.count("store.spread_ms", 0, 0, 60_000);
     Settings {
         source: String::new(),
--- a/crates/drumusher/src/version/cell.rs
+++ b/crates/drumusher/src/version/cell.rs
@@ -14,8 +14,9 @@
 
 /// A service with no more servers than this is not divided: one set of books places requests best.
 pub const MAX_UNDIVIDED: usize = 512;
-/// Maximum number of servers of a cell, on average over its zone.
-pub const MAX_SERVERS: usize = 256;
+/// Maximum number of servers of a cell, on average over its zone. Smaller cells cost more connections: each instance
+/// exchanges heartbeats with the dispatchers of all cells of its zone.
+pub const MAX_SERVERS: usize = 1_024;
 /// Maximum number of cells of a zone.
 pub const MAX_CELLS: u16 = 64;
 /// Number of other cells that are tried after a refusal.
--- a/crates/drumusher/tests/unit/settings.rs
+++ b/crates/drumusher/tests/unit/settings.rs
@@ -2,6 +2,7 @@
 
 use drumusher::settings::{Regions, parse};
 use drumusher_schedule::policy::Switches;
+use rstest::rstest;
 
 const EXAMPLE: &str = include_str!("../../settings.example.toml");
 
@@ -54,6 +55,18 @@
     assert!(faults[0].reason.contains("sides"), "{}", faults[0].reason);
 }
 
+/// The wait of a call to the store follows from the time within which a change has to be in force, unless it is set.
+#[rstest]
+#[case("apply_ms = 2000", 1_500)]
+#[case("apply_ms = 5000", 3_333)]
+#[case("apply_ms = 600000", 30_000)]
+#[case("apply_ms = 5000\nwait_ms = 700", 700)]
+fn the_store_wait_follows_the_time_to_apply(#[case] keys: &str, #[case] wait_ms: u64) {
+    let section = format!("[store]\naddress = \"127.0.0.1:9100\"\n{keys}\n");
+    let settings = parse(&EXAMPLE.replacen("[store]", &section, 1)).expect("no fault");
+    assert_eq!(settings.store.expect("a store").wait_ms, wait_ms);
+}
+
 #[test]
 fn all_errors_are_reported_together() {
     let text = r#"
