fix: services of engines are sized by reading time as well as by slots

Cause: the load told to the autoscaler is the number of requests.

Ruled out: the warm-up limit.

Fix: the load is the requests, or the slots of the engines that recent prompts keep busy reading if those are more.

--- a/crates/drumusher-schedule/src/partition.rs
+++ b/crates/drumusher-schedule/src/partition.rs
@@ -56,6 +56,11 @@
         demand.add(now, time);
     }
 
+    /// How many engines the recent requests keep busy with their prompts.
+    pub fn busy_engines(&self, now: Micros) -> f64 {
+        (self.tolerant.level_at(now) + self.sensitive.level_at(now)) / DECAY_TIME
+    }
+
     /// How many of `total` engines serve delay-tolerant requests. Fewer than two engines are not
     /// partitioned.
     pub fn tolerant_engines(&mut self, now: Micros, total: usize) -> usize {
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -171,6 +171,15 @@
         self.requests.len() - self.queue.len()
     }
 
+    /// The load in slots, for sizing the pool: the requests that run or wait, or the slots of the engines that are kept
+    /// busy reading prompts if those are more. Engines with many slots are out of reading time long before their slots
+    /// are taken.
+    pub fn load(&self, now: Micros) -> u32 {
+        let slots = self.servers().map(|(_, server)| server.slots()).max().unwrap_or(0);
+        let reading = (self.partition.busy_engines(now) * f64::from(slots)).ceil() as u32;
+        (self.requests.len() as u32).max(reading)
+    }
+
     /// Iterates over the waiting requests.
     pub fn iter_waiting(&self) -> impl Iterator<Item = &Waiting> {
         self.requests.iter().filter_map(|(_, state)| match state {
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -167,6 +167,11 @@
         self.options.rank
     }
 
+    /// Maximum requests given to it at once.
+    pub fn slots(&self) -> u32 {
+        self.options.slots
+    }
+
     /// Its region.
     pub fn region(&self) -> region::Key {
         self.options.region
--- a/crates/drumusher-schedule/tests/schedule/load.rs
+++ b/crates/drumusher-schedule/tests/schedule/load.rs
@@ -1,7 +1,7 @@
 //! What lagging load reports show of an engine's capacity.
 
 use drumusher_schedule::{
-    ask::{Ask, Outcome},
+    ask::{Ask, Outcome, Part},
     event::{Event, Load},
     server::Key,
     time::{MILLISECOND, Micros, SECOND},
@@ -153,3 +153,25 @@
     }
     assert_eq!(window(&harness), 2);
 }
+
+/// Guards against a pool that is sized by its slots alone: 160 prompts a second of 20 ms each keep 3.2 engines busy with
+/// reading, however few of 128 slots they take. A pool of engines with so many slots was cut to a sixth, and served a third
+/// of its requests in time.
+#[test]
+fn the_load_of_engines_includes_the_time_for_reading() {
+    const PER_SECOND: u64 = 160;
+    const TOKENS: u32 = 1_000;
+    let mut harness = Harness::new(policy(), 30, 128);
+    for number in 0..10 * PER_SECOND {
+        harness.now += SECOND / PER_SECOND;
+        let (id, now) = (u128::from(number + 1), harness.now);
+        let parts = vec![Part { id: 1_000 + number, tokens: TOKENS }];
+        harness.ask(Ask { parts, prompt: TOKENS, ..ask(id, BULK, now) });
+        harness.progress(id, 1, 0);
+        harness.finish(id, Outcome::Done);
+    }
+    let engines = f64::from(harness.pool.load(harness.now)) / 128.0;
+    assert!((2.4..4.0).contains(&engines), "{engines} engines");
+    harness.advance(20 * SECOND);
+    assert!(harness.pool.load(harness.now) < 10, "nothing is read any more");
+}
--- a/crates/drumusher/src/process/dispatch/usage.rs
+++ b/crates/drumusher/src/process/dispatch/usage.rs
@@ -80,13 +80,14 @@
         self.shared.tally().count_started(window, &workspace.name);
     }
 
-    /// Records how many requests of each service run or wait here, if autoscaling is enabled.
+    /// Records the load of each service here, if autoscaling is enabled.
     pub(super) fn record_load(&self) {
         if !self.shared.settings.duties.as_ref().is_some_and(|duties| duties.autoscale) {
             return;
         }
+        let now = clock::now();
         for (pool, hosted) in &self.pools {
-            let busy = (hosted.scheduler.waiting() + hosted.scheduler.running()) as u32;
+            let busy = hosted.scheduler.load(now);
             if let Some(service) = pool.service()
                 && busy > 0
             {
