test: servers of the attempt tests pass over connections without a request

Cause: after a closed connection an attempt opens one more, without a request, to learn whether all are closed. If the server of the test has ended, its port may be that of another test's server, which took the probe for its request and read the end of the connection for ever (both spinning threads had no line to read).

Fix: a connection that ends without a request does not count, and reading stops at its end. All checks stay.

--- a/crates/drumusher/tests/unit/attempt.rs
+++ b/crates/drumusher/tests/unit/attempt.rs
@@ -16,28 +16,35 @@
 const RESPONSE: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 
 /// Starts a server that reads one request from each of `responses.len()` connections and closes it after sending the
-/// response. Returns its address, and the thread that returns the bodies.
+/// response. Connections that end without a request do not count: a probe may come late, also one for a server whose port
+/// this one got. Returns its address, and the thread that returns the bodies.
 fn serve(responses: Vec<&'static [u8]>) -> (String, JoinHandle<Vec<Vec<u8>>>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("an address").to_string();
     let server = thread::spawn(move || {
         let answer = |response: &[u8]| {
-            let (connection, _) = listener.accept().expect("a connection");
-            let mut reader = BufReader::new(connection);
-            let body = read_body(&mut reader);
-            reader.get_mut().write_all(response).expect("the response is sent");
-            body
+            loop {
+                let (connection, _) = listener.accept().expect("a connection");
+                let mut reader = BufReader::new(connection);
+                if let Some(body) = read_body(&mut reader) {
+                    reader.get_mut().write_all(response).expect("the response is sent");
+                    return body;
+                }
+            }
         };
         responses.into_iter().map(answer).collect()
     });
     (address, server)
 }
 
-fn read_body(reader: &mut impl BufRead) -> Vec<u8> {
+/// Reads a request and returns its body; `None` if the connection ended before it.
+fn read_body(reader: &mut impl BufRead) -> Option<Vec<u8>> {
     let mut length = 0;
     loop {
         let mut line = String::new();
-        reader.read_line(&mut line).expect("a line of the head");
+        if reader.read_line(&mut line).expect("a line of the head") == 0 {
+            return None;
+        }
         if line == "\r\n" {
             break;
         }
@@ -47,7 +54,7 @@
     }
     let mut body = vec![0; length];
     reader.read_exact(&mut body).expect("the body");
-    body
+    Some(body)
 }
 
 /// Sends a request. Returns the status of the response.
