test: a relay can refuse connections

Tests of engines that restart need a port on which nothing listens. A cut relay accepts each connection and closes it, which a restarting process does not. A second socket that is bound and never listens keeps the port while connections are refused.

--- a/crates/drumusher-bench/src/fleet/relay.rs
+++ b/crates/drumusher-bench/src/fleet/relay.rs
@@ -1,4 +1,5 @@
-//! A TCP relay that injects network faults: cut, reset, delay, limited bandwidth, and stalls in one or both directions.
+//! A TCP relay that injects network faults: cut, refused connections, reset, delay, limited bandwidth, and stalls in one
+//! or both directions.
 
 use std::{
     collections::HashMap,
@@ -12,10 +13,12 @@
     time::{Duration, Instant},
 };
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Bytes forwarded at once.
 const CHUNK: usize = 16 * 1024;
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 128;
 /// Interval at which a stalled direction checks whether it may continue.
 const STALL_POLL: Duration = Duration::from_millis(5);
 
@@ -67,7 +70,12 @@
 /// Forwards TCP connections to a target.
 pub struct Relay {
     address: SocketAddr,
+    target: SocketAddr,
     state: Arc<State>,
+    /// The listening socket; `None` while connections are refused.
+    listener: Mutex<Option<TcpListener>>,
+    /// Bound to the relay's port and never listening, so that the port stays reserved while connections are refused.
+    _reserved: Socket,
 }
 
 impl Relay {
@@ -77,19 +85,36 @@
     ///
     /// Any I/O error of binding the listener or spawning its thread.
     pub fn new(target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
-        let state = Arc::new(State::default());
-        let shared = state.clone();
+        let reserved = bind("127.0.0.1:0".parse().map_err(io::Error::other)?)?;
+        let address = reserved.local_addr()?.as_socket().ok_or(io::ErrorKind::AddrNotAvailable)?;
+        let (state, listener) = (Arc::new(State::default()), Mutex::new(None));
+        let relay = Relay { address, target, state, listener, _reserved: reserved };
+        relay.listen()?;
+        Ok(relay)
+    }
+
+    /// Accepts connections on a new listening socket, on a thread that ends with the socket.
+    fn listen(&self) -> io::Result<()> {
+        let socket = bind(self.address)?;
+        socket.listen(BACKLOG)?;
+        let listener = TcpListener::from(socket);
+        let incoming = listener.try_clone()?;
+        let (shared, target) = (self.state.clone(), self.target);
         thread::Builder::new().name("relay".into()).spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if !shared.cut.load(Ordering::Acquire) {
+            loop {
+                match incoming.accept() {
                     // If the target refuses the connection, dropping the stream closes the client's.
-                    let _ = relay_connection(stream, target, &shared);
+                    Ok((stream, _)) if !shared.cut.load(Ordering::Acquire) => {
+                        let _ = relay_connection(stream, target, &shared);
+                    }
+                    // The socket was shut down.
+                    Err(error) if error.kind() == io::ErrorKind::InvalidInput => return,
+                    _ => {}
                 }
             }
         })?;
-        Ok(Relay { address, state })
+        *self.listener.lock().expect("no holder panics") = Some(listener);
+        Ok(())
     }
 
     /// Address on which it listens.
@@ -122,13 +147,29 @@
     /// With `true`, closes all connections and every new one; with `false`, accepts connections again.
     pub fn cut(&self, cut: bool) {
         self.state.cut.store(cut, Ordering::Release);
-        if !cut {
-            return;
+        if cut {
+            self.state.close_all();
         }
-        let mut open = self.state.open.lock().expect("no holder panics");
-        for (_, pair) in open.drain() {
-            pair.close();
+    }
+
+    /// With `true`, closes all connections and refuses every new one, as a host does whose process ended; with `false`,
+    /// accepts connections again.
+    ///
+    /// # Errors
+    ///
+    /// Any I/O error of listening again.
+    pub fn refuse(&self, refuse: bool) -> io::Result<()> {
+        self.state.cut.store(refuse, Ordering::Release);
+        let listener = self.listener.lock().expect("no holder panics").take();
+        if let Some(listener) = listener {
+            // Ends the blocking accept of the relay's thread.
+            SockRef::from(&listener).shutdown(Shutdown::Both)?;
         }
+        if !refuse {
+            return self.listen();
+        }
+        self.state.close_all();
+        Ok(())
     }
 }
 
@@ -180,6 +221,14 @@
         until - now
     }
 
+    /// Closes all connections.
+    fn close_all(&self) {
+        let mut open = self.open.lock().expect("no holder panics");
+        for (_, pair) in open.drain() {
+            pair.close();
+        }
+    }
+
     /// Closes a connection, unless a cut or reset has already closed it.
     fn close(&self, number: u64) {
         let pair = self.open.lock().expect("no holder panics").remove(&number);
@@ -189,6 +238,14 @@
     }
 }
 
+/// A socket bound to an address that other sockets may be bound to as well.
+fn bind(address: SocketAddr) -> io::Result<Socket> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    Ok(socket)
+}
+
 /// Connects to the target and forwards bytes in both directions, each on its own thread.
 fn relay_connection(client: TcpStream, address: SocketAddr, state: &Arc<State>) -> io::Result<()> {
     let target = TcpStream::connect(address)?;
@@ -197,6 +254,10 @@
     let number = state.next.fetch_add(1, Ordering::Relaxed);
     let pair = Pair { client: client.try_clone()?, target: target.try_clone()? };
     state.open.lock().expect("no holder panics").insert(number, pair);
+    if state.cut.load(Ordering::Acquire) {
+        // The relay was cut while this connection was set up.
+        state.close(number);
+    }
     let reverse = (target.try_clone()?, client.try_clone()?);
     copy(client, target, state.clone(), number, Direction::ToTarget)?;
     copy(reverse.0, reverse.1, state.clone(), number, Direction::FromTarget)
