--- a/crates/drumusher-schedule/tests/schedule/outage.rs
+++ b/crates/drumusher-schedule/tests/schedule/outage.rs
@@ -6,6 +6,8 @@
     time::{MILLISECOND, SECOND},
 };
 
+use rstest::rstest;
+
 use crate::support::{BULK, Harness, URGENT, ask, granted, policy, refused};
 
 /// Streams that one pause breaks.
@@ -195,3 +197,64 @@
     assert!(!refused.is_empty(), "the queue is too long");
     assert!(refused.iter().all(|id| (11..211).contains(id)), "{refused:?}");
 }
+
+/// Time at which a pool whose only server refuses every attempt first refuses one of twelve begun streams, since its
+/// connections broke; at most a minute. Each stream asks again at once. Also returns the pauses before the probes.
+fn first_refusal_of_begun_streams(wait: u64) -> (Option<u64>, Vec<u64>) {
+    let mut policy = policy();
+    policy.classes[usize::from(URGENT)].wait = wait;
+    let mut harness = Harness::new(policy, 1, STREAMS as u32);
+    let start = harness.now;
+    for id in 0..12 {
+        assert_eq!(granted(&harness.ask(ask(id, URGENT, start))).len(), 1);
+        harness.progress(id, 1, 0);
+    }
+    let begun = |id| Ask { produced: 100, ..ask(id, URGENT, start) };
+    let mut failed: Vec<u128> = (0..12).collect();
+    let mut pauses = Vec::new();
+    while harness.now < start + 60 * SECOND {
+        let mut orders = Vec::new();
+        for id in std::mem::take(&mut failed) {
+            orders.extend(harness.finish(id, Outcome::Failed));
+            orders.extend(harness.ask(begun(id)));
+        }
+        if let Some(pause) = health(&harness, 0).down_for()
+            && pauses.last() != Some(&pause)
+        {
+            pauses.push(pause);
+        }
+        orders.extend(harness.advance(50 * MILLISECOND));
+        if !refused(&orders).is_empty() {
+            return (Some(harness.now - start), pauses);
+        }
+        failed = granted(&orders).into_iter().map(|(id, _)| id).collect();
+    }
+    (None, pauses)
+}
+
+/// Guards against begun streams that are refused, and so cut, while an outage may still end within a minute.
+#[rstest]
+#[case::five_seconds(5 * SECOND)]
+#[case::ten_seconds(10 * SECOND)]
+#[case::thirty_seconds(30 * SECOND)]
+fn begun_streams_are_not_refused_in_an_outage_of_a_minute(#[case] wait: u64) {
+    let (refused_at, pauses) = first_refusal_of_begun_streams(wait);
+    assert_eq!(refused_at, None, "pauses {pauses:?}");
+}
+
+/// Guards against begun streams that wait for most of an outage's length again after it ended: the pause before the
+/// next probe stays short while they wait.
+#[test]
+fn probes_stay_frequent_while_begun_streams_wait() {
+    let (_, pauses) = first_refusal_of_begun_streams(120 * SECOND);
+    assert!(pauses.iter().all(|pause| *pause <= 2 * SECOND), "{pauses:?}");
+}
+
+/// Guards against begun streams that are refused because their only server is not listed for a moment.
+#[test]
+fn begun_streams_wait_for_a_server_that_is_not_listed() {
+    let mut harness = Harness::new(policy(), 1, 4);
+    harness.handle(drumusher_schedule::event::Event::Leave(Key(0)));
+    let now = harness.now;
+    assert_eq!(refused(&harness.ask(Ask { produced: 100, ..ask(1, URGENT, now) })), []);
+}
--- a/crates/drumusher/tests/fleet/main.rs
+++ b/crates/drumusher/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod draining;
 mod end_to_end;
+mod engine_outages;
 mod engine_pause;
 mod failover;
 mod isolation;
--- a/crates/drumusher/tests/unit/failures.rs
+++ b/crates/drumusher/tests/unit/failures.rs
@@ -66,3 +66,42 @@
         assert_eq!(failures.next_backoff(0.5), 0);
     }
 }
+
+/// Guards against a begun response that is cut by a series of breaks, each after a few tokens, as an engine that is
+/// restarted several times causes them. Between the breaks, the engine rejects `rejections` attempts.
+#[rstest]
+#[case::served_at_once(0)]
+#[case::refused_for_a_while(3)]
+fn breaks_after_a_few_tokens_are_outlived(#[case] rejections: u32) {
+    let mut failures = Failures::new();
+    for round in 0..8 {
+        let (now, produced) = (u64::from(round) * 2 * SECOND, 100 + 6 * round);
+        assert!(failures.record(now, produced, Error::Broken, ATTEMPTS), "break {round}");
+        for rejection in 1..=rejections {
+            let now = now + u64::from(rejection) * 100 * MILLISECOND;
+            assert!(failures.record(now, produced, Error::NotSent, ATTEMPTS), "break {round}");
+        }
+    }
+}
+
+/// Guards against outages that are measured together although the response got on between them: each is short.
+#[test]
+fn short_outages_far_apart_are_outlived() {
+    let mut failures = Failures::new();
+    for round in 0..4 {
+        let (now, produced) = (u64::from(round) * 25 * SECOND, 100 + 20 * round);
+        assert!(failures.record(now, produced, Error::NotSent, ATTEMPTS), "outage {round}");
+        assert!(failures.record(now + SECOND, produced, Error::NotSent, ATTEMPTS));
+    }
+}
+
+/// Guards against a begun response that is cut because its engine closes connections once it has read a request, as a
+/// proxy before a stopped engine does.
+#[test]
+fn connections_closed_after_the_request_are_outlived_for_a_while() {
+    let mut failures = Failures::new();
+    assert!(failures.record(0, 100, Error::Broken, ATTEMPTS));
+    for second in 1..30 {
+        assert!(failures.record(second * SECOND, 100, Error::Closed, ATTEMPTS), "{second} s");
+    }
+}
