test: FAILS: begun responses outlive series of outages drawn from a seed

A seed draws instances, engines, streams of both classes, some of them not streamed, and a series of up to eight outages of sixteen kinds that may overlap. Each response whose entry was not killed has to be whole. The relay can close each connection once data to the target was read.

--- a/crates/drumusher-bench/src/fleet/relay.rs
+++ b/crates/drumusher-bench/src/fleet/relay.rs
@@ -1,5 +1,5 @@
-//! A TCP relay that injects network faults: cut, refused connections, reset, delay, limited bandwidth, and stalls in one
-//! or both directions.
+//! A TCP relay that injects network faults: cut, refused connections, reset, close on data, delay, limited bandwidth,
+//! and stalls in one or both directions.
 
 use std::{
     collections::HashMap,
@@ -38,6 +38,8 @@
     StalledFromTarget,
     /// Bytes in both directions are held back until another mode is set.
     Stalled,
+    /// A connection is accepted, and closed once bytes to the target were read.
+    ClosedOnData,
 }
 
 /// Direction in which a relay forwards bytes.
@@ -188,6 +190,8 @@
             let mode = *self.mode.lock().expect("no holder panics");
             let stalled = match mode {
                 Mode::Open => false,
+                Mode::ClosedOnData if direction == Direction::ToTarget => return false,
+                Mode::ClosedOnData => false,
                 Mode::Delayed(delay) => {
                     thread::sleep(delay);
                     false
--- a/crates/drumusher/tests/fleet/main.rs
+++ b/crates/drumusher/tests/fleet/main.rs
@@ -11,6 +11,7 @@
 mod engine_pause;
 mod failover;
 mod isolation;
+mod outage_series;
 mod refusal;
 mod shutdown;
 mod starvation;
