fix: a begun answer is not refused in an outage of its backend servers

What callers saw: twelve begun streams at one engine that refused connections for 15.6 s or more: one whole, eleven ended with no_server, to come back in 14.9 s, in the same millisecond. So did engines that hung, failed or were silent for as long.

Cause: Pool::must_refuse_in_outage refused an ask whose answer had begun once the time waited and the time to the next probe exceeded the wait of its class (30 s by default), and the pause before a probe doubles to 15 s: 15.6 + 14.9 > 30 at the fifth failed probe. Short waits of a class cut at 3.55 s (5 s) and 7.55 s (10 s).

Ruled out: the bounds on failures (the cut streams had one failed attempt each), the retry budget, shedding and expiry (they exempt begun answers).

Fix: the dispatcher does not refuse begun answers in an outage; their entry instance decides when one is given up. While all backend servers of a pool are down and a begun answer waits, a probe is due after two seconds at most. New requests are refused at once as before.

Tests: an_answer_that_has_begun_waits_as_long_as_its_class_allows asserted the refusal itself ("fifteen are not"), which is what callers lost answers by. It is replaced by an_answer_that_has_begun_outlives_an_outage_of_a_minute: the same pool, refused nowhere in a minute, granted a probe each 2.1 s, and new requests refused throughout.

--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -70,6 +70,8 @@
     preempting: usize,
     /// Running attempts outside reserved capacity, by tier.
     running_tiers: BTreeMap<u8, usize>,
+    /// Number of waiting requests whose answer has begun.
+    begun_waiting: usize,
     /// When waiting requests reach the longest wait of their class.
     wait_deadlines: BTreeSet<(Micros, Key)>,
     /// Tokens that each class may use of its reserved capacity.
@@ -106,6 +108,7 @@
             preemptible: BTreeMap::new(),
             preempting: 0,
             running_tiers: BTreeMap::new(),
+            begun_waiting: 0,
             wait_deadlines: BTreeSet::new(),
             reserved_credit: BTreeMap::new(),
             grants: 0,
@@ -362,6 +365,7 @@
         self.queue.remove(position, key);
         self.wait_deadlines.remove(&(self.wait_deadline(&waiting), key));
         self.keys.remove(&waiting.ask.id);
+        self.begun_waiting -= usize::from(waiting.ask.has_begun());
         self.share.usage(position.workspace).waiting -= 1;
         if !self.queue.contains(position.tier, position.workspace) {
             self.share.deactivate(position.tier, position.workspace);
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -6,7 +6,7 @@
 mod window;
 
 pub use gap::{Baseline, Sensitivity};
-pub use health::Health;
+pub use health::{Health, Urgency};
 
 use std::collections::{HashMap, VecDeque};
 
