fix: an engine that answers queries again is probed at once

What callers saw: after an engine that refused connections for 9 s was back, new requests were refused for another 4.4 s (23 refusals, no_server), and for 11.9 s after 16.5 s (60 refusals).

Cause: the pause before the next probe doubles with each failed probe, and new requests are refused while more than two seconds of it are left. The dispatcher's instance asks each engine for its load every 250 ms meanwhile and made nothing of it.

Ruled out: failures after the return (0 to 3 attempts ended, none after refused connections).

Fix: a query for the load without an answer marks the server as unreachable; the next answer makes the probe of a server that is down due at once. Servers that answered all the time (they hang or fail) keep their pause, and servers without such queries (plain services and routed requests) too.

--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -129,6 +129,11 @@
             Event::Progress(progress) => self.progress(now, progress),
             Event::Finish(id, outcome, produced) => self.finish(now, id, outcome, produced),
             Event::Load(load) => self.apply_report(now, &load),
+            Event::Unreachable(key) => {
+                if let Some(server) = self.server_mut(key) {
+                    server.note_unreachable();
+                }
+            }
             Event::CachedParts(key, parts) => {
                 if let Some(server) = self.server_mut(key) {
                     server.engine_mut().add_cached(now, &parts);
@@ -263,6 +268,9 @@
     }
 
     fn apply_report(&mut self, now: Micros, load: &crate::event::Load) {
+        if let Some(server) = self.server_mut(load.server) {
+            server.note_reachable(now);
+        }
         if !self.policy.switches.learning {
             return;
         }
--- a/crates/drumusher-schedule/src/server/health.rs
+++ b/crates/drumusher-schedule/src/server/health.rs
@@ -138,6 +138,22 @@
         }
     }
 
+    /// Records that a query for its load had no answer.
+    pub fn note_unreachable(&mut self) {
+        self.unreachable = true;
+    }
+
+    /// Records that it answered a query for its load. If it is down and did not answer the query before, it is back and
+    /// its probe is due.
+    pub fn note_reachable(&mut self, now: Micros) {
+        if !std::mem::take(&mut self.unreachable) {
+            return;
+        }
+        if let Health::Down(until, _) = self.health {
+            self.health = Health::Down(until.min(now), MIN_DOWN_PAUSE);
+        }
+    }
+
     /// Records that it failed a request.
     pub(super) fn record_failure(&mut self, now: Micros) {
         self.failures += 1;
--- a/crates/drumusher-schedule/tests/schedule/outage.rs
+++ b/crates/drumusher-schedule/tests/schedule/outage.rs
@@ -2,6 +2,7 @@
 
 use drumusher_schedule::{
     ask::{Ask, Outcome},
+    event::{Event, Load},
     policy::Policy,
     server::{Health, Key},
     time::{MILLISECOND, SECOND},
@@ -134,6 +135,28 @@
     assert!(harness.now > begins + 60 * SECOND);
 }
 
+/// Guards against new requests that are refused for seconds after their backend server is back.
+#[test]
+fn a_backend_server_that_answers_queries_again_is_probed_at_once() {
+    let mut harness = long_outage(policy());
+    let load = |harness: &Harness| {
+        Event::Load(Load { server: Key(0), as_of: harness.now, running: 0, waiting: 0, full: None })
+    };
+    harness.handle(load(&harness));
+    let now = harness.now;
+    assert_eq!(
+        refused(&harness.ask(ask(10, URGENT, now))),
+        [10],
+        "it answered queries all the time"
+    );
+    harness.handle(Event::Unreachable(Key(0)));
+    assert_eq!(refused(&harness.ask(ask(11, URGENT, now))), [11], "it is not back");
+    harness.handle(load(&harness));
+    assert_eq!(granted(&harness.ask(ask(12, URGENT, now))), [(12, 0)]);
+    let orders = harness.ask(ask(13, URGENT, now));
+    assert_eq!((granted(&orders), refused(&orders)), (vec![], vec![]), "it waits for the probe");
+}
+
 /// Guards against one pause that makes its backend server an outlier, which then needs several
 /// successful probes in a row.
 #[test]
