--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -237,16 +237,28 @@
     state
 }
 
+/// Milliseconds to apply `count` log records to an empty state, in order and with their offsets.
+fn apply_ms<S>(
+    count: usize,
+    record: impl Fn(usize) -> Vec<u8>,
+    empty: impl FnOnce() -> S,
+    apply: impl Fn(&mut S, u64, &[u8]),
+) -> f64 {
+    let bodies: Vec<Vec<u8>> = (0..count).map(record).collect();
+    let since = Instant::now();
+    let mut state = empty();
+    for (offset, body) in bodies.iter().enumerate() {
+        apply(&mut state, offset as u64, body);
+    }
+    black_box(&state);
+    since.elapsed().as_secs_f64() * 1e3
+}
+
 fn apply_time() -> Slope {
     let cost = |count: usize| {
-        let bodies: Vec<Vec<u8>> = (0..count).map(command).collect();
-        let since = Instant::now();
-        let mut state = State::new();
-        for (offset, body) in bodies.iter().enumerate() {
-            apply(&mut state, offset as u64, 0, body);
-        }
-        black_box(&state);
-        since.elapsed().as_secs_f64() * 1e3
+        apply_ms(count, command, State::new, |state, offset, body| {
+            apply(state, offset, 0, body);
+        })
     };
     Slope {
         name: "configuration follower: applying a log",
@@ -282,14 +294,10 @@
 
 fn claim_time() -> Slope {
     let cost = |count: usize| {
-        let bodies: Vec<Vec<u8>> = (0..count).map(claim).collect();
-        let since = Instant::now();
-        let mut index = claim::Index::new(0);
-        for (offset, body) in bodies.iter().enumerate() {
-            index.apply(offset as u64, 0, body);
-        }
-        black_box(&index);
-        since.elapsed().as_secs_f64() * 1e3
+        let empty = || claim::Index::new(0);
+        apply_ms(count, claim, empty, |index, offset, body| {
+            index.apply(offset, 0, body);
+        })
     };
     Slope {
         name: "claim index: applying claims",
--- a/crates/drumusher-bench/src/policy/baseline.rs
+++ b/crates/drumusher-bench/src/policy/baseline.rs
@@ -14,6 +14,20 @@
 
 use super::Scheduler;
 
+/// The grant of a baseline, which keeps no account of expected or waited time.
+fn grant(ask: &Ask, server: server::Key) -> Order {
+    Order::Grant {
+        id: ask.id,
+        entry: ask.entry,
+        server,
+        source: None,
+        expected: 0,
+        choice: Choice::LeastLoaded,
+        waited: 0,
+        overtaken: 0,
+    }
+}
+
 /// One queue for the pool, ordered by tier and arrival or by arrival alone. Grants go to the backend server with the
 /// fewest running requests.
 pub struct Queue {
@@ -46,17 +60,7 @@
             let tier = self.policy.class(ask.class).tier;
             self.running.insert(ask.id, (server, tier));
             self.servers.entry(server).and_modify(|(running, _)| *running += 1);
-            let choice = Choice::LeastLoaded;
-            orders.push(Order::Grant {
-                id: ask.id,
-                entry: ask.entry,
-                server,
-                source: None,
-                expected: 0,
-                choice,
-                waited: 0,
-                overtaken: 0,
-            });
+            orders.push(grant(&ask, server));
         }
     }
 
@@ -127,17 +131,7 @@
                 let Some(server) = self.choose() else {
                     return;
                 };
-                let (id, entry, choice) = (ask.id, ask.entry, Choice::LeastLoaded);
-                orders.push(Order::Grant {
-                    id,
-                    entry,
-                    server,
-                    source: None,
-                    expected: 0,
-                    choice,
-                    waited: 0,
-                    overtaken: 0,
-                });
+                orders.push(grant(&ask, server));
             }
             Event::Server(key, _) => {
                 self.reported.insert(key, 0);
--- a/crates/drumusher-bench/src/stand_in/engine.rs
+++ b/crates/drumusher-bench/src/stand_in/engine.rs
@@ -5,9 +5,10 @@
     cell::RefCell,
     collections::{HashSet, VecDeque},
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
+use drumusher_platform::clock;
 use ntex::{
     channel::mpsc,
     rt,
@@ -164,9 +165,8 @@
 }
 
 fn load_report(engine: &Engine) -> Value {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     json!({
-        "as_of_ms": since.as_millis() as u64,
+        "as_of_ms": clock::unix_ms(),
         "running": engine.batch.len(),
         "waiting": engine.waiting.len(),
         "kv_used": engine.batch.len(),
--- a/crates/drumusher-bench/src/stand_in/list.rs
+++ b/crates/drumusher-bench/src/stand_in/list.rs
@@ -4,9 +4,10 @@
     cell::RefCell,
     collections::VecDeque,
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
+use drumusher_platform::clock;
 use ntex::{
     util::Bytes,
     web::{self, HttpRequest, HttpResponse, types},
@@ -81,7 +82,5 @@
         zone.as_deref().is_none_or(|zone| member["availability_zone"].as_str() == Some(zone))
     };
     let members: Vec<Value> = members.into_iter().filter(in_zone).collect();
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let as_of_ms = since.as_millis() as u64;
-    HttpResponse::Ok().json(&json!({"as_of_ms": as_of_ms, "members": members}))
+    HttpResponse::Ok().json(&json!({"as_of_ms": clock::unix_ms(), "members": members}))
 }
--- a/crates/drumusher-bench/src/stand_in/log.rs
+++ b/crates/drumusher-bench/src/stand_in/log.rs
@@ -5,10 +5,11 @@
     cell::RefCell,
     collections::HashMap,
     rc::Rc,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use base64::{Engine, engine::general_purpose::STANDARD};
+use drumusher_platform::clock;
 use ntex::{
     channel::mpsc,
     time::{Millis, sleep},
@@ -116,8 +117,7 @@
     let lost = switches.lose_every > 0 && log.appends.is_multiple_of(switches.lose_every);
     let stream = log.streams.entry(name.into_inner()).or_default();
     let first = stream.first + stream.records.len() as u64;
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let time_ms = since.as_millis() as u64;
+    let time_ms = clock::unix_ms();
     let records = body.into_inner().records.into_iter().map(|body| Record { time_ms, body });
     stream.records.extend(records);
     if switches.keep > 0 && stream.records.len() > switches.keep {
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -118,6 +118,11 @@
     });
 }
 
+/// A server with one worker, which leaves signals to the process.
+fn server_builder(name: &str) -> server::ServerBuilder {
+    server::build().name(name).workers(1).disable_signals().shutdown_timeout(SHUTDOWN_TIMEOUT)
+}
+
 fn serve_callers<D: Dialect + Sync>(
     shared: Arc<Shared>,
     listener: TcpListener,
@@ -127,12 +132,7 @@
     let config = HttpServiceConfig::new()
         .set_headers_read_rate(header, header, 16)
         .set_keepalive(KEEP_ALIVE);
-    let builder = server::build()
-        .name("http")
-        .workers(1)
-        .disable_signals()
-        .shutdown_timeout(SHUTDOWN_TIMEOUT);
-    let builder = builder.listen("callers", listener, async move |_| {
+    let builder = server_builder("http").listen("callers", listener, async move |_| {
         let worker = Worker {
             shared: shared.clone(),
             dialect: dialect.clone(),
@@ -173,12 +173,7 @@
 
 /// Serves the readiness probe of the load balancer, the metrics and operators' statements.
 fn serve_status(shared: Arc<Shared>, listener: TcpListener) -> Result<server::Server, String> {
-    let builder = server::build()
-        .name("status")
-        .workers(1)
-        .disable_signals()
-        .shutdown_timeout(SHUTDOWN_TIMEOUT);
-    let builder = builder.listen("status", listener, async move |_| {
+    let builder = server_builder("status").listen("status", listener, async move |_| {
         let shared = shared.clone();
         HttpService::h1(ntex::fn_service(move |request: http::Request| {
             let shared = shared.clone();
