refactor(test): the faults of the soak in modules

All functions and random draws are as before; `FaultInjector` is `fault::Injector`.

The other test targets of drumusher do not contain these files and were not run again.

--- a/crates/drumusher/tests/routes/soak/mod.rs
+++ b/crates/drumusher/tests/routes/soak/mod.rs
@@ -33,8 +33,8 @@
 };
 use drumusher_bench::fleet::wait_for;
 
+use self::journal::Journal;
 pub use self::journal::knows_left;
-use self::{fault::FaultInjector, journal::Journal};
 use crate::{
     duties::{MIN_TENURE_GAP, scaling_configuration, settings},
     support::{DESK, Deployment, Instance, MODEL, Request},
@@ -112,7 +112,7 @@
             scope.spawn(move || crashing_request::repeat_requests(addresses, stop));
         }
         let since = Instant::now();
-        let mut injector = FaultInjector::new(seed, &mut deployment, &journal, &duties);
+        let mut injector = fault::Injector::new(seed, &mut deployment, &journal, &duties);
         while since.elapsed() < time {
             injector.step();
         }
