--- a/crates/drumusher-bench/src/policy/simulation.rs
+++ b/crates/drumusher-bench/src/policy/simulation.rs
@@ -57,9 +57,9 @@
     requests: Vec<Request>,
     results: Vec<RequestResult>,
     /// Running attempts by request.
-    runs: HashMap<usize, Attempt>,
+    running: HashMap<usize, Attempt>,
     /// Number of the current attempt of each request. Events of earlier attempts are ignored.
-    attempt: Vec<u32>,
+    current_attempt: Vec<u32>,
     /// How often each request was preempted.
     preemptions_of: Vec<u8>,
     /// The crashed engine that the next attempt of each request avoids.
@@ -93,11 +93,11 @@
         engines: vec![Engine::new(BATCH, STEP); scenario.engines],
         stepping: vec![false; scenario.engines],
         results: vec![RequestResult::default(); count],
-        attempt: vec![0; count],
+        current_attempt: vec![0; count],
         preemptions_of: vec![0; count],
         avoid: vec![None; count],
         requests,
-        runs: HashMap::new(),
+        running: HashMap::new(),
         orders: Vec::new(),
         work: 0,
         wasted: 0,
@@ -204,7 +204,7 @@
         match order {
             Order::Grant { id, server, .. } => {
                 let number = id as usize;
-                let attempt = self.attempt[number];
+                let attempt = self.current_attempt[number];
                 self.schedule(
                     self.now + 2 * HOP,
                     Action::Start { request: number, attempt, engine: usize::from(server.0) },
@@ -222,7 +222,7 @@
             Order::Preempt { id, .. } => {
                 self.preemptions += 1;
                 let number = id as usize;
-                let attempt = self.attempt[number];
+                let attempt = self.current_attempt[number];
                 self.schedule(self.now + HOP, Action::Preempt { request: number, attempt });
             }
         }
--- a/crates/drumusher-bench/src/policy/simulation/attempt.rs
+++ b/crates/drumusher-bench/src/policy/simulation/attempt.rs
@@ -61,7 +61,7 @@
 
     /// Starts an attempt on the granted engine, unless the grant is obsolete.
     pub(super) fn start_attempt(&mut self, number: usize, attempt: u32, engine: usize) {
-        if self.ended(number) || self.attempt[number] != attempt {
+        if self.ended(number) || self.current_attempt[number] != attempt {
             self.schedule(
                 self.now + HOP,
                 Action::Finish { request: number, produced: 0, outcome: Outcome::Cancelled },
@@ -85,15 +85,17 @@
         };
         let (prefix, shared) = (request.prefix, request.shared);
         self.engines[engine].push(sequence, prefix, shared);
-        let run = Attempt {
-            engine,
-            started: self.now,
-            work: 0,
-            reported_first: false,
-            last_report: self.now,
-            last_produced: produced,
-        };
-        self.runs.insert(number, run);
+        self.running.insert(
+            number,
+            Attempt {
+                engine,
+                started: self.now,
+                work: 0,
+                reported_first: false,
+                last_report: self.now,
+                last_produced: produced,
+            },
+        );
         self.begin_step(engine);
     }
 
@@ -103,22 +105,22 @@
             return;
         }
         self.results[number].gave_up = true;
-        if let Some(run) = self.runs.remove(&number) {
-            self.engines[run.engine].cancel(number);
-            self.wasted += run.work;
+        if let Some(stopped) = self.running.remove(&number) {
+            self.engines[stopped.engine].cancel(number);
+            self.wasted += stopped.work;
         }
         self.notify_scheduler(Event::Withdraw(number as Id));
     }
 
     /// Stops an attempt that the scheduler has preempted, and retries the request.
     pub(super) fn preempt(&mut self, number: usize, attempt: u32) {
-        if self.ended(number) || self.attempt[number] != attempt {
+        if self.ended(number) || self.current_attempt[number] != attempt {
             return;
         }
-        let Some(run) = self.runs.remove(&number) else {
+        let Some(stopped) = self.running.remove(&number) else {
             return;
         };
-        self.engines[run.engine].cancel(number);
+        self.engines[stopped.engine].cancel(number);
         self.preemptions_of[number] += 1;
         self.retry(number, Outcome::Preempted);
     }
@@ -131,7 +133,7 @@
 
     /// Reports an attempt that ended without the complete response, and queues the request again.
     fn retry(&mut self, number: usize, outcome: Outcome) {
-        self.attempt[number] += 1;
+        self.current_attempt[number] += 1;
         let delivered = self.results[number].delivered;
         if !self.resumes {
             self.wasted += u64::from(delivered);
--- a/crates/drumusher-bench/src/policy/simulation/engines.rs
+++ b/crates/drumusher-bench/src/policy/simulation/engines.rs
@@ -26,13 +26,13 @@
             result.delivered += 1;
             result.in_time += u32::from(self.now < self.scenario.duration);
             result.first.get_or_insert(self.now + 2 * HOP);
-            if let Some(run) = self.runs.get_mut(number) {
-                run.work += 1;
+            if let Some(attempt) = self.running.get_mut(number) {
+                attempt.work += 1;
             }
         }
         for number in step.finished {
             self.report_progress(number);
-            self.runs.remove(&number);
+            self.running.remove(&number);
             self.results[number].done = Some(self.now + 2 * HOP);
             let tokens = self.requests[number].tokens;
             self.schedule(
@@ -44,13 +44,13 @@
     }
 
     /// Injects the scenario's fault with this index.
-    pub(super) fn inject_fault(&mut self, number: usize) {
-        match self.scenario.faults[number].1 {
+    pub(super) fn inject_fault(&mut self, index: usize) {
+        match self.scenario.faults[index].1 {
             Fault::Slow(engine, factor) => self.engines[engine].slow = factor,
-            Fault::Crash(engine, listed) => {
-                self.schedule(self.now + listed, Action::Delist(engine));
+            Fault::Crash(engine, delisted_after) => {
+                self.schedule(self.now + delisted_after, Action::Delist(engine));
                 for number in self.engines[engine].crash() {
-                    self.runs.remove(&number);
+                    self.running.remove(&number);
                     self.fail(number, engine);
                 }
             }
--- a/crates/drumusher-bench/src/policy/simulation/report.rs
+++ b/crates/drumusher-bench/src/policy/simulation/report.rs
@@ -19,11 +19,11 @@
 impl Simulation<'_> {
     /// Sends the progress reports that are due.
     pub(super) fn send_progress(&mut self) {
-        let due = |(number, run): (&usize, &Attempt)| {
-            let first = self.results[*number].first.is_some() && !run.reported_first;
-            (first || self.now >= run.last_report + PROGRESS_INTERVAL).then_some(*number)
+        let due = |(number, attempt): (&usize, &Attempt)| {
+            let first = self.results[*number].first.is_some() && !attempt.reported_first;
+            (first || self.now >= attempt.last_report + PROGRESS_INTERVAL).then_some(*number)
         };
-        let mut due: Vec<usize> = self.runs.iter().filter_map(due).collect();
+        let mut due: Vec<usize> = self.running.iter().filter_map(due).collect();
         due.sort_unstable();
         for number in due {
             self.report_progress(number);
@@ -36,19 +36,22 @@
     pub(super) fn report_progress(&mut self, number: usize) {
         let produced = self.results[number].delivered;
         let first = self.results[number].first;
-        let Some(run) = self.runs.get_mut(&number) else {
+        let Some(attempt) = self.running.get_mut(&number) else {
             return;
         };
-        let new = u64::from(produced.saturating_sub(run.last_produced));
-        let gap =
-            if new > 0 && run.reported_first { (self.now - run.last_report) / new } else { 0 };
-        let first = first.filter(|_| !run.reported_first);
+        let new = u64::from(produced.saturating_sub(attempt.last_produced));
+        let gap = if new > 0 && attempt.reported_first {
+            (self.now - attempt.last_report) / new
+        } else {
+            0
+        };
+        let first = first.filter(|_| !attempt.reported_first);
         if first.is_some() || new > 0 {
-            run.reported_first = true;
-            run.last_report = self.now;
-            run.last_produced = produced;
+            attempt.reported_first = true;
+            attempt.last_report = self.now;
+            attempt.last_produced = produced;
         }
-        let first_token = first.map(|first| first.saturating_sub(run.started));
+        let first_token = first.map(|first| first.saturating_sub(attempt.started));
         let id = number as Id;
         self.notify_scheduler(Event::Progress(Progress { id, produced, first_token, gap }));
     }
--- a/crates/drumusher/tests/routes/soak/fault.rs
+++ b/crates/drumusher/tests/routes/soak/fault.rs
@@ -36,9 +36,11 @@
     deployment: &'a mut Deployment,
     journal: &'a Journal,
     duties: &'a Duties,
+    /// Recoveries, each with the time from which it is due.
     due: Vec<(Instant, Recovery)>,
     /// Instances that are paused, stopped or stopping.
     down: Vec<usize>,
+    /// Number of backend servers that were replaced.
     replaced: usize,
     /// Random sequence of the restores, separate from that of the other faults.
     restores: StdRng,
--- a/crates/drumusher/tests/routes/soak/fault/store.rs
+++ b/crates/drumusher/tests/routes/soak/fault/store.rs
@@ -10,6 +10,8 @@
 use super::{FAULT_DURATION_MS, Injector, OUTAGES, recovery::Recovery, servers::service_of};
 use crate::{duties::scaling_configuration, soak::journal, support::large_configuration};
 
+/// Probability that the entry of a backend server lapses in an outage of the store.
+const LAPSE_PROBABILITY: f64 = 0.3;
 /// Probability that a new configuration is large.
 const LARGE_PROBABILITY: f64 = 0.25;
 /// Size of the filler routes of a large configuration.
@@ -25,26 +27,27 @@
     /// Starts an outage of the store for one instance.
     pub(super) fn instance_store_outage(&mut self) {
         let at = self.random.random_range(0..self.deployment.instances.len());
-        let away = OUTAGES[self.random.random_range(0..OUTAGES.len())];
-        self.deployment.instances[at].store_endpoint.set_outage(away);
+        let outage = OUTAGES[self.random.random_range(0..OUTAGES.len())];
+        self.deployment.instances[at].store_endpoint.set_outage(outage);
         self.schedule_recovery(Recovery::ReconnectInstance(at));
     }
 
     /// Starts an outage of the store for all instances, in which some entries of backend servers lapse.
     pub(super) fn store_outage(&mut self) {
-        let outage =
+        let is_outage =
             |(_, recovery): &(Instant, Recovery)| matches!(recovery, Recovery::RestoreStore(_));
-        if self.due.iter().any(outage) {
+        if self.due.iter().any(is_outage) {
             return;
         }
-        let away = OUTAGES[self.random.random_range(0..OUTAGES.len())];
+        let outage = OUTAGES[self.random.random_range(0..OUTAGES.len())];
         for instance in &self.deployment.instances {
-            instance.store_endpoint.set_outage(away);
+            instance.store_endpoint.set_outage(outage);
         }
         let departed_servers = self.journal.departed_servers();
         let mut lapsed = Vec::new();
         for (at, server) in self.deployment.servers.iter().enumerate() {
-            if !departed_servers.contains(&server.id) && self.random.random_bool(0.3) {
+            if !departed_servers.contains(&server.id) && self.random.random_bool(LAPSE_PROBABILITY)
+            {
                 self.deployment.store.remove("keyed.servers", &server.id);
                 lapsed.push(at);
             }
