--- a/crates/drumusher-platform/src/load.rs
+++ b/crates/drumusher-platform/src/load.rs
@@ -6,6 +6,9 @@
 
 use crate::{Error, Http};
 
+/// Path of the query for the load.
+pub const PATH: &str = "/load";
+
 /// Whether a backend server accepts new requests, by its own report.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Default, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -55,7 +58,7 @@
 
 impl Load for Http {
     async fn load(&self, address: &str) -> Result<Status, Error> {
-        let response = self.get(&format!("http://{address}/load")).await?;
+        let response = self.get(&format!("http://{address}{PATH}")).await?;
         if response.status.as_u16() == 503 {
             return Ok(Status::Saturated(response.retry_after().unwrap_or(0)));
         }
--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -60,6 +60,13 @@
     pub parts: Vec<Part>,
 }
 
+impl Ask {
+    /// Whether the caller has a part of the answer, which would be lost if the request were refused.
+    pub fn has_begun(&self) -> bool {
+        self.produced > 0
+    }
+}
+
 /// Outcome of an attempt on a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/drumusher-schedule/src/event.rs
+++ b/crates/drumusher-schedule/src/event.rs
@@ -52,6 +52,8 @@
     Finish(Id, Outcome, u32),
     /// A load report, which arrives with a lag.
     Load(Load),
+    /// A backend server did not answer the query for its load.
+    Unreachable(server::Key),
     /// An engine reported which prompt parts it has cached.
     CachedParts(server::Key, Vec<u64>),
     /// A backend server joined or its options changed.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -70,6 +70,8 @@
     preempting: usize,
     /// Running attempts outside reserved capacity, by tier.
     running_tiers: BTreeMap<u8, usize>,
+    /// Number of waiting requests whose answer has begun.
+    begun_waiting: usize,
     /// When waiting requests reach the longest wait of their class.
     wait_deadlines: BTreeSet<(Micros, Key)>,
     /// Tokens that each class may use of its reserved capacity.
@@ -106,6 +108,7 @@
             preemptible: BTreeMap::new(),
             preempting: 0,
             running_tiers: BTreeMap::new(),
+            begun_waiting: 0,
             wait_deadlines: BTreeSet::new(),
             reserved_credit: BTreeMap::new(),
             grants: 0,
@@ -126,6 +129,11 @@
             Event::Progress(progress) => self.progress(now, progress),
             Event::Finish(id, outcome, produced) => self.finish(now, id, outcome, produced),
             Event::Load(load) => self.apply_report(now, &load),
+            Event::Unreachable(key) => {
+                if let Some(server) = self.server_mut(key) {
+                    server.note_unreachable();
+                }
+            }
             Event::CachedParts(key, parts) => {
                 if let Some(server) = self.server_mut(key) {
                     server.engine_mut().add_cached(now, &parts);
@@ -260,6 +268,9 @@
     }
 
     fn apply_report(&mut self, now: Micros, load: &crate::event::Load) {
+        if let Some(server) = self.server_mut(load.server) {
+            server.note_reachable(now);
+        }
         if !self.policy.switches.learning {
             return;
         }
@@ -362,6 +373,7 @@
         self.queue.remove(position, key);
         self.wait_deadlines.remove(&(self.wait_deadline(&waiting), key));
         self.keys.remove(&waiting.ask.id);
+        self.begun_waiting -= usize::from(waiting.ask.has_begun());
         self.share.usage(position.workspace).waiting -= 1;
         if !self.queue.contains(position.tier, position.workspace) {
             self.share.deactivate(position.tier, position.workspace);
--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -66,7 +66,7 @@
         let serving = self
             .servers()
             .any(|(_, server)| !server.leaving() && regions.contains(server.region()));
-        if (!serving || self.must_refuse_in_outage(now, ask, 0)) && !self.settling(now) {
+        if (!serving || self.must_refuse_in_outage(now, ask)) && !self.settling(now) {
             return Some(Refusal::NoServer);
         }
         if self.cooldown_exceeds_wait(now, ask, 0) && !self.settling(now) {
@@ -74,8 +74,7 @@
         }
         let limit = self.policy.workspace(ask.workspace).map_or(0, |w| w.queue);
         let waiting = self.share.usage(ask.workspace).waiting;
-        // An answer that has begun would be lost.
-        let limited = limit > 0 && waiting >= limit && ask.produced == 0;
+        let limited = limit > 0 && waiting >= limit && !ask.has_begun();
         limited.then_some(Refusal::WorkspaceLimit)
     }
 
@@ -97,11 +96,12 @@
         };
         let position = position(&waiting);
         let wait_deadline = self.wait_deadline(&waiting);
-        let id = waiting.ask.id;
+        let (id, begun) = (waiting.ask.id, waiting.ask.has_begun());
         let key = Key(self.requests.insert(State::Waiting(waiting)) as u32);
         self.keys.insert(id, key);
         self.queue.insert(position, key);
         self.wait_deadlines.insert((wait_deadline, key));
+        self.begun_waiting += usize::from(begun);
         self.share.usage(position.workspace).waiting += 1;
         self.share.activate(position.tier, position.workspace);
     }
@@ -188,7 +188,7 @@
 
     /// Whether the caller of a waiting request has received a part of the answer.
     fn has_output(&self, key: Key) -> bool {
-        self.waiting_at(key).is_some_and(|waiting| waiting.ask.produced > 0)
+        self.waiting_at(key).is_some_and(|waiting| waiting.ask.has_begun())
     }
 
     /// Whether a waiting request's class uses no more than its reserved queue slots.
@@ -207,13 +207,10 @@
         (left > LONG_OUTAGE).then_some(left)
     }
 
-    /// Whether a request is to be refused in a long outage. An answer that has begun would be lost,
-    /// so such a request may wait as long as its class allows.
-    fn must_refuse_in_outage(&self, now: Micros, ask: &Ask, waited: Micros) -> bool {
-        let Some(left) = self.long_outage(now) else {
-            return false;
-        };
-        ask.produced == 0 || waited + left > self.policy.class(ask.class).wait
+    /// Whether a request is to be refused in a long outage. One whose answer has begun waits until its
+    /// entry instance gives it up.
+    fn must_refuse_in_outage(&self, now: Micros, ask: &Ask) -> bool {
+        !ask.has_begun() && self.long_outage(now).is_some()
     }
 
     /// Refuses the requests that must not wait for the end of a long outage.
@@ -223,8 +220,7 @@
         }
         let refused = |key: &Key| {
             let waiting = self.waiting_at(*key)?;
-            let waited = now.saturating_sub(waiting.since);
-            self.must_refuse_in_outage(now, &waiting.ask, waited).then_some(*key)
+            self.must_refuse_in_outage(now, &waiting.ask).then_some(*key)
         };
         let refused: Vec<Key> =
             self.wait_deadlines.iter().filter_map(|(_, key)| refused(key)).collect();
@@ -247,7 +243,7 @@
             let Some(waiting) = self.waiting_at(key) else {
                 continue;
             };
-            if self.lower_may_yield(waiting.tier) || waiting.ask.produced > 0 {
+            if self.lower_may_yield(waiting.tier) || waiting.ask.has_begun() {
                 continue;
             }
             let ahead = self.queue.len_through_tier(waiting.tier);
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -12,7 +12,8 @@
     engine::Prefill,
     order::{Choice, Order},
     policy::{ClassKey, WorkspaceKey},
-    region, server,
+    region,
+    server::{self, Server, Urgency},
     time::{MILLISECOND, Micros},
 };
 
@@ -162,7 +163,8 @@
     /// Sends a request as a probe to a backend server that needs one.
     fn grant_probe(&mut self, now: Micros, orders: &mut Vec<Order>) {
         if let Some(key) = self.next_probe_request(now) {
-            self.grant(now, key, Availability::Probe, true, orders);
+            let availability = Availability::Probe(self.probe_urgency());
+            self.grant(now, key, availability, true, orders);
         }
     }
 
@@ -170,11 +172,14 @@
     /// highest tier is spared unless the probe is overdue. While no backend server is healthy, the
     /// next request is used, repeatable or not, since it has no better choice.
     fn next_probe_request(&self, now: Micros) -> Option<Key> {
-        let mut due = self.servers().filter(|(_, server)| server.may_probe(now)).peekable();
-        due.peek()?;
         if self.outage().is_some() {
-            return self.next_request(now);
+            let urgency = self.probe_urgency();
+            let due = self.servers().any(|(_, server)| server.may_probe(now, urgency));
+            return due.then(|| self.next_request(now)).flatten();
         }
+        let probes = |(_, server): &(server::Key, &Server)| server.may_probe(now, Urgency::Normal);
+        let mut due = self.servers().filter(probes).peekable();
+        due.peek()?;
         let lowest = self.queue.tiers().last()?;
         let spared = lowest == self.tiers.highest;
         if spared && !due.any(|(_, server)| server.probe_overdue(now)) {
@@ -184,6 +189,13 @@
         self.waiting_at(key)?.ask.repeatable.then_some(key)
     }
 
+    /// How soon backend servers that are down are probed: sooner while all are, and callers wait for the rest of an
+    /// answer.
+    fn probe_urgency(&self) -> Urgency {
+        let urgent = self.begun_waiting > 0 && self.outage().is_some();
+        if urgent { Urgency::Begun } else { Urgency::Normal }
+    }
+
     fn grant(
         &mut self,
         now: Micros,
@@ -252,7 +264,7 @@
             .as_ref()
             .is_some_and(|server| server.has_prefix(ask.prefix));
         match (availability, reserved, has_prefix) {
-            (Availability::Probe, _, _) => Choice::Probe,
+            (Availability::Probe(_), _, _) => Choice::Probe,
             (_, true, _) => Choice::Floor,
             (_, _, true) => Choice::Prefix,
             _ => Choice::LeastLoaded,
--- a/crates/drumusher-schedule/src/pool/scope.rs
+++ b/crates/drumusher-schedule/src/pool/scope.rs
@@ -1,6 +1,10 @@
 //! Which backend servers are eligible for a grant.
 
-use crate::{region, server::Server, time::Micros};
+use crate::{
+    region,
+    server::{Server, Urgency},
+    time::Micros,
+};
 
 /// Which backend servers are eligible because of their state.
 #[derive(Clone, Copy, PartialEq)]
@@ -8,7 +12,7 @@
     /// Those with a free slot.
     Free,
     /// Those with a probe due.
-    Probe,
+    Probe(Urgency),
 }
 
 /// Which backend servers are eligible for a grant.
@@ -24,7 +28,7 @@
     pub(super) fn includes(self, server: &Server, now: Micros) -> bool {
         let available = match self.availability {
             Availability::Free => server.free(now) > 0,
-            Availability::Probe => server.may_probe(now),
+            Availability::Probe(urgency) => server.may_probe(now, urgency),
         };
         available && self.regions.contains(server.region())
     }
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -53,7 +53,9 @@
         match self.requests.get_mut(key.0 as usize) {
             Some(State::Waiting(waiting)) => {
                 let Ask { class, workspace, arrived, .. } = waiting.ask;
+                self.begun_waiting -= usize::from(waiting.ask.has_begun());
                 waiting.ask = Ask { class, workspace, arrived, ..ask.clone() };
+                self.begun_waiting += usize::from(waiting.ask.has_begun());
             }
             Some(State::Running(running)) => running.ask.entry = ask.entry,
             None => {}
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -6,7 +6,7 @@
 mod window;
 
 pub use gap::{Baseline, Sensitivity};
-pub use health::Health;
+pub use health::{Health, Urgency};
 
 use std::collections::{HashMap, VecDeque};
 
@@ -71,6 +71,8 @@
     health: Health,
     /// When it last became down.
     down_since: Micros,
+    /// Whether the latest query for its load had no answer.
+    unreachable: bool,
     leaving: bool,
     /// Rate limit of grants, if there is one.
     limiter: Option<Limiter>,
@@ -108,6 +110,7 @@
             failures: 0,
             health: Health::Good,
             down_since: 0,
+            unreachable: false,
             leaving: false,
             limiter: None,
             window_adjusted: 0,
--- a/crates/drumusher-schedule/src/server/health.rs
+++ b/crates/drumusher-schedule/src/server/health.rs
@@ -16,6 +16,8 @@
 const MIN_DOWN_PAUSE: Micros = 500 * MILLISECOND;
 /// Longest pause before the probe of a backend server that is down.
 const MAX_DOWN_PAUSE: Micros = 15 * SECOND;
+/// Longest pause before such a probe while callers wait for the rest of an answer.
+const MAX_URGENT_PAUSE: Micros = 2 * SECOND;
 /// Pause before the first probe of a slow or failing backend server, and between probes.
 const PROBE_PAUSE: Micros = SECOND;
 /// A probe that has been due for this long may use a request of the highest tier.
@@ -40,6 +42,15 @@
     Down(Micros, Micros),
 }
 
+/// How soon a backend server that is down is probed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Urgency {
+    /// After its whole pause.
+    Normal,
+    /// After [`MAX_URGENT_PAUSE`] at most: callers wait for the rest of an answer that has begun.
+    Begun,
+}
+
 impl Health {
     /// The name in logs and for operators.
     pub const fn word(self) -> &'static str {
@@ -72,9 +83,15 @@
     }
 
     /// Whether one repeatable request may be sent as a probe.
-    pub fn may_probe(&self, now: Micros) -> bool {
+    pub fn may_probe(&self, now: Micros, urgency: Urgency) -> bool {
         let idle = !self.leaving && self.running == 0;
-        self.probe_due(now).is_some() && idle && self.grants_allowed(now) > 0
+        let due = match (self.health, urgency) {
+            (Health::Down(until, pause), Urgency::Begun) => {
+                now + pause.saturating_sub(MAX_URGENT_PAUSE) >= until
+            }
+            _ => self.probe_due(now).is_some(),
+        };
+        due && idle && self.grants_allowed(now) > 0
     }
 
     /// Whether a probe is overdue, so that even a request of the highest tier may be used for it.
@@ -121,6 +138,22 @@
         }
     }
 
+    /// Records that a query for its load had no answer.
+    pub fn note_unreachable(&mut self) {
+        self.unreachable = true;
+    }
+
+    /// Records that it answered a query for its load. If it is down and did not answer the query before, it is back and
+    /// its probe is due.
+    pub fn note_reachable(&mut self, now: Micros) {
+        if !std::mem::take(&mut self.unreachable) {
+            return;
+        }
+        if let Health::Down(until, _) = self.health {
+            self.health = Health::Down(until.min(now), MIN_DOWN_PAUSE);
+        }
+    }
+
     /// Records that it failed a request.
     pub(super) fn record_failure(&mut self, now: Micros) {
         self.failures += 1;
--- a/crates/drumusher-schedule/tests/schedule/outage.rs
+++ b/crates/drumusher-schedule/tests/schedule/outage.rs
@@ -2,6 +2,8 @@
 
 use drumusher_schedule::{
     ask::{Ask, Outcome},
+    event::{Event, Load},
+    policy::Policy,
     server::{Health, Key},
     time::{MILLISECOND, SECOND},
 };
@@ -93,12 +95,8 @@
     assert_eq!(health(&harness, 0), Health::Down(now + 2 * pause, 2 * pause));
 }
 
-/// Guards against a stream that is cut midway although its class allows the wait for the next
-/// probe. A new request is refused at once with the time to retry.
-#[test]
-fn an_answer_that_has_begun_waits_as_long_as_its_class_allows() {
-    let mut policy = policy();
-    policy.classes[usize::from(URGENT)].wait = 10 * SECOND;
+/// A pool whose only backend server failed so many probes that new requests are refused.
+fn long_outage(policy: Policy) -> Harness {
     let mut harness = Harness::new(policy, 1, 4);
     for id in 0..2 {
         let now = harness.now;
@@ -113,21 +111,48 @@
         down_for = health(&harness, 0).down_for().expect("it failed each probe");
     }
     assert!(down_for > 2 * SECOND, "{down_for}");
+    harness
+}
+
+/// Guards against a stream that is cut midway because its backend server is down for longer than its class waits. It
+/// probes the backend server every two seconds. New requests are refused at once with the time to retry.
+#[test]
+fn an_answer_that_has_begun_outlives_an_outage_of_a_minute() {
+    let mut policy = policy();
+    policy.classes[usize::from(URGENT)].wait = 10 * SECOND;
+    let mut harness = long_outage(policy);
+    let begins = harness.now;
+    for probe in 0..30 {
+        let now = harness.now;
+        assert_eq!(refused(&harness.ask(ask(100 + probe, URGENT, now))), [100 + probe]);
+        let mut orders = harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
+        orders.extend(harness.advance(2_100 * MILLISECOND));
+        assert_eq!((granted(&orders), refused(&orders)), (vec![(11, 0)], vec![]), "probe {probe}");
+        harness.finish(11, Outcome::ConnectFailed);
+    }
+    assert!(harness.now > begins + 60 * SECOND);
+}
+
+/// Guards against new requests that are refused for seconds after their backend server is back.
+#[test]
+fn a_backend_server_that_answers_queries_again_is_probed_at_once() {
+    let mut harness = long_outage(policy());
+    let load = |harness: &Harness| {
+        Event::Load(Load { server: Key(0), as_of: harness.now, running: 0, waiting: 0, full: None })
+    };
+    harness.handle(load(&harness));
     let now = harness.now;
-    assert_eq!(refused(&harness.ask(ask(10, URGENT, now))), [10]);
-    let begun = harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
-    assert_eq!(refused(&begun), Vec::<u128>::new());
-    let orders = harness.advance(down_for + 100 * MILLISECOND);
-    assert_eq!((granted(&orders), refused(&orders)), (vec![(11, 0)], vec![]));
-    harness.finish(11, Outcome::ConnectFailed);
-    let now = harness.now;
-    let mut orders = harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
-    orders.extend(harness.advance(down_for * 2 + 100 * MILLISECOND));
-    assert_eq!(granted(&orders), [(11, 0)], "eight seconds are within its bound");
-    harness.finish(11, Outcome::ConnectFailed);
-    let now = harness.now;
-    let orders = harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
-    assert_eq!(refused(&orders), [11], "fifteen are not");
+    assert_eq!(
+        refused(&harness.ask(ask(10, URGENT, now))),
+        [10],
+        "it answered queries all the time"
+    );
+    harness.handle(Event::Unreachable(Key(0)));
+    assert_eq!(refused(&harness.ask(ask(11, URGENT, now))), [11], "it is not back");
+    harness.handle(load(&harness));
+    assert_eq!(granted(&harness.ask(ask(12, URGENT, now))), [(12, 0)]);
+    let orders = harness.ask(ask(13, URGENT, now));
+    assert_eq!((granted(&orders), refused(&orders)), (vec![], vec![]), "it waits for the probe");
 }
 
 /// Guards against one pause that makes its backend server an outlier, which then needs several
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -86,6 +86,13 @@
         /// The report; `None` if the backend server announced that it is leaving.
         report: Option<Report>,
     },
+    /// A backend server did not answer the query for its load.
+    Unreachable {
+        /// The pool.
+        pool: Pool,
+        /// The backend server.
+        server: Arc<str>,
+    },
     /// The prompt parts that an engine reports to have in its cache.
     CachedParts {
         /// The pool.
@@ -160,6 +167,7 @@
             Input::Disconnected(entry) => self.entry_disconnected(entry),
             Input::Changed => self.configuration_changed(),
             Input::Load { pool, server, report } => self.load_report(&pool, &server, report),
+            Input::Unreachable { pool, server } => self.unreachable(&pool, &server),
             Input::CachedParts { pool, server, parts } => self.cached_parts(&pool, &server, parts),
             Input::SetDivisor(divisor) => {
                 self.divisor = divisor.max(1);
@@ -393,6 +401,13 @@
         self.handle(pool, Event::Load(load));
     }
 
+    fn unreachable(&mut self, pool: &Pool, server: &str) {
+        let key = self.pools.get(pool).and_then(|hosted| hosted.keys.get(server).copied());
+        if let Some(key) = key {
+            self.handle(pool, Event::Unreachable(key));
+        }
+    }
+
     fn cached_parts(&mut self, pool: &Pool, server: &str, parts: Vec<u64>) {
         let key = self.pools.get(pool).and_then(|hosted| hosted.keys.get(server).copied());
         if let Some(key) = key {
--- a/crates/drumusher/src/process/platform/load.rs
+++ b/crates/drumusher/src/process/platform/load.rs
@@ -1,6 +1,9 @@
 //! Polls the load reports of the engines in the pools that this instance dispatches.
 
-use drumusher_platform::load::{Load, State, Status};
+use drumusher_platform::{
+    Error,
+    load::{Load, State, Status},
+};
 use drumusher_schedule::time::SECOND;
 use ntex::{
     rt,
@@ -48,8 +51,12 @@
             waiting: 0,
             full: Some(seconds.min(MAX_SATURATED_S) * SECOND),
         }),
-        Err(_) => {
+        Err(error) => {
             context.shared.telemetry.count("drumusher.load.failures", &[]);
+            if matches!(error, Error::Unreachable | Error::NoAnswer) {
+                let unreachable = dispatch::Input::Unreachable { pool, server: backend.name };
+                let _ = context.shared.dispatch.try_send(unreachable);
+            }
             return;
         }
     };
--- a/crates/drumusher/src/request/attempt.rs
+++ b/crates/drumusher/src/request/attempt.rs
@@ -13,17 +13,11 @@
     id,
     trace::TRACEPARENT,
 };
-use crate::{
-    settings::Backend as Settings,
-    upstream::{self, Probe},
-};
+use crate::settings::Backend as Settings;
 
 /// Maximum number of connections from one HTTP worker to one backend server.
 const MAX_CONNECTIONS: usize = 4_096;
 
-/// Time that a backend server has to accept a probe's connection, and then to close it.
-const PROBE_TIMEOUT: Millis = Millis(200);
-
 /// Time after which an idle connection is not reused. Many servers close theirs after 5 s, and a request that meets that
 /// moment fails.
 const IDLE_TIMEOUT: Seconds = Seconds(4);
@@ -37,8 +31,6 @@
     Full,
     /// The connection was closed before any response; the request may have run.
     Closed,
-    /// Like [`Error::Closed`], from a backend server that also closes connections without a request.
-    ClosedForAll,
     /// The connection broke during the response.
     Broken,
     /// The response stopped for too long.
@@ -58,11 +50,10 @@
     }
 
     /// Returns whether the attempt ended before any response and the request is not suspected of it: an engine that the
-    /// request crashes closes this one connection and refuses the next ones.
+    /// request crashes closes the connection.
     pub fn is_rejection(self) -> bool {
         match self {
-            Error::NotSent | Error::Full | Error::ClosedForAll => true,
-            Error::NoResponse | Error::Failed(_) => true,
+            Error::NotSent | Error::Full | Error::NoResponse | Error::Failed(_) => true,
             Error::Closed | Error::Broken | Error::Stalled | Error::Mismatched => false,
         }
     }
@@ -72,7 +63,7 @@
         match self {
             Error::NotSent => "no connection",
             Error::Full => "takes no more",
-            Error::Closed | Error::ClosedForAll => "closed without a response",
+            Error::Closed => "closed without a response",
             Error::Broken => "broke off",
             Error::Stalled | Error::NoResponse => "stalled",
             Error::Failed(_) => "failed",
@@ -151,15 +142,8 @@
     } else {
         encode(&client.unpooled, &request).force_close()
     };
-    let response = match outgoing.send_body(request.body).await {
-        Ok(response) => response,
-        Err(error) => match classify(&error) {
-            Error::Closed if closes_unused_connection(request.address).await => {
-                return Err(Error::ClosedForAll);
-            }
-            error => return Err(error),
-        },
-    };
+    let sent = outgoing.send_body(request.body).await;
+    let response = sent.map_err(|error| classify(&error))?;
     let echoed = response.header(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
     if echoed.is_some_and(|echoed| echoed != id::to_text(request.id)) {
         return Err(Error::Mismatched);
@@ -167,15 +151,6 @@
     Ok(response)
 }
 
-/// Returns whether a backend server closes a new connection that carries no request.
-async fn closes_unused_connection(address: &str) -> bool {
-    let Ok(address) = address.parse() else { return false };
-    match upstream::probe(address, PROBE_TIMEOUT).await {
-        Probe::Connected(conn) => conn.is_closed_within(PROBE_TIMEOUT).await,
-        Probe::Refused | Probe::Inconclusive => false,
-    }
-}
-
 fn encode(client: &client::Client, request: &AttemptRequest<'_>) -> ClientRequest {
     let url = format!("http://{}{}", request.address, request.path);
     let mut outgoing = client
--- a/crates/drumusher/src/request/failures.rs
+++ b/crates/drumusher/src/request/failures.rs
@@ -10,22 +10,44 @@
 /// Tokens that have to be delivered before a connection breaks, for the failures before it to be forgotten. A request
 /// that crashes its engines gets a token or two from each attempt.
 const MIN_PROGRESS_TOKENS: u32 = 32;
-/// How long a response that has begun outlives rejected attempts without a new token. An engine that restarts loads its
-/// model for tens of seconds.
+/// How long a response that has begun outlives an outage without a new token. An engine that restarts loads its model
+/// for tens of seconds.
 const OUTAGE_LIMIT: Micros = 60 * SECOND;
+/// How long after [`OUTAGE_LIMIT`] a response still waits for the probe that shows that the outage is over.
+const PROBE_GRACE: Micros = 5 * SECOND;
+/// Failures without progress from which on an engine has to be steady before the request is sent there again.
+const WATCHED_FAILURES: u32 = 2;
+/// Shortest time for which an engine has to be steady; it doubles with each failure.
+const MIN_STEADY_TIME: Micros = SECOND;
 
 /// The failures of a request since its response last made progress. Preempted attempts did not fail.
+///
+/// A broken connection is either an outage of the engine or the doing of this request. What tells them apart is an
+/// engine that fails while the request is not there: after the second failure the engine is watched until it is
+/// steady, and a failure that was part of a series of outages does not count.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Failures {
     /// Failures that count against the bound on attempts.
     counted: u32,
     /// All failures, which determine the backoff.
     total: u32,
-    /// When the first of them was recorded.
-    since: Micros,
     /// Tokens delivered before the latest failure.
     produced: u32,
+    outage: Option<Outage>,
     last_backoff: Micros,
+    /// Whether the latest failure counts and the engine was not watched since.
+    watch_due: bool,
+    /// Number of times that the engine had to be steady.
+    watched: u32,
+}
+
+/// The time during which a response that has begun gets no token, as the request sees it.
+#[derive(Clone, Copy, Debug)]
+struct Outage {
+    /// When the first attempt failed or the first grant was refused.
+    since: Micros,
+    /// Tokens delivered before it.
+    produced: u32,
 }
 
 impl Failures {
@@ -41,14 +63,25 @@
         if self.has_progressed(produced, error) {
             *self = Failures::default();
         }
-        if self.total == 0 {
-            self.since = now;
-        }
         let is_outage = produced > 0 && self.total > 0 && error.is_rejection();
         self.counted += u32::from(!is_outage);
+        self.watch_due |= !is_outage;
         self.total += 1;
         self.produced = produced;
-        self.counted < attempts && (produced == 0 || now < self.since + OUTAGE_LIMIT)
+        self.counted < attempts
+            && (produced == 0 || now < self.outage_since(now, produced) + OUTAGE_LIMIT)
+    }
+
+    /// Records that no backend server was granted. Returns whether the request may ask again: a response that has begun
+    /// would be lost.
+    pub fn record_refusal(&mut self, now: Micros, produced: u32) -> bool {
+        produced > 0 && now < self.outage_since(now, produced) + OUTAGE_LIMIT
+    }
+
+    /// When the outage began that lasts since the latest token.
+    fn outage_since(&mut self, now: Micros, produced: u32) -> Micros {
+        let lasting = self.outage.filter(|outage| outage.produced == produced);
+        self.outage.insert(lasting.unwrap_or(Outage { since: now, produced })).since
     }
 
     /// Whether enough was delivered since the latest failure for it to be forgotten. A stall is not the fault of a
@@ -69,4 +102,35 @@
         self.last_backoff = backoff(self.last_backoff, random);
         self.last_backoff
     }
+
+    /// How long the engine has to be steady before the next attempt, from a uniform `random` in `0.0..1.0`; `None` if
+    /// the next attempt need not wait for that. The times differ between requests, so that one that crashes its engine
+    /// does so while others are absent.
+    pub fn next_steady_time(&mut self, random: f64) -> Option<Micros> {
+        let due = std::mem::take(&mut self.watch_due) && self.produced > 0;
+        if !due || self.counted < WATCHED_FAILURES {
+            return None;
+        }
+        let shortest = MIN_STEADY_TIME << self.watched.min(6);
+        self.watched += 1;
+        Some(shortest + (shortest as f64 * random) as Micros)
+    }
+
+    /// Whether the engine may be down, so that it has to answer a query before a request that has delivered `produced`
+    /// tokens is sent there.
+    pub fn suspects_engine(&self, produced: u32) -> bool {
+        produced > 0 && self.total > 0 && produced < self.produced + MIN_PROGRESS_TOKENS
+    }
+
+    /// Records that the engine failed while the request was not there: the latest failure was no fault of the request.
+    pub fn excuse(&mut self) {
+        self.counted = self.counted.saturating_sub(1);
+    }
+
+    /// When a response that has delivered `produced` tokens is given up unless it gets a token before; `None` if it has
+    /// not begun or is not in an outage.
+    pub fn give_up_at(&self, produced: u32) -> Option<Micros> {
+        let lasting = self.outage.filter(|outage| produced > 0 && outage.produced == produced);
+        lasting.map(|outage| outage.since + OUTAGE_LIMIT + PROBE_GRACE)
+    }
 }
--- a/crates/drumusher/src/request/lifecycle.rs
+++ b/crates/drumusher/src/request/lifecycle.rs
@@ -1,24 +1,19 @@
-//! Lifecycle of a request: obtain a grant from a dispatcher, make an attempt, and retry if necessary.
+//! Lifecycle of a request: its attempts, what they reported, and whether another one may follow.
 
 use std::{cell::Cell, sync::Arc};
 
-use drumusher_schedule::{
-    ask::{Id, Outcome},
-    order::Refusal,
-    rank,
-    time::MILLISECOND,
-};
+use drumusher_schedule::ask::{Id, Outcome};
 use log::Level;
-use ntex::time::{Millis, sleep, timeout};
 
 use super::{
     arrival_token, attempt, failures::Failures, head::Head, id, in_flight::InFlight, trace::Span,
+    watch::Watch,
 };
 use crate::{
     error::{Error, Kind, Ran},
     process::{
         Shared,
-        broker::{Attempt, CANCELLED, Decision, DispatchRequest, Grant, Input, Reply, Report},
+        broker::{CANCELLED, Input, Reply, Report},
         clock,
     },
     version::{Backend, Pool},
@@ -28,14 +23,6 @@
 pub const DONE: &str = "done";
 /// Capacity of the channel for dispatcher replies.
 const REPLY_CAPACITY: usize = 8;
-/// Time after which an unused grant has expired, in microseconds.
-const GRANT_EXPIRY: u64 = 500_000;
-/// Pause after a grant for a backend server that this instance considers unusable.
-const UNUSABLE_GRANT_PAUSE: Millis = Millis(20);
-/// Number of other availability zones that are tried after a refusal.
-const MAX_OVERFLOW_ZONES: usize = 2;
-/// Time that a dispatcher may take in addition to the class's wait bound, in milliseconds.
-const DISPATCHER_GRACE_MS: u64 = 10_000;
 
 /// A request from its arrival to its end.
 pub struct Lifecycle {
@@ -59,14 +46,19 @@
     pub produced: u32,
     /// Number of attempts made.
     pub attempts: u32,
-    preemptions: u8,
-    avoid: Option<Arc<str>>,
-    replies: async_channel::Receiver<Reply>,
-    sender: async_channel::Sender<Reply>,
-    zones: Vec<Arc<str>>,
-    outstanding: bool,
+    pub(super) preemptions: u8,
+    /// Backend server of the latest failed attempt.
+    pub(super) avoid: Option<Arc<str>>,
+    /// The engine of the latest failed attempt.
+    pub(super) watch: Option<Watch>,
+    pub(super) replies: async_channel::Receiver<Reply>,
+    pub(super) sender: async_channel::Sender<Reply>,
+    /// Availability zones that are still to be tried for the next grant.
+    pub(super) zones: Vec<Arc<str>>,
+    /// Whether a dispatcher has the request.
+    pub(super) outstanding: bool,
     started: u64,
-    failures: Failures,
+    pub(super) failures: Failures,
     /// Outcome, for the log line.
     outcome: Cell<&'static str>,
     _in_flight: InFlight,
@@ -97,6 +89,7 @@
             attempts: 0,
             preemptions: 0,
             avoid: None,
+            watch: None,
             replies,
             sender,
             outstanding: false,
@@ -107,150 +100,6 @@
         }
     }
 
-    /// Requests grants until one names a usable backend server.
-    ///
-    /// # Errors
-    ///
-    /// The error to respond with.
-    pub async fn acquire_backend(&mut self) -> Result<Backend, Error> {
-        self.back_off().await;
-        // A zone that refused the request earlier may have room again.
-        self.zones = zones(&self.shared, &self.pool, self.id);
-        loop {
-            let Some(zone) = self.zones.first().cloned() else {
-                let message = format!("no backend server serves {}", self.pool);
-                return Err(self.refusal_error(Kind::NoServer, message, 1_000));
-            };
-            let span = self.span.child(self.shared.telemetry.tracer(), "ask");
-            span.set_attribute("drumusher.availability_zone", zone.to_string());
-            self.request_grant(zone.clone());
-            match self.await_decision(&zone).await {
-                Decision::Granted(Grant { server, dispatcher, .. }) => {
-                    let granted_at = clock::now();
-                    span.set_attribute("drumusher.dispatcher", dispatcher.to_string());
-                    span.set_attribute("drumusher.server", server.to_string());
-                    span.end();
-                    if let Some(backend) = self.usable_backend(&server, granted_at) {
-                        return Ok(backend);
-                    }
-                    // The dispatcher will learn the same shortly; until then, another server is preferred.
-                    self.avoid = Some(server);
-                    self.finish_attempt(Outcome::Cancelled);
-                    sleep(UNUSABLE_GRANT_PAUSE).await;
-                }
-                Decision::Refused(refusal, retry_after) => {
-                    span.fail("refused");
-                    span.end();
-                    self.outstanding = false;
-                    self.overflow(refusal, retry_after)?;
-                }
-                Decision::Expired => {
-                    span.fail("no answer");
-                    self.finish_attempt(Outcome::Cancelled);
-                    let message = "no dispatcher replied in time";
-                    return Err(self.refusal_error(Kind::WaitBound, message, 1_000));
-                }
-            }
-        }
-    }
-
-    /// Backs off before a retry.
-    async fn back_off(&mut self) {
-        let pause = self.failures.next_backoff(rand::random()) / MILLISECOND;
-        if pause > 0 {
-            sleep(Millis(pause as u32)).await;
-        }
-    }
-
-    /// Requests a grant from the dispatcher of an availability zone, and discards replies to earlier requests.
-    fn request_grant(&mut self, area: Arc<str>) {
-        while self.replies.try_recv().is_ok() {}
-        self.outstanding = true;
-        self.shared.broker.send(Input::Open(Box::new(self.dispatch_request(area))));
-    }
-
-    fn dispatch_request(&self, area: Arc<str>) -> DispatchRequest {
-        DispatchRequest {
-            attempt: Attempt::First,
-            digest: None,
-            id: self.id,
-            pool: self.pool.clone(),
-            area,
-            workspace: self.head.workspace.clone(),
-            class: self.head.class.clone(),
-            arrived: self.head.arrived,
-            prompt: self.prompt,
-            prefix: self.prefix,
-            produced: self.produced,
-            repeatable: self.repeatable,
-            preemptions: self.preemptions,
-            avoid: self.avoid.clone(),
-            output: 0,
-            parts: Vec::new(),
-            replies: self.sender.clone(),
-        }
-    }
-
-    /// Waits for the dispatcher's decision. A new request is given up if none arrives in time. One whose answer has
-    /// begun is submitted again instead, since its dispatcher may let it wait for longer.
-    async fn await_decision(&self, zone: &Arc<str>) -> Decision {
-        let longest = Millis((self.head.settings.wait_ms + DISPATCHER_GRACE_MS) as u32);
-        loop {
-            if let Ok(decision) = timeout(longest, self.next_decision()).await {
-                return decision;
-            }
-            if self.produced == 0 {
-                return Decision::Expired;
-            }
-            let request = self.dispatch_request(zone.clone());
-            self.shared.broker.send(Input::Open(Box::new(request)));
-        }
-    }
-
-    /// The next reply that is a decision. A preemption is for an attempt that has already ended.
-    async fn next_decision(&self) -> Decision {
-        loop {
-            match self.replies.recv().await.map(Reply::into_decision) {
-                Ok(Some(decision)) => return decision,
-                Ok(None) => {}
-                Err(_) => return Decision::Expired,
-            }
-        }
-    }
-
-    /// Returns the granted backend server, unless it is leaving or missing in this instance's directory, or the grant
-    /// has expired.
-    fn usable_backend(&self, server: &str, granted_at: u64) -> Option<Backend> {
-        if clock::now() > granted_at + GRANT_EXPIRY {
-            return None;
-        }
-        let directory = self.shared.directory.load();
-        directory.backend(&self.pool, server).filter(|backend| !backend.leaving).cloned()
-    }
-
-    /// Handles a refusal: moves on to the next availability zone, or returns the final error.
-    fn overflow(&mut self, refusal: i16, retry_after: u64) -> Result<(), Error> {
-        let workspace_limited = refusal == Refusal::WorkspaceLimit as i16;
-        self.zones.remove(0);
-        if !workspace_limited && !self.zones.is_empty() {
-            self.shared.telemetry.count("drumusher.overflow", &[]);
-            return Ok(());
-        }
-        let (kind, message) = match refusal {
-            r if r == Refusal::QueueFull as i16 => {
-                (Kind::QueueFull, "the queue is full and this request was evicted")
-            }
-            r if r == Refusal::WaitBound as i16 => {
-                (Kind::WaitBound, "the request would wait longer than its class allows")
-            }
-            r if r == Refusal::WorkspaceLimit as i16 => {
-                (Kind::WorkspaceLimit, "the workspace has reached its limit")
-            }
-            _ => (Kind::NoServer, "no backend server is usable"),
-        };
-        Err(self.refusal_error(kind, message, retry_after / 1_000))
-    }
-
     /// Returns the error of a final refusal: the request did not run, or not again. It carries an arrival token, with
     /// which the client keeps its position in the queue.
     pub fn refusal_error(
@@ -271,6 +120,13 @@
         error
     }
 
+    /// Returns the error at the end of a response that has begun and is not continued.
+    pub fn incomplete_error(&self) -> Error {
+        self.shared.telemetry.count_request(&self.head.class, "failed", 0);
+        self.set_outcome(Kind::Incomplete.code());
+        Error::new(Kind::Incomplete, "the response is incomplete: backend servers failed")
+    }
+
     /// Waits until the dispatcher preempts the running attempt.
     pub async fn await_preemption(&self) {
         loop {
@@ -308,8 +164,9 @@
     /// certainly did not run, for example because no connection was established. Only consecutive failures count
     /// against the bound on attempts. An answer that has begun costs no retry budget, since the caller would lose what
     /// it has: one pause of an engine breaks more streams than a budget can accumulate.
-    pub fn may_retry(&mut self, server: &str, error: attempt::Error) -> bool {
-        self.avoid = Some(server.into());
+    pub fn may_retry(&mut self, backend: &Backend, error: attempt::Error) -> bool {
+        self.avoid = Some(backend.name.clone());
+        self.watch = self.watch_for(backend);
         let attempts = self.shared.settings.backend.attempts;
         let within_bounds = self.failures.record(clock::now(), self.produced, error, attempts);
         let allowed = self.repeatable || error.not_run();
@@ -378,18 +235,3 @@
         );
     }
 }
-
-/// Returns the availability zones to try: the instance's own first, then others that have backend servers of the pool,
-/// in an order that differs between requests.
-fn zones(shared: &Shared, pool: &Pool, id: Id) -> Vec<Arc<str>> {
-    let own = shared.area.clone();
-    let serving_zones = shared.directory.load().areas(pool);
-    let others = serving_zones.iter().filter(|zone| **zone != own).map(|zone| &**zone);
-    let ranked = rank::order(&id::to_text(id), others);
-    let mut zones: Vec<Arc<str>> =
-        ranked.into_iter().take(MAX_OVERFLOW_ZONES).map(Arc::from).collect();
-    if serving_zones.contains(&own) {
-        zones.insert(0, own);
-    }
-    zones
-}
--- a/crates/drumusher/src/request/service.rs
+++ b/crates/drumusher/src/request/service.rs
@@ -147,7 +147,7 @@
         if not_run && let Some(claim) = &mut claim {
             claim.mark_not_sent();
         }
-        if !lifecycle.may_retry(&backend.name, error) {
+        if !lifecycle.may_retry(&backend, error) {
             lifecycle.shared.telemetry.count_request(&lifecycle.head.class, "failed", 0);
             return Err(final_error(lifecycle, not_run));
         }
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -298,7 +298,7 @@
             self.ended = true;
             return Ok(());
         }
-        if self.lifecycle.may_retry(&backend.name, error) {
+        if self.lifecycle.may_retry(backend, error) {
             return Ok(());
         }
         self.ended = true;
@@ -306,21 +306,20 @@
     }
 
     fn final_error(&mut self, error: attempt::Error) -> Error {
+        if self.lifecycle.produced > 0 {
+            return self.lifecycle.incomplete_error();
+        }
         let class = self.lifecycle.head.class.clone();
         self.lifecycle.shared.telemetry.count_request(&class, "failed", 0);
-        if error.not_run() && self.lifecycle.produced == 0 && self.lifecycle.attempts <= 1 {
+        if error.not_run() && self.lifecycle.attempts <= 1 {
             if let Some(claim) = &mut self.claim {
                 claim.mark_not_sent();
             }
             let message = "no backend server accepted the request";
             return self.lifecycle.refusal_error(Kind::NoServer, message, 1_000).with_ran(Ran::No);
         }
-        let kind = if self.lifecycle.produced > 0 { Kind::Incomplete } else { Kind::BackendFailed };
-        self.lifecycle.set_outcome(kind.code());
-        if kind == Kind::Incomplete {
-            return Error::new(kind, "the response is incomplete: backend servers failed");
-        }
-        Error::new(kind, "the backend server failed")
+        self.lifecycle.set_outcome(Kind::BackendFailed.code());
+        Error::new(Kind::BackendFailed, "the backend server failed")
     }
 
     /// Stores the response for repeated requests with the same idempotency key.
--- a/crates/drumusher/tests/unit/failures.rs
+++ b/crates/drumusher/tests/unit/failures.rs
@@ -18,14 +18,7 @@
 /// one that waits for ever.
 #[rstest]
 fn rejections_of_a_begun_response_are_bounded_by_time(
-    #[values(
-        Error::NotSent,
-        Error::Full,
-        Error::ClosedForAll,
-        Error::NoResponse,
-        Error::Failed(500)
-    )]
-    error: Error,
+    #[values(Error::NotSent, Error::Full, Error::NoResponse, Error::Failed(500))] error: Error,
 ) {
     assert_eq!(outlived(100, error, SECOND), 60);
 }
@@ -36,7 +29,7 @@
 #[case::crashed(100, Error::Closed)]
 #[case::stalled(100, Error::Stalled)]
 #[case::mismatched(100, Error::Mismatched)]
-#[case::rejected_before_it_began(0, Error::ClosedForAll)]
+#[case::rejected_before_it_began(0, Error::NotSent)]
 #[case::failed_before_it_began(0, Error::Failed(500))]
 fn other_failures_are_bounded_by_number(#[case] produced: u32, #[case] error: Error) {
     assert_eq!(outlived(produced, error, MILLISECOND), ATTEMPTS - 1);
@@ -66,3 +59,48 @@
         assert_eq!(failures.next_backoff(0.5), 0);
     }
 }
+
+/// Guards against a request that is sent back to its engine at once after it broke there repeatedly, and against a
+/// response that waits for a steady engine before it has to.
+#[test]
+fn an_engine_has_to_be_steady_for_longer_after_each_failure() {
+    let mut failures = Failures::new();
+    failures.record(0, 100, Error::Broken, 100);
+    assert_eq!(failures.next_steady_time(0.0), None);
+    for shortest in [1, 2, 4, 8] {
+        failures.record(SECOND, 100, Error::Broken, 100);
+        assert!(failures.record(SECOND, 100, Error::NotSent, 100));
+        assert_eq!(failures.next_steady_time(0.0), Some(shortest * SECOND));
+        assert_eq!(failures.next_steady_time(0.0), None, "it was steady");
+    }
+}
+
+/// Guards against a response that is cut by outages in series, of which all but the first two hit the engine also while
+/// the request was not there.
+#[test]
+fn failures_in_a_series_of_outages_are_excused() {
+    let mut failures = Failures::new();
+    let mut produced = 100;
+    for outage in 0..20 {
+        assert!(failures.record(outage * SECOND, produced, Error::Broken, ATTEMPTS));
+        if failures.next_steady_time(0.5).is_some() {
+            failures.excuse();
+        }
+        produced += 8;
+    }
+}
+
+/// Guards against a response that is given up although it got a token lately, and against one that waits for ever.
+#[test]
+fn a_begun_response_is_given_up_a_minute_after_its_last_token() {
+    let mut failures = Failures::new();
+    assert_eq!(failures.give_up_at(100), None);
+    assert!(failures.record_refusal(0, 100));
+    assert!(failures.record_refusal(59 * SECOND, 100));
+    assert!(!failures.record_refusal(60 * SECOND, 100));
+    assert_eq!(failures.give_up_at(100), Some(65 * SECOND), "the last probe may take some seconds");
+    assert_eq!(failures.give_up_at(101), None);
+    assert!(failures.record_refusal(60 * SECOND, 101));
+    assert_eq!(failures.give_up_at(101), Some(125 * SECOND));
+    assert!(!failures.record_refusal(0, 0), "a new request is refused at once");
+}
