--- a/crates/drumusher/tests/unit/failures.rs
+++ b/crates/drumusher/tests/unit/failures.rs
@@ -103,4 +103,15 @@
     assert!(failures.record_refusal(60 * SECOND, 101));
     assert_eq!(failures.give_up_at(101), Some(125 * SECOND));
     assert!(!failures.record_refusal(0, 0), "a new request is refused at once");
+
+/// Guards against outages that are measured together although the response got on between them: each is short.
+#[test]
+fn short_outages_far_apart_are_outlived() {
+    let mut failures = Failures::new();
+    for round in 0..4 {
+        let (now, produced) = (u64::from(round) * 25 * SECOND, 100 + 20 * round);
+        assert!(failures.record(now, produced, Error::NotSent, ATTEMPTS), "outage {round}");
+        assert!(failures.record(now + SECOND, produced, Error::NotSent, ATTEMPTS));
+    }
+}
 }
