--- a/crates/drumusher/src/request/failures.rs
+++ b/crates/drumusher/src/request/failures.rs
@@ -19,6 +19,11 @@
 const WATCHED_FAILURES: u32 = 2;
 /// Shortest time for which an engine has to be steady; it doubles with each failure.
 const MIN_STEADY_TIME: Micros = SECOND;
+/// Most doublings, which exceed [`OUTAGE_LIMIT`].
+const MAX_DOUBLINGS: u32 = 6;
+/// Multiple of that time over which the returns of several requests are spread: a request that crashes its engine is
+/// then alone with few others that just returned.
+const STEADY_TIME_SPREAD: f64 = 3.0;
 
 /// The failures of a request since its response last made progress. Preempted attempts did not fail.
 ///
@@ -111,9 +116,9 @@
         if !due || self.counted < WATCHED_FAILURES {
             return None;
         }
-        let shortest = MIN_STEADY_TIME << self.watched.min(6);
+        let shortest = MIN_STEADY_TIME << self.watched.min(MAX_DOUBLINGS);
         self.watched += 1;
-        Some(shortest + (shortest as f64 * random) as Micros)
+        Some(shortest + (shortest as f64 * STEADY_TIME_SPREAD * random) as Micros)
     }
 
     /// Whether the engine may be down, so that it has to answer a query before a request that has delivered `produced`
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -188,7 +188,8 @@
         if status == 503 {
             return self.handle_failure(backend, span, attempt::Error::Full);
         }
-        if status >= 500 {
+        // An engine sends 408 if the request did not reach it in time.
+        if status == 408 || status >= 500 {
             return self.handle_failure(backend, span, attempt::Error::Failed(status));
         }
         span.set_attribute("http.response.status_code", i64::from(status));
--- a/crates/drumusher/tests/fleet/engine_outages.rs
+++ b/crates/drumusher/tests/fleet/engine_outages.rs
@@ -8,7 +8,7 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use drumusher_bench::{
@@ -30,8 +30,12 @@
 const CRASH: &str = "crash";
 /// How long a full engine stays full after its first rejection.
 const FULL_TIME: Duration = Duration::from_secs(5);
-/// Failed attempts after which a crashed engine is back.
-const RESTART_FAILURES: usize = 1;
+/// Time after which a crashed engine is back.
+const RESTART_TIME: Duration = Duration::from_millis(300);
+/// Number of outages in a series.
+const OUTAGES: usize = 8;
+/// Length of an outage in a series, and time between two. A stream gets fewer tokens in it than forget a failure.
+const OUTAGE_TIME: Duration = Duration::from_millis(400);
 
 type Stream = JoinHandle<(String, Response)>;
 
@@ -317,13 +321,16 @@
     )]
     next: Next,
     #[values(1, 12)] count: usize,
+    #[values(1, 2)] engine_count: usize,
 ) {
-    let (fleet, engines) = fleet_behind_relays(1, 1);
+    let (fleet, engines) = fleet_behind_relays(1, engine_count);
     let streams = start(&fleet, count, None);
     wait_for_tokens(&fleet, &engines, count, 40);
-    for _ in 0..6 {
-        let rejected = usize::from(next != Next::Served);
-        outage(&fleet, &engines, count, next, rejected);
+    for _ in 0..OUTAGES {
+        engines.iter().for_each(|engine| engine.fail(next));
+        thread::sleep(OUTAGE_TIME);
+        engines.iter().for_each(|engine| engine.recover(next));
+        thread::sleep(OUTAGE_TIME);
     }
     assert_all_whole(&fleet, &engines, streams);
 }
@@ -391,7 +398,7 @@
         engines.iter().map(|engine| engine.gate.arrivals.load(Ordering::Acquire)).sum()
     };
     assert_eq!(arrivals(), 1);
-    let mut restarting: Vec<Option<usize>> = vec![None; engine_count];
+    let mut restarting: Vec<Option<Instant>> = vec![None; engine_count];
     for engine in &engines {
         engine.gate.crashes.store(true, Ordering::Release);
         if engine.gate.arrivals.load(Ordering::Acquire) > 0 {
@@ -403,9 +410,7 @@
             if !engine.gate.ended.load(Ordering::Acquire) {
                 continue;
             }
-            let failed = logged(&fleet, "attempt ended");
-            let before = *since.get_or_insert(failed);
-            if failed >= before + RESTART_FAILURES || crashing.is_finished() {
+            if since.get_or_insert_with(Instant::now).elapsed() >= RESTART_TIME {
                 *since = None;
                 engine.gate.ended.store(false, Ordering::Release);
                 engine.gate.relay().refuse(false).expect("it listens");
--- a/crates/drumusher/tests/unit/failures.rs
+++ b/crates/drumusher/tests/unit/failures.rs
@@ -103,6 +103,7 @@
     assert!(failures.record_refusal(60 * SECOND, 101));
     assert_eq!(failures.give_up_at(101), Some(125 * SECOND));
     assert!(!failures.record_refusal(0, 0), "a new request is refused at once");
+}
 
 /// Guards against outages that are measured together although the response got on between them: each is short.
 #[test]
@@ -114,4 +115,3 @@
         assert!(failures.record(now + SECOND, produced, Error::NotSent, ATTEMPTS));
     }
 }
-}
