test: FAILS: begun responses at a third engine, over a slow link; arrivals of failing requests

The stream that lost two engines waits for the second although a third is idle, and is cut after 60 s. A stream whose engine answers GET /load after 1.2 s is cut. A begun request that gets status 500 arrives 32 times in 60 s. Two begun requests that crash one engine excuse one another: 10 arrivals in place of 8.

--- a/crates/drumusher/tests/fleet/engine_outages.rs
+++ b/crates/drumusher/tests/fleet/engine_outages.rs
@@ -437,3 +437,125 @@
     assert!(response.body.contains("incomplete"), "{}", response.body);
     assert!(arrivals() <= 4, "{} arrivals", arrivals());
 }
+
+/// The engine that runs the only stream, other than those in `except`.
+fn running_engine(engines: &[Engine], except: &[usize]) -> Option<usize> {
+    (0..engines.len()).find(|number| {
+        !except.contains(number) && engine_stat(&engines[*number].address, "running") == 1
+    })
+}
+
+/// Guards against a stream that waits for an engine that does not come back while another one is idle.
+#[test]
+fn a_stream_goes_on_at_a_third_engine_after_two_were_lost() {
+    let (fleet, engines) = fleet_behind_relays(1, 3);
+    let streams = start(&fleet, 1, None);
+    wait_for_tokens(&fleet, &engines, 1, 40);
+    let first = running_engine(&engines, &[]).expect("an engine runs it");
+    engines[first].fail(Next::Refused);
+    let mut second = None;
+    wait_for("another engine runs it", || {
+        second = running_engine(&engines, &[first]);
+        second.is_some()
+    });
+    let second = second.expect("it was found");
+    thread::sleep(Duration::from_millis(100));
+    engines[second].fail(Next::Refused);
+    let since = Instant::now();
+    while running_engine(&engines, &[first, second]).is_none()
+        && logged(&fleet, "request ended") == 0
+        && since.elapsed() < Duration::from_secs(80)
+    {
+        thread::sleep(Duration::from_millis(50));
+    }
+    let waited = since.elapsed();
+    println!("OUTCOME the third engine was used, or the stream ended, after {waited:?}");
+    assert_all_whole(&fleet, &engines, streams);
+    assert!(waited < Duration::from_secs(10), "{waited:?}");
+}
+
+/// Guards against a stream that is cut because its engine answers the query for its load slowly, as over a long way.
+#[test]
+fn a_stream_outlives_a_break_of_a_slow_link() {
+    let (mut fleet, engines) = {
+        let mut fleet = Fleet::new(env!("CARGO_BIN_EXE_drumusher")).expect("the stand-ins start");
+        let address =
+            fleet.add_backend(Kind::Engine, "engine-0", "suva", MODEL).expect("an engine starts");
+        let gate = Gate::start(address);
+        fleet.backends[0].address = gate.relay().address();
+        let address = address.to_string();
+        switch(&address, r#"{"step_ms": 20.0}"#);
+        (fleet, vec![Engine { address, gate }])
+    };
+    fleet.add_instance("suva-0", "suva").expect("an instance starts");
+    fleet.wait_ready();
+    fleet.configure();
+    fleet.wait_converged();
+    let streams = start(&fleet, 1, None);
+    wait_for_tokens(&fleet, &engines, 1, 40);
+    let relay = engines[0].gate.relay();
+    relay.set(drumusher_bench::fleet::Mode::Delayed(Duration::from_millis(600)));
+    thread::sleep(Duration::from_secs(3));
+    relay.reset();
+    let since = Instant::now();
+    let before = engine_stat(&engines[0].address, "tokens");
+    while engine_stat(&engines[0].address, "tokens") < before + 100
+        && logged(&fleet, "request ended") == 0
+        && since.elapsed() < Duration::from_secs(90)
+    {
+        thread::sleep(Duration::from_millis(50));
+    }
+    println!("OUTCOME it went on, or ended, after {:?}", since.elapsed());
+    assert_all_whole(&fleet, &engines, streams);
+}
+
+/// Counts the arrivals of a begun request that its engine answers with status 500 each time, as a proxy does whose
+/// engine crashes.
+#[test]
+fn a_begun_request_that_fails_with_a_status_arrives_seldom() {
+    let (fleet, engines) = fleet_behind_relays(1, 1);
+    let http = fleet.instances[0].http.clone();
+    let crashing =
+        thread::spawn(move || stream(&http, "urgent", CRASH, TOKENS).expect("a response"));
+    wait_for_tokens(&fleet, &engines, 1, 40);
+    let since = Instant::now();
+    engines[0].fail(Next::Status500);
+    while !crashing.is_finished() && since.elapsed() < Duration::from_secs(100) {
+        thread::sleep(Duration::from_millis(50));
+    }
+    let arrivals = engines[0].gate.arrivals.load(Ordering::Acquire);
+    println!("OUTCOME arrivals {arrivals} in {:?}", since.elapsed());
+    assert!(arrivals <= 12, "{arrivals} arrivals");
+}
+
+/// Guards against crashing requests that excuse one another.
+#[rstest]
+#[case::two(2)]
+#[case::four(4)]
+fn begun_requests_that_crash_the_same_engine_are_stopped(#[case] count: usize) {
+    let (fleet, engines) = fleet_behind_relays(1, 1);
+    let http = fleet.instances[0].http.clone();
+    let crashing = spawn_each(count, move |_| {
+        stream(&http, "urgent", CRASH, TOKENS).expect("a response")
+    });
+    wait_for_tokens(&fleet, &engines, count, 40);
+    let engine = &engines[0];
+    engine.gate.crashes.store(true, Ordering::Release);
+    engine.gate.crash();
+    let (since, mut ended) = (Instant::now(), Instant::now());
+    while !crashing.iter().all(JoinHandle::is_finished)
+        && since.elapsed() < Duration::from_secs(150)
+    {
+        if !engine.gate.ended.load(Ordering::Acquire) {
+            ended = Instant::now();
+        } else if ended.elapsed() >= RESTART_TIME {
+            engine.gate.ended.store(false, Ordering::Release);
+            engine.gate.relay().refuse(false).expect("it listens");
+            ended = Instant::now();
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+    let arrivals = engine.gate.arrivals.load(Ordering::Acquire);
+    println!("OUTCOME {count} requests, arrivals {arrivals} in {:?}", since.elapsed());
+    assert!(arrivals <= 4 * count, "{arrivals} arrivals");
+}
