fix: only servers that take no connection are probed often for begun answers

Cause: a waiting begun answer made a probe due every two seconds, whatever the last one had met. A probe that is refused a connection does no harm; one that the server runs may.

Fix: the shorter pause holds for servers that took no connection for the latest probe. Others keep the doubling pause.

--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -31,6 +31,9 @@
     time::{MILLISECOND, Micros, SECOND},
 };
 
+/// How long an answer that has begun outlives an outage without a new token. An engine that restarts loads its model for
+/// tens of seconds.
+pub const OUTAGE_LIMIT: Micros = 60 * SECOND;
 /// Interval of the periodic work: slow or failing backend servers, expired requests and silent
 /// attempts.
 pub const TICK: Micros = 50 * MILLISECOND;
@@ -227,6 +230,13 @@
         probes.collect::<Option<Vec<Micros>>>()?.into_iter().min()
     }
 
+    /// Since when all backend servers are down; `None` if one is not.
+    fn outage_since(&self) -> Option<Micros> {
+        let serving = self.servers().filter(|(_, server)| !server.leaving());
+        let down = serving.map(|(_, server)| server.down_from());
+        down.collect::<Option<Vec<Micros>>>()?.into_iter().max()
+    }
+
     fn server_mut(&mut self, key: server::Key) -> Option<&mut Server> {
         self.servers.get_mut(usize::from(key.0))?.as_mut()
     }
--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of requests, and refusal of those for which there is no capacity.
 
-use super::{Pool, position};
+use super::{OUTAGE_LIMIT, Pool, position};
 use crate::{
     ask::{Ask, Key, Outcome, State, Waiting},
     order::{Order, Refusal},
@@ -16,6 +16,8 @@
 /// While the next probe of any backend server is further away than this, no new request waits for
 /// it.
 const LONG_OUTAGE: Micros = 2 * SECOND;
+/// How long after [`OUTAGE_LIMIT`] a begun answer still waits for the probe that shows that the outage is over.
+const PROBE_GRACE: Micros = 5 * SECOND;
 
 impl Pool {
     pub(super) fn admit(&mut self, now: Micros, ask: Ask, orders: &mut Vec<Order>) {
@@ -207,10 +209,14 @@
         (left > LONG_OUTAGE).then_some(left)
     }
 
-    /// Whether a request is to be refused in a long outage. One whose answer has begun waits until its
-    /// entry instance gives it up.
+    /// Whether a request is to be refused in a long outage. One whose answer has begun outlives
+    /// [`OUTAGE_LIMIT`], and the probe after it.
     fn must_refuse_in_outage(&self, now: Micros, ask: &Ask) -> bool {
-        !ask.has_begun() && self.long_outage(now).is_some()
+        if self.long_outage(now).is_none() {
+            return false;
+        }
+        let outlasted = |since: Micros| now >= since + OUTAGE_LIMIT + PROBE_GRACE;
+        !ask.has_begun() || self.outage_since().is_some_and(outlasted)
     }
 
     /// Refuses the requests that must not wait for the end of a long outage.
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -69,8 +69,12 @@
     first_token: f64,
     failures: u32,
     health: Health,
-    /// When it last became down.
+    /// When its current outage began.
+    down_from: Micros,
+    /// When it last failed in that outage.
     down_since: Micros,
+    /// Whether no connection was made for the latest failed request.
+    unconnected: bool,
     /// Whether the latest query for its load had no answer.
     unreachable: bool,
     leaving: bool,
@@ -109,7 +113,9 @@
             first_token: 0.0,
             failures: 0,
             health: Health::Good,
+            down_from: 0,
             down_since: 0,
+            unconnected: false,
             unreachable: false,
             leaving: false,
             limiter: None,
@@ -279,7 +285,8 @@
         match outcome {
             // A backend server that answers is up, whatever it answers.
             Outcome::Done | Outcome::ErrorResponse => self.record_success(),
-            Outcome::Failed | Outcome::ConnectFailed => self.record_failure(now),
+            Outcome::Failed => self.record_failure(now, false),
+            Outcome::ConnectFailed => self.record_failure(now, true),
             Outcome::Overloaded => self.record_rejection(now),
             Outcome::Cancelled | Outcome::Preempted => {}
         }
--- a/crates/drumusher-schedule/src/server/health.rs
+++ b/crates/drumusher-schedule/src/server/health.rs
@@ -47,7 +47,8 @@
 pub enum Urgency {
     /// After its whole pause.
     Normal,
-    /// After [`MAX_URGENT_PAUSE`] at most: callers wait for the rest of an answer that has begun.
+    /// After [`MAX_URGENT_PAUSE`] at most if it refuses connections, so that a probe does no harm: callers wait for the
+    /// rest of an answer that has begun.
     Begun,
 }
 
@@ -86,8 +87,8 @@
     pub fn may_probe(&self, now: Micros, urgency: Urgency) -> bool {
         let idle = !self.leaving && self.running == 0;
         let due = match (self.health, urgency) {
-            (Health::Down(until, pause), Urgency::Begun) => {
-                now + pause.saturating_sub(MAX_URGENT_PAUSE) >= until
+            (Health::Down(until, pause), Urgency::Begun) if self.unconnected => {
+                now >= until - pause.saturating_sub(MAX_URGENT_PAUSE)
             }
             _ => self.probe_due(now).is_some(),
         };
@@ -154,14 +155,23 @@
         }
     }
 
-    /// Records that it failed a request.
-    pub(super) fn record_failure(&mut self, now: Micros) {
+    /// When it went down, if it is down.
+    pub fn down_from(&self) -> Option<Micros> {
+        matches!(self.health, Health::Down(..)).then_some(self.down_from)
+    }
+
+    /// Records that it failed a request, which did not reach it if it was `unconnected`.
+    pub(super) fn record_failure(&mut self, now: Micros, unconnected: bool) {
         self.failures += 1;
+        self.unconnected = unconnected;
         let pause = match self.health {
             Health::Down(_, pause) => (pause * 2).min(MAX_DOWN_PAUSE),
             _ if self.failures < FAILURES_TO_DOWN => return,
             _ => MIN_DOWN_PAUSE,
         };
+        if self.down_from().is_none() {
+            self.down_from = now;
+        }
         self.health = Health::Down(now + pause, pause);
         self.down_since = now;
         self.gap_samples = 0;
--- a/crates/drumusher-schedule/tests/schedule/outage.rs
+++ b/crates/drumusher-schedule/tests/schedule/outage.rs
@@ -97,48 +97,70 @@
     assert_eq!(health(&harness, 0), Health::Down(now + 2 * pause, 2 * pause));
 }
 
-/// A pool whose only backend server failed so many probes that new requests are refused.
-fn long_outage(policy: Policy) -> Harness {
+/// A pool whose only backend server failed so many probes that new requests are refused, and when it went down.
+fn long_outage(policy: Policy, outcome: Outcome) -> (Harness, u64) {
     let mut harness = Harness::new(policy, 1, 4);
     for id in 0..2 {
         let now = harness.now;
         harness.ask(ask(id, URGENT, now));
-        harness.finish(id, Outcome::ConnectFailed);
+        harness.finish(id, outcome);
     }
+    let began = harness.now;
     let mut down_for = health(&harness, 0).down_for().expect("it failed twice");
     for id in 2..5 {
         harness.ask(ask(id, URGENT, harness.now));
         harness.advance(down_for + 100 * MILLISECOND);
-        harness.finish(id, Outcome::ConnectFailed);
+        harness.finish(id, outcome);
         down_for = health(&harness, 0).down_for().expect("it failed each probe");
     }
     assert!(down_for > 2 * SECOND, "{down_for}");
-    harness
+    (harness, began)
 }
 
-/// Guards against a stream that is cut midway because its backend server is down for longer than its class waits. It
-/// probes the backend server every two seconds. New requests are refused at once with the time to retry.
+/// Guards against a stream that is cut midway because its backend server is down for longer than its class waits, and
+/// against one that waits for ever. It probes a backend server that takes no connection every two seconds. New requests
+/// are refused at once with the time to retry.
 #[test]
 fn an_answer_that_has_begun_outlives_an_outage_of_a_minute() {
     let mut policy = policy();
     policy.classes[usize::from(URGENT)].wait = 10 * SECOND;
-    let mut harness = long_outage(policy);
-    let begins = harness.now;
-    for probe in 0..30 {
+    let (mut harness, began) = long_outage(policy, Outcome::ConnectFailed);
+    while harness.now < began + 60 * SECOND {
         let now = harness.now;
-        assert_eq!(refused(&harness.ask(ask(100 + probe, URGENT, now))), [100 + probe]);
+        assert_eq!(refused(&harness.ask(ask(10, URGENT, now))), [10]);
         let mut orders = harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
         orders.extend(harness.advance(2_100 * MILLISECOND));
-        assert_eq!((granted(&orders), refused(&orders)), (vec![(11, 0)], vec![]), "probe {probe}");
+        assert_eq!((granted(&orders), refused(&orders)), (vec![(11, 0)], vec![]));
         harness.finish(11, Outcome::ConnectFailed);
     }
-    assert!(harness.now > begins + 60 * SECOND);
+    harness.now = began + 65 * SECOND;
+    let now = harness.now;
+    assert_eq!(refused(&harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) })), [11]);
+}
+
+/// Guards against a begun request that fails a backend server each time it arrives there, and arrives more often than a
+/// new one would.
+#[test]
+fn a_backend_server_that_fails_requests_is_probed_after_its_whole_pause() {
+    let (mut harness, began) = long_outage(policy(), Outcome::Failed);
+    let mut probes = 0;
+    let now = harness.now;
+    harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
+    while harness.now < began + 60 * SECOND {
+        if !granted(&harness.advance(50 * MILLISECOND)).is_empty() {
+            probes += 1;
+            harness.finish(11, Outcome::Failed);
+            let now = harness.now;
+            harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
+        }
+    }
+    assert_eq!(probes, 4, "after 4, 8, 15 and 15 seconds");
 }
 
 /// Guards against new requests that are refused for seconds after their backend server is back.
 #[test]
 fn a_backend_server_that_answers_queries_again_is_probed_at_once() {
-    let mut harness = long_outage(policy());
+    let (mut harness, _) = long_outage(policy(), Outcome::ConnectFailed);
     let load = |harness: &Harness| {
         Event::Load(Load { server: Key(0), as_of: harness.now, running: 0, waiting: 0, full: None })
     };
