fix: a begun response is not held back by the engine that broke it

Cause: the watch looked at the engine of the latest failure alone, until the response was given up. An engine that was slow to answer the query counted as away. A failure of the engine while the request was not there was taken for an outage and excused the request, also if another request was the cause.

Fix: up to four engines of the pool are watched in turn, as the directory has them now, and a steady one ends the watch in time to ask. Only engines that take no connection, close it, or are missing behind a proxy (502, 504) are away; the configured limit for connecting holds. Nothing is excused: to stay away until a series of outages is over is enough, and the bound of four holds for any number of requests. A refused connection is reported as such. A response that has begun takes 421 and 429 like 408, which a request that has not begun gets as before.

--- a/crates/drumusher/src/request/failures.rs
+++ b/crates/drumusher/src/request/failures.rs
@@ -1,6 +1,7 @@
 //! The failed attempts of one request, and whether another attempt may follow. Without I/O.
 
 use drumusher_schedule::{
+    pool::OUTAGE_LIMIT,
     retry::backoff,
     time::{Micros, SECOND},
 };
@@ -10,16 +11,11 @@
 /// Tokens that have to be delivered before a connection breaks, for the failures before it to be forgotten. A request
 /// that crashes its engines gets a token or two from each attempt.
 const MIN_PROGRESS_TOKENS: u32 = 32;
-/// How long a response that has begun outlives an outage without a new token. An engine that restarts loads its model
-/// for tens of seconds.
-const OUTAGE_LIMIT: Micros = 60 * SECOND;
-/// How long after [`OUTAGE_LIMIT`] a response still waits for the probe that shows that the outage is over.
-const PROBE_GRACE: Micros = 5 * SECOND;
 /// Failures without progress from which on an engine has to be steady before the request is sent there again.
 const WATCHED_FAILURES: u32 = 2;
 /// Shortest time for which an engine has to be steady; it doubles with each failure.
 const MIN_STEADY_TIME: Micros = SECOND;
-/// Most doublings, which exceed [`OUTAGE_LIMIT`].
+/// Doublings after which it exceeds [`OUTAGE_LIMIT`].
 const MAX_DOUBLINGS: u32 = 6;
 /// Multiple of that time over which the returns of several requests are spread: a request that crashes its engine is
 /// then alone with few others that just returned.
@@ -27,9 +23,9 @@
 
 /// The failures of a request since its response last made progress. Preempted attempts did not fail.
 ///
-/// A broken connection is either an outage of the engine or the doing of this request. What tells them apart is an
-/// engine that fails while the request is not there: after the second failure the engine is watched until it is
-/// steady, and a failure that was part of a series of outages does not count.
+/// A broken connection is either an outage of the engine or the doing of this request, and counts. Outages come in series
+/// though: from the second failure on the request stays away until an engine has been steady, so that the series is over
+/// or the request is at fault.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Failures {
     /// Failures that count against the bound on attempts.
@@ -73,20 +69,20 @@
         self.watch_due |= !is_outage;
         self.total += 1;
         self.produced = produced;
-        self.counted < attempts
-            && (produced == 0 || now < self.outage_since(now, produced) + OUTAGE_LIMIT)
+        self.counted < attempts && (produced == 0 || self.is_within_limit(now, produced))
     }
 
     /// Records that no backend server was granted. Returns whether the request may ask again: a response that has begun
     /// would be lost.
     pub fn record_refusal(&mut self, now: Micros, produced: u32) -> bool {
-        produced > 0 && now < self.outage_since(now, produced) + OUTAGE_LIMIT
+        produced > 0 && self.is_within_limit(now, produced)
     }
 
-    /// When the outage began that lasts since the latest token.
-    fn outage_since(&mut self, now: Micros, produced: u32) -> Micros {
+    /// Whether the outage is not too long yet. It begins now if there were new tokens since the last one.
+    fn is_within_limit(&mut self, now: Micros, produced: u32) -> bool {
         let lasting = self.outage.filter(|outage| outage.produced == produced);
-        self.outage.insert(lasting.unwrap_or(Outage { since: now, produced })).since
+        let outage = self.outage.insert(lasting.unwrap_or(Outage { since: now, produced }));
+        now < outage.since + OUTAGE_LIMIT
     }
 
     /// Whether enough was delivered since the latest failure for it to be forgotten. A stall is not the fault of a
@@ -127,15 +123,10 @@
         produced > 0 && self.total > 0 && produced < self.produced + MIN_PROGRESS_TOKENS
     }
 
-    /// Records that the engine failed while the request was not there: the latest failure was no fault of the request.
-    pub fn excuse(&mut self) {
-        self.counted = self.counted.saturating_sub(1);
-    }
-
-    /// When a response that has delivered `produced` tokens is given up unless it gets a token before; `None` if it has
-    /// not begun or is not in an outage.
-    pub fn give_up_at(&self, produced: u32) -> Option<Micros> {
+    /// When an outage becomes too long for a response that has delivered `produced` tokens; `None` if it has not begun
+    /// or is in none.
+    pub fn outage_limit(&self, produced: u32) -> Option<Micros> {
         let lasting = self.outage.filter(|outage| produced > 0 && outage.produced == produced);
-        lasting.map(|outage| outage.since + OUTAGE_LIMIT + PROBE_GRACE)
+        lasting.map(|outage| outage.since + OUTAGE_LIMIT)
     }
 }
--- a/crates/drumusher/src/request/grant.rs
+++ b/crates/drumusher/src/request/grant.rs
@@ -1,6 +1,6 @@
 //! How a request obtains a backend server: pauses before a retry, grants of dispatchers, and refusals.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, ops::Range, sync::Arc};
 
 use drumusher_schedule::{
     ask::{Id, Outcome},
@@ -25,8 +25,10 @@
 const GRANT_EXPIRY: u64 = 500_000;
 /// Pause after a grant for a backend server that this instance considers unusable.
 const UNUSABLE_GRANT_PAUSE: Millis = Millis(20);
-/// Pause after all availability zones refused a request whose response has begun.
-const REFUSED_PAUSE: Millis = Millis(250);
+/// Pause after all availability zones refused a request whose response has begun, in milliseconds.
+const REFUSED_PAUSE_MS: Range<u32> = 250..500;
+/// Maximum number of engines that are watched in turn.
+const MAX_WATCHED: usize = 4;
 /// Number of other availability zones that are tried after a refusal.
 const MAX_OVERFLOW_ZONES: usize = 2;
 /// Time that a dispatcher may take in addition to the class's wait bound, in milliseconds.
@@ -62,43 +64,53 @@
             sleep(Millis(pause as u32)).await;
         }
         let time = self.failures.next_steady_time(rand::random());
-        let deadline = self.failures.give_up_at(self.produced);
-        if let (Some(watch), Some(time), Some(deadline)) = (self.watch, time, deadline) {
-            self.watch_engine(watch, time, deadline).await;
+        let deadline = self.failures.outage_limit(self.produced);
+        if let (Some(time), Some(deadline)) = (time, deadline) {
+            self.watch_engines(time, deadline).await;
         }
     }
 
-    async fn watch_engine(&mut self, watch: Watch, time: Micros, deadline: Micros) {
+    async fn watch_engines(&mut self, time: Micros, deadline: Micros) {
+        let Some(watch) = self.watch() else { return };
         let began = clock::now();
-        let relapsed = watch.until_steady(time, deadline).await;
-        if relapsed {
-            self.failures.excuse();
-        }
-        let server = self.avoid.as_deref().unwrap_or_default();
+        watch.until_steady(time, deadline).await;
         let waited_ms = (clock::now() - began) / MILLISECOND;
-        let what = if relapsed { "failed again without this request" } else { "was steady" };
-        self.shared
-            .explanations
-            .add(self.id, format!("{server} {what}, watched for {waited_ms} ms"));
+        let steady_ms = time / MILLISECOND;
+        let what = format!("waited {waited_ms} ms for an engine to be steady for {steady_ms} ms");
+        self.shared.explanations.add(self.id, what);
         log::info!(
-            request_id = id::to_text(self.id).as_str(), server = server, waited_ms = waited_ms;
-            "engine {what} after a failed attempt"
+            request_id = id::to_text(self.id).as_str(), steady_ms = steady_ms, waited_ms = waited_ms;
+            "waited for a steady engine after failed attempts"
         );
     }
 
-    /// Whether a backend server may get the request: after a failure, a response that has begun is only sent to an
-    /// engine that answers.
-    async fn is_responsive(&self, backend: &Backend) -> bool {
-        match self.watch_for(backend).filter(|_| self.failures.suspects_engine(self.produced)) {
-            Some(watch) => watch.responds().await,
-            None => true,
-        }
+    /// A watch of the engine of the latest failure and of some others of the pool. `None` for a plain service, which would
+    /// take the query for a request.
+    fn watch(&self) -> Option<Watch> {
+        let directory = self.shared.directory.load();
+        let areas = directory.areas(&self.pool);
+        let backends = areas.iter().flat_map(|area| directory.backends(&self.pool, area));
+        let mut usable: Vec<&Backend> = backends.filter(|backend| !backend.leaving).collect();
+        usable.sort_by_key(|backend| self.avoid.as_ref() != Some(&backend.name));
+        let addresses = usable.iter().filter_map(|backend| backend.address.parse().ok());
+        let engines: Vec<SocketAddr> = addresses.take(MAX_WATCHED).collect();
+        let is_engine = matches!(self.pool, Pool::Model(_)) && !engines.is_empty();
+        is_engine.then(|| Watch::new(engines, self.connect_timeout()))
+    }
+
+    fn connect_timeout(&self) -> Millis {
+        Millis(self.shared.settings.backend.connect_ms as u32)
     }
 
-    /// A watch of a backend server, if it is an engine: a plain service would take the query for a request.
-    pub(super) fn watch_for(&self, backend: &Backend) -> Option<Watch> {
+    /// Whether a backend server may get the request: after a failure, a response that has begun is not sent to an engine
+    /// that is known to be away.
+    async fn is_responsive(&self, backend: &Backend) -> bool {
         let is_engine = matches!(self.pool, Pool::Model(_));
-        backend.address.parse().ok().filter(|_| is_engine).map(Watch::new)
+        if !is_engine || !self.failures.suspects_engine(self.produced) {
+            return true;
+        }
+        let Ok(address) = backend.address.parse() else { return true };
+        Watch::new(vec![address], self.connect_timeout()).responds().await
     }
 
     /// Requests grants until one names a usable backend server.
@@ -108,8 +120,7 @@
         loop {
             let Some(zone) = self.zones.first().cloned() else {
                 let message = format!("no backend server serves {}", self.pool);
-                let error = self.refusal_error(Kind::NoServer, message, 1_000);
-                self.outlast_refusal(error).await?;
+                self.outlast_refusal((Kind::NoServer, message), 1_000).await?;
                 continue;
             };
             let span = self.span.child(self.shared.telemetry.tracer(), "ask");
@@ -133,14 +144,15 @@
                     span.fail("refused");
                     span.end();
                     self.outstanding = false;
-                    if let Err(error) = self.overflow(refusal, retry_after) {
-                        self.outlast_refusal(error).await?;
+                    if !self.overflow(refusal) {
+                        self.outlast_refusal(reason(refusal), retry_after / 1_000).await?;
                     }
                 }
                 Decision::Expired => {
                     span.fail("no answer");
                     self.finish_attempt(Outcome::Cancelled);
-                    return Err(self.expiry_error());
+                    let message = "no dispatcher replied in time";
+                    return Err(self.refusal_error(Kind::WaitBound, message, 1_000));
                 }
             }
         }
@@ -151,23 +163,19 @@
     /// # Errors
     ///
     /// The error of the refusal, if it is final.
-    async fn outlast_refusal(&mut self, error: Error) -> Result<(), Error> {
+    async fn outlast_refusal(
+        &mut self,
+        (kind, message): (Kind, String),
+        retry_after_ms: u64,
+    ) -> Result<(), Error> {
         if !self.failures.record_refusal(clock::now(), self.produced) {
-            return Err(error);
+            return Err(self.refusal_error(kind, message, retry_after_ms));
         }
-        sleep(REFUSED_PAUSE).await;
+        sleep(Millis(rand::random_range(REFUSED_PAUSE_MS))).await;
         self.zones = zones(&self.shared, &self.pool, self.id);
         Ok(())
     }
 
-    fn expiry_error(&self) -> Error {
-        if self.produced > 0 {
-            let message = "no backend server went on with the response in time";
-            return self.refusal_error(Kind::NoServer, message, 1_000);
-        }
-        self.refusal_error(Kind::WaitBound, "no dispatcher replied in time", 1_000)
-    }
-
     /// Requests a grant from the dispatcher of an availability zone, and discards replies to earlier requests.
     fn request_grant(&mut self, area: Arc<str>) {
         while self.replies.try_recv().is_ok() {}
@@ -198,18 +206,14 @@
     }
 
     /// Waits for the dispatcher's decision. A new request is given up if none arrives in time. One whose answer has
-    /// begun is submitted again instead, since its dispatcher may let it wait for longer; it is given up if an outage
-    /// lasts too long.
+    /// begun is submitted again instead, since its dispatcher may let it wait for longer.
     async fn await_decision(&self, zone: &Arc<str>) -> Decision {
-        let longest = self.head.settings.wait_ms + DISPATCHER_GRACE_MS;
-        let give_up_at = self.failures.give_up_at(self.produced);
+        let longest = Millis((self.head.settings.wait_ms + DISPATCHER_GRACE_MS) as u32);
         loop {
-            let left = |until: Micros| until.saturating_sub(clock::now()) / MILLISECOND;
-            let wait = give_up_at.map_or(longest, |until| longest.min(left(until))).max(1);
-            if let Ok(decision) = timeout(Millis(wait as u32), self.next_decision()).await {
+            if let Ok(decision) = timeout(longest, self.next_decision()).await {
                 return decision;
             }
-            if self.produced == 0 || give_up_at.is_some_and(|until| left(until) == 0) {
+            if self.produced == 0 {
                 return Decision::Expired;
             }
             let request = self.dispatch_request(zone.clone());
@@ -238,30 +242,34 @@
         directory.backend(&self.pool, server).filter(|backend| !backend.leaving).cloned()
     }
 
-    /// Handles a refusal: moves on to the next availability zone, or returns the final error.
-    fn overflow(&mut self, refusal: i16, retry_after: u64) -> Result<(), Error> {
-        let workspace_limited = refusal == Refusal::WorkspaceLimit as i16;
+    /// Handles a refusal: moves on to the next availability zone. Returns whether there is one that may be asked.
+    fn overflow(&mut self, refusal: i16) -> bool {
         self.zones.remove(0);
-        if !workspace_limited && !self.zones.is_empty() {
-            self.shared.telemetry.count("drumusher.overflow", &[]);
-            return Ok(());
+        if refusal == Refusal::WorkspaceLimit as i16 || self.zones.is_empty() {
+            return false;
         }
-        let (kind, message) = match refusal {
-            r if r == Refusal::QueueFull as i16 => {
-                (Kind::QueueFull, "the queue is full and this request was evicted")
-            }
-            r if r == Refusal::WaitBound as i16 => {
-                (Kind::WaitBound, "the request would wait longer than its class allows")
-            }
-            r if r == Refusal::WorkspaceLimit as i16 => {
-                (Kind::WorkspaceLimit, "the workspace has reached its limit")
-            }
-            _ => (Kind::NoServer, "no backend server is usable"),
-        };
-        Err(self.refusal_error(kind, message, retry_after / 1_000))
+        self.shared.telemetry.count("drumusher.overflow", &[]);
+        true
     }
 }
 
+/// Kind of error and message for a refusal.
+fn reason(refusal: i16) -> (Kind, String) {
+    let (kind, message) = match refusal {
+        r if r == Refusal::QueueFull as i16 => {
+            (Kind::QueueFull, "the queue is full and this request was evicted")
+        }
+        r if r == Refusal::WaitBound as i16 => {
+            (Kind::WaitBound, "the request would wait longer than its class allows")
+        }
+        r if r == Refusal::WorkspaceLimit as i16 => {
+            (Kind::WorkspaceLimit, "the workspace has reached its limit")
+        }
+        _ => (Kind::NoServer, "no backend server is usable"),
+    };
+    (kind, message.into())
+}
+
 /// Returns the availability zones to try: the instance's own first, then others that have backend servers of the pool,
 /// in an order that differs between requests.
 fn zones(shared: &Shared, pool: &Pool, id: Id) -> Vec<Arc<str>> {
--- a/crates/drumusher/src/request/lifecycle.rs
+++ b/crates/drumusher/src/request/lifecycle.rs
@@ -7,7 +7,6 @@
 
 use super::{
     arrival_token, attempt, failures::Failures, head::Head, id, in_flight::InFlight, trace::Span,
-    watch::Watch,
 };
 use crate::{
     error::{Error, Kind, Ran},
@@ -49,8 +48,6 @@
     pub(super) preemptions: u8,
     /// Backend server of the latest failed attempt.
     pub(super) avoid: Option<Arc<str>>,
-    /// The engine of the latest failed attempt.
-    pub(super) watch: Option<Watch>,
     pub(super) replies: async_channel::Receiver<Reply>,
     pub(super) sender: async_channel::Sender<Reply>,
     /// Availability zones that are still to be tried for the next grant.
@@ -89,7 +86,6 @@
             attempts: 0,
             preemptions: 0,
             avoid: None,
-            watch: None,
             replies,
             sender,
             outstanding: false,
@@ -166,7 +162,6 @@
     /// it has: one pause of an engine breaks more streams than a budget can accumulate.
     pub fn may_retry(&mut self, backend: &Backend, error: attempt::Error) -> bool {
         self.avoid = Some(backend.name.clone());
-        self.watch = self.watch_for(backend);
         let attempts = self.shared.settings.backend.attempts;
         let within_bounds = self.failures.record(clock::now(), self.produced, error, attempts);
         let allowed = self.repeatable || error.not_run();
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -188,8 +188,9 @@
         if status == 503 {
             return self.handle_failure(backend, span, attempt::Error::Full);
         }
-        // An engine sends 408 if the request did not reach it in time.
-        if status == 408 || status >= 500 {
+        // An engine that accepted the request before says by these that it did not receive it this time.
+        let not_received = matches!(status, 408 | 421 | 429) && self.lifecycle.produced > 0;
+        if not_received || status >= 500 {
             return self.handle_failure(backend, span, attempt::Error::Failed(status));
         }
         span.set_attribute("http.response.status_code", i64::from(status));
@@ -291,6 +292,7 @@
         self.scanner.restart();
         let outcome = match error {
             attempt::Error::Full => Outcome::Overloaded,
+            attempt::Error::NotSent => Outcome::ConnectFailed,
             _ => Outcome::Failed,
         };
         self.lifecycle.finish_attempt(outcome);
--- a/crates/drumusher/src/request/watch.rs
+++ b/crates/drumusher/src/request/watch.rs
@@ -1,4 +1,4 @@
-//! Watches an engine on connections of its own while a request that may have broken it is not there.
+//! Watches engines on connections of their own while a request that may have broken one is not there.
 
 use std::net::SocketAddr;
 
@@ -11,96 +11,104 @@
 
 use crate::{
     process::clock,
-    upstream::{self, Conn, Probe, response::Part},
+    upstream::{self, Conn, Error, Probe, response::Part},
 };
 
-/// Time that an engine has to accept a connection.
-const CONNECT_TIMEOUT: Millis = Millis(200);
-/// Time that an engine has to answer the query. Some answer it between two steps.
+/// Time that an engine has to answer the query. One that is silent for longer may just be slow.
 const ANSWER_TIMEOUT: Micros = 1_000 * MILLISECOND;
 /// Longest time for which one connection is held. Servers close idle connections after some seconds.
 const HOLD_TIME: Micros = 1_000 * MILLISECOND;
-/// Pause before an engine that failed is asked again.
+/// Pause before an engine is asked after another failed.
 const RETRY_PAUSE: Millis = Millis(100);
-/// How long an engine has to work before a failure is one of its own. An engine that is ending may answer for a moment.
-const MIN_SERVICE_TIME: Micros = 200 * MILLISECOND;
 
-/// An engine that is watched.
-#[derive(Clone, Copy, Debug)]
+/// Engines that are watched one at a time, beginning with that of the latest failure.
+#[derive(Clone, Debug)]
 pub struct Watch {
-    address: SocketAddr,
-}
-
-/// What one connection showed of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Observation {
-    /// It answered and kept the connection open.
-    Steady,
-    /// It answered, and closed the connection later.
-    Closed,
-    /// It did not answer.
-    Away,
+    engines: Vec<SocketAddr>,
+    connect_timeout: Millis,
 }
 
 impl Watch {
-    /// Watches the engine at an address.
-    pub fn new(address: SocketAddr) -> Self {
-        Watch { address }
+    /// Watches engines, each of which has `connect_timeout` to accept a connection.
+    pub fn new(engines: Vec<SocketAddr>, connect_timeout: Millis) -> Self {
+        Watch { engines, connect_timeout }
     }
 
-    /// Whether the engine answers the query for its load, whatever the answer.
-    pub async fn responds(self) -> bool {
-        self.observe(0).await == Observation::Steady
+    /// Whether all engines may get a request: none of them is known to be away.
+    pub async fn responds(&self) -> bool {
+        for engine in &self.engines {
+            if !self.is_available(*engine, 0).await {
+                return false;
+            }
+        }
+        true
     }
 
-    /// Waits until the engine has been steady for `time`, or until `deadline`. Returns whether it failed after it had
-    /// worked, so that its outages come in series.
-    pub async fn until_steady(self, time: Micros, deadline: Micros) -> bool {
-        let (mut steady_since, mut relapsed) = (None, false);
-        while clock::now() < deadline {
-            let now = clock::now();
-            let left = (steady_since.unwrap_or(now) + time).saturating_sub(now);
-            let observation = self.observe(left.min(HOLD_TIME)).await;
-            if observation != Observation::Away {
-                steady_since.get_or_insert(now);
+    /// Waits until one engine has been steady for `time`, or until `deadline`.
+    pub async fn until_steady(&self, time: Micros, deadline: Micros) {
+        for engine in self.engines.iter().cycle() {
+            if self.is_steady(*engine, time, deadline).await {
+                return;
             }
-            if observation != Observation::Steady {
-                let failed_at = clock::now();
-                let worked = |since| failed_at >= since + MIN_SERVICE_TIME;
-                relapsed |= steady_since.take().is_some_and(worked);
-                sleep(RETRY_PAUSE).await;
-            } else if left <= HOLD_TIME {
-                break;
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Whether an engine is steady for `time`, or until `deadline`.
+    async fn is_steady(&self, engine: SocketAddr, time: Micros, deadline: Micros) -> bool {
+        let until = deadline.min(clock::now() + time);
+        loop {
+            let left = until.saturating_sub(clock::now());
+            if left == 0 {
+                return true;
+            }
+            if !self.is_available(engine, left.min(HOLD_TIME)).await {
+                return false;
             }
         }
-        relapsed
     }
 
-    /// Asks the engine for its load, and holds the connection for `time`.
-    async fn observe(self, time: Micros) -> Observation {
-        let Probe::Connected(mut conn) = upstream::probe(self.address, CONNECT_TIMEOUT).await
-        else {
-            return Observation::Away;
+    /// Whether an engine answers the query for its load and keeps the connection open for `time`. One that does not
+    /// answer in time may be slow, and is not known to be away.
+    async fn is_available(&self, engine: SocketAddr, time: Micros) -> bool {
+        let until = clock::now() + time;
+        let Probe::Connected(mut conn) = upstream::probe(engine, self.connect_timeout).await else {
+            return false;
         };
-        if self.query(&mut conn).await.is_err() {
-            return Observation::Away;
+        match query(engine, &mut conn).await {
+            Ok(status) if is_missing(status) => return false,
+            Ok(_) => {}
+            Err(error) => return error == Error::TimedOut,
+        }
+        let left = Millis((until.saturating_sub(clock::now()) / MILLISECOND) as u32);
+        if left == Millis(0) {
+            return true;
         }
-        let time = Millis((time / MILLISECOND) as u32);
         if !conn.finish() {
             // It closes each connection after its answer.
-            sleep(time).await;
-        } else if time > Millis(0) && conn.is_closed_within(time).await {
-            return Observation::Closed;
+            sleep(left).await;
+            return true;
         }
-        Observation::Steady
+        !conn.is_closed_within(left).await
     }
+}
 
-    /// Sends the query for the load and reads the answer to its end.
-    async fn query(self, conn: &mut Conn) -> Result<(), upstream::Error> {
-        let until = clock::now() + ANSWER_TIMEOUT;
-        let head = format!("GET {} HTTP/1.1\r\nhost: {}\r\n\r\n", load::PATH, self.address);
-        conn.send(head.as_bytes(), &Bytes::new(), false)?;
-        while !matches!(conn.next_part(until, || false).await?, Part::End) {}
-        Ok(())
+/// Sends the query for the load and reads the answer to its end. Returns its status.
+async fn query(engine: SocketAddr, conn: &mut Conn) -> Result<u16, Error> {
+    let until = clock::now() + ANSWER_TIMEOUT;
+    let head = format!("GET {} HTTP/1.1\r\nhost: {engine}\r\n\r\n", load::PATH);
+    conn.send(head.as_bytes(), &Bytes::new(), false)?;
+    let mut status = 0;
+    loop {
+        match conn.next_part(until, || false).await? {
+            Part::Head(head) => status = head.status,
+            Part::Data(_) => {}
+            Part::End => return Ok(status),
+        }
     }
 }
+
+/// Whether a proxy says by a status that the engine behind it is missing.
+fn is_missing(status: u16) -> bool {
+    matches!(status, 502 | 504)
+}
