--- a/crates/drumusher/tests/fleet/engine_outages.rs
+++ b/crates/drumusher/tests/fleet/engine_outages.rs
@@ -440,7 +440,8 @@
 /// Streams at an instance for a caller that waits for longer than 60 s for the next token.
 fn patient_stream(http: &str, tag: &str) -> Response {
     let prompt = format!("{tag} tell");
-    let body = serde_json::json!({"model": MODEL, "prompt": prompt, "max_tokens": TOKENS, "stream": true});
+    let body =
+        serde_json::json!({"model": MODEL, "prompt": prompt, "max_tokens": TOKENS, "stream": true});
     crate::outage_series::exchange(http, "urgent", &body.to_string()).expect("a response")
 }
 
@@ -527,8 +528,7 @@
 fn a_begun_request_that_fails_with_a_status_arrives_seldom() {
     let (fleet, engines) = fleet_behind_relays(1, 1);
     let http = fleet.instances[0].http.clone();
-    let crashing =
-        thread::spawn(move || patient_stream(&http, CRASH));
+    let crashing = thread::spawn(move || patient_stream(&http, CRASH));
     wait_for_tokens(&fleet, &engines, 1, 40);
     let since = Instant::now();
     engines[0].fail(Next::Status500);
