fix: tokens of an early probe end the outage

Cause: a begun answer probes a server before its whole pause is over, and tokens end an outage only after it: reports lag, and those before the first probe may be from before the failures. Until then no other request was granted.

Fix: a granted probe ends the pause. Tokens reported after it are the probe's.

Test: schedule::outage::tokens_of_an_early_probe_end_the_outage fails without the change (the server stays down).

--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -232,6 +232,9 @@
         let cost = self.remaining_tokens(&waiting.ask);
         self.credit_classes(waiting.ask.class, cost, reserved);
         self.start_running(now, waiting, server, prefill, reserved);
+        if let (Availability::Probe(_), Some(server)) = (availability, self.server_mut(server)) {
+            server.note_probe(now);
+        }
         true
     }
 
--- a/crates/drumusher-schedule/src/server/health.rs
+++ b/crates/drumusher-schedule/src/server/health.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Records that a probe was granted: tokens that it reports from now on end the outage, also if the probe was early.
+    pub fn note_probe(&mut self, now: Micros) {
+        if let Health::Down(until, _) = &mut self.health {
+            *until = now.min(*until);
+        }
+    }
+
     /// Records that it answered a request.
     pub(super) fn record_success(&mut self) {
         self.failures = 0;
--- a/crates/drumusher-schedule/tests/schedule/outage.rs
+++ b/crates/drumusher-schedule/tests/schedule/outage.rs
@@ -138,6 +138,19 @@
     assert_eq!(refused(&harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) })), [11]);
 }
 
+/// Guards against a backend server that stays down after an early probe got tokens, until the whole pause is over.
+#[test]
+fn tokens_of_an_early_probe_end_the_outage() {
+    let (mut harness, _) = long_outage(policy(), Outcome::ConnectFailed);
+    let now = harness.now;
+    harness.ask(Ask { produced: 8, ..ask(11, URGENT, now) });
+    assert_eq!(granted(&harness.advance(2_100 * MILLISECOND)), [(11, 0)]);
+    harness.progress(11, 9, 5 * MILLISECOND);
+    assert_eq!(health(&harness, 0), Health::Good);
+    let now = harness.now;
+    assert_eq!(granted(&harness.ask(ask(12, URGENT, now))), [(12, 0)]);
+}
+
 /// Guards against a begun request that fails a backend server each time it arrives there, and arrives more often than a
 /// new one would.
 #[test]
