--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -7,6 +7,7 @@
 mod duties;
 mod evacuation;
 mod forwarding;
+mod lost_paths;
 mod membership;
 mod notices;
 mod planned_stop;
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -1,8 +1,10 @@
 //! A deployment on the loopback network: a store, backend servers and instances.
 
+mod gateway;
 mod request;
 mod response;
 
+pub use gateway::{Link, Links};
 pub use request::Request;
 pub use response::{Response, read_response};
 
@@ -178,6 +180,16 @@
         self.servers.push(server);
     }
 
+    /// Starts a backend server behind a proxy and registers the proxy's address in the store.
+    pub fn add_server_behind(&mut self, id: &str, service: &str, links: &Links) {
+        let server = Server::start(id).expect("the server starts");
+        let proxy = links.proxy(server.address).expect("the proxy starts");
+        let entry = server.entry(service, "ready");
+        let entry = entry.replace(&server.address.to_string(), &proxy.to_string());
+        self.store.put("keyed.servers", id, &entry);
+        self.servers.push(server);
+    }
+
     /// Starts an instance.
     pub fn add_instance(&mut self, name: &str) {
         let store_endpoint = self.store.endpoint().expect("the store endpoint starts");
@@ -324,6 +336,11 @@
         line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
     }
 
+    /// The ID of its process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends the signal of this name to the process.
     pub fn signal(&self, signal: &str) {
         let process = self.child.id().to_string();
--- /dev/null
+++ b/crates/drumusher/tests/routes/support/gateway.rs
@@ -0,0 +1,150 @@
+//! A proxy in front of a backend server that treats the connections of each instance differently.
+
+use std::{
+    collections::HashMap,
+    fs,
+    io::{self, Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use socket2::SockRef;
+
+/// Bytes forwarded at once.
+const CHUNK: usize = 16 * 1024;
+/// Interval at which a silent link checks whether it works again.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+/// State of the link from an instance to the backend servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Link {
+    /// It works.
+    #[default]
+    Open,
+    /// Connections stay open, and no byte arrives.
+    Silent,
+    /// Connections are reset, new ones too.
+    Reset,
+    /// Open connections work, and new ones are reset.
+    NoNew,
+}
+
+/// The links from the instances to all backend servers, by process ID.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    links: Arc<Mutex<HashMap<u32, Link>>>,
+    open: Arc<Mutex<HashMap<u64, (u32, TcpStream)>>>,
+    next: Arc<AtomicU64>,
+}
+
+impl Links {
+    /// Sets the link of an instance.
+    pub fn set(&self, process: u32, link: Link) {
+        lock(&self.links).insert(process, link);
+        if link == Link::Reset {
+            let of_process = lock(&self.open).extract_if(|_, conn| conn.0 == process).collect();
+            let of_process: Vec<(u64, (u32, TcpStream))> = of_process;
+            of_process.iter().for_each(|(_, (_, stream))| reset(stream));
+        }
+    }
+
+    fn get(&self, process: u32) -> Link {
+        lock(&self.links).get(&process).copied().unwrap_or_default()
+    }
+
+    /// The instance at the other end of a connection; 0 if it is none of those that were set.
+    fn process_of(&self, stream: &TcpStream) -> u32 {
+        let Some(inode) = stream.peer_addr().ok().and_then(socket_inode) else { return 0 };
+        let name = format!("socket:[{inode}]");
+        let processes: Vec<u32> = lock(&self.links).keys().copied().collect();
+        processes.into_iter().find(|process| has_file(*process, &name)).unwrap_or(0)
+    }
+
+    /// Starts a proxy to `target`. Returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Any I/O error of binding the listener.
+    pub fn proxy(&self, target: SocketAddr) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let address = listener.local_addr()?;
+        let links = self.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let links = links.clone();
+                thread::spawn(move || links.forward(client, target));
+            }
+        });
+        Ok(address)
+    }
+
+    fn forward(&self, client: TcpStream, target: SocketAddr) -> io::Result<()> {
+        let process = self.process_of(&client);
+        if matches!(self.get(process), Link::Reset | Link::NoNew) {
+            reset(&client);
+            return Ok(());
+        }
+        let server = TcpStream::connect(target)?;
+        client.set_nodelay(true)?;
+        server.set_nodelay(true)?;
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        lock(&self.open).insert(number, (process, client.try_clone()?));
+        let (links, reverse) = (self.clone(), (server.try_clone()?, client.try_clone()?));
+        thread::spawn(move || links.copy(process, reverse.0, reverse.1));
+        self.copy(process, client, server);
+        lock(&self.open).remove(&number);
+        Ok(())
+    }
+
+    /// Forwards bytes in one direction until a side ends the connection. A reset is passed on as one.
+    fn copy(&self, process: u32, mut from: TcpStream, mut to: TcpStream) {
+        let mut chunk = [0; CHUNK];
+        let ended = loop {
+            let received = from.read(&mut chunk);
+            while self.get(process) == Link::Silent {
+                thread::sleep(POLL_INTERVAL);
+            }
+            match received {
+                Ok(length) if length > 0 && to.write_all(&chunk[..length]).is_ok() => {}
+                ended => break ended,
+            }
+        };
+        if ended.is_err() {
+            reset(&to);
+        }
+        let _ = to.shutdown(Shutdown::Both);
+        let _ = from.shutdown(Shutdown::Both);
+    }
+}
+
+/// Makes the close of a connection a reset, and ends the threads that read it.
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+    let _ = stream.shutdown(Shutdown::Read);
+}
+
+/// The inode of the socket that is bound to an address of this host.
+fn socket_inode(address: SocketAddr) -> Option<u64> {
+    let SocketAddr::V4(address) = address else { return None };
+    let ip = u32::from_ne_bytes(address.ip().octets());
+    let local = format!("{ip:08X}:{:04X}", address.port());
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    let row = table.lines().map(str::split_whitespace).map(Iterator::collect::<Vec<_>>);
+    row.filter(|row| row.get(1) == Some(&&*local)).find_map(|row| row.get(9)?.parse().ok())
+}
+
+/// Whether a process has an open file of this name.
+fn has_file(process: u32, name: &str) -> bool {
+    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
+    let mut links = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
+    links.any(|link| link.as_os_str() == name)
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder panics")
+}
