test: the proxies identify instances by both ends of a connection

A row of a closed connection that had used the same port was taken for the open one, which then stayed outside the cut; a connection that was set up while the paths were reset stayed open; and a reset was passed on after an orderly end. The bounds are the same. Tests of requests that go through another instance: planned stop, its end, a caller that leaves, responses without a length, and lost paths that are no crashes.

--- a/crates/drumusher/tests/routes/lost_paths.rs
+++ b/crates/drumusher/tests/routes/lost_paths.rs
@@ -1,13 +1,20 @@
 //! Instances that lose their paths to all backend servers, which the other instances still reach.
 
 use std::{
-    sync::atomic::{AtomicUsize, Ordering},
+    io::Write,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
 use rstest::rstest;
 
+use drumusher_adapter_stand_in::{Fault, server::events};
+use drumusher_bench::fleet::wait_for;
+
 use crate::support::{DESK, Deployment, Link, Links, MODEL, Request};
 
 /// Number of instances.
@@ -36,14 +43,21 @@
     }
 }
 
-/// A deployment whose backend servers are behind proxies.
-fn deploy() -> (Deployment, Links) {
+/// Held by the test that runs: each has many processes and threads, and counts what they serve in time.
+static RUNNING: Mutex<()> = Mutex::new(());
+
+fn run_alone() -> MutexGuard<'static, ()> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// A deployment of some instances, whose backend servers are behind proxies.
+fn deploy(instances: usize) -> (Deployment, Links) {
     let (mut deployment, links) = (Deployment::empty(false), Links::default());
     for number in 0..4 {
         deployment.add_server_behind(&format!("d{number}"), DESK, &links);
         deployment.add_server_behind(&format!("m{number}"), MODEL, &links);
     }
-    for number in 0..INSTANCES {
+    for number in 0..instances {
         deployment.add_instance(&format!("i{number}"));
         links.set(deployment.instances[number].process(), Link::Open);
     }
@@ -85,7 +99,8 @@
     #[case] link: Link,
     #[case] lost: usize,
 ) {
-    let (deployment, links) = deploy();
+    let _running = run_alone();
+    let (deployment, links) = deploy(INSTANCES);
     let tallies: Vec<Tally> = (0..INSTANCES).map(|_| Tally::default()).collect();
     deployment.instances[..lost].iter().for_each(|instance| links.set(instance.process(), link));
     let from = Instant::now() + CONTACT_TIME;
@@ -100,11 +115,124 @@
         counts.fold((0, 0), |sum, (served, sent)| (sum.0 + served, sum.1 + sent))
     };
     let (cut_off, others) = (sum(&tallies[..lost]), sum(&tallies[lost..]));
+    println!("served of sent: {cut_off:?} cut off, {others:?} at the others");
     for (served, sent) in [cut_off, others] {
         let allowed = ALLOWED_FAILURES + sent / ALLOWED_SHARE;
-        assert!(
-            sent - served <= allowed,
-            "cut off: {cut_off:?} served of sent, others: {others:?}"
-        );
+        assert!(sent - served <= allowed, "{served} of {sent} served");
+    }
+}
+
+/// Two instances, of which the first reaches backend servers only through the second, and knows it.
+fn deploy_relayed() -> Deployment {
+    let (deployment, links) = deploy(2);
+    links.set(deployment.instances[0].process(), Link::Reset);
+    wait_for("the first instance is isolated", || {
+        for path in ["/talk/", "/read/"] {
+            // Whether this one is served does not matter.
+            let _ = deployment.send(0, &Request::get(path));
+        }
+        deployment.instances[0].log().contains("\"isolated\":\"true\"")
+    });
+    deployment
+}
+
+#[rstest]
+fn a_planned_stop_of_the_instance_between_cuts_no_request() {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    deployment.servers.iter().for_each(|server| server.set(Fault::Slow));
+    let requests = ["/book/", "/draft/"].map(Request::get);
+    thread::scope(|scope| {
+        let deployment = &deployment;
+        let sent = requests.each_ref().map(|request| scope.spawn(|| deployment.send(0, request)));
+        for request in &requests {
+            wait_for("the request runs", || deployment.runs(&request.id) == 1);
+        }
+        deployment.instances[1].signal("TERM");
+        for (request, sent) in requests.iter().zip(sent) {
+            let response = sent.join().expect("no panic").expect("a response");
+            assert_eq!((response.status, response.complete), (200, true), "{}", request.path);
+        }
+    });
+}
+
+#[rstest]
+#[case::may_run_once("/book/", 502)]
+#[case::stream_that_may_run_once("/draft/", 502)]
+fn the_end_of_the_instance_between_is_no_promise_that_a_request_did_not_run(
+    #[case] path: &str,
+    #[case] status: u16,
+) {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    deployment.servers.iter().for_each(|server| server.set(Fault::Hang));
+    let request = Request::get(path);
+    thread::scope(|scope| {
+        let sent = scope.spawn(|| deployment.send(0, &request));
+        wait_for("the request runs", || deployment.runs(&request.id) > 0);
+        deployment.instances[1].signal("KILL");
+        let response = sent.join().expect("no panic").expect("a response");
+        assert_eq!(response.status, status);
+    });
+    assert_eq!(deployment.runs(&request.id), 1);
+}
+
+#[rstest]
+fn a_caller_that_leaves_ends_its_request_behind_the_other_instance() {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    deployment.servers.iter().for_each(|server| server.set(Fault::Hang));
+    let request = Request::get("/book/");
+    let mut caller = deployment.connect(0).expect("a connection");
+    caller.write_all(&request.bytes()).expect("the request is sent");
+    wait_for("the request runs", || deployment.runs(&request.id) == 1);
+    drop(caller);
+    wait_for("the backend server sees the end of the connection", || {
+        deployment.servers.iter().map(|server| server.client_disconnects()).sum::<usize>() == 1
+    });
+}
+
+#[rstest]
+fn events_pass_the_other_instance_unchanged_and_in_order() {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    let request = Request::get("/draft/");
+    let response = deployment.send(0, &request).expect("a response");
+    assert_eq!((response.status, response.complete), (200, true));
+    assert_eq!(response.text(), events(&request.id));
+}
+
+#[rstest]
+#[case::whole(Fault::Unframed, 200)]
+#[case::reset(Fault::UnframedReset, 502)]
+fn a_response_without_a_length_ends_whole_only_if_the_server_closed_it(
+    #[case] fault: Fault,
+    #[case] status: u16,
+) {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    deployment.servers.iter().for_each(|server| server.set(fault));
+    let response = deployment.send(0, &Request::get("/book/")).expect("a response");
+    assert_eq!(response.status, status);
+}
+
+#[rstest]
+fn lost_paths_are_no_crashes_of_backend_servers() {
+    let _running = run_alone();
+    let (deployment, links) = deploy(2);
+    deployment.servers.iter().for_each(|server| server.set(Fault::Slow));
+    thread::scope(|scope| {
+        for number in 0..8 {
+            let path = if number % 2 == 0 { "/read/" } else { "/talk/" };
+            let deployment = &deployment;
+            scope.spawn(move || deployment.send(0, &Request::get(path)));
+        }
+        wait_for("the requests run", || {
+            deployment.servers.iter().flat_map(|server| server.runs()).count() >= 8 + 4
+        });
+        links.set(deployment.instances[0].process(), Link::Reset);
+    });
+    for instance in &deployment.instances {
+        assert!(!instance.log().contains("crashed while it ran"), "{}", instance.log());
     }
 }
--- a/crates/drumusher/tests/routes/support/gateway.rs
+++ b/crates/drumusher/tests/routes/support/gateway.rs
@@ -17,6 +17,8 @@
 
 /// Bytes forwarded at once.
 const CHUNK: usize = 16 * 1024;
+/// Number of lookups of the instance at the other end of a connection.
+const MAX_LOOKUPS: u32 = 40;
 /// Interval at which a silent link checks whether it works again.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -57,12 +59,25 @@
         lock(&self.links).get(&process).copied().unwrap_or_default()
     }
 
-    /// The instance at the other end of a connection; 0 if it is none of those that were set.
+    /// The instance at the other end of a connection; 0 if it is none of those that were set. A table that changes while
+    /// it is read may lack a row.
     fn process_of(&self, stream: &TcpStream) -> u32 {
-        let Some(inode) = stream.peer_addr().ok().and_then(socket_inode) else { return 0 };
-        let name = format!("socket:[{inode}]");
-        let processes: Vec<u32> = lock(&self.links).keys().copied().collect();
-        processes.into_iter().find(|process| has_file(*process, &name)).unwrap_or(0)
+        let (Ok(local), Ok(remote)) = (stream.peer_addr(), stream.local_addr()) else { return 0 };
+        let find = || {
+            let name = format!("socket:[{}]", socket_inode(local, remote)?);
+            let processes: Vec<u32> = lock(&self.links).keys().copied().collect();
+            processes.into_iter().find(|process| has_file(*process, &name))
+        };
+        for _ in 0..MAX_LOOKUPS {
+            if let Some(process) = find() {
+                return process;
+            }
+            if is_closed(stream) {
+                break;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        0
     }
 
     /// Starts a proxy to `target`. Returns its address.
@@ -85,18 +100,19 @@
 
     fn forward(&self, client: TcpStream, target: SocketAddr) -> io::Result<()> {
         let process = self.process_of(&client);
-        if matches!(self.get(process), Link::Reset | Link::NoNew) {
-            reset(&client);
-            return Ok(());
-        }
         let server = TcpStream::connect(target)?;
         client.set_nodelay(true)?;
         server.set_nodelay(true)?;
         let number = self.next.fetch_add(1, Ordering::Relaxed);
+        // Entered before the link is read, so that a reset that comes meanwhile finds the connection.
         lock(&self.open).insert(number, (process, client.try_clone()?));
-        let (links, reverse) = (self.clone(), (server.try_clone()?, client.try_clone()?));
-        thread::spawn(move || links.copy(process, reverse.0, reverse.1));
-        self.copy(process, client, server);
+        if matches!(self.get(process), Link::Reset | Link::NoNew) {
+            reset(&client);
+        } else {
+            let (links, reverse) = (self.clone(), (server.try_clone()?, client.try_clone()?));
+            thread::spawn(move || links.copy(process, reverse.0, reverse.1));
+            self.copy(process, client, server);
+        }
         lock(&self.open).remove(&number);
         Ok(())
     }
@@ -114,28 +130,46 @@
                 ended => break ended,
             }
         };
-        if ended.is_err() {
+        if ended.is_err() || self.get(process) == Link::Reset {
             reset(&to);
+            reset(&from);
+            return;
         }
         let _ = to.shutdown(Shutdown::Both);
         let _ = from.shutdown(Shutdown::Both);
     }
 }
 
-/// Makes the close of a connection a reset, and ends the threads that read it.
+/// Whether the other side has closed a connection on which nothing was read yet.
+fn is_closed(stream: &TcpStream) -> bool {
+    let peeked = stream.set_nonblocking(true).and_then(|()| stream.peek(&mut [0]));
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
+/// Ends the threads that read a connection. Its close is a reset then.
 fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
     let _ = stream.shutdown(Shutdown::Read);
 }
 
-/// The inode of the socket that is bound to an address of this host.
-fn socket_inode(address: SocketAddr) -> Option<u64> {
+/// The inode of the socket of this host that is connected from `local` to `remote`.
+fn socket_inode(local: SocketAddr, remote: SocketAddr) -> Option<u64> {
+    let (local, remote) = (table_form(local)?, table_form(remote)?);
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let mut rows = rows.filter(|row| row.get(1) == Some(&&*local) && row.get(2) == Some(&&*remote));
+    rows.find_map(|row| row.get(9)?.parse().ok())
+}
+
+/// An address as the kernel's table of sockets has it.
+fn table_form(address: SocketAddr) -> Option<String> {
     let SocketAddr::V4(address) = address else { return None };
     let ip = u32::from_ne_bytes(address.ip().octets());
-    let local = format!("{ip:08X}:{:04X}", address.port());
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let row = table.lines().map(str::split_whitespace).map(Iterator::collect::<Vec<_>>);
-    row.filter(|row| row.get(1) == Some(&&*local)).find_map(|row| row.get(9)?.parse().ok())
+    Some(format!("{ip:08X}:{:04X}", address.port()))
 }
 
 /// Whether a process has an open file of this name.
