fix: an instance reaches backend servers through others where it has no path

Cause: whether a server is reachable was treated as a property of the server. An instance without a path tried up to four servers over the same broken link, 200 ms each, and answered 503. Its failures counted against the servers at the dispatcher, which took them out for everybody and probed them through instances without a path: 63 times down and 59 times good in nine seconds.

Now a failed or silent connection is checked by a second witness. If another instance reaches the server, the path is lost, the server is not blamed, and requests go through a tunnel of that instance: framed bytes in both directions, so that head, signature, deadline, identity and the end of the response are the entry's business as before. A tunnel that ends without its last frame is a broken connection; one that says that it forwarded nothing is none. A planned stop waits for the requests in progress. Lost paths are probed until one is answered. A refused connection counts as a crash only if another instance is refused too.

Ruled out by the records: the store, the retry budget and overload were not involved; servers answered the reachable instances all the time.

--- a/crates/drumusher-platform/src/routing.rs
+++ b/crates/drumusher-platform/src/routing.rs
@@ -88,6 +88,8 @@
     pub name: String,
     /// Maximum number of connections that a backend server accepts from all instances together.
     pub connections: u32,
+    /// Path at which its backend servers answer health checks, if they do.
+    pub health_path: Option<String>,
     /// Whether its backend servers are engines, which run language models.
     pub engine: bool,
     /// Requests per second that each backend server accepts while it warms up, from all instances together; `None` if
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -7,11 +7,27 @@
  */
 namespace rs peer
 
+/* Asks for a path to a backend server: after its answer, the connection carries the bytes of both sides. */
+struct Tunnel {
+  1: required string pool
+  /* the start of the backend server: its name, and when it started, in Unix milliseconds */
+  2: required string server
+  3: optional i64 born
+}
+
+/* Answer to a tunnel; outcome: 0 connected, 1 the server refused the connection, 2 the server did not answer,
+   3 this instance offers no path. */
+struct TunnelReply {
+  1: required i16 outcome
+}
+
 /* First message of the connecting instance. */
 struct Hello {
   1: required string instance
   2: required string availability_zone
   3: required binary nonce
+  /* the connection is a tunnel */
+  4: optional Tunnel tunnel
 }
 
 /* Answer of the accepting instance: its own nonce, and proof that it knows the fleet secret. */
@@ -279,4 +295,5 @@
   20: Piece piece
   21: Crash crash
   22: Notice notice
+  23: TunnelReply tunnel_reply
 }
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -25,6 +25,143 @@
 use thrift::protocol::verify_required_field_exists;
 use thrift::server::TProcessor;
 
+//
+// Tunnel
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Tunnel {
+  pub pool: String,
+  pub server: String,
+  pub born: Option<i64>,
+}
+
+impl Tunnel {
+  pub fn new<F3>(pool: String, server: String, born: F3) -> Tunnel where F3: Into<Option<i64>> {
+    Tunnel {
+      pool,
+      server,
+      born: born.into(),
+    }
+  }
+}
+
+impl TSerializable for Tunnel {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Tunnel> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<String> = None;
+    let mut f_3: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_string()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Tunnel.pool", &f_1)?;
+    verify_required_field_exists("Tunnel.server", &f_2)?;
+    let ret = Tunnel {
+      pool: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      server: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      born: f_3,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Tunnel");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("pool", TType::String, 1))?;
+    o_prot.write_string(&self.pool)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("server", TType::String, 2))?;
+    o_prot.write_string(&self.server)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.born {
+      o_prot.write_field_begin(&TFieldIdentifier::new("born", TType::I64, 3))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// TunnelReply
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TunnelReply {
+  pub outcome: i16,
+}
+
+impl TunnelReply {
+  pub fn new(outcome: i16) -> TunnelReply {
+    TunnelReply {
+      outcome,
+    }
+  }
+}
+
+impl TSerializable for TunnelReply {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<TunnelReply> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i16> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i16()?;
+          f_1 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("TunnelReply.outcome", &f_1)?;
+    let ret = TunnelReply {
+      outcome: f_1.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("TunnelReply");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("outcome", TType::I16, 1))?;
+    o_prot.write_i16(self.outcome)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Hello
 //
@@ -34,14 +171,16 @@
   pub instance: String,
   pub availability_zone: String,
   pub nonce: Vec<u8>,
+  pub tunnel: Option<Tunnel>,
 }
 
 impl Hello {
-  pub fn new(instance: String, availability_zone: String, nonce: Vec<u8>) -> Hello {
+  pub fn new<F4>(instance: String, availability_zone: String, nonce: Vec<u8>, tunnel: F4) -> Hello where F4: Into<Option<Tunnel>> {
     Hello {
       instance,
       availability_zone,
       nonce,
+      tunnel: tunnel.into(),
     }
   }
 }
@@ -52,6 +191,7 @@
     let mut f_1: Option<String> = None;
     let mut f_2: Option<String> = None;
     let mut f_3: Option<Vec<u8>> = None;
+    let mut f_4: Option<Tunnel> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -71,6 +211,10 @@
           let val = i_prot.read_bytes()?;
           f_3 = Some(val);
         },
+        4 => {
+          let val = Tunnel::read_from_in_protocol(i_prot)?;
+          f_4 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -85,6 +229,7 @@
       instance: f_1.expect("auto-generated code should have checked for presence of required fields"),
       availability_zone: f_2.expect("auto-generated code should have checked for presence of required fields"),
       nonce: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      tunnel: f_4,
     };
     Ok(ret)
   }
@@ -100,6 +245,11 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("nonce", TType::String, 3))?;
     o_prot.write_bytes(&self.nonce)?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.tunnel {
+      o_prot.write_field_begin(&TFieldIdentifier::new("tunnel", TType::Struct, 4))?;
+      fld_var.write_to_out_protocol(o_prot)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2678,6 +2828,7 @@
   Piece(Piece),
   Crash(Crash),
   Notice(Notice),
+  TunnelReply(TunnelReply),
 }
 
 impl TSerializable for Message {
@@ -2846,6 +2997,13 @@
           }
           received_field_count += 1;
         },
+        23 => {
+          let val = TunnelReply::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Message::TunnelReply(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -2990,6 +3148,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Message::TunnelReply(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("tunnel_reply", TType::Struct, 23))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -46,7 +46,7 @@
 fn messages_round_trip() {
     let messages = [
         Message::Ask(ask()),
-        Message::Hello(Hello::new("suva-1".into(), "suva-hall".into(), vec![1; 16])),
+        Message::Hello(Hello::new("suva-1".into(), "suva-hall".into(), vec![1; 16], None)),
         Message::Progress(ProgressBatch::new(
             "model:draft".into(),
             vec![Progress::new(vec![1; 16], 12, Some(900), None)],
--- a/crates/drumusher/src/connection/handshake.rs
+++ b/crates/drumusher/src/connection/handshake.rs
@@ -1,11 +1,11 @@
 //! Mutual challenge-response authentication with the fleet secret.
 
-use std::sync::Arc;
+use std::{net::TcpStream, sync::Arc};
 
 use drumusher_platform::tcp;
 use drumusher_wire::{
     auth::{self, Side},
-    peer::{Challenge, Hello, Message, Proof},
+    peer::{Challenge, Hello, Message, Proof, Tunnel},
 };
 use ntex::{
     SharedCfg,
@@ -14,20 +14,39 @@
     util::Either,
 };
 
-use super::{Codec, Error};
+use super::{Codec, Error, tunnel};
 
 /// Timeout of the handshake.
 const HANDSHAKE_TIMEOUT: Millis = Millis(1_000);
 /// Timeout of the TCP connect.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
-/// Authenticates an accepted connection: proves knowledge of the secret first, then verifies the peer. Returns the
-/// peer's name.
+/// The other side of an accepted connection.
+#[derive(Debug)]
+pub struct Peer {
+    /// Its name.
+    pub name: Arc<str>,
+    /// What the connection is to be tunnelled to, if it is a tunnel.
+    pub tunnel: Option<Tunnel>,
+}
+
+/// This instance, as it introduces itself when it connects.
+#[derive(Clone, Copy, Debug)]
+pub struct Identity<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Its area.
+    pub area: &'a str,
+    /// The secret of the fleet.
+    pub secret: &'a [u8],
+}
+
+/// Authenticates an accepted connection: proves knowledge of the secret first, then verifies the peer.
 ///
 /// # Errors
 ///
 /// Any [`Error`]; the connection has to be closed then.
-pub async fn accept(io: &Io, name: &str, secret: &[u8]) -> Result<Arc<str>, Error> {
+pub async fn accept(io: &Io, name: &str, secret: &[u8]) -> Result<Peer, Error> {
     with_timeout(HANDSHAKE_TIMEOUT, async {
         let Message::Hello(hello) = receive(io).await? else {
             return Err(Error::Refused);
@@ -40,7 +59,8 @@
             return Err(Error::Refused);
         };
         let valid = auth::verify(secret, Side::Connecting, &nonce, &hello.instance, &proof.proof);
-        if valid { Ok(hello.instance.as_str().into()) } else { Err(Error::Refused) }
+        let peer = Peer { name: hello.instance.as_str().into(), tunnel: hello.tunnel };
+        if valid { Ok(peer) } else { Err(Error::Refused) }
     })
     .await
 }
@@ -54,21 +74,55 @@
 pub async fn connect(
     address: &str,
     expected_peer: Option<&str>,
-    name: &str,
-    zone: &str,
-    secret: &[u8],
+    identity: Identity<'_>,
 ) -> Result<(Io, Arc<str>), Error> {
     let address = address.parse().map_err(|_| Error::Closed)?;
     let config = SharedCfg::new("peer").build();
     let io = tcp::connect(address, CONNECT_TIMEOUT, config).await.map_err(Error::Io)?;
-    let peer = with_timeout(HANDSHAKE_TIMEOUT, authenticate(&io, name, zone, secret)).await?;
+    let peer = with_timeout(HANDSHAKE_TIMEOUT, authenticate(&io, identity, None)).await?;
     let matches = expected_peer.is_none_or(|name| name == &*peer);
     if matches { Ok((io, peer)) } else { Err(Error::Refused) }
 }
 
-async fn authenticate(io: &Io, name: &str, zone: &str, secret: &[u8]) -> Result<Arc<str>, Error> {
+/// Opens a tunnel through the instance at `address`, which has to have the name `peer`, within `limit`. Returns the
+/// connection, with a second handle of its socket if the instance is connected to the backend server.
+///
+/// # Errors
+///
+/// Any [`Error`] of the connection with the other instance.
+pub async fn open_tunnel(
+    address: &str,
+    peer: &str,
+    identity: Identity<'_>,
+    tunnel: Tunnel,
+    limit: Millis,
+) -> Result<Result<(Io, TcpStream), tunnel::Outcome>, Error> {
+    let address = address.parse().map_err(|_| Error::Closed)?;
+    with_timeout(limit, async {
+        let config = SharedCfg::new("tunnel").build();
+        let (io, socket) = tcp::connect_watched(address, limit, config).await.map_err(Error::Io)?;
+        if *authenticate(&io, identity, Some(tunnel)).await? != *peer {
+            return Err(Error::Refused);
+        }
+        let Message::TunnelReply(reply) = receive(&io).await? else {
+            return Err(Error::Refused);
+        };
+        Ok(match tunnel::Outcome::from_wire(reply.outcome) {
+            tunnel::Outcome::Connected => Ok((io, socket)),
+            outcome => Err(outcome),
+        })
+    })
+    .await
+}
+
+async fn authenticate(
+    io: &Io,
+    identity: Identity<'_>,
+    tunnel: Option<Tunnel>,
+) -> Result<Arc<str>, Error> {
+    let Identity { name, area, secret } = identity;
     let nonce = new_nonce();
-    let hello = Hello::new(name.to_string(), zone.to_string(), nonce.clone());
+    let hello = Hello::new(name.to_string(), area.to_string(), nonce.clone(), tunnel);
     send(io, Message::Hello(hello)).await?;
     let Message::Challenge(challenge) = receive(io).await? else {
         return Err(Error::Refused);
--- a/crates/drumusher/src/connection/mod.rs
+++ b/crates/drumusher/src/connection/mod.rs
@@ -2,9 +2,10 @@
 
 mod codec;
 mod handshake;
+pub mod tunnel;
 
 pub use codec::Codec;
-pub use handshake::{accept, connect};
+pub use handshake::{Identity, Peer, accept, connect, open_tunnel};
 
 use std::fmt;
 
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -11,6 +11,7 @@
 //! | `pieces` | transfers large updates in pieces |
 //! | `fetch` | from which instance to request which piece |
 //! | `uploads` | which instances are sent pieces concurrently |
+//! | `tunnel` | passes the bytes between another instance and a backend server |
 //! | `query` | operators' queries, distributed to all instances and answered for others |
 
 mod fetch;
@@ -22,6 +23,7 @@
 mod replica;
 mod session;
 mod store;
+mod tunnel;
 mod uploads;
 
 pub use fetch::{Fetch, PeerKind, Piece, Request, Step};
@@ -138,6 +140,8 @@
     uploads: Uploads<peer::PieceRequest>,
     /// What this instance fetches, by table.
     fetches: [Fetch; TABLES.len()],
+    /// Number of open tunnels.
+    tunnels: usize,
 }
 
 /// Handle of the peers thread's tasks to the connections and asks.
@@ -171,6 +175,7 @@
             cached_updates: Default::default(),
             uploads: Uploads::new(),
             fetches: Default::default(),
+            tunnels: 0,
         };
         let peers = Peers { shared, inner: Rc::new(RefCell::new(inner)) };
         rt::spawn(peers.clone().handle_inputs(rings.broker));
--- a/crates/drumusher/src/process/peers/link.rs
+++ b/crates/drumusher/src/process/peers/link.rs
@@ -103,9 +103,7 @@
         let Some(address) = address else {
             return false;
         };
-        let secret = self.shared.settings.fleet_secret.as_bytes();
-        let (name, area) = (&self.shared.name, &self.shared.area);
-        match connection::connect(&address, Some(to), name, area, secret).await {
+        match connection::connect(&address, Some(to), self.shared.identity()).await {
             Ok((io, instance)) => {
                 rt::spawn(self.clone().serve(io, instance));
                 true
@@ -139,9 +137,7 @@
     }
 
     async fn fetch_configuration_from(self, address: String) {
-        let secret = self.shared.settings.fleet_secret.as_bytes();
-        let (name, area) = (&self.shared.name, &self.shared.area);
-        let connected = connection::connect(&address, None, name, area, secret).await;
+        let connected = connection::connect(&address, None, self.shared.identity()).await;
         if let Ok((io, instance)) = connected {
             let request = Message::StateRequest(peer::StateRequest::new(0, None, true, None));
             let _ = io.get_ref().encode(request, &Codec);
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -61,7 +61,10 @@
             Message::Piece(piece) => self.on_piece(number, instance, &piece),
             Message::Query(query) => self.on_query(number, query),
             Message::Answer(answer) => self.on_answer(instance, &answer),
-            Message::Hello(_) | Message::Challenge(_) | Message::Proof(_) => {}
+            Message::Hello(_)
+            | Message::Challenge(_)
+            | Message::Proof(_)
+            | Message::TunnelReply(_) => {}
         }
     }
 
--- a/crates/drumusher/src/process/peers/session.rs
+++ b/crates/drumusher/src/process/peers/session.rs
@@ -7,7 +7,7 @@
 
 use super::{Conn, Link, Peers, Replica};
 use crate::{
-    connection::{self, Codec},
+    connection::{self, Codec, Peer},
     process::{clock, dispatch},
 };
 
@@ -16,7 +16,8 @@
     pub async fn accepted(self, io: Io) {
         let secret = self.shared.settings.fleet_secret.clone();
         match connection::accept(&io, &self.shared.name, secret.as_bytes()).await {
-            Ok(instance) => self.serve(io, instance).await,
+            Ok(Peer { tunnel: Some(tunnel), .. }) => self.serve_tunnel(io, &tunnel).await,
+            Ok(Peer { name, tunnel: None }) => self.serve(io, name).await,
             Err(error) => {
                 self.shared.telemetry.count("drumusher.peer.refused", &[]);
                 log::warn!("refused a connection from another instance: {error}");
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -1,6 +1,7 @@
 //! Running an instance that forwards requests by configured routes.
 
 use std::{
+    cell::RefCell,
     net::{SocketAddr, TcpListener},
     rc::Rc,
     sync::Arc,
@@ -27,6 +28,7 @@
         Worker,
         client_connections::ClientConnections,
         error_response,
+        exchange::probe_lost_paths,
         handler::{self, Never},
     },
     settings::Settings,
@@ -137,11 +139,13 @@
             shared: shared.clone(),
             dialect: dialect.clone(),
             conns: upstream::Pool::new(),
+            crash_checks: RefCell::default(),
             client_connections: ClientConnections::new(),
         };
         rt::spawn(close_idle_callers(shared.clone(), worker.client_connections.clone()));
         rt::spawn(prune(worker.conns.clone()));
         let worker = Rc::new(worker);
+        rt::spawn(probe_lost_paths(worker.clone()));
         HttpService::h1(ntex::fn_service(move |request: http::Request| {
             handler::serve(worker.clone(), request)
         }))
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -23,8 +23,10 @@
     telemetry::Telemetry,
 };
 use crate::{
+    connection::Identity,
     request::retry::Budgets,
     settings::Settings,
+    upstream::Paths,
     version::{Directory, Pool, Routing, Version},
 };
 
@@ -56,6 +58,8 @@
     /// Limits, back-off periods and departures that backend servers announced in their responses to this
     /// instance.
     pub notices: Arc<Notices>,
+    /// Backend servers that this instance does not reach itself.
+    pub paths: Paths,
     /// Whether this instance reads the store on behalf of the others.
     pub reader: AtomicBool,
     /// Whether it is the first of these readers by rank.
@@ -142,6 +146,7 @@
             quarantine: Mutex::default(),
             held: AtomicUsize::new(0),
             notices: Arc::default(),
+            paths: Paths::default(),
             reader: AtomicBool::new(false),
             first_reader: AtomicBool::new(false),
             store_reader_seen: AtomicU64::new(0),
@@ -177,6 +182,12 @@
         (Arc::new(shared), receivers)
     }
 
+    /// How this instance introduces itself to others.
+    pub fn identity(&self) -> Identity<'_> {
+        let secret = self.settings.fleet_secret.as_bytes();
+        Identity { name: &self.name, area: &self.area, secret }
+    }
+
     /// Whether the instance is ready for requests from the load balancer.
     pub fn ready(&self) -> bool {
         self.configured.load(Ordering::Acquire) && !self.stopping()
@@ -328,6 +339,7 @@
             return false;
         }
         self.notices.keep_listed(clock::now(), &directory);
+        self.paths.keep_listed(&directory);
         self.directory.store(Arc::new(directory));
         let _ = self.dispatch.try_send(dispatch::Input::Changed);
         let _ = self.broker.try_send(broker::Input::Changed);
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -10,6 +10,7 @@
 //! | `grant` | obtains a grant for a backend server that this instance considers usable |
 //! | `end` | retry decision and final response |
 //! | `notice` | records notices of backend servers (limit, rest, leaving) and checks them before sending |
+//! | `path` | connects to a backend server, through another instance if the path to it is lost |
 //! | `timing` | time to the first event and gaps between events |
 
 mod cells;
@@ -18,12 +19,14 @@
 mod failure;
 mod grant;
 mod notice;
+mod path;
 mod request;
 mod response;
 mod timing;
 
 pub use failure::Failure;
 pub use grant::Refused;
+pub use path::probe_lost_paths;
 pub use request::Request;
 pub use response::{BackendResponse, BufferedResponse};
 pub use timing::StreamTiming;
@@ -36,10 +39,7 @@
     ask,
     time::{MILLISECOND, Micros},
 };
-use ntex::{
-    http::{Method, Response},
-    time::Millis,
-};
+use ntex::http::{Method, Response};
 
 use self::cells::Pools;
 use super::{
@@ -56,8 +56,6 @@
 
 /// Part of a request's time that is reserved for delivering the final response.
 const RESPONSE_MARGIN: Micros = 40 * MILLISECOND;
-/// Connect timeout. Connecting takes 2 to 10 ms; a backend server that lost power or is partitioned never answers.
-const CONNECT_TIMEOUT: Millis = Millis(200);
 /// A repeatable request moves to another backend server after this multiple of its latency target without any
 /// response, but not before [`MIN_SILENCE`].
 const SILENCE_TARGET_FACTOR: u64 = 2;
@@ -105,6 +103,12 @@
     sent_at: Micros,
     /// Whether the latest attempt runs in isolation, as a trial of a suspected request.
     isolated: bool,
+    /// Whether the latest attempt goes through another instance.
+    tunnelled: bool,
+    /// Whether the latest attempt was not connected because this instance lost its paths.
+    path_blamed: bool,
+    /// When it was last recorded that the backend server of the latest attempt was heard.
+    heard_at: Cell<Micros>,
     unsent_failures: u32,
     /// Whether a grant was requested at least once.
     grant_requested: bool,
@@ -158,6 +162,9 @@
             known_limit: KnownLimit::default(),
             sent_at: 0,
             isolated: false,
+            tunnelled: false,
+            path_blamed: false,
+            heard_at: Cell::new(0),
             unsent_failures: 0,
             grant_requested: false,
             grant_requested_at: 0,
@@ -217,6 +224,8 @@
             return Err(Failure::Withheld);
         }
         self.backend = Some(backend.clone());
+        self.tunnelled = conn.is_tunnel();
+        self.heard_at.set(0);
         let began = clock::now();
         let dialect = &self.worker.dialect;
         let source = self.cache_source.as_ref().map(|source| &*source.address);
@@ -268,14 +277,6 @@
         );
     }
 
-    async fn connect(&mut self, backend: &Backend) -> Result<Conn, Failure> {
-        let address = backend.address.parse().map_err(|_| Failure::NotConnected)?;
-        let at_most_once = !self.request.route_match.kind.repeatable();
-        let limit = Millis(self.remaining_ms().clamp(1, u64::from(CONNECT_TIMEOUT.0)) as u32);
-        let taken = self.worker.conns.take(backend, address, at_most_once, limit).await;
-        taken.map_err(|_| Failure::NotConnected)
-    }
-
     /// Milliseconds left until the deadline.
     fn remaining_ms(&self) -> u64 {
         self.deadline.saturating_sub(clock::now()) / MILLISECOND
@@ -299,7 +300,13 @@
     ///
     /// See [`Conn::next_part`].
     pub async fn next_part(&self, conn: &mut Conn, until: Micros) -> Result<Part, upstream::Error> {
-        conn.next_part(until, || self.backend_restarted()).await
+        let since = clock::now();
+        let is_gone = || self.backend_restarted() || self.gives_up_path(since);
+        let part = conn.next_part(until, is_gone).await;
+        if part.is_ok() {
+            self.record_heard();
+        }
+        part
     }
 
     /// Returns whether the backend server of the latest attempt has restarted since.
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -41,7 +41,9 @@
     /// Records a failed attempt: reports it to the dispatcher, logs it, and remembers whether the request may have
     /// run.
     pub fn record_failure(&mut self, backend: &Backend, failure: &Failure) {
-        self.ticket.finish(failure.outcome());
+        // A lost path says nothing about the server.
+        let blames_path = self.is_path_failure(backend, failure);
+        self.ticket.finish(if blames_path { Outcome::Cancelled } else { failure.outcome() });
         self.avoid = Some(backend.name.clone());
         let was_sent = !matches!(failure, Failure::NotConnected | Failure::Withheld);
         self.cache_source_failed |= self.cache_source.is_some() && was_sent;
@@ -57,6 +59,8 @@
             request = self.request.head.id.as_str(),
             server = &*backend.name,
             attempt = self.attempts_sent,
+            tunnelled = self.tunnelled,
+            path_blamed = blames_path,
             lasted_ms = self.age_ms();
             "attempt ended: {}", failure.as_str()
         );
--- a/crates/drumusher/src/routed/mod.rs
+++ b/crates/drumusher/src/routed/mod.rs
@@ -19,10 +19,12 @@
 pub mod relay;
 pub mod ticket;
 
-use std::rc::Rc;
-use std::sync::Arc;
+use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
 
-use crate::{process::Shared, upstream};
+use crate::{
+    process::{Shared, broker::Crash},
+    upstream,
+};
 
 /// State shared by the requests of one HTTP worker.
 pub struct Worker<D> {
@@ -32,6 +34,8 @@
     pub dialect: D,
     /// Idle connections to backend servers.
     pub conns: upstream::Pool,
+    /// Requests that ran on backend servers which may have crashed, while that is checked.
+    pub crash_checks: RefCell<HashMap<upstream::Incarnation, Vec<Crash>>>,
     /// Open client connections.
     pub client_connections: client_connections::ClientConnections,
 }
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -9,16 +9,20 @@
 use drumusher_schedule::time::{MILLISECOND, Micros, SECOND};
 use ntex::{
     SharedCfg,
+    codec::Decoder,
     io::Io,
     time::{Millis, timeout},
-    util::{Bytes, Either},
+    util::{Bytes, BytesMut, Either},
 };
 
 use super::{
     Error,
-    response::{Codec, Head, Part},
+    response::{self, Head, Part},
+};
+use crate::{
+    connection::tunnel::{self, Deframer, Ending, Frame},
+    process::clock,
 };
-use crate::process::clock;
 
 /// A backend server closes an idle connection after the keep-alive timeout that it announces in whole seconds. The
 /// connection is not used in the last part of that time, so that a request does not race with the close.
@@ -33,6 +37,40 @@
 /// latency target.
 const POLL_INTERVAL: Millis = Millis(100);
 
+/// Decodes the responses on a connection.
+#[derive(Debug, Default)]
+struct Codec {
+    response: response::Codec,
+    /// Extracts the server's bytes, on a tunnel.
+    deframer: Option<Deframer>,
+}
+
+impl Decoder for Codec {
+    type Item = Part;
+    type Error = Error;
+
+    fn decode(&self, source: &mut BytesMut) -> Result<Option<Part>, Error> {
+        let Some(deframer) = &self.deframer else { return self.response.decode(source) };
+        let part = deframer.read(source, |plain| self.response.decode(plain))??;
+        match (part, deframer.ending()) {
+            (None, Some(Ending::Closed)) if self.response.ends_with_connection() => {
+                self.response.end();
+                Ok(Some(Part::End))
+            }
+            (None, Some(Ending::Closed)) => Err(Error::Closed),
+            (None, Some(Ending::Unforwarded)) => Err(Error::NotConnected),
+            (part, _) => Ok(part),
+        }
+    }
+}
+
+impl Codec {
+    /// Whether no bytes wait to be decoded that were extracted from a tunnel.
+    fn is_empty(&self) -> bool {
+        self.deframer.as_ref().is_none_or(Deframer::is_empty)
+    }
+}
+
 /// A connection to a backend server, with at most one request at a time.
 #[derive(Debug)]
 pub struct Conn {
@@ -65,10 +103,22 @@
 
     /// Wraps an established connection.
     fn from_socket(io: Io, socket: TcpStream) -> Conn {
-        let (codec, idle_since) = (Codec::new(), clock::now());
+        let (codec, idle_since) = (Codec::default(), clock::now());
         Conn { io, socket, codec, reusable: true, idle_timeout: DEFAULT_IDLE_TIMEOUT, idle_since }
     }
 
+    /// Wraps an open tunnel to a backend server.
+    pub fn tunnelled(io: Io, socket: TcpStream) -> Conn {
+        let mut conn = Conn::from_socket(io, socket);
+        conn.codec.deframer = Some(Deframer::default());
+        conn
+    }
+
+    /// Whether it is a tunnel through another instance.
+    pub fn is_tunnel(&self) -> bool {
+        self.codec.deframer.is_some()
+    }
+
     /// Returns whether it can be used for a request now. An `at_most_once` request needs a connection that has not
     /// been idle for long.
     pub fn is_usable(&self, at_most_once: bool) -> bool {
@@ -78,7 +128,7 @@
         } else {
             self.idle_timeout
         };
-        let no_unread_data = self.io.with_read_buf(|buffer| buffer.is_empty());
+        let no_unread_data = self.has_no_unread_data();
         !self.io.is_closed() && no_unread_data && idle < max_idle
     }
 
@@ -94,14 +144,26 @@
     ///
     /// [`Error::Closed`]; part of the request may have been sent.
     pub fn send(&self, head: &[u8], body: &Bytes, is_head: bool) -> Result<(), Error> {
-        self.codec.expect(is_head);
-        self.io.encode_slice(head).map_err(|_| Error::Closed)?;
+        self.codec.response.expect(is_head);
+        self.write(head)?;
         if !body.is_empty() {
-            self.io.encode_slice(body).map_err(|_| Error::Closed)?;
+            self.write(body)?;
         }
         Ok(())
     }
 
+    fn write(&self, bytes: &[u8]) -> Result<(), Error> {
+        if self.is_tunnel() {
+            let frame = Frame::Data(Bytes::copy_from_slice(bytes));
+            return self.io.encode(frame, &tunnel::Codec).map_err(|_| Error::Closed);
+        }
+        self.io.encode_slice(bytes).map(drop).map_err(|_| Error::Closed)
+    }
+
+    fn has_no_unread_data(&self) -> bool {
+        self.io.with_read_buf(|buffer| buffer.is_empty()) && self.codec.is_empty()
+    }
+
     /// Waits until `until` for the next part of the response, unless the backend server `is_gone`. The clock is polled
     /// because timers stop while the machine is suspended, but the request's deadline does not.
     ///
@@ -128,7 +190,7 @@
         let part = match received {
             Err(()) => Err(Error::TimedOut),
             Ok(Ok(Some(part))) => Ok(part),
-            Ok(Ok(None)) if self.codec.ends_with_connection() && self.closed_cleanly() => {
+            Ok(Ok(None)) if self.ends_with_connection() && self.closed_cleanly() => {
                 self.reusable = false;
                 Ok(Part::End)
             }
@@ -145,6 +207,11 @@
         part
     }
 
+    /// Returns whether closing the connection now would end the response. The end of a tunnel says nothing about it.
+    fn ends_with_connection(&self) -> bool {
+        !self.is_tunnel() && self.codec.response.ends_with_connection()
+    }
+
     /// Returns whether the peer closed the connection rather than reset it.
     fn closed_cleanly(&self) -> bool {
         matches!(self.socket.take_error(), Ok(None))
@@ -174,18 +241,21 @@
     /// Expects another response, after one that belonged to an earlier request.
     pub fn expect_next_response(&mut self) {
         self.reusable = false;
-        self.codec.expect(false);
+        self.codec.response.expect(false);
     }
 
     /// Ends a request whose response is complete. Returns whether the connection can be kept for another request.
     pub fn finish(&mut self) -> bool {
         self.idle_since = clock::now();
-        let no_unread_data = self.io.with_read_buf(|buffer| buffer.is_empty());
-        self.reusable
-            && self.codec.is_idle()
-            && no_unread_data
+        let reusable = self.reusable
+            && self.codec.response.is_idle()
+            && self.has_no_unread_data()
             && !self.io.is_closed()
-            && self.idle_timeout > 0
+            && self.idle_timeout > 0;
+        if reusable && self.is_tunnel() {
+            return self.io.encode(Frame::End, &tunnel::Codec).is_ok();
+        }
+        reusable
     }
 }
 
--- a/crates/drumusher/src/upstream/mod.rs
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -3,16 +3,30 @@
 //! The HTTP library's client hides what at-most-once delivery and complete responses depend on: whether a connection
 //! is new, whether it received bytes that belong to no request, and which of two responses on a connection belongs to
 //! which request. So this module has its own client: [`response`] decodes responses (heads are parsed by `httparse`),
-//! [`conn`] is one connection, [`pool`] keeps the idle ones.
+//! [`conn`] is one connection, [`pool`] keeps the idle ones, [`paths`] tells which servers this instance does not reach,
+//! and [`tunnel`] connects to those through other instances.
 
 pub mod conn;
+pub mod paths;
 pub mod pool;
 pub mod response;
+pub mod tunnel;
 
 pub use conn::{Conn, Probe, probe};
+pub use paths::Paths;
 pub use pool::Pool;
 
-use std::fmt;
+use std::{fmt, sync::Arc};
+
+use crate::version::Backend;
+
+/// One run of a backend server: its name, and its start time if known.
+pub type Incarnation = (Arc<str>, Option<u64>);
+
+/// The run of a backend server that an entry of the directory is about.
+fn incarnation(server: &Backend) -> Incarnation {
+    (server.name.clone(), server.started_ms)
+}
 
 /// Why an exchange with a backend server failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/drumusher/src/upstream/pool.rs
+++ b/crates/drumusher/src/upstream/pool.rs
@@ -1,18 +1,15 @@
 //! Pool of the idle connections of one HTTP worker.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc};
 
 use ntex::time::Millis;
 
-use super::{Conn, Error};
+use super::{Conn, Error, Incarnation, incarnation};
 use crate::version::Backend;
 
 /// Maximum number of idle connections to one backend server.
 const MAX_IDLE: usize = 32;
 
-/// One run of a backend server: its name, and its start time if known.
-type Incarnation = (Arc<str>, Option<u64>);
-
 /// Idle connections of one HTTP worker, by backend server and its start, so that a connection is never used for
 /// another server that took over the address.
 #[derive(Clone, Debug, Default)]
@@ -39,12 +36,23 @@
         at_most_once: bool,
         timeout: Millis,
     ) -> Result<Conn, Error> {
+        if let Some(conns) = self.idle.borrow_mut().get_mut(&incarnation(server)) {
+            conns.retain(|conn| !conn.is_tunnel());
+        }
         if let Some(conn) = self.take_idle(server, at_most_once) {
             return Ok(conn);
         }
         Conn::connect(address, timeout).await
     }
 
+    /// Returns an idle tunnel to a backend server. The idle connections over its path, which is lost, are closed.
+    pub fn take_tunnel(&self, server: &Backend, at_most_once: bool) -> Option<Conn> {
+        if let Some(conns) = self.idle.borrow_mut().get_mut(&incarnation(server)) {
+            conns.retain(Conn::is_tunnel);
+        }
+        self.take_idle(server, at_most_once)
+    }
+
     fn take_idle(&self, server: &Backend, at_most_once: bool) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(&incarnation(server))?;
@@ -78,7 +86,3 @@
         });
     }
 }
-
-fn incarnation(server: &Backend) -> Incarnation {
-    (server.name.clone(), server.started_ms)
-}
--- a/crates/drumusher/src/upstream/response.rs
+++ b/crates/drumusher/src/upstream/response.rs
@@ -96,6 +96,11 @@
         self.state.get() == State::UntilClose
     }
 
+    /// Ends a body that ends with its connection.
+    pub fn end(&self) {
+        self.state.set(State::Idle);
+    }
+
     fn decode_head(&self, source: &mut BytesMut) -> Result<Option<Part>, Error> {
         loop {
             let Some((head, length)) = parse_head(source)? else {
--- a/crates/drumusher/src/version/routing.rs
+++ b/crates/drumusher/src/version/routing.rs
@@ -110,6 +110,11 @@
         self.service(service).is_some_and(|service| service.engine)
     }
 
+    /// Returns the path at which the backend servers of a service answer health checks, if they do.
+    pub fn health_path(&self, service: &str) -> Option<&str> {
+        self.service(service)?.health_path.as_deref()
+    }
+
     /// Returns the requests per second that each backend server of a service accepts while it warms up, from all
     /// instances together; `None` if there is no such limit.
     pub fn warm_up_rate(&self, service: &str) -> Option<f64> {
--- a/crates/drumusher/tests/unit/routing.rs
+++ b/crates/drumusher/tests/unit/routing.rs
@@ -36,6 +36,7 @@
         services: vec![Service {
             name: "t".into(),
             connections: 1,
+            health_path: None,
             engine: true,
             warm_up_rate: None,
             scaling: None,
