--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -4,6 +4,7 @@
 mod backend_faults;
 mod cells;
 mod config;
+mod crashing_part;
 mod duties;
 mod evacuation;
 mod forwarding;
--- a/crates/drumusher/tests/routes/quarantine.rs
+++ b/crates/drumusher/tests/routes/quarantine.rs
@@ -90,6 +90,7 @@
 fn crash_on_path(deployment: &Deployment, service: &str, path: &str, renamed: bool) -> Crash {
     Crash {
         path: path.into(),
+        part: None,
         after: CRASH_DELAY,
         down: DOWNTIME,
         renamed,
--- a/crates/drumusher/tests/routes/soak/crashing_request.rs
+++ b/crates/drumusher/tests/routes/soak/crashing_request.rs
@@ -33,6 +33,7 @@
         };
         server.crash_on(Some(Crash {
             path: path.into(),
+            part: None,
             after: CRASH_DELAY,
             down: DOWNTIME,
             renamed: false,
