fix: a part of a prompt that crashes engines is held back

Cause: evidence was kept by the digest of a whole request. Each such request also crashed a second engine, by the entry's immediate retry.

A crash is now also evidence against each part of the prompts that had just begun, but the last part, which is a request's own. A whole answer clears its parts, and one that has gone on for a second does too. Two crashes lead to trials, three on trial hold the part back, for its workspace only: the digest of a part is keyed by the workspace. Crashes that a held part explains do not count against what ran beside it, so those are free at once. A request on trial whose engine crashed is not retried. The table has the bounds of before.

--- a/crates/drumusher-log/src/quarantine.rs
+++ b/crates/drumusher-log/src/quarantine.rs
@@ -7,11 +7,16 @@
 //! suspect runs where no other suspect does. One that crashes two backend servers that way is held back; one that
 //! gets any answer is cleared at once.
 //!
+//! The cause may also be one part of a prompt that many requests share, of which no two are alike. So each crash is
+//! evidence against the parts of the requests that had just begun, too, and each whole answer clears its parts. A part
+//! belongs to one workspace: the same part of another workspace has a record of its own. Crashes that a held part
+//! explains are no evidence against what was running beside it.
+//!
 //! The table is bounded. It is keyed by digests, so that no caller's bytes are stored; only requests that were
 //! running at a crash enter it; and the workspace with the most records loses one first, so that no workspace
 //! displaces another's.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -22,6 +27,11 @@
 /// that crashes by itself, or because of a suspect that is not known yet. With [`TRIAL_THRESHOLD`], a request whose
 /// retries come one after the other crashes four backend servers.
 const HOLD_THRESHOLD: usize = 2;
+/// The same for a part of a prompt. Many requests depend on it, so it takes one more.
+const PART_HOLD_THRESHOLD: usize = 3;
+/// An answer that has gone on for this long did not crash its backend server, in microseconds: a crash follows the
+/// beginning of the answer within some tenths of a second.
+pub const PROOF_TIME: u64 = 1_000_000;
 /// Maximum number of crashes stored for a request.
 const MAX_CRASHES: usize = 8;
 /// Maximum number of records. With eight crashes and long names, a serialized record has some 600 bytes, and the
@@ -34,7 +44,8 @@
 /// sooner.
 const HOLD_DURATION_MS: u64 = 60 * 60_000;
 
-/// Identifies a request across retries: a keyed hash of its workspace, method, host, path and body.
+/// Identifies a request across retries: a keyed hash of its workspace, method, host, path and body. Or a part of a prompt:
+/// a keyed hash of its workspace and ID.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Digest(pub u128);
 
@@ -74,6 +85,8 @@
     pub workspace: &'a str,
     /// The route of the request.
     pub route: &'a str,
+    /// Whether it is evidence against a part of the request's prompt.
+    pub part: bool,
 }
 
 /// Evidence about a request.
@@ -89,6 +102,9 @@
     pub workspace: String,
     /// Its route.
     pub route: String,
+    /// Whether it is about a part of a prompt.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub part: bool,
     /// Whether the store is known to have the record.
     #[serde(skip)]
     stored: bool,
@@ -117,12 +133,21 @@
 }
 
 impl Record {
-    /// How the request may be run.
+    /// How the request may be run by this evidence alone.
     pub fn verdict(&self) -> Verdict {
-        let alone = self.ends.values().filter(|alone| **alone).count();
-        match self.ends.len() {
-            _ if alone >= HOLD_THRESHOLD => Verdict::Held,
-            ends if ends >= TRIAL_THRESHOLD => Verdict::Trial,
+        self.verdict_without(&HashSet::new())
+    }
+
+    /// How the request may be run, without the crashes that something else explains.
+    fn verdict_without(&self, explained: &HashSet<String>) -> Verdict {
+        let ends = self.ends.iter().filter(|(start, _)| !explained.contains(*start));
+        let (total, alone) = ends.fold((0, 0), |(total, alone), (_, is_alone)| {
+            (total + 1, alone + usize::from(*is_alone))
+        });
+        let hold_threshold = if self.part { PART_HOLD_THRESHOLD } else { HOLD_THRESHOLD };
+        match total {
+            _ if alone >= hold_threshold => Verdict::Held,
+            total if total >= TRIAL_THRESHOLD => Verdict::Trial,
             _ => Verdict::Free,
         }
     }
@@ -164,6 +189,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     records: HashMap<Digest, Record>,
+    /// Number of records about parts of prompts.
+    parts: usize,
+    /// The parts that are held back.
+    held_parts: HashSet<Digest>,
+    /// The starts of backend servers that crashed while running requests with these.
+    explained: HashSet<String>,
 }
 
 impl Table {
@@ -182,9 +213,14 @@
         self.records.is_empty()
     }
 
-    /// Number of requests that are held back.
+    /// Number of requests and parts that are held back.
     pub fn held_count(&self) -> usize {
-        self.records.values().filter(|record| record.verdict() == Verdict::Held).count()
+        self.records.keys().filter(|digest| self.verdict(**digest) == Verdict::Held).count()
+    }
+
+    /// Whether there is a record about a part of a prompt.
+    pub fn has_parts(&self) -> bool {
+        self.parts > 0
     }
 
     /// The record of a request.
@@ -199,7 +235,11 @@
 
     /// How a request may be run.
     pub fn verdict(&self, digest: Digest) -> Verdict {
-        self.records.get(&digest).map_or(Verdict::Free, Record::verdict)
+        match self.records.get(&digest) {
+            Some(_) if self.held_parts.contains(&digest) => Verdict::Held,
+            Some(record) => record.verdict_without(&self.explained),
+            None => Verdict::Free,
+        }
     }
 
     /// Records a crash of a backend server while it ran the request. Returns whether it was new.
@@ -208,6 +248,7 @@
             since_ms: crash.at_ms,
             workspace: crash.workspace.into(),
             route: crash.route.into(),
+            part: crash.part,
             ..Record::default()
         };
         let record = self.records.entry(digest).or_insert(new_record);
@@ -216,6 +257,7 @@
             record.latest_ms = record.latest_ms.max(crash.at_ms);
         }
         self.evict_excess();
+        self.explain();
         changed
     }
 
@@ -223,7 +265,11 @@
     /// one. The removal has to be written to the store then, even if the store is not known to have the record: one
     /// that was written but not read back yet would otherwise return, and make the request a suspect for good.
     pub fn clear(&mut self, digest: Digest) -> bool {
-        self.records.remove(&digest).is_some()
+        let removed = self.records.remove(&digest).is_some();
+        if removed {
+            self.explain();
+        }
+        removed
     }
 
     /// Merges a record of the store. Crashes known only here are kept.
@@ -240,17 +286,41 @@
                 self.evict_excess();
             }
         }
+        self.explain();
     }
 
     /// Removes a request that the store no longer has.
     pub fn remove(&mut self, digest: Digest) {
         self.records.remove(&digest);
+        self.explain();
     }
 
     /// Keeps only these requests, which are all that the store has, and those whose record was not written there
     /// yet.
     pub fn retain_listed(&mut self, listed: &BTreeSet<Digest>) {
         self.records.retain(|digest, record| !record.stored || listed.contains(digest));
+        self.explain();
+    }
+
+    /// Decides which parts are held back, those with the most evidence first: a crash that one explains does not count
+    /// against the next.
+    fn explain(&mut self) {
+        let parts = self.records.iter().filter(|(_, record)| record.part);
+        self.parts = parts.clone().count();
+        let suspects = parts.filter(|(_, record)| record.verdict() == Verdict::Held);
+        let mut suspects: Vec<(Digest, &Record)> = suspects.map(|(d, r)| (*d, r)).collect();
+        suspects.sort_by_key(|(digest, record)| {
+            let alone = record.ends.values().filter(|alone| **alone).count();
+            (std::cmp::Reverse((record.ends.len(), alone)), *digest)
+        });
+        let (mut held, mut explained) = (HashSet::new(), HashSet::new());
+        for (digest, record) in suspects {
+            if record.verdict_without(&explained) == Verdict::Held {
+                explained.extend(record.ends.keys().cloned());
+                held.insert(digest);
+            }
+        }
+        (self.held_parts, self.explained) = (held, explained);
     }
 
     /// Requests whose record has expired.
--- a/crates/drumusher-log/tests/log/quarantine.rs
+++ b/crates/drumusher-log/tests/log/quarantine.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 fn crash(start: &str, alone: bool, at_ms: u64) -> Crash<'static> {
-    Crash { start: start.into(), alone, at_ms, workspace: "w", route: "r" }
+    Crash { start: start.into(), alone, at_ms, workspace: "w", route: "r", part: false }
 }
 
 /// A table in which a request was running at crashes of these starts, on trial or not.
@@ -105,3 +105,56 @@
 ) {
     assert_eq!(Digest::parse(text), digest);
 }
+
+/// A table in which parts were suspected at these crashes.
+fn part_table(parts: &[(u128, &[(&str, bool)])]) -> Table {
+    let mut table = Table::new();
+    for (digest, ends) in parts {
+        for (start, alone) in *ends {
+            let crash = Crash { part: true, ..crash(start, *alone, 1_000) };
+            table.record_crash(Digest(*digest), crash);
+        }
+    }
+    table
+}
+
+#[rstest]
+#[case::one_crash(&[("a", false)], Verdict::Free)]
+#[case::two_crashes(&[("a", false), ("b", false)], Verdict::Trial)]
+#[case::two_on_trial(&[("a", true), ("b", true)], Verdict::Trial)]
+#[case::three_on_trial(&[("a", true), ("b", true), ("c", true)], Verdict::Held)]
+fn parts_are_held_back_after_three_crashes_on_trial(
+    #[case] ends: &[(&str, bool)],
+    #[case] verdict: Verdict,
+) {
+    let table = part_table(&[(1, ends)]);
+    assert!(table.has_parts());
+    assert_eq!(table.verdict(Digest(1)), verdict);
+}
+
+#[test]
+fn crashes_that_a_held_part_explains_are_no_evidence_against_others() {
+    let deadly: &[(&str, bool)] = &[("a", false), ("b", true), ("c", true), ("d", true)];
+    let beside: &[(&str, bool)] = &[("b", true), ("c", true), ("d", true)];
+    let other: &[(&str, bool)] = &[("c", true), ("d", true), ("x", false), ("y", false)];
+    let mut table = part_table(&[(1, beside), (2, deadly), (3, other)]);
+    table.record_crash(Digest(4), crash("b", true, 1_000));
+    table.record_crash(Digest(4), crash("c", true, 1_000));
+    assert_eq!(table.verdict(Digest(2)), Verdict::Held);
+    assert_eq!(table.verdict(Digest(1)), Verdict::Free);
+    assert_eq!(table.verdict(Digest(3)), Verdict::Trial, "crashes that nothing explains remain");
+    assert_eq!(table.verdict(Digest(4)), Verdict::Free, "requests too");
+    assert_eq!(table.held_count(), 1);
+    assert!(table.clear(Digest(2)), "an answer clears it");
+    assert_eq!(table.verdict(Digest(1)), Verdict::Held, "the crashes need another cause");
+}
+
+#[test]
+fn a_record_of_a_part_survives_the_store() {
+    let table = part_table(&[(1, &[("a", true), ("b", true)])]);
+    let text = serde_json::to_string(table.get(Digest(1)).expect("a record")).expect("JSON");
+    let record: Record = serde_json::from_str(&text).expect("a record");
+    assert!(record.part);
+    let whole = part_table(&[]).get(Digest(1)).cloned().unwrap_or_default();
+    assert!(!serde_json::to_string(&whole).expect("JSON").contains("part"));
+}
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -270,6 +270,8 @@
   6: optional bool alone
   7: required string workspace
   8: required string route
+  /* the parts of its prompt but the last, unless it had been answered for long */
+  9: optional list<i64> parts
 }
 
 union Message {
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -2672,10 +2672,11 @@
   pub alone: Option<bool>,
   pub workspace: String,
   pub route: String,
+  pub parts: Option<Vec<i64>>,
 }
 
 impl Crash {
-  pub fn new<F5, F6>(id: Vec<u8>, pool: String, digest: Vec<u8>, server: String, born: F5, alone: F6, workspace: String, route: String) -> Crash where F5: Into<Option<i64>>, F6: Into<Option<bool>> {
+  pub fn new<F5, F6, F9>(id: Vec<u8>, pool: String, digest: Vec<u8>, server: String, born: F5, alone: F6, workspace: String, route: String, parts: F9) -> Crash where F5: Into<Option<i64>>, F6: Into<Option<bool>>, F9: Into<Option<Vec<i64>>> {
     Crash {
       id,
       pool,
@@ -2685,6 +2686,7 @@
       alone: alone.into(),
       workspace,
       route,
+      parts: parts.into(),
     }
   }
 }
@@ -2700,6 +2702,7 @@
     let mut f_6: Option<bool> = None;
     let mut f_7: Option<String> = None;
     let mut f_8: Option<String> = None;
+    let mut f_9: Option<Vec<i64>> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2739,6 +2742,16 @@
           let val = i_prot.read_string()?;
           f_8 = Some(val);
         },
+        9 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_13 = i_prot.read_i64()?;
+            val.push(list_elem_13);
+          }
+          i_prot.read_list_end()?;
+          f_9 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2761,6 +2774,7 @@
       alone: f_6,
       workspace: f_7.expect("auto-generated code should have checked for presence of required fields"),
       route: f_8.expect("auto-generated code should have checked for presence of required fields"),
+      parts: f_9,
     };
     Ok(ret)
   }
@@ -2795,6 +2809,15 @@
     o_prot.write_field_begin(&TFieldIdentifier::new("route", TType::String, 8))?;
     o_prot.write_string(&self.route)?;
     o_prot.write_field_end()?;
+    if let Some(ref fld_var) = self.parts {
+      o_prot.write_field_begin(&TFieldIdentifier::new("parts", TType::List, 9))?;
+      o_prot.write_list_begin(&TListIdentifier::new(TType::I64, fld_var.len() as i32))?;
+      for e in fld_var {
+        o_prot.write_i64(*e)?;
+      }
+      o_prot.write_list_end()?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher/src/process/broker/crash.rs
+++ b/crates/drumusher/src/process/broker/crash.rs
@@ -39,6 +39,8 @@
     pub workspace: Arc<str>,
     /// Its route.
     pub route: Arc<str>,
+    /// IDs of the parts of its prompt that are suspected.
+    pub parts: Vec<u64>,
 }
 
 /// A crash with the dispatcher that it was last reported to.
@@ -96,5 +98,7 @@
         alone: crash.alone.then_some(true),
         workspace: crash.workspace.to_string(),
         route: crash.route.to_string(),
+        parts: (!crash.parts.is_empty())
+            .then(|| crash.parts.iter().map(|part| *part as i64).collect()),
     })
 }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -286,7 +286,10 @@
             hosted.remove_ended();
         }
         let pools: Vec<Pool> = self.pools.keys().cloned().collect();
-        pools.iter().for_each(|pool| self.admit_waiting(pool));
+        for pool in &pools {
+            self.clear_proven(pool);
+            self.admit_waiting(pool);
+        }
         self.update_due_rates();
         let before = self.pools.len();
         self.pools.retain(|_, hosted| {
--- a/crates/drumusher/src/process/dispatch/hosted_pool.rs
+++ b/crates/drumusher/src/process/dispatch/hosted_pool.rs
@@ -5,7 +5,6 @@
     sync::Arc,
 };
 
-use drumusher_log::quarantine::Digest;
 use drumusher_schedule::{
     ask::{Entry, Id},
     event::Event,
@@ -13,7 +12,9 @@
     pool, rank, server,
 };
 
-use super::{Bound, Budget, Divisor, Requesters, health, notices::Notices, trials::Trials};
+use super::{
+    Bound, Budget, Divisor, Requesters, health, notices::Notices, suspects::Subject, trials::Trials,
+};
 use crate::{
     settings::Regions,
     version::{Backend, Pool},
@@ -52,8 +53,8 @@
     reserved: HashMap<Id, Entry>,
     /// Trial runs of suspect requests.
     pub(super) trials: Trials,
-    /// Content digests of the requests that were submitted to the scheduler.
-    pub(super) digests: HashMap<Id, Digest>,
+    /// What identifies the requests that were submitted to the scheduler when they come again.
+    pub(super) subjects: HashMap<Id, Subject>,
     /// Writes log lines on the health of its backend servers.
     pub(super) health: health::Log,
     /// When the latest event for this pool alone was handled.
@@ -74,7 +75,7 @@
             budget: Budget::new(bound),
             reserved: HashMap::new(),
             trials: Trials::default(),
-            digests: HashMap::new(),
+            subjects: HashMap::new(),
             health: health::Log::new(now),
             last_used: now,
         }
@@ -121,8 +122,8 @@
         for (_, entry) in self.reserved.extract_if(|id, _| !is_known(*id)) {
             self.budget.release(entry);
         }
-        if self.digests.len() > scheduler.waiting() + scheduler.running() {
-            self.digests.retain(|id, _| is_known(*id));
+        if self.subjects.len() > scheduler.waiting() + scheduler.running() {
+            self.subjects.retain(|id, _| is_known(*id));
         }
     }
 
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -13,6 +13,7 @@
 use crate::{
     process::{clock, platform},
     request::id,
+    routed::digest,
     version::Pool,
 };
 
@@ -20,6 +21,9 @@
 /// for some seconds, and two thirds of the servers remain if all trials do.
 const SERVERS_PER_TRIAL: usize = 3;
 
+/// Maximum number of parts of one prompt that a crash is evidence against.
+const MAX_PARTS: usize = 16;
+
 /// Whether a request may be submitted to the scheduler.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Admission {
@@ -31,34 +35,71 @@
     Refuse,
 }
 
+/// What crashes are recorded for: a request, and the parts of its prompt that others share.
+#[derive(Clone, Debug)]
+pub(super) struct Subject {
+    request: Digest,
+    workspace: String,
+    parts: Vec<u64>,
+}
+
+impl Subject {
+    /// The subject of an ask; `None` if it has no digest.
+    fn new(ask: &peer::Ask) -> Option<Self> {
+        let request = Digest::from_wire(ask.digest.as_deref()?)?;
+        let parts = ask.parts.as_deref().unwrap_or_default();
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let parts = shared.iter().map(|part| part.id as u64).collect();
+        Some(Subject { request, workspace: ask.workspace.clone(), parts })
+    }
+
+    fn part_digests(&self, secret: &str) -> Vec<Digest> {
+        self.parts.iter().map(|part| digest::of_part(secret, &self.workspace, *part)).collect()
+    }
+}
+
 impl Dispatcher {
     /// Whether an ask may be submitted to the scheduler, by what the quarantine knows of its request.
     pub(super) fn check_quarantine(&mut self, message: &peer::Ask, pool: &Pool) -> Admission {
-        let digest = message.digest.as_deref().and_then(Digest::from_wire);
-        let (Some(digest), Some(id)) = (digest, id::from_wire(&message.id)) else {
+        let (Some(subject), Some(id)) = (Subject::new(message), id::from_wire(&message.id)) else {
             return Admission::Run;
         };
-        let verdict = self.shared.quarantine().verdict(digest);
+        let suspects = self.suspects(&subject);
+        let held = suspects.iter().any(|(_, verdict)| *verdict == Verdict::Held);
         let Some(hosted) = self.pools.get_mut(pool) else {
             return Admission::Run;
         };
         let runs_already = message.server.is_some();
-        if verdict == Verdict::Held && !runs_already {
+        if held && !runs_already {
             return Admission::Refuse;
         }
-        if verdict == Verdict::Free {
+        if suspects.is_empty() {
             hosted.trials.forget(id);
         } else {
+            let suspects: Vec<Digest> = suspects.into_iter().map(|(digest, _)| digest).collect();
             let max = max_trials(&hosted.scheduler);
-            if !runs_already && !hosted.trials.may_begin(digest, max) {
+            if !runs_already && !hosted.trials.may_begin(&suspects, max) {
                 return Admission::Wait;
             }
-            hosted.trials.begin(id, digest);
+            hosted.trials.begin(id, suspects);
         }
-        hosted.digests.insert(id, digest);
+        hosted.subjects.insert(id, subject);
         Admission::Run
     }
 
+    /// What of a request may run only on trial, or not at all.
+    fn suspects(&self, subject: &Subject) -> Vec<(Digest, Verdict)> {
+        let table = self.shared.quarantine();
+        let parts = if table.has_parts() {
+            subject.part_digests(&self.shared.settings.fleet_secret)
+        } else {
+            Vec::new()
+        };
+        let digests = parts.into_iter().chain([subject.request]);
+        let verdicts = digests.map(|digest| (digest, table.verdict(digest)));
+        verdicts.filter(|(_, verdict)| *verdict != Verdict::Free).collect()
+    }
+
     /// Refuses a quarantined request, without a time to try again.
     pub(super) fn refuse_quarantined(&mut self, entry: Entry, id: Vec<u8>) {
         self.shared.telemetry.count("drumusher.quarantine.refused", &[]);
@@ -83,7 +124,7 @@
     pub(super) fn trial_started(&mut self, pool: &str, id: Id) {
         let hosted = Pool::parse(pool).and_then(|pool| self.pools.get_mut(&pool));
         if let Some(hosted) = hosted {
-            hosted.trials.started(id);
+            hosted.trials.started(clock::now(), id);
         }
     }
 
@@ -93,19 +134,37 @@
             return;
         };
         hosted.release_retry(id);
-        let digest = hosted.digests.remove(&id);
+        let subject = hosted.subjects.remove(&id);
         let may_admit = hosted.trials.end(clock::now(), id);
-        let answered = matches!(outcome, Outcome::Done | Outcome::ErrorResponse);
-        if let Some(digest) = digest.filter(|_| answered) {
-            self.clear_suspect(digest);
+        if let Some(subject) = subject {
+            self.clear_answered(&subject, outcome);
         }
         if may_admit {
             self.admit_waiting(pool);
         }
     }
 
-    /// Clears a request that was answered from suspicion.
-    fn clear_suspect(&mut self, digest: Digest) {
+    /// Clears what an attempt with this outcome proves innocent. An error response may come before the answer begins, so
+    /// it says nothing about parts of the prompt.
+    fn clear_answered(&self, subject: &Subject, outcome: Outcome) {
+        if matches!(outcome, Outcome::Done | Outcome::ErrorResponse) {
+            self.clear_suspect(subject.request);
+        }
+        if outcome == Outcome::Done && self.shared.quarantine().has_parts() {
+            let parts = subject.part_digests(&self.shared.settings.fleet_secret);
+            parts.into_iter().for_each(|part| self.clear_suspect(part));
+        }
+    }
+
+    /// Clears the suspects whose trials have been answered for long enough.
+    pub(super) fn clear_proven(&mut self, pool: &Pool) {
+        let Some(hosted) = self.pools.get_mut(pool) else { return };
+        let proven = hosted.trials.take_proven(clock::now());
+        proven.into_iter().for_each(|digest| self.clear_suspect(digest));
+    }
+
+    /// Clears a request or part that was answered from suspicion.
+    fn clear_suspect(&self, digest: Digest) {
         if self.shared.quarantine().clear(digest) {
             self.store_record(digest);
             self.shared.update_held_count();
@@ -121,7 +180,16 @@
         let hosted = Pool::parse(&crash.pool).and_then(|pool| self.pools.get(&pool));
         let known = hosted.and_then(|hosted| hosted.trials.was_alone(id));
         let alone = known.unwrap_or(crash.alone == Some(true));
-        if self.shared.quarantine().record_crash(digest, end(crash, alone)) {
+        self.record_crash(digest, crash, (alone, false));
+        let secret = &self.shared.settings.fleet_secret;
+        for part in crash.parts.iter().flatten().take(MAX_PARTS) {
+            let digest = digest::of_part(secret, &crash.workspace, *part as u64);
+            self.record_crash(digest, crash, (alone, true));
+        }
+    }
+
+    fn record_crash(&self, digest: Digest, crash: &peer::Crash, (alone, part): (bool, bool)) {
+        if self.shared.quarantine().record_crash(digest, end(crash, alone, part)) {
             self.shared.telemetry.count("drumusher.quarantine.ends", &[]);
             self.log_suspect(digest, crash, alone);
             self.shared.update_held_count();
@@ -129,11 +197,11 @@
         }
     }
 
-    /// Logs a request that was running at more than one crash.
+    /// Logs a request or part that was running at more than one crash.
     fn log_suspect(&self, digest: Digest, crash: &peer::Crash, alone: bool) {
         let table = self.shared.quarantine();
         let Some(record) = table.get(digest) else { return };
-        let what = match record.verdict() {
+        let what = match table.verdict(digest) {
             Verdict::Free => return,
             Verdict::Trial => "runs on trial",
             Verdict::Held => "held back",
@@ -141,7 +209,7 @@
         log::warn!(
             digest = digest.to_hex().as_str(), workspace = crash.workspace.as_str(),
             route = crash.route.as_str(), server = crash.server.as_str(), alone = alone,
-            ends = record.ends.len();
+            part = record.part, ends = record.ends.len();
             "backend server crashed again while it ran this request: {what}"
         );
     }
@@ -163,12 +231,13 @@
 }
 
 /// The crash that an entry reports, as a quarantine record of one run of a backend server.
-fn end(crash: &peer::Crash, alone: bool) -> Crash<'_> {
+fn end(crash: &peer::Crash, alone: bool, part: bool) -> Crash<'_> {
     Crash {
         start: format!("{}@{}", crash.server, crash.born.unwrap_or(0)),
         alone,
         at_ms: clock::steady_unix_ms(),
         workspace: &crash.workspace,
         route: &crash.route,
+        part,
     }
 }
--- a/crates/drumusher/src/process/dispatch/trials.rs
+++ b/crates/drumusher/src/process/dispatch/trials.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 
-use drumusher_log::quarantine::Digest;
+use drumusher_log::quarantine::{Digest, PROOF_TIME};
 use drumusher_schedule::{
     ask::{Entry, Id},
     server,
@@ -15,13 +15,14 @@
 const ENDED_RETENTION: Micros = 10 * SECOND;
 
 /// A trial that runs, or was submitted to the scheduler.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Trial {
-    digest: Digest,
+    /// The request, or the parts of its prompt, that are suspected.
+    suspects: Vec<Digest>,
     /// The backend server that runs it; `None` until it is granted.
     server: Option<server::Key>,
-    /// Whether its first event has arrived.
-    started: bool,
+    /// When its first event arrived.
+    started: Option<Micros>,
     /// Whether no other trial ran on its backend server at the same time.
     alone: bool,
 }
@@ -42,16 +43,17 @@
 }
 
 impl Trials {
-    /// Whether a trial may begin now, given the maximum number of undecided trials. A request has at most one trial
+    /// Whether a trial may begin now, given the maximum number of undecided trials. A suspect has at most one trial
     /// at a time.
-    pub(super) fn may_begin(&self, digest: Digest, max: usize) -> bool {
-        let open = self.running.values().filter(|trial| !trial.started).count();
-        open < max && self.running.values().all(|trial| trial.digest != digest)
+    pub(super) fn may_begin(&self, suspects: &[Digest], max: usize) -> bool {
+        let open = self.running.values().filter(|trial| trial.started.is_none()).count();
+        let mut tried = self.running.values().flat_map(|trial| &trial.suspects);
+        open < max && !tried.any(|tried| suspects.contains(tried))
     }
 
     /// Begins the trial of a request that is submitted to the scheduler.
-    pub fn begin(&mut self, id: Id, digest: Digest) {
-        let trial = Trial { digest, server: None, started: false, alone: true };
+    pub fn begin(&mut self, id: Id, suspects: Vec<Digest>) {
+        let trial = Trial { suspects, server: None, started: None, alone: true };
         self.running.insert(id, trial);
     }
 
@@ -92,12 +94,19 @@
     }
 
     /// Records the first event of a request.
-    pub(super) fn started(&mut self, id: Id) {
+    pub(super) fn started(&mut self, now: Micros, id: Id) {
         if let Some(trial) = self.running.get_mut(&id) {
-            trial.started = true;
+            trial.started.get_or_insert(now);
         }
     }
 
+    /// Ends the trials whose answers have gone on for so long that they prove their suspects innocent. Returns these.
+    pub fn take_proven(&mut self, now: Micros) -> Vec<Digest> {
+        let is_proven = |trial: &mut Trial| trial.started.is_some_and(|at| now > at + PROOF_TIME);
+        let proven = self.running.extract_if(|_, trial| is_proven(trial));
+        proven.flat_map(|(_, trial)| trial.suspects).collect()
+    }
+
     /// Removes a request that ended, moved to another dispatcher or was withdrawn. Returns whether that made room for
     /// another trial.
     pub fn end(&mut self, now: Micros, id: Id) -> bool {
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -13,7 +13,7 @@
 use drumusher_log::{
     config::State,
     position::{Era, Position},
-    quarantine::{self, Digest, Verdict},
+    quarantine,
 };
 use drumusher_platform::{catalog::Table, routing::Configuration};
 use drumusher_schedule::time::Micros;
@@ -285,9 +285,9 @@
         }
     }
 
-    /// Whether a request is held back. Takes no lock while none is, which is the usual case.
-    pub fn is_held(&self, digest: Digest) -> bool {
-        self.held.load(Ordering::Acquire) > 0 && self.quarantine().verdict(digest) == Verdict::Held
+    /// Whether any request or part of a prompt is held back. Takes no lock.
+    pub fn holds_any(&self) -> bool {
+        self.held.load(Ordering::Acquire) > 0
     }
 
     /// Updates the gauges of backend servers that have announced a limit, a departure or a back-off period.
--- a/crates/drumusher/src/routed/digest.rs
+++ b/crates/drumusher/src/routed/digest.rs
@@ -1,6 +1,7 @@
 //! Digest that recognises a request when a client submits it again.
 
 use drumusher_log::quarantine::Digest;
+use drumusher_schedule::ask::Part;
 use hmac::{Hmac, KeyInit, Mac};
 use sha2::Sha256;
 
@@ -9,6 +10,16 @@
 /// Digest length in bytes. 128 bits are enough that no two requests of a deployment collide by chance.
 const DIGEST_BYTES: usize = 16;
 
+/// The parts of a prompt that other requests may share. The last one is a request's own.
+pub fn shared_parts(parts: &[Part]) -> &[Part] {
+    parts.split_last().map_or(&[], |(_, shared)| shared)
+}
+
+/// Computes the digest of a part of a prompt in a workspace, under which crashes of backend servers are recorded.
+pub fn of_part(secret: &str, workspace: &str, part: u64) -> Digest {
+    hash(secret, &[b"part", workspace.as_bytes(), &part.to_be_bytes()])
+}
+
 /// Computes the digest of a request: an HMAC over workspace, method, host, path with query, and body, keyed by the
 /// fleet secret so that nobody can craft a request with the digest of another one. A client without a workspace is
 /// identified by its API key. Values that differ between submissions, such as the request ID and the remaining time,
@@ -16,8 +27,6 @@
 pub fn compute(secret: &str, request: &Request) -> Digest {
     let client = request.route_match.workspace.as_deref().or(request.head.key.as_deref());
     let host = request.headers.get("host").map_or(&b""[..], |host| host.as_bytes());
-    let mut hash =
-        Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("a key may have any length");
     let parts = [
         client.unwrap_or_default().as_bytes(),
         request.method.as_str().as_bytes(),
@@ -25,6 +34,12 @@
         request.path.as_bytes(),
         &request.body,
     ];
+    hash(secret, &parts)
+}
+
+fn hash(secret: &str, parts: &[&[u8]]) -> Digest {
+    let mut hash =
+        Hmac::<Sha256>::new_from_slice(secret.as_bytes()).expect("a key may have any length");
     for part in parts {
         hash.update(&(part.len() as u64).to_be_bytes());
         hash.update(part);
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -31,7 +31,10 @@
 pub use response::{BackendResponse, BufferedResponse};
 pub use timing::StreamTiming;
 
-use std::{cell::Cell, sync::Arc};
+use std::{
+    cell::{Cell, OnceCell},
+    sync::Arc,
+};
 
 use drumusher_log::quarantine::Digest;
 use drumusher_platform::{dialect::Dialect, routing::Kind};
@@ -107,6 +110,10 @@
     tunnelled: bool,
     /// Whether the latest attempt was not connected because this instance lost its paths.
     path_blamed: bool,
+    /// When the first event of the latest attempt arrived.
+    pub first_event_at: Option<Micros>,
+    /// Digests of the parts of the prompt, once they were needed.
+    part_digests: OnceCell<Vec<Digest>>,
     /// When it was last recorded that the backend server of the latest attempt was heard.
     heard_at: Cell<Micros>,
     unsent_failures: u32,
@@ -164,6 +171,8 @@
             isolated: false,
             tunnelled: false,
             path_blamed: false,
+            first_event_at: None,
+            part_digests: OnceCell::new(),
             heard_at: Cell::new(0),
             unsent_failures: 0,
             grant_requested: false,
@@ -226,6 +235,7 @@
         self.backend = Some(backend.clone());
         self.tunnelled = conn.is_tunnel();
         self.heard_at.set(0);
+        self.first_event_at = None;
         let began = clock::now();
         let dialect = &self.worker.dialect;
         let source = self.cache_source.as_ref().map(|source| &*source.address);
--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -1,12 +1,16 @@
 //! Detects that a backend server crashed while it ran a request.
 
+use drumusher_log::quarantine::PROOF_TIME;
 use drumusher_platform::dialect::Dialect;
 use ntex::{rt, time::Millis};
 
 use super::{Exchange, Failure, path};
 use crate::{
-    process::broker::{Crash, Input},
-    routed::Handle,
+    process::{
+        broker::{Crash, Input},
+        clock,
+    },
+    routed::{Handle, digest},
     upstream::{self, Probe, tunnel},
     version::{Backend, Pool},
 };
@@ -40,6 +44,7 @@
             alone: self.isolated,
             workspace: self.request.route_match.workspace.clone().unwrap_or_else(|| "".into()),
             route: self.request.route_match.route.clone(),
+            parts: self.suspected_parts(),
         };
         let mut checks = self.worker.crash_checks.borrow_mut();
         let suspects = checks.entry((backend.name.clone(), backend.started_ms)).or_default();
@@ -51,6 +56,16 @@
     }
 }
 
+impl<D: Dialect> Exchange<D> {
+    /// The parts of the prompt that may have crashed the backend server: none once it has answered for
+    /// [`PROOF_TIME`].
+    fn suspected_parts(&self) -> Vec<u64> {
+        let answered = self.first_event_at.is_some_and(|at| clock::now() > at + PROOF_TIME);
+        let parts = if answered { &[] } else { digest::shared_parts(self.ticket.parts()) };
+        parts.iter().map(|part| part.id).collect()
+    }
+}
+
 /// Checks whether a backend server crashed, and reports the requests that it ran.
 async fn check<D: Dialect>(worker: Handle<D>, pool: Pool, backend: Backend, tunnelled: bool) {
     let crashed = has_crashed(&worker, &pool, &backend, tunnelled).await;
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -75,6 +75,11 @@
         if let Failure::NotConnected | Failure::Withheld = failure {
             return self.unsent_failures < MAX_UNSENT_FAILURES;
         }
+        // A second backend server would crash before the first crash is known.
+        let on_trial = self.isolated && self.first_event_at.is_none();
+        if on_trial && matches!(failure, Failure::Broken(upstream::Error::Closed)) {
+            return false;
+        }
         let route_match = &self.request.route_match;
         let not_run = matches!(failure, Failure::NotRun(_));
         let allowed = not_run || route_match.kind.repeatable();
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use drumusher_log::quarantine::Verdict;
 use drumusher_platform::dialect::Dialect;
 use drumusher_schedule::{ask::Outcome, order::Refusal, time::MILLISECOND};
 
@@ -13,6 +14,7 @@
         clock,
         notices::Withheld,
     },
+    routed::digest,
     version::Backend,
 };
 
@@ -39,6 +41,23 @@
         }
     }
 
+    /// Whether the request or a part of its prompt is held back.
+    fn is_held(&self) -> bool {
+        let shared = &self.worker.shared;
+        if !shared.holds_any() {
+            return false;
+        }
+        let parts = self.part_digests.get_or_init(|| {
+            let workspace = self.request.route_match.workspace.as_deref().unwrap_or_default();
+            let parts = digest::shared_parts(self.ticket.parts()).iter();
+            let secret = &shared.settings.fleet_secret;
+            parts.map(|part| digest::of_part(secret, workspace, part.id)).collect()
+        });
+        let table = shared.quarantine();
+        let mut digests = parts.iter().chain([&self.digest]);
+        digests.any(|digest| table.verdict(*digest) == Verdict::Held)
+    }
+
     /// Requests grants until one names a backend server that this instance considers usable.
     ///
     /// # Errors
@@ -47,7 +66,7 @@
     pub async fn acquire_backend(&mut self) -> Result<Backend, Refused> {
         let mut retry_after_ms = RETRY_AFTER_MS;
         for _ in 0..MAX_UNUSABLE_GRANTS {
-            if self.worker.shared.is_held(self.digest) {
+            if self.is_held() {
                 return Err(Refused {
                     error: self.quarantined_error(),
                     retry_budget_exhausted: false,
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -6,6 +6,7 @@
 mod broker;
 mod budget;
 mod catalog;
+mod digest;
 mod directory;
 mod explain;
 mod failures;
--- a/crates/drumusher/tests/unit/trials.rs
+++ b/crates/drumusher/tests/unit/trials.rs
@@ -10,7 +10,7 @@
 fn a_run_without_a_trial_is_not_mistaken_for_an_earlier_one() {
     let digest = Digest::from_wire(&[7; 16]).expect("a digest");
     let mut trials = Trials::default();
-    trials.begin(1, digest);
+    trials.begin(1, vec![digest]);
     assert_eq!(trials.grant(1, Key(0)), Some(true));
     assert!(trials.end(0, 1));
     assert_eq!(
