feat: brittle servers are spared

A dispatcher learned of missing room by rejections only, and granted on as soon as 200 ms had passed. Of a brittle server, no more grants are unproven at once than it may reject in a second, and nothing is granted for a second after a rejection, so that it never has to reject more than it bears; the room that was found grows again by one in ten seconds.

Further tests of what is new: most new connections at one instance, a silence of a second of all servers, streams that end with their connection.

--- a/crates/drumusher-platform/src/dialect.rs
+++ b/crates/drumusher-platform/src/dialect.rs
@@ -74,6 +74,8 @@
     pub limit: Option<Rate>,
     /// Whether it is shutting down for good.
     pub leaving: bool,
+    /// Rejections in a second for lack of capacity that it bears: with more it falls over.
+    pub brittle: Option<u32>,
     /// Time in milliseconds for which the instance that gets the response is to send it no requests.
     pub rest_ms: Option<u64>,
     /// Whether some of these headers could not be parsed: a missing limit then does not mean that there is
--- a/crates/drumusher-schedule/src/event.rs
+++ b/crates/drumusher-schedule/src/event.rs
@@ -62,6 +62,8 @@
     Leave(server::Key),
     /// A backend server's rate limit for this dispatcher, in requests per second; `None` lifts it.
     RateLimit(server::Key, Option<f64>),
+    /// A backend server said how many rejections in a second it bears before it falls over.
+    Brittle(server::Key, u32),
     /// A backend server asked to get no requests from one entry instance until the given time.
     Cooldown(Entry, server::Key, Micros),
     /// The process of an entry instance is gone with all its requests.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -149,6 +149,11 @@
                     server.set_rate_limit(now, per_second);
                 }
             }
+            Event::Brittle(key, bearable) => {
+                if let Some(server) = self.server_mut(key) {
+                    server.set_brittle(now, bearable);
+                }
+            }
             Event::Cooldown(entry, key, until) => self.start_cooldown(entry, key, until),
             Event::EntryGone(entry) => self.entry_gone(now, entry),
             Event::Policy(policy) => self.set_policy(policy),
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -1,5 +1,6 @@
 //! State of one backend server, learned from this dispatcher's own grants and streams.
 
+mod brittle;
 mod gap;
 mod health;
 mod rate;
@@ -11,6 +12,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use self::{
+    brittle::Brittle,
     gap::{MIN_SAMPLES, TokenGap, moving_average},
     rate::Limiter,
     window::Sample,
@@ -80,6 +82,8 @@
     leaving: bool,
     /// Rate limit of grants, if there is one.
     limiter: Option<Limiter>,
+    /// What it said of its being brittle, if it did.
+    brittle: Option<Brittle>,
     window_adjusted: Micros,
     /// When attempts were last preempted for requests in its own queue.
     queue_preempted: Micros,
@@ -119,6 +123,7 @@
             unreachable: false,
             leaving: false,
             limiter: None,
+            brittle: None,
             window_adjusted: 0,
             queue_preempted: 0,
             samples: VecDeque::new(),
@@ -216,7 +221,8 @@
         if self.leaving || self.health != Health::Good || now < self.full_until {
             return 0;
         }
-        self.window().saturating_sub(self.running + self.foreign).min(self.grants_allowed(now))
+        let places = self.window().saturating_sub(self.running + self.foreign);
+        places.min(self.grants_allowed(now)).min(self.brittle_allowance(now))
     }
 
     /// Mean time between tokens in microseconds, however few samples there are.
@@ -256,6 +262,7 @@
         if let Some(limiter) = &mut self.limiter {
             limiter.take(now);
         }
+        self.record_brittle_grant(now);
         self.record_running(now);
         self.schedule_probe(now);
         if prefix == 0 {
--- a/crates/drumusher-schedule/src/server/window.rs
+++ b/crates/drumusher-schedule/src/server/window.rs
@@ -128,6 +128,7 @@
     /// Records that it rejected a request for lack of capacity.
     pub(super) fn record_rejection(&mut self, now: Micros) {
         self.full_until = self.full_until.max(now + FULL_TTL);
+        self.record_brittle_rejection(now);
         if self.options.learned {
             self.window = (self.window - 1.0).max(1.0);
         }
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the scheduling decisions.
 
 mod begun;
+mod brittle;
 mod cooldown;
 mod engine;
 mod invariants;
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -71,6 +71,8 @@
   7: optional bool leaving
   /* how much longer it wants nothing from the sender */
   8: optional i64 rest
+  /* rejections in a second that it bears before it falls over */
+  9: optional i32 brittle
 }
 
 /* A request wants to run in a pool, or is declared as running there (server is set). */
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -553,10 +553,11 @@
   pub lifted: Option<i64>,
   pub leaving: Option<bool>,
   pub rest: Option<i64>,
+  pub brittle: Option<i32>,
 }
 
 impl Notice {
-  pub fn new<F3, F4, F5, F6, F7, F8>(pool: String, server: String, born: F3, limit: F4, named: F5, lifted: F6, leaving: F7, rest: F8) -> Notice where F3: Into<Option<i64>>, F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>>, F7: Into<Option<bool>>, F8: Into<Option<i64>> {
+  pub fn new<F3, F4, F5, F6, F7, F8, F9>(pool: String, server: String, born: F3, limit: F4, named: F5, lifted: F6, leaving: F7, rest: F8, brittle: F9) -> Notice where F3: Into<Option<i64>>, F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<i64>>, F7: Into<Option<bool>>, F8: Into<Option<i64>>, F9: Into<Option<i32>> {
     Notice {
       pool,
       server,
@@ -566,6 +567,7 @@
       lifted: lifted.into(),
       leaving: leaving.into(),
       rest: rest.into(),
+      brittle: brittle.into(),
     }
   }
 }
@@ -581,6 +583,7 @@
     let mut f_6: Option<i64> = None;
     let mut f_7: Option<bool> = None;
     let mut f_8: Option<i64> = None;
+    let mut f_9: Option<i32> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -620,6 +623,10 @@
           let val = i_prot.read_i64()?;
           f_8 = Some(val);
         },
+        9 => {
+          let val = i_prot.read_i32()?;
+          f_9 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -638,6 +645,7 @@
       lifted: f_6,
       leaving: f_7,
       rest: f_8,
+      brittle: f_9,
     };
     Ok(ret)
   }
@@ -680,6 +688,11 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.brittle {
+      o_prot.write_field_begin(&TFieldIdentifier::new("brittle", TType::I32, 9))?;
+      o_prot.write_i32(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -112,7 +112,7 @@
     let piece = Message::Piece(Piece::new(0, -42, 16_384, 32_768, vec![0, 255]));
     assert_eq!(round_trip(&piece), piece);
     let start = ("service:desk".to_string(), "d1".to_string());
-    let notice = Notice::new(start.0, start.1, 7, 1_400, 20, None, true, 3_000_000);
+    let notice = Notice::new(start.0, start.1, 7, 1_400, 20, None, true, 3_000_000, 2);
     let ask = Ask { notices: Some(vec![notice.clone(), notice.clone()]), ..ask() };
     assert_eq!(round_trip(&Message::Ask(ask.clone())), Message::Ask(ask));
     assert_eq!(round_trip(&Message::Notice(notice.clone())), Message::Notice(notice));
--- a/crates/drumusher/src/process/broker/wire.rs
+++ b/crates/drumusher/src/process/broker/wire.rs
@@ -62,6 +62,7 @@
         lifted: record.limit.lifted().map(age),
         leaving: record.leaving.map(|_| true),
         rest: rest.filter(|left| *left > 0),
+        brittle: record.brittle.map(|(bearable, _)| bearable.min(i32::MAX as u32) as i32),
     }
 }
 
--- a/crates/drumusher/src/process/dispatch/notices.rs
+++ b/crates/drumusher/src/process/dispatch/notices.rs
@@ -153,6 +153,9 @@
         if limited {
             self.update_rates(&pool, now);
         }
+        if let Some(bearable) = notice.brittle {
+            self.handle(&pool, Event::Brittle(key, bearable.max(0) as u32));
+        }
         if let Some(left) = notice.rest.filter(|left| *left > 0) {
             self.handle(&pool, Event::Cooldown(entry, key, now + left as u64));
         }
--- a/crates/drumusher/src/process/notices.rs
+++ b/crates/drumusher/src/process/notices.rs
@@ -45,6 +45,8 @@
     pub limit: Limit,
     /// Since when it is known to be leaving.
     pub leaving: Option<Micros>,
+    /// How many rejections in a second it bears, and when it last said so.
+    pub brittle: Option<(u32, Micros)>,
     /// Start and end of the rest that it asked for.
     pub rest: Option<(Micros, Micros)>,
     /// When an answer was last recorded.
@@ -232,6 +234,7 @@
             started_ms: server.started_ms,
             limit: Limit::default(),
             leaving: None,
+            brittle: None,
             rest: None,
             last_heard: 0,
             reported: 0,
@@ -249,6 +252,7 @@
             self.log("a backend server says that it leaves");
             changed = true;
         }
+        changed |= self.update_brittle(now, notice);
         if let Some(rest) = notice.rest_ms.filter(|rest| *rest > 0) {
             changed |= self.update_rest(now, now + rest * MILLISECOND);
         }
@@ -259,7 +263,8 @@
         // reported.
         let concerns_limit =
             notice.limit.is_some() || answer.known_limit.limited && !notice.malformed;
-        let due = concerns_limit && now >= self.reported + REPORT_INTERVAL;
+        let due =
+            (concerns_limit || notice.brittle.is_some()) && now >= self.reported + REPORT_INTERVAL;
         if changed || due {
             self.reported = now;
         }
@@ -280,6 +285,18 @@
         changed
     }
 
+    fn update_brittle(&mut self, now: Micros, notice: &Notice) -> bool {
+        let before = self.brittle.map(|(bearable, _)| bearable);
+        if !notice.malformed {
+            self.brittle = notice.brittle.map(|bearable| (bearable, now));
+        }
+        let changed = notice.brittle.is_some() && notice.brittle != before;
+        if changed {
+            self.log("a backend server says that it is brittle");
+        }
+        changed
+    }
+
     /// Applies what the dispatcher of a grant knew of the limit from other instances.
     fn learn_limit(&mut self, known_limit: KnownLimit) {
         if known_limit.lifted.is_some_and(|lifted| self.limit.lift(lifted)) {
@@ -309,7 +326,8 @@
     }
 
     fn is_in_force(&self, now: Micros) -> bool {
-        self.limit.rate().is_some() || self.leaving.is_some() || self.is_resting(now)
+        let announced = self.limit.rate().is_some() || self.leaving.is_some();
+        announced || self.brittle.is_some() || self.is_resting(now)
     }
 
     /// Why a request whose dispatcher had this knowledge of the limit must not be sent now.
@@ -329,7 +347,8 @@
         let limit = self.limit.rate().map_or(-1.0, |rate| rate.per_second());
         log::info!(
             server = &*self.server, pool = self.pool.to_string().as_str(), limit = limit,
-            leaving = self.leaving.is_some(), rest_ms = rest;
+            leaving = self.leaving.is_some(), rest_ms = rest,
+            brittle = self.brittle.map_or(-1, |(bearable, _)| i64::from(bearable));
             "{what}"
         );
     }
--- a/crates/drumusher/tests/routes/lost_paths.rs
+++ b/crates/drumusher/tests/routes/lost_paths.rs
@@ -236,3 +236,30 @@
         assert!(!instance.log().contains("crashed while it ran"), "{}", instance.log());
     }
 }
+
+#[rstest]
+fn a_silence_of_a_second_of_all_servers_breaks_no_request_and_loses_no_path() {
+    let _running = run_alone();
+    let (deployment, links) = deploy(2);
+    let set = |link| {
+        deployment.instances.iter().for_each(|instance| links.set(instance.process(), link));
+    };
+    thread::scope(|scope| {
+        let deployment = &deployment;
+        set(Link::Silent);
+        let sent = (0..8).map(|number| {
+            let request = Request::get(["/book/", "/draft/"][number % 2]);
+            scope.spawn(move || deployment.send(number % 2, &request))
+        });
+        let sent: Vec<_> = sent.collect();
+        thread::sleep(Duration::from_millis(1_200));
+        set(Link::Open);
+        for sent in sent {
+            let response = sent.join().expect("no panic").expect("a response");
+            assert_eq!((response.status, response.complete), (200, true));
+        }
+    });
+    for instance in &deployment.instances {
+        assert!(!instance.log().contains("the path to a backend server is lost"));
+    }
+}
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -2,6 +2,7 @@
 //! servers and the rest of the users' platform are stand-ins on threads of the test process.
 
 mod backend_faults;
+mod brittle;
 mod cells;
 mod config;
 mod crashing_part;
@@ -22,4 +23,5 @@
 mod suspected_outages;
 mod transfer;
 mod uncertain_removals;
+mod uneven_load;
 mod warm_up;
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -237,3 +237,30 @@
         assert!(whole, "{} {}\n{trace}", response.status, response.text());
     }
 }
+
+/// A stream may end with its connection. It is whole if it ends after an event, and broken off inside one.
+#[rstest]
+#[case::whole("/draft/", Fault::UnframedStream, true)]
+#[case::resumed("/talk/", Fault::UnframedStreamCut, true)]
+#[case::broken_off("/draft/", Fault::UnframedStreamCut, false)]
+fn a_stream_without_a_length_is_whole_unless_it_ends_inside_an_event(
+    #[case] path: &str,
+    #[case] fault: Fault,
+    #[case] whole: bool,
+) {
+    let deployment = Deployment::new(1);
+    let resumes = fault == Fault::UnframedStreamCut && whole;
+    deployment.server("m1").set(fault);
+    deployment.server("m2").set(if resumes { Fault::UnframedStream } else { fault });
+    for _ in 0..6 {
+        let request = Request::post(path, "x");
+        let response = deployment.send(0, &request).expect("a response");
+        assert_eq!((response.status, response.complete), (200, whole));
+        let events = events(&request.id);
+        assert!(if whole {
+            response.text() == events
+        } else {
+            events.starts_with(&response.text())
+        });
+    }
+}
