--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod sse;
 mod summary;
+mod tcp;
 mod trials;
 mod tunnel;
 mod uploads;
