fix: crashes with a common cause are no evidence against parts of prompts

Cause: every crash was evidence against every part that had just begun, so most parts were suspects at any time; their trials held requests up, three crashes on trial held sound parts back, and the bookkeeping doubled the processor time of the instances. A part crashes engines one after the other. So crashes of several servers within 50 ms are no evidence, a part that was answered in the last ten minutes is suspected from the fifth crash since its latest answer on, one crash alone is not written to the store, and the held parts are computed anew only when their evidence changes. And one request asks other instances for a path to a server while the others wait for its answer.

In the test of lost paths the proxy ended some resets in order; it marks broken connections now.

--- a/crates/drumusher-log/src/quarantine.rs
+++ b/crates/drumusher-log/src/quarantine.rs
@@ -189,8 +189,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     records: HashMap<Digest, Record>,
-    /// Number of records about parts of prompts.
-    parts: usize,
+    /// Whether any record is about a part of a prompt.
+    has_parts: bool,
     /// The parts that are held back.
     held_parts: HashSet<Digest>,
     /// The starts of backend servers that crashed while running requests with these.
@@ -220,7 +220,7 @@
 
     /// Whether there is a record about a part of a prompt.
     pub fn has_parts(&self) -> bool {
-        self.parts > 0
+        self.has_parts
     }
 
     /// The record of a request.
@@ -256,8 +256,9 @@
         if changed {
             record.latest_ms = record.latest_ms.max(crash.at_ms);
         }
+        let part = crash.part;
         self.evict_excess();
-        self.explain();
+        self.note_change(digest, part);
         changed
     }
 
@@ -265,15 +266,31 @@
     /// one. The removal has to be written to the store then, even if the store is not known to have the record: one
     /// that was written but not read back yet would otherwise return, and make the request a suspect for good.
     pub fn clear(&mut self, digest: Digest) -> bool {
-        let removed = self.records.remove(&digest).is_some();
-        if removed {
+        self.take(digest).is_some()
+    }
+
+    /// Removes a record.
+    fn take(&mut self, digest: Digest) -> Option<Record> {
+        let record = self.records.remove(&digest)?;
+        self.note_change(digest, record.part);
+        Some(record)
+    }
+
+    /// Updates what depends on a record that changed. Most records are far from the evidence that holds a part back.
+    fn note_change(&mut self, digest: Digest, part: bool) {
+        let record = self.records.get(&digest);
+        if part {
+            self.has_parts = record.is_some() || self.records.values().any(|record| record.part);
+        }
+        let counts = record.is_some_and(|record| part && record.verdict() == Verdict::Held);
+        if counts || self.held_parts.contains(&digest) {
             self.explain();
         }
-        removed
     }
 
     /// Merges a record of the store. Crashes known only here are kept.
     pub fn merge(&mut self, digest: Digest, other: Record) {
+        let part = other.part;
         match self.records.get_mut(&digest) {
             Some(record) => {
                 record.add_crashes(other.ends);
@@ -286,19 +303,19 @@
                 self.evict_excess();
             }
         }
-        self.explain();
+        self.note_change(digest, part);
     }
 
     /// Removes a request that the store no longer has.
     pub fn remove(&mut self, digest: Digest) {
-        self.records.remove(&digest);
-        self.explain();
+        self.take(digest);
     }
 
     /// Keeps only these requests, which are all that the store has, and those whose record was not written there
     /// yet.
     pub fn retain_listed(&mut self, listed: &BTreeSet<Digest>) {
         self.records.retain(|digest, record| !record.stored || listed.contains(digest));
+        self.has_parts = self.records.values().any(|record| record.part);
         self.explain();
     }
 
@@ -306,7 +323,6 @@
     /// against the next.
     fn explain(&mut self) {
         let parts = self.records.iter().filter(|(_, record)| record.part);
-        self.parts = parts.clone().count();
         let suspects = parts.filter(|(_, record)| record.verdict() == Verdict::Held);
         let mut suspects: Vec<(Digest, &Record)> = suspects.map(|(d, r)| (*d, r)).collect();
         suspects.sort_by_key(|(digest, record)| {
@@ -342,7 +358,7 @@
                 (std::cmp::Reverse(share(record)), record.eviction_rank())
             });
             let Some(evicted) = evicted.map(|(digest, _)| *digest) else { return };
-            self.records.remove(&evicted);
+            self.take(evicted);
         }
     }
 }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -5,6 +5,7 @@
 //!
 //! | module | contents |
 //! |---|---|
+//! | `answered` | parts of prompts that backend servers have answered |
 //! | `asks` | `Ask` messages: retry budget, quarantine, submission to the scheduler |
 //! | `budget` | the retry budget of a pool |
 //! | `health` | log lines on the health of backend servers |
@@ -17,6 +18,7 @@
 //! | `usage` | counts of started requests for usage reports, and the load for autoscaling |
 //! | `wire` | conversion between peer messages and scheduler types |
 
+mod answered;
 mod asks;
 mod budget;
 mod health;
@@ -29,6 +31,7 @@
 mod usage;
 mod wire;
 
+pub use answered::Answered;
 pub use budget::{Bound, Budget};
 pub use hosted_pool::HostedPool;
 pub use requesters::Requesters;
@@ -140,6 +143,8 @@
     replies: Replies,
     pools: HashMap<Pool, HostedPool>,
     divisor: Divisor,
+    answered: Answered,
+    undecided: VecDeque<suspects::Undecided>,
     orders: Vec<Order>,
     unsent: VecDeque<(Entry, Message)>,
 }
@@ -148,7 +153,16 @@
 pub fn run(shared: Arc<Shared>, receiver: Receiver, replies: Replies) {
     let orders = Vec::new();
     let (pools, unsent) = (HashMap::new(), VecDeque::new());
-    let mut dispatcher = Dispatcher { shared, replies, pools, divisor: 1, orders, unsent };
+    let mut dispatcher = Dispatcher {
+        shared,
+        replies,
+        pools,
+        divisor: 1,
+        answered: Answered::default(),
+        undecided: VecDeque::new(),
+        orders,
+        unsent,
+    };
     let tick = Duration::from_micros(pool::TICK);
     loop {
         match receiver.recv_timeout(tick) {
@@ -277,6 +291,7 @@
 
     fn tick(&mut self) {
         self.flush();
+        self.decide_crashes();
         self.handle_all(|_| Event::Tick);
         self.record_load();
         let now = clock::now();
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -6,6 +6,7 @@
     order::Refusal,
     pool,
     server::Server,
+    time::Micros,
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -21,6 +22,8 @@
 /// for some seconds, and two thirds of the servers remain if all trials do.
 const SERVERS_PER_TRIAL: usize = 3;
 
+/// Maximum number of crash reports that wait for others.
+const MAX_UNDECIDED: usize = 4_096;
 /// Maximum number of parts of one prompt that a crash is evidence against.
 const MAX_PARTS: usize = 16;
 
@@ -58,6 +61,13 @@
     }
 }
 
+/// A crash report that may turn out to be one of several with a common cause.
+pub(super) struct Undecided {
+    at: Micros,
+    alone: bool,
+    crash: peer::Crash,
+}
+
 impl Dispatcher {
     /// Whether an ask may be submitted to the scheduler, by what the quarantine knows of its request.
     pub(super) fn check_quarantine(&mut self, message: &peer::Ask, pool: &Pool) -> Admission {
@@ -146,11 +156,15 @@
 
     /// Clears what an attempt with this outcome proves innocent. An error response may come before the answer begins, so
     /// it says nothing about parts of the prompt.
-    fn clear_answered(&self, subject: &Subject, outcome: Outcome) {
+    fn clear_answered(&mut self, subject: &Subject, outcome: Outcome) {
         if matches!(outcome, Outcome::Done | Outcome::ErrorResponse) {
             self.clear_suspect(subject.request);
         }
-        if outcome == Outcome::Done && self.shared.quarantine().has_parts() {
+        if outcome != Outcome::Done {
+            return;
+        }
+        self.answered.record_answer(clock::now(), &subject.workspace, &subject.parts);
+        if self.shared.quarantine().has_parts() {
             let parts = subject.part_digests(&self.shared.settings.fleet_secret);
             parts.into_iter().for_each(|part| self.clear_suspect(part));
         }
@@ -165,10 +179,19 @@
 
     /// Clears a request or part that was answered from suspicion.
     fn clear_suspect(&self, digest: Digest) {
-        if self.shared.quarantine().clear(digest) {
-            self.store_record(digest);
+        let (verdict, is_part) = {
+            let mut table = self.shared.quarantine();
+            let Some(record) = table.get(digest) else { return };
+            let found = (record.verdict(), record.part);
+            table.clear(digest);
+            found
+        };
+        if verdict == Verdict::Held {
             self.shared.update_held_count();
         }
+        if !is_part || verdict != Verdict::Free {
+            self.store_record(digest);
+        }
     }
 
     /// Handles an entry's report that a backend server crashed while it ran a request.
@@ -181,18 +204,53 @@
         let known = hosted.and_then(|hosted| hosted.trials.was_alone(id));
         let alone = known.unwrap_or(crash.alone == Some(true));
         self.record_crash(digest, crash, (alone, false));
-        let secret = &self.shared.settings.fleet_secret;
+        self.answered.note_crash(clock::now(), &start(crash));
+        if crash.parts.is_some() && self.undecided.len() < MAX_UNDECIDED {
+            self.undecided.push_back(Undecided { at: clock::now(), alone, crash: crash.clone() });
+        }
+    }
+
+    /// Records crashes as evidence against parts of prompts, once it is known whether other servers crashed at the same
+    /// time.
+    pub(super) fn decide_crashes(&mut self) {
+        let now = clock::now();
+        while let Some(next) =
+            self.undecided.pop_front_if(|next| self.answered.is_decided(now, next.at))
+        {
+            if !self.answered.has_common_cause(&start(&next.crash)) {
+                self.record_part_crashes(now, &next);
+            }
+        }
+    }
+
+    fn record_part_crashes(&mut self, now: Micros, undecided: &Undecided) {
+        let Undecided { alone, crash, .. } = undecided;
+        let (workspace, start) = (&crash.workspace, start(crash));
         for part in crash.parts.iter().flatten().take(MAX_PARTS) {
-            let digest = digest::of_part(secret, &crash.workspace, *part as u64);
-            self.record_crash(digest, crash, (alone, true));
+            let part = *part as u64;
+            if self.answered.record_crash(now, workspace, part, &start) {
+                let secret = &self.shared.settings.fleet_secret;
+                let digest = digest::of_part(secret, workspace, part);
+                self.record_crash(digest, crash, (*alone, true));
+            }
         }
     }
 
+    /// Records a crash as evidence against a request or a part of its prompt. One crash against a part is not written to
+    /// the store: most of them are cleared soon.
     fn record_crash(&self, digest: Digest, crash: &peer::Crash, (alone, part): (bool, bool)) {
-        if self.shared.quarantine().record_crash(digest, end(crash, alone, part)) {
-            self.shared.telemetry.count("drumusher.quarantine.ends", &[]);
-            self.log_suspect(digest, crash, alone);
+        let verdict = {
+            let mut table = self.shared.quarantine();
+            let changed = table.record_crash(digest, end(crash, alone, part));
+            changed.then(|| table.verdict(digest))
+        };
+        let Some(verdict) = verdict else { return };
+        self.shared.telemetry.count("drumusher.quarantine.ends", &[]);
+        self.log_suspect(digest, crash, alone);
+        if verdict == Verdict::Held {
             self.shared.update_held_count();
+        }
+        if !part || verdict != Verdict::Free {
             self.store_record(digest);
         }
     }
@@ -230,10 +288,15 @@
     (good.count() / SERVERS_PER_TRIAL).max(1)
 }
 
+/// Identifies the run of a backend server that crashed.
+fn start(crash: &peer::Crash) -> String {
+    format!("{}@{}", crash.server, crash.born.unwrap_or(0))
+}
+
 /// The crash that an entry reports, as a quarantine record of one run of a backend server.
 fn end(crash: &peer::Crash, alone: bool, part: bool) -> Crash<'_> {
     Crash {
-        start: format!("{}@{}", crash.server, crash.born.unwrap_or(0)),
+        start: start(crash),
         alone,
         at_ms: clock::steady_unix_ms(),
         workspace: &crash.workspace,
--- a/crates/drumusher/src/routed/exchange/path.rs
+++ b/crates/drumusher/src/routed/exchange/path.rs
@@ -20,6 +20,10 @@
 const CONNECT_TIMEOUT: Millis = Millis(200);
 /// Time within which a backend server has to begin its answer to a probe of the path.
 const PROBE_TIMEOUT: Micros = 300 * MILLISECOND;
+/// How long a request waits for the answers of other instances that another request asked.
+const MAX_ASKED_TIME: Micros = 500 * MILLISECOND;
+/// Interval at which it checks for them.
+const ASKED_POLL: Millis = Millis(16);
 /// Interval at which lost paths are checked for a due probe.
 const PROBE_INTERVAL: Millis = Millis(250);
 /// Lower bound of the silence after which the path to a backend server is checked.
@@ -46,7 +50,12 @@
             if let Ok(conn) = taken {
                 return Ok(conn);
             }
-            if paths.is_down(clock::now(), backend) {
+        }
+        let asking = paths.begin_asking(clock::now(), backend);
+        if asking.is_none() && !is_lost {
+            // Usually the server has failed, and one request is enough to find out.
+            self.await_asked(backend).await;
+            if !paths.is_lost(backend) {
                 return Err(Failure::NotConnected);
             }
         }
@@ -75,6 +84,14 @@
         }
     }
 
+    /// Waits until other instances, which are being asked for a path to a backend server, have answered.
+    async fn await_asked(&self, backend: &Backend) {
+        let until = self.deadline.min(clock::now() + MAX_ASKED_TIME);
+        while self.worker.shared.paths.is_being_asked(backend) && clock::now() < until {
+            sleep(ASKED_POLL).await;
+        }
+    }
+
     /// Whether a failure of the latest attempt is that of a path rather than of the backend server.
     pub(super) fn is_path_failure(&self, backend: &Backend, failure: &Failure) -> bool {
         match failure {
--- a/crates/drumusher/src/upstream/paths.rs
+++ b/crates/drumusher/src/upstream/paths.rs
@@ -5,7 +5,7 @@
 //! path itself is answered.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard,
         atomic::{AtomicUsize, Ordering},
@@ -49,12 +49,27 @@
     heard_any: Micros,
     /// When the path to a silent backend server was last checked.
     checked: HashMap<Incarnation, Micros>,
+    /// Backend servers for which other instances are being asked for a path.
+    asking: HashSet<Incarnation>,
     /// When no instance reached a backend server.
     down: HashMap<Incarnation, Micros>,
     /// Until when instances that offered no path are asked last.
     paused_relays: HashMap<Arc<str>, Micros>,
 }
 
+/// Marks that other instances are being asked for a path to a backend server, until it is dropped.
+#[derive(Debug)]
+pub struct Asking<'a> {
+    paths: &'a Paths,
+    server: Incarnation,
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.paths.lock().asking.remove(&self.server);
+    }
+}
+
 /// The paths from this instance to all backend servers.
 #[derive(Debug, Default)]
 pub struct Paths {
@@ -131,6 +146,20 @@
         self.count.store(inner.lost.len(), Ordering::Release);
     }
 
+    /// Begins to ask other instances for a path to a backend server; `None` if they are being asked, or have just been.
+    pub fn begin_asking(&self, now: Micros, backend: &Backend) -> Option<Asking<'_>> {
+        let server = incarnation(backend);
+        let mut inner = self.lock();
+        let was_down = inner.down.get(&server).is_some_and(|at| now < at + DOWN_RETENTION);
+        let may_ask = !was_down && inner.asking.insert(server.clone());
+        may_ask.then(|| Asking { paths: self, server })
+    }
+
+    /// Whether other instances are being asked for a path to a backend server.
+    pub fn is_being_asked(&self, backend: &Backend) -> bool {
+        self.lock().asking.contains(&incarnation(backend))
+    }
+
     /// Whether no instance reached a backend server a moment ago.
     pub fn is_down(&self, now: Micros, backend: &Backend) -> bool {
         let inner = self.lock();
--- a/crates/drumusher/src/upstream/tunnel.rs
+++ b/crates/drumusher/src/upstream/tunnel.rs
@@ -21,6 +21,9 @@
 const OPEN_TIMEOUT: Millis = Millis(160);
 /// Number of instances that are asked for a path to one backend server in turn.
 const MAX_RELAYS: usize = 3;
+/// Number of instances that did not reach a backend server after which no other one is asked, unless this instance is
+/// isolated.
+const WITNESSES: usize = 2;
 /// Number of instances of one availability zone that may offer no path before those of other zones are preferred.
 const MAX_PAUSED_IN_ZONE: usize = 2;
 
@@ -44,6 +47,9 @@
     let mut found = Error::NoPath;
     let mut failed = Vec::new();
     for instance in candidates(shared, backend) {
+        if failed.len() >= WITNESSES && !shared.paths.is_isolated() {
+            break;
+        }
         let now = clock::now();
         let tunnel = peer::Tunnel {
             pool: pool.to_string(),
@@ -99,6 +105,13 @@
     let ranked = ranked.iter().filter_map(|name| directory.instances.get(name));
     let mut ranked: Vec<&Instance> = ranked.collect();
     ranked.sort_by_key(|other| (is_paused(other), is_near(other) != prefers_near));
+    // The second one is in another availability zone: a whole zone may have lost its paths.
+    let first = ranked.first().map(|first| first.availability_zone.clone());
+    let elsewhere =
+        ranked.iter().position(|other| Some(&other.availability_zone) != first.as_ref());
+    if let Some(index) = elsewhere.filter(|index| *index > 1) {
+        ranked[1..=index].rotate_right(1);
+    }
     ranked.into_iter().take(MAX_RELAYS).cloned().collect()
 }
 
--- a/crates/drumusher/tests/routes/support/gateway.rs
+++ b/crates/drumusher/tests/routes/support/gateway.rs
@@ -7,7 +7,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::Duration,
@@ -110,15 +110,18 @@
             reset(&client);
         } else {
             let (links, reverse) = (self.clone(), (server.try_clone()?, client.try_clone()?));
-            thread::spawn(move || links.copy(process, reverse.0, reverse.1));
-            self.copy(process, client, server);
+            let broken = Arc::new(AtomicBool::new(false));
+            let same = broken.clone();
+            thread::spawn(move || links.copy(process, reverse, &same));
+            self.copy(process, (client, server), &broken);
         }
         lock(&self.open).remove(&number);
         Ok(())
     }
 
-    /// Forwards bytes in one direction until a side ends the connection. A reset is passed on as one.
-    fn copy(&self, process: u32, mut from: TcpStream, mut to: TcpStream) {
+    /// Forwards bytes in one direction until a side ends the connection. A reset is passed on as one: whichever direction
+    /// sees it marks the connection as `broken`, so that the other one does not end it in order.
+    fn copy(&self, process: u32, (mut from, mut to): (TcpStream, TcpStream), broken: &AtomicBool) {
         let mut chunk = [0; CHUNK];
         let ended = loop {
             let received = from.read(&mut chunk);
@@ -131,6 +134,9 @@
             }
         };
         if ended.is_err() || self.get(process) == Link::Reset {
+            broken.store(true, Ordering::Release);
+        }
+        if broken.load(Ordering::Acquire) {
             reset(&to);
             reset(&from);
             return;
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the crate's modules that start no process.
 
+mod answered;
 mod arrival_token;
 mod attempt;
 mod backoff;
