--- a/crates/drumusher/src/upstream/paths.rs
+++ b/crates/drumusher/src/upstream/paths.rs
@@ -160,13 +160,6 @@
         self.lock().asking.contains(&incarnation(backend))
     }
 
-    /// Whether no instance reached a backend server a moment ago.
-    pub fn is_down(&self, now: Micros, backend: &Backend) -> bool {
-        let inner = self.lock();
-        let down = inner.down.get(&incarnation(backend));
-        down.is_some_and(|at| now < at + DOWN_RETENTION)
-    }
-
     /// When the path to a backend server was lost, if it is.
     pub fn lost_since(&self, backend: &Backend) -> Option<Micros> {
         if self.lost_count() == 0 {
--- a/crates/drumusher/src/upstream/tunnel.rs
+++ b/crates/drumusher/src/upstream/tunnel.rs
@@ -104,7 +104,7 @@
     let ranked: Vec<Arc<str>> = rank::order(&role, weighted).into_iter().map(Arc::from).collect();
     let ranked = ranked.iter().filter_map(|name| directory.instances.get(name));
     let mut ranked: Vec<&Instance> = ranked.collect();
-    ranked.sort_by_key(|other| (is_paused(other), is_near(other) != prefers_near));
+    ranked.sort_by_cached_key(|other| (is_paused(other), is_near(other) != prefers_near));
     // The second one is in another availability zone: a whole zone may have lost its paths.
     let first = ranked.first().map(|first| first.availability_zone.clone());
     let elsewhere =
--- a/crates/drumusher/tests/unit/paths.rs
+++ b/crates/drumusher/tests/unit/paths.rs
@@ -60,9 +60,19 @@
     paths.record_lost(SECOND, &pool(), &server);
     paths.record_down(2 * SECOND, &server);
     assert!(!paths.is_lost(&server));
-    assert!(paths.is_down(2 * SECOND + 100 * MILLISECOND, &server));
-    assert!(!paths.is_down(4 * SECOND, &server));
-    assert!(!paths.is_down(2 * SECOND, &backend("a", 2)), "another start");
+    assert!(paths.begin_asking(2 * SECOND + 100 * MILLISECOND, &server).is_none());
+    assert!(paths.begin_asking(2 * SECOND, &backend("a", 2)).is_some(), "another start");
+    assert!(paths.begin_asking(4 * SECOND, &server).is_some());
+}
+
+#[test]
+fn one_request_at_a_time_asks_for_a_path() {
+    let (paths, server) = (Paths::default(), backend("a", 1));
+    let asking = paths.begin_asking(SECOND, &server);
+    assert!(asking.is_some() && paths.is_being_asked(&server));
+    assert!(paths.begin_asking(SECOND, &server).is_none());
+    drop(asking);
+    assert!(!paths.is_being_asked(&server));
 }
 
 #[test]
