fix: a tunnel that forwarded nothing is no attempt that may have run

An instance in between that stops, or is at its limit of requests, closes a tunnel without having forwarded the request and says so. The entry counted that as a broken attempt: callers of requests that may run once would have got 502 with an unknown outcome in place of 503. A crash report that finds the list full is logged.

--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -205,7 +205,12 @@
         let alone = known.unwrap_or(crash.alone == Some(true));
         self.record_crash(digest, crash, (alone, false));
         self.answered.note_crash(clock::now(), &start(crash));
-        if crash.parts.is_some() && self.undecided.len() < MAX_UNDECIDED {
+        if crash.parts.is_none() {
+            return;
+        }
+        if self.undecided.len() >= MAX_UNDECIDED {
+            log::warn!(server = crash.server.as_str(); "a crash is not considered as evidence against parts: too many");
+        } else {
             self.undecided.push_back(Undecided { at: clock::now(), alone, crash: crash.clone() });
         }
     }
--- a/crates/drumusher/src/process/peers/tunnel.rs
+++ b/crates/drumusher/src/process/peers/tunnel.rs
@@ -112,9 +112,12 @@
         while let Ok(Some(frame)) = client.recv(&tunnel::Codec).await {
             match frame {
                 Frame::Data(data) => {
-                    if !self.begin_request(exchange)
-                        || server.send(data, &BytesCodec).await.is_err()
-                    {
+                    if !self.begin_request(exchange) {
+                        // An error shows that the other side is gone already.
+                        let _ = client.send(Frame::Unforwarded, &tunnel::Codec).await;
+                        return;
+                    }
+                    if server.send(data, &BytesCodec).await.is_err() {
                         return;
                     }
                 }
--- a/crates/drumusher/src/routed/exchange/failure.rs
+++ b/crates/drumusher/src/routed/exchange/failure.rs
@@ -20,6 +20,16 @@
     Failed(Box<BufferedResponse>),
 }
 
+impl From<upstream::Error> for Failure {
+    /// The failure of an attempt without a response. A tunnel that forwarded nothing is no connection.
+    fn from(error: upstream::Error) -> Self {
+        match error {
+            upstream::Error::NotConnected => Failure::NotConnected,
+            error => Failure::Broken(error),
+        }
+    }
+}
+
 impl Failure {
     /// Label used in logs and metrics.
     pub(super) fn as_str(&self) -> &'static str {
--- a/crates/drumusher/src/routed/exchange/path.rs
+++ b/crates/drumusher/src/routed/exchange/path.rs
@@ -44,7 +44,7 @@
         let limit = Millis(self.remaining_ms().clamp(1, u64::from(CONNECT_TIMEOUT.0)) as u32);
         let (worker, paths) = (self.worker.clone(), &self.worker.shared.paths);
         let is_lost = paths.is_lost(backend);
-        self.path_blamed = false;
+        (self.path_blamed, self.tunnelled) = (false, false);
         if !is_lost {
             let taken = worker.conns.take(backend, address, at_most_once, limit).await;
             if let Ok(conn) = taken {
@@ -95,7 +95,8 @@
     /// Whether a failure of the latest attempt is that of a path rather than of the backend server.
     pub(super) fn is_path_failure(&self, backend: &Backend, failure: &Failure) -> bool {
         match failure {
-            Failure::NotConnected => self.path_blamed,
+            // An instance in between that forwarded nothing says nothing about the server.
+            Failure::NotConnected => self.path_blamed || self.tunnelled,
             Failure::Broken(upstream::Error::Malformed) => false,
             Failure::Broken(_) => !self.tunnelled && self.worker.shared.paths.is_lost(backend),
             Failure::Withheld | Failure::NotRun(_) | Failure::Failed(_) => false,
--- a/crates/drumusher/src/routed/exchange/response.rs
+++ b/crates/drumusher/src/routed/exchange/response.rs
@@ -43,7 +43,7 @@
     ) -> Result<(response::Head, Answer), Failure> {
         for _ in 0..=MAX_STALE_RESPONSES {
             let head = loop {
-                match self.next_part(conn, until).await.map_err(Failure::Broken)? {
+                match self.next_part(conn, until).await.map_err(Failure::from)? {
                     Part::Head(head) => break head,
                     Part::Data(_) | Part::End => {}
                 }
