test: a request that the instance between does not take has not run

Names: the instance between was called relay, which is the relay of event streams elsewhere; the state of a tunnel had the name of the exchange of a request. No change of behaviour.

--- a/crates/drumusher/src/process/peers/tunnel.rs
+++ b/crates/drumusher/src/process/peers/tunnel.rs
@@ -35,7 +35,7 @@
 const IDLE_TIMEOUT: u64 = 10_000 * MILLISECOND;
 
 /// The state of a tunnel between its two directions.
-struct Exchange {
+struct State {
     /// Counts the request in progress, so that a planned stop waits for it.
     in_progress: RefCell<Option<InFlight>>,
     idle_since: RefCell<u64>,
@@ -95,12 +95,12 @@
     }
 
     async fn pass_on(&self, client: &Io, server: &Io, socket: &std::net::TcpStream) {
-        let exchange =
-            Exchange { in_progress: RefCell::new(None), idle_since: RefCell::new(clock::now()) };
-        let requests = self.pass_requests(client, server, &exchange);
+        let state =
+            State { in_progress: RefCell::new(None), idle_since: RefCell::new(clock::now()) };
+        let requests = self.pass_requests(client, server, &state);
         let responses = pass_responses(client, server, socket);
         let ended = select(Box::pin(requests), Box::pin(responses));
-        let idle = self.wait_idle(&exchange);
+        let idle = self.wait_idle(&state);
         if let Either::Right(_) = select(ended, Box::pin(idle)).await {
             // An error shows that the other side is gone already.
             let _ = client.send(Frame::Unforwarded, &tunnel::Codec).await;
@@ -108,11 +108,11 @@
     }
 
     /// Passes requests on to the backend server.
-    async fn pass_requests(&self, client: &Io, server: &Io, exchange: &Exchange) {
+    async fn pass_requests(&self, client: &Io, server: &Io, state: &State) {
         while let Ok(Some(frame)) = client.recv(&tunnel::Codec).await {
             match frame {
                 Frame::Data(data) => {
-                    if !self.begin_request(exchange) {
+                    if !self.begin_request(state) {
                         // An error shows that the other side is gone already.
                         let _ = client.send(Frame::Unforwarded, &tunnel::Codec).await;
                         return;
@@ -122,8 +122,8 @@
                     }
                 }
                 Frame::End => {
-                    exchange.in_progress.borrow_mut().take();
-                    *exchange.idle_since.borrow_mut() = clock::now();
+                    state.in_progress.borrow_mut().take();
+                    *state.idle_since.borrow_mut() = clock::now();
                 }
                 Frame::Unforwarded => return,
             }
@@ -131,8 +131,8 @@
     }
 
     /// Counts a request that begins. Returns whether the instance takes it.
-    fn begin_request(&self, exchange: &Exchange) -> bool {
-        let mut in_progress = exchange.in_progress.borrow_mut();
+    fn begin_request(&self, state: &State) -> bool {
+        let mut in_progress = state.in_progress.borrow_mut();
         if in_progress.is_none() {
             *in_progress = InFlight::new(self.shared.clone()).ok();
         }
@@ -141,11 +141,11 @@
 
     /// Waits until the tunnel is to be closed although both sides keep it open: no request is in progress, and it has
     /// been idle for too long or the instance is stopping.
-    async fn wait_idle(&self, exchange: &Exchange) {
+    async fn wait_idle(&self, state: &State) {
         loop {
             sleep(STOP_POLL_INTERVAL).await;
-            let idle = exchange.in_progress.borrow().is_none();
-            let expired = clock::now() > *exchange.idle_since.borrow() + IDLE_TIMEOUT;
+            let idle = state.in_progress.borrow().is_none();
+            let expired = clock::now() > *state.idle_since.borrow() + IDLE_TIMEOUT;
             if idle && (expired || self.shared.stopping()) {
                 return;
             }
--- a/crates/drumusher/src/upstream/paths.rs
+++ b/crates/drumusher/src/upstream/paths.rs
@@ -26,7 +26,7 @@
 /// For this long after other instances did not reach a backend server either, they are not asked again.
 const DOWN_RETENTION: Micros = 500 * MILLISECOND;
 /// An instance that offered no path is asked last for this long.
-const RELAY_PAUSE: Micros = 3 * SECOND;
+const INSTANCE_PAUSE: Micros = 3 * SECOND;
 /// Number of lost paths from which on this instance counts as isolated if no backend server answers it.
 const MIN_LOST: usize = 2;
 
@@ -54,7 +54,7 @@
     /// When no instance reached a backend server.
     down: HashMap<Incarnation, Micros>,
     /// Until when instances that offered no path are asked last.
-    paused_relays: HashMap<Arc<str>, Micros>,
+    paused_instances: HashMap<Arc<str>, Micros>,
 }
 
 /// Marks that other instances are being asked for a path to a backend server, until it is dropped.
@@ -194,15 +194,15 @@
     }
 
     /// Records that an instance offered no path.
-    pub fn pause_relay(&self, now: Micros, instance: &Arc<str>) {
+    pub fn pause_instance(&self, now: Micros, instance: &Arc<str>) {
         let mut inner = self.lock();
-        inner.paused_relays.retain(|_, until| now < *until);
-        inner.paused_relays.insert(instance.clone(), now + RELAY_PAUSE);
+        inner.paused_instances.retain(|_, until| now < *until);
+        inner.paused_instances.insert(instance.clone(), now + INSTANCE_PAUSE);
     }
 
     /// Whether an instance offered no path a moment ago.
-    pub fn is_relay_paused(&self, now: Micros, instance: &str) -> bool {
-        self.lock().paused_relays.get(instance).is_some_and(|until| now < *until)
+    pub fn is_instance_paused(&self, now: Micros, instance: &str) -> bool {
+        self.lock().paused_instances.get(instance).is_some_and(|until| now < *until)
     }
 
     /// Forgets the backend servers that are not listed any more.
--- a/crates/drumusher/src/upstream/tunnel.rs
+++ b/crates/drumusher/src/upstream/tunnel.rs
@@ -20,7 +20,7 @@
 /// other instance.
 const OPEN_TIMEOUT: Millis = Millis(160);
 /// Number of instances that are asked for a path to one backend server in turn.
-const MAX_RELAYS: usize = 3;
+const MAX_ASKED: usize = 3;
 /// Number of instances that did not reach a backend server after which no other one is asked, unless this instance is
 /// isolated.
 const WITNESSES: usize = 2;
@@ -63,7 +63,7 @@
             Ok(Ok((io, socket))) => {
                 shared.telemetry.count("drumusher.tunnels.opened", &[]);
                 // The server answers, so the path of those that did not reach it is lost too.
-                failed.iter().for_each(|name| shared.paths.pause_relay(now, name));
+                failed.iter().for_each(|name| shared.paths.pause_instance(now, name));
                 return Ok(Conn::tunnelled(io, socket));
             }
             Ok(Err(Outcome::Refused)) => {
@@ -74,10 +74,10 @@
                 found = if found == Error::Refused { found } else { Error::NoAnswer };
                 failed.push(name.clone());
             }
-            Ok(Err(_)) => shared.paths.pause_relay(now, name),
+            Ok(Err(_)) => shared.paths.pause_instance(now, name),
             Err(error) => {
                 log::debug!("no tunnel through instance {name}: {error}");
-                shared.paths.pause_relay(now, name);
+                shared.paths.pause_instance(now, name);
             }
         }
     }
@@ -95,7 +95,7 @@
     let usable: Vec<&Instance> = usable.collect();
     let zone = &shared.settings.availability_zone;
     let is_near = |instance: &Instance| *instance.availability_zone == **zone;
-    let is_paused = |instance: &Instance| shared.paths.is_relay_paused(now, &instance.name);
+    let is_paused = |instance: &Instance| shared.paths.is_instance_paused(now, &instance.name);
     let paused_near = usable.iter().filter(|other| is_near(other) && is_paused(other)).count();
     let prefers_near = paused_near < MAX_PAUSED_IN_ZONE;
     let role = format!("{} {}", shared.name, backend.name);
@@ -112,7 +112,7 @@
     if let Some(index) = elsewhere.filter(|index| *index > 1) {
         ranked[1..=index].rotate_right(1);
     }
-    ranked.into_iter().take(MAX_RELAYS).cloned().collect()
+    ranked.into_iter().take(MAX_ASKED).cloned().collect()
 }
 
 impl From<tunnel::Malformed> for super::Error {
--- a/crates/drumusher/tests/routes/lost_paths.rs
+++ b/crates/drumusher/tests/routes/lost_paths.rs
@@ -52,13 +52,19 @@
 
 /// A deployment of some instances, whose backend servers are behind proxies.
 fn deploy(instances: usize) -> (Deployment, Links) {
+    deploy_with(instances, "")
+}
+
+/// The same with additional settings of all instances.
+fn deploy_with(instances: usize, extra_settings: &str) -> (Deployment, Links) {
     let (mut deployment, links) = (Deployment::empty(false), Links::default());
     for number in 0..4 {
         deployment.add_server_behind(&format!("d{number}"), DESK, &links);
         deployment.add_server_behind(&format!("m{number}"), MODEL, &links);
     }
     for number in 0..instances {
-        deployment.add_instance(&format!("i{number}"));
+        let store_endpoint = deployment.store.endpoint().expect("the store endpoint starts");
+        deployment.add_instance_with(&format!("i{number}"), store_endpoint, extra_settings);
         links.set(deployment.instances[number].process(), Link::Open);
     }
     deployment.store.put("keyed.op", "config", &crate::support::configuration(1, ""));
@@ -124,7 +130,12 @@
 
 /// Two instances, of which the first reaches backend servers only through the second, and knows it.
 fn deploy_relayed() -> Deployment {
-    let (deployment, links) = deploy(2);
+    deploy_relayed_with("")
+}
+
+/// The same with additional settings of both instances.
+fn deploy_relayed_with(extra_settings: &str) -> Deployment {
+    let (deployment, links) = deploy_with(2, extra_settings);
     links.set(deployment.instances[0].process(), Link::Reset);
     wait_for("the first instance is isolated", || {
         for path in ["/talk/", "/read/"] {
@@ -177,6 +188,33 @@
     assert_eq!(deployment.runs(&request.id), 1);
 }
 
+/// Guards against an unknown outcome where the instance between never forwarded the request.
+#[rstest]
+fn a_request_that_the_instance_between_does_not_take_is_said_not_to_have_run() {
+    let _running = run_alone();
+    let deployment = deploy_relayed_with("[limits]\nrequests = 2\n");
+    deployment.servers.iter().for_each(|server| server.set(Fault::Hang));
+    let (request, occupying) = (Request::get("/book/"), Request::get("/book/occupying"));
+    let occupied = || {
+        let runs = deployment.servers.iter().flat_map(|server| server.runs());
+        runs.filter(|run| run.request.path() == occupying.path).count()
+    };
+    thread::scope(|scope| {
+        let (deployment, occupying) = (&deployment, &occupying);
+        for _ in 0..2 {
+            // A health check that passes through may take the place for a moment.
+            scope.spawn(move || {
+                let send = || deployment.send(1, &occupying.with_new_id());
+                while send().is_ok_and(|response| response.status == 503) {}
+            });
+        }
+        wait_for("the instance is at its limit", || occupied() == 2);
+        let response = deployment.send(0, &request).expect("a response");
+        assert_eq!(response.status, 503, "{}", response.text());
+    });
+    assert_eq!(deployment.runs(&request.id), 0);
+}
+
 #[rstest]
 fn a_caller_that_leaves_ends_its_request_behind_the_other_instance() {
     let _running = run_alone();
