--- a/crates/drumusher-bench/src/fleet/relay.rs
+++ b/crates/drumusher-bench/src/fleet/relay.rs
@@ -51,8 +51,8 @@
 
 /// The two TCP connections that make up a relayed connection.
 struct Pair {
-    client: TcpStream,
-    target: TcpStream,
+    client: Arc<TcpStream>,
+    target: Arc<TcpStream>,
 }
 
 /// State that a relay shares with the threads of its connections.
@@ -140,7 +140,7 @@
         for (_, pair) in open.drain() {
             for stream in [&pair.client, &pair.target] {
                 // Errors are ignored: a connection that closed in the meantime needs no reset.
-                let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+                let _ = SockRef::from(&**stream).set_linger(Some(Duration::ZERO));
                 let _ = stream.shutdown(Shutdown::Read);
             }
         }
@@ -256,30 +256,30 @@
     client.set_nodelay(true)?;
     target.set_nodelay(true)?;
     let number = state.next.fetch_add(1, Ordering::Relaxed);
-    let pair = Pair { client: client.try_clone()?, target: target.try_clone()? };
+    let (client, target) = (Arc::new(client), Arc::new(target));
+    let pair = Pair { client: client.clone(), target: target.clone() };
     state.open.lock().expect("no holder panics").insert(number, pair);
     if state.cut.load(Ordering::Acquire) {
         // The relay was cut while this connection was set up.
         state.close(number);
     }
-    let reverse = (target.try_clone()?, client.try_clone()?);
-    copy(client, target, state.clone(), number, Direction::ToTarget)?;
-    copy(reverse.0, reverse.1, state.clone(), number, Direction::FromTarget)
+    copy(client.clone(), target.clone(), state.clone(), number, Direction::ToTarget)?;
+    copy(target, client, state.clone(), number, Direction::FromTarget)
 }
 
 /// Forwards bytes in one direction on a new thread until either side or the relay closes the connection.
 fn copy(
-    mut from: TcpStream,
-    mut to: TcpStream,
+    from: Arc<TcpStream>,
+    to: Arc<TcpStream>,
     state: Arc<State>,
     number: u64,
     direction: Direction,
 ) -> io::Result<()> {
     let run = move || {
         let mut chunk = [0; CHUNK];
-        while let Ok(length) = from.read(&mut chunk) {
+        while let Ok(length) = (&*from).read(&mut chunk) {
             let ended = length == 0 || !state.apply_mode(number, direction, length);
-            if ended || to.write_all(&chunk[..length]).is_err() {
+            if ended || (&*to).write_all(&chunk[..length]).is_err() {
                 break;
             }
             state.bytes.fetch_add(length as u64, Ordering::Relaxed);
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -361,6 +361,18 @@
         self.child = started.expect("the instance starts again");
     }
 
+    /// Kills the process and waits until it is gone.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the process is killed");
+        self.child.wait().expect("the process is gone");
+    }
+
+    /// Starts the instance again at the same addresses without waiting for it, after its process ended.
+    pub fn respawn(&mut self) {
+        self.starts += 1;
+        self.child = spawn(&self.settings, &self.log_file);
+    }
+
     /// The log that its processes have written so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log_file).unwrap_or_default()
