fix: instances that start together do not all read the tables from the store

Cause: each instance read the whole table of instances when it started. What the store has to send then grows with the square of their number: 986 tables of some 200 KB, while all reads share 80 MB a second. The answers began later than the 700 ms for which a call waits; each call was given up, and repeated 60 to 400 ms later. The store went on sending what nobody read any more. Who does not know the others reads all tables by itself, so that the load grew further.

Ruled out: few readers alone (300 instances with 10,000 entries and a store without a bound: the first after 0.9 s, the last after 10.7), readers that are not known (four to six lines, as there should be).

Readers now keep a short list of themselves. A starting instance reads only this list and gets all tables from those on it; if they do not answer it reads the table of instances first. An instance that has not read the table of instances does not register itself: 152 did so every five seconds. Of a whole table of many entries the log has one line: 300 instances wrote three million at their start.

The test fails on the code before (not all serve again after 60 s).

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -14,6 +14,7 @@
 
 mod apply;
 mod backoff;
+mod contacts;
 mod engine_cache;
 mod entries;
 mod health;
@@ -67,8 +68,12 @@
 /// State shared by the catalog's tasks.
 struct Catalog<S> {
     shared: Arc<Shared>,
-    /// When the first call to the store is made.
-    began: Micros,
+    /// Since when other instances are known that may relay updates to this one.
+    met_others: Cell<Micros>,
+    /// Whether the table of instances was read or relayed, so that it tells whether this instance is listed.
+    knows_instances: Cell<bool>,
+    /// Number of failed reads of the table of instances.
+    instance_failures: Cell<u32>,
     store: Rc<S>,
     /// Whether the latest call for the configuration failed. Its task then retries soon, on behalf of the other
     /// tasks.
@@ -109,7 +114,6 @@
     receiver: platform::Receiver,
 ) {
     let spread_ms = shared.settings.store.as_ref().map_or(0, |store| store.spread_ms);
-    let began = clock::now() + rand::random_range(0..=spread_ms) * MILLISECOND;
     let wait_ms = shared.settings.store.as_ref().map_or(0, |store| store.wait_ms);
     let detection_time = (wait_ms * poll::OTHER_WAIT_FACTOR + poll::CALL_MARGIN_MS) * MILLISECOND;
     let entries = Entries::new().with_health(Health::new().with_detection_time(detection_time));
@@ -117,7 +121,9 @@
     duties::start(&shared, store.clone());
     let catalog = Rc::new(Catalog {
         shared,
-        began,
+        met_others: Cell::new(0),
+        knows_instances: Cell::new(false),
+        instance_failures: Cell::new(0),
         store,
         probing: Cell::new(false),
         stale_table: Cell::new(None),
@@ -125,7 +131,7 @@
         restores: RefCell::default(),
         state: RefCell::new(State { entries, ..State::default() }),
     });
-    rt::spawn(start_polling(catalog.clone()));
+    rt::spawn(start_polling(catalog.clone(), spread_ms));
     rt::spawn(complete_removals(catalog.clone()));
     rt::spawn(engine_cache::query_new_pools(catalog.clone()));
     rt::spawn(quarantine::remove_expired(catalog.clone()));
@@ -142,15 +148,19 @@
     }
 }
 
-/// Reads the list of instances, which determines the readers, and then starts polling the tables and maintaining
-/// this instance's own entry. Until the store answers, each instance polls for itself.
-async fn start_polling<S: Store + 'static>(catalog: Rc<Catalog<S>>) {
-    let spread = catalog.began.saturating_sub(clock::now()) / MILLISECOND;
-    sleep(Millis(spread as u32)).await;
+/// Finds out which instances read the store, and then starts polling the tables and maintaining this instance's own
+/// entry. Until the store answers, each instance polls for itself. The first start of a deployment is spread over
+/// `spread_ms` milliseconds; nobody has been a reader before it.
+async fn start_polling<S: Store + 'static>(catalog: Rc<Catalog<S>>, spread_ms: u64) {
+    sleep(Millis(rand::random_range(0..=spread_ms) as u32)).await;
     let began = clock::now();
-    if let Err(error) = catalog.read_table(Table::Instances).await {
+    if (spread_ms > 0 || !catalog.find_contacts().await)
+        && let Err(error) = catalog.read_table(Table::Instances).await
+    {
         catalog.note_failure(Table::Instances, began, &error);
     }
+    catalog.met_others.set(clock::now());
+    rt::spawn(contacts::keep_contact(catalog.clone()));
     rt::spawn(membership::keep_registered(catalog.clone()));
     rt::spawn(membership::remove_lost(catalog.clone()));
     for table in TABLES {
@@ -275,6 +285,7 @@
         self.shared.confirm(update.confirmed());
         self.state.borrow_mut().entries.confirm(self.shared.confirmed());
         let updates = self.shared.records().merge(update);
+        self.knows_instances.set(self.knows_instances.get() || self.is_known(Table::Instances));
         if bytes.len() >= LARGE_UPDATE_BYTES {
             log::info!(bytes = bytes.len(), new = updates.len(); "received a large update from another instance");
         }
--- a/crates/drumusher/src/process/catalog/apply.rs
+++ b/crates/drumusher/src/process/catalog/apply.rs
@@ -9,12 +9,25 @@
 };
 
 use drumusher_schedule::time::MILLISECOND;
+use log::Level;
 
 use super::{Catalog, Entries, TableUpdate, membership::Instance};
 use crate::process::clock;
 
 /// The key of the configuration in its table.
 const CONFIGURATION_KEY: &str = "config";
+/// Of an update with more entries of backend servers, only their number is logged at the usual level.
+const MAX_LOGGED_ENTRIES: usize = 64;
+
+/// Logs the number of entries of backend servers in an update if there are many. Returns the level at which each of them
+/// is logged.
+fn level_of_entries(records: &[Record]) -> Level {
+    if records.len() <= MAX_LOGGED_ENTRIES {
+        return Level::Info;
+    }
+    log::info!(entries = records.len(); "many entries of servers");
+    Level::Debug
+}
 
 impl<S: Store + 'static> Catalog<S> {
     /// Applies an update of a table. `source` names the instance that read it; it is empty for this one.
@@ -26,21 +39,26 @@
                 return self.apply_quarantine(update);
             }
             TableUpdate::Snapshot(Table::Servers, records) => {
+                let level = level_of_entries(&records);
                 self.retain_listed_servers(&records);
-                records
-                    .into_iter()
-                    .for_each(|record| self.apply_server(record, source, Entries::put));
+                for record in records {
+                    self.apply_server(record, (source, level), Entries::put);
+                }
             }
             TableUpdate::Restored(Table::Servers, records) => {
+                let level = level_of_entries(&records);
                 self.retain_listed_servers(&records);
                 let now = clock::now();
                 let put = |entries: &mut Entries, server| entries.put_restored(server, now);
-                records.into_iter().for_each(|record| self.apply_server(record, source, put));
+                for record in records {
+                    self.apply_server(record, (source, level), put);
+                }
             }
             TableUpdate::Changes(Table::Servers, records) => {
-                records
-                    .into_iter()
-                    .for_each(|record| self.apply_server(record, source, Entries::put));
+                let level = level_of_entries(&records);
+                for record in records {
+                    self.apply_server(record, (source, level), Entries::put);
+                }
             }
             TableUpdate::Restored(Table::Configuration, records) => {
                 records.into_iter().for_each(|record| self.apply_restored_configuration(record));
@@ -126,11 +144,12 @@
         self.state.borrow_mut().entries.retain_listed(&there, end);
     }
 
-    /// Applies the entry of a backend server with `put`, or its removal. `source` names the instance that read it.
+    /// Applies the entry of a backend server with `put`, or its removal. `source` names the instance that read it; the
+    /// level is that of the log line.
     fn apply_server(
         &self,
         record: Record,
-        source: &str,
+        (source, level): (&str, Level),
         put: impl FnOnce(&mut Entries, Server) -> bool,
     ) {
         let end = self.shared.records().end(Table::Servers);
@@ -157,7 +176,8 @@
                 if put(entries, server) {
                     let warm_at = clock::now() + warm_up_ms * MILLISECOND;
                     entries.note_warm_up(&record.key, (warm_up_ms > 0).then_some(warm_at));
-                    log::info!(
+                    log::log!(
+                        level,
                         server = record.key.as_str(), service = &*service,
                         leaving = leaving, born = born.unwrap_or(0), warm_up_ms = warm_up_ms;
                         "server's entry"
--- a/crates/drumusher/src/process/catalog/membership.rs
+++ b/crates/drumusher/src/process/catalog/membership.rs
@@ -130,6 +130,10 @@
     let mut backoff = Backoff::new();
     let mut missing = None;
     loop {
+        if !catalog.knows_instances.get() {
+            sleep(MISSING_ENTRY_CHECK_INTERVAL).await;
+            continue;
+        }
         if shared.is_registered() || shared.stopping() {
             missing = None;
             sleep(ENTRY_CHECK_INTERVAL).await;
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -33,9 +33,11 @@
 /// An instance that hears from no reader for this long polls the store itself. Four heartbeat intervals, and half
 /// of the time within which a change has to be in force.
 pub const RELAY_TIMEOUT: Micros = 1_000 * MILLISECOND;
-/// How long after its start an instance expects to be fed by the readers. When 84 instances started at once on an
-/// eighth of a core each, most of them received updates within two seconds.
+/// How long an instance that knows others since its start expects to be fed by the readers. When 84 instances started
+/// at once on an eighth of a core each, most of them received updates within two seconds.
 const STARTUP_TIME: Micros = 2_000 * MILLISECOND;
+/// Number of failed reads of the table of instances after which the other tables are read all the same.
+const MAX_WAITED_FAILURES: u32 = 3;
 /// Source name of what this instance reads itself.
 const OWN_SOURCE: &str = "";
 /// Interval between checks whether this instance has to poll.
@@ -52,6 +54,7 @@
         if catalog.is_fed()
             || catalog.waits_for_probe(table)
             || catalog.waits_for_configuration(table)
+            || catalog.waits_for_instances(table)
         {
             known = catalog.is_known(table);
             catalog.note_idle();
@@ -69,6 +72,9 @@
         if table == Table::Configuration {
             catalog.probing.set(read.is_err());
         }
+        if table == Table::Instances && read.is_err() {
+            catalog.instance_failures.set(catalog.instance_failures.get() + 1);
+        }
         match read {
             Ok(Outcome::Changed) => {
                 known = true;
@@ -90,7 +96,10 @@
                 catalog.note_failure(table, began, &error);
                 let reader = catalog.shared.reader.load(Ordering::Acquire);
                 let urgent = reader || !known && table != Table::Quarantine;
-                sleep(backoff.next(urgent)).await;
+                let pause = backoff.next(urgent).0;
+                // Instances that start together fail together.
+                let jitter = if known { 0 } else { rand::random_range(0..=pause) };
+                sleep(Millis(pause + jitter)).await;
             }
         }
     }
@@ -137,7 +146,7 @@
     }
 
     /// Whether a part of a table is known, so that only its changes have to be read.
-    fn is_known(&self, table: Table) -> bool {
+    pub(super) fn is_known(&self, table: Table) -> bool {
         !self.shared.records().end(table).is_start()
     }
 
@@ -150,7 +159,7 @@
             return false;
         }
         let told = shared.store_reader_seen.load(Ordering::Acquire);
-        let starting = now < self.began + STARTUP_TIME;
+        let starting = now < self.met_others.get() + STARTUP_TIME;
         starting && self.others_are_listed() || now < told + RELAY_TIMEOUT
     }
 
@@ -171,10 +180,23 @@
         table == Table::Quarantine && self.shared.routing.load().is_none()
     }
 
+    /// Whether a table is left alone until the table of instances is read, after which a reader may relay all others.
+    /// This only applies if the instances known so far relay nothing.
+    fn waits_for_instances(&self, table: Table) -> bool {
+        let failures = self.instance_failures.get();
+        table != Table::Instances
+            && self.others_are_listed()
+            && !self.knows_instances.get()
+            && failures < MAX_WAITED_FAILURES
+    }
+
     /// Reads a whole table and applies it, unless a newer update was relayed meanwhile.
     pub(super) async fn read_table(self: &Rc<Self>, table: Table) -> Result<Outcome, Error> {
         let page = self.store.newest(table).await?;
         self.note_answer(page.end.era);
+        if table == Table::Instances && !self.knows_instances.replace(true) {
+            self.met_others.set(clock::now());
+        }
         let known = self.shared.records().end(table);
         if page.end < known {
             self.log_stale(table, page.end, known);
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -10,6 +10,7 @@
 mod evacuation;
 mod forwarding;
 mod lost_paths;
+mod mass_restart;
 mod membership;
 mod notices;
 mod planned_stop;
--- /dev/null
+++ b/crates/drumusher/tests/routes/mass_restart.rs
@@ -0,0 +1,136 @@
+//! Service after all instances were killed at once.
+//!
+//! Guards against instances that read the whole table of instances from the store when they start: what the store has to
+//! send then grows with the square of their number, its answers come too late, and the calls that replace those given up
+//! on keep it busy for good.
+
+use std::{
+    env, thread,
+    time::{Duration, Instant},
+};
+
+use drumusher_bench::fleet::{Mode, wait_for};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::support::{DESK, Deployment, Request, configuration};
+
+/// Environment variables with another number of instances, of entries of backend servers, and another rate of the store.
+const INSTANCES_VARIABLE: &str = "DRUMUSHER_INSTANCES";
+const SERVERS_VARIABLE: &str = "DRUMUSHER_SERVERS";
+const STORE_RATE_VARIABLE: &str = "DRUMUSHER_STORE_RATE";
+/// Number of instances in CI.
+const INSTANCES: usize = 40;
+/// Number of entries of backend servers in CI.
+const SERVERS: usize = 100;
+/// Rate of the store in CI, in bytes per second. All whole tables of instances together would take 2.5 s.
+const STORE_RATE: usize = 132_000;
+/// Seed of the entries.
+const SEED: u64 = 1;
+/// Rate of the connections from other instances to each one, in bytes per second.
+const LINK_BYTES_PER_SECOND: u64 = 2_500_000;
+/// Number of backend servers that run.
+const RUNNING: usize = 4;
+/// Pause between two requests to an instance that does not serve yet.
+const PROBE_INTERVAL: Duration = Duration::from_millis(100);
+/// Number of threads that send such requests.
+const PROBES: usize = 64;
+/// Longest wait for service. Only keeps the test from hanging; it is no performance bound.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+fn size(variable: &str, default: usize) -> usize {
+    env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Registered instances behind relays, with `servers` entries of a service that gets no requests.
+fn deploy(instances: usize, servers: usize) -> Deployment {
+    let mut deployment = Deployment::empty(true);
+    for number in 0..RUNNING {
+        deployment.add_server(&format!("d{number}"), DESK);
+    }
+    let entry = deployment.servers[0].entry("idle", "ready");
+    let mut random = StdRng::seed_from_u64(SEED);
+    for _ in 0..servers {
+        let id = format!("i-{:010x}", random.random::<u64>() >> 24);
+        let [a, b, c]: [u8; 3] = random.random();
+        let address = format!("10.{a}.{b}.{c}:{}", random.random_range(1_024..u16::MAX));
+        let entry = entry.replace(&deployment.servers[0].address.to_string(), &address);
+        deployment.store.put("keyed.servers", &id, &entry);
+    }
+    deployment.store.put("keyed.op", "config", &configuration(1, ""));
+    for number in 0..instances {
+        deployment.add_instance(&format!("i{number}"));
+    }
+    let count = |topic: &str| {
+        let entered = |at: &usize| deployment.store.newest(topic, &format!("i{at}")).is_some();
+        (0..instances).filter(entered).count()
+    };
+    wait_for("all instances are registered", || count("keyed.instances") == instances);
+    wait_for("the readers are known to starting instances", || count("keyed.contacts") >= 4);
+    deployment
+}
+
+/// The times from `since` until the instances serve, in order; only of those that do.
+fn times_to_serve(deployment: &Deployment, since: Instant) -> Vec<Duration> {
+    let probe = |thread: usize| {
+        let mut waiting: Vec<usize> =
+            (thread..deployment.instances.len()).step_by(PROBES).collect();
+        let mut times = Vec::new();
+        while !waiting.is_empty() && since.elapsed() < PATIENCE {
+            waiting.retain(|at| {
+                let response = deployment.send(*at, &Request::get("/read/"));
+                let serves = response.is_ok_and(|response| response.status == 200);
+                times.extend(serves.then(|| since.elapsed()));
+                !serves
+            });
+            thread::sleep(PROBE_INTERVAL);
+        }
+        times
+    };
+    let mut times: Vec<Duration> = thread::scope(|scope| {
+        let probes: Vec<_> = (0..PROBES).map(|thread| scope.spawn(move || probe(thread))).collect();
+        probes.into_iter().flat_map(|probe| probe.join().expect("no probe panics")).collect()
+    });
+    times.sort();
+    times
+}
+
+/// Bytes that the relays in front of the instances have carried between them.
+fn carried(deployment: &Deployment) -> Vec<u64> {
+    let relays = deployment.instances.iter().filter_map(|instance| instance.relays.as_ref());
+    relays.map(|relays| relays.peers.bytes()).collect()
+}
+
+#[test]
+fn all_instances_serve_again_after_all_were_killed() {
+    let instances = size(INSTANCES_VARIABLE, INSTANCES);
+    let servers = size(SERVERS_VARIABLE, SERVERS);
+    let mut deployment = deploy(instances, servers);
+    let first = times_to_serve(&deployment, Instant::now());
+    assert_eq!(first.len(), instances, "all serve before they are killed");
+    for instance in &deployment.instances {
+        let relays = instance.relays.as_ref().expect("the instance has relays");
+        relays.peers.set(Mode::Throttled(LINK_BYTES_PER_SECOND));
+    }
+    deployment.instances.iter_mut().for_each(|instance| instance.kill());
+    deployment.store.limit_read_rate(size(STORE_RATE_VARIABLE, STORE_RATE) as u64);
+    let before = carried(&deployment);
+    let (reads, read_bytes) = (deployment.store.reads(), deployment.store.read_bytes());
+    let since = Instant::now();
+    deployment.instances.iter_mut().for_each(|instance| instance.respawn());
+    let times = times_to_serve(&deployment, since);
+    let after = carried(&deployment);
+    let mut sent: Vec<u64> = after.iter().zip(&before).map(|(now, then)| now - then).collect();
+    sent.sort();
+    println!(
+        "{instances} instances, {servers} servers: {} serve, the first, a quarter, half, the last after {:?}; \
+         {} reads of the store, {} bytes; {} bytes between instances, {} at the busiest",
+        times.len(),
+        [0, times.len() / 4, times.len() / 2, times.len().saturating_sub(1)]
+            .map(|at| times.get(at)),
+        deployment.store.reads() - reads,
+        deployment.store.read_bytes() - read_bytes,
+        sent.iter().sum::<u64>(),
+        sent[sent.len() - 1],
+    );
+    assert_eq!(times.len(), instances, "all serve again");
+}
