--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -28,6 +28,8 @@
   3: required binary nonce
   /* the connection is a tunnel */
   4: optional Tunnel tunnel
+  /* the connection carries only requests for pieces, and their answers */
+  5: optional bool transfer
 }
 
 /* Answer of the accepting instance: its own nonce, and proof that it knows the fleet secret. */
@@ -218,6 +220,8 @@
   3: optional bool pieces
   /* as in a heartbeat */
   4: optional list<i64> eras
+  /* whether the sender takes patches of long values */
+  5: optional bool patches
 }
 
 struct State {
@@ -237,6 +241,18 @@
   4: optional i64 digest
   /* the era of the offset */
   5: optional i64 era
+  /* where others can ask the sender for the same update, if it follows referrals and takes patches */
+  6: optional string address
+  /* the sender waits for its turn and follows no more referrals */
+  7: optional bool stays
+}
+
+/* Answer to a request for a piece: another instance that receives, or has received, the same update. */
+struct Referral {
+  1: required i16 table
+  2: required i64 digest
+  3: required string instance
+  4: required string address
 }
 
 /* A piece of an update of one table, which is compressed as a whole. */
@@ -300,4 +316,5 @@
   21: Crash crash
   22: Notice notice
   23: TunnelReply tunnel_reply
+  24: Referral referral
 }
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -172,15 +172,17 @@
   pub availability_zone: String,
   pub nonce: Vec<u8>,
   pub tunnel: Option<Tunnel>,
+  pub transfer: Option<bool>,
 }
 
 impl Hello {
-  pub fn new<F4>(instance: String, availability_zone: String, nonce: Vec<u8>, tunnel: F4) -> Hello where F4: Into<Option<Tunnel>> {
+  pub fn new<F4, F5>(instance: String, availability_zone: String, nonce: Vec<u8>, tunnel: F4, transfer: F5) -> Hello where F4: Into<Option<Tunnel>>, F5: Into<Option<bool>> {
     Hello {
       instance,
       availability_zone,
       nonce,
       tunnel: tunnel.into(),
+      transfer: transfer.into(),
     }
   }
 }
@@ -192,6 +194,7 @@
     let mut f_2: Option<String> = None;
     let mut f_3: Option<Vec<u8>> = None;
     let mut f_4: Option<Tunnel> = None;
+    let mut f_5: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -215,6 +218,10 @@
           let val = Tunnel::read_from_in_protocol(i_prot)?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_bool()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -230,6 +237,7 @@
       availability_zone: f_2.expect("auto-generated code should have checked for presence of required fields"),
       nonce: f_3.expect("auto-generated code should have checked for presence of required fields"),
       tunnel: f_4,
+      transfer: f_5,
     };
     Ok(ret)
   }
@@ -250,6 +258,11 @@
       fld_var.write_to_out_protocol(o_prot)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.transfer {
+      o_prot.write_field_begin(&TFieldIdentifier::new("transfer", TType::Bool, 5))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -882,8 +895,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Notice> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_8 = Notice::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_8);
+            let list_elem_2 = Notice::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_2);
           }
           i_prot.read_list_end()?;
           f_21 = Some(val);
@@ -1296,8 +1309,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Progress> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_2 = Progress::read_from_in_protocol(i_prot)?;
-            val.push(list_elem_2);
+            let list_elem_3 = Progress::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_3);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -1906,8 +1919,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_3 = i_prot.read_i64()?;
-            val.push(list_elem_3);
+            let list_elem_4 = i_prot.read_i64()?;
+            val.push(list_elem_4);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -1928,8 +1941,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_9 = i_prot.read_i64()?;
-            val.push(list_elem_9);
+            let list_elem_5 = i_prot.read_i64()?;
+            val.push(list_elem_5);
           }
           i_prot.read_list_end()?;
           f_7 = Some(val);
@@ -2074,8 +2087,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<Vec<u8>> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_4 = i_prot.read_bytes()?;
-            val.push(list_elem_4);
+            let list_elem_6 = i_prot.read_bytes()?;
+            val.push(list_elem_6);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -2084,8 +2097,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_5 = i_prot.read_i64()?;
-            val.push(list_elem_5);
+            let list_elem_7 = i_prot.read_i64()?;
+            val.push(list_elem_7);
           }
           i_prot.read_list_end()?;
           f_3 = Some(val);
@@ -2142,15 +2155,17 @@
   pub ends: Option<Vec<i64>>,
   pub pieces: Option<bool>,
   pub eras: Option<Vec<i64>>,
+  pub patches: Option<bool>,
 }
 
 impl StateRequest {
-  pub fn new<F2, F3, F4>(offset: i64, ends: F2, pieces: F3, eras: F4) -> StateRequest where F2: Into<Option<Vec<i64>>>, F3: Into<Option<bool>>, F4: Into<Option<Vec<i64>>> {
+  pub fn new<F2, F3, F4, F5>(offset: i64, ends: F2, pieces: F3, eras: F4, patches: F5) -> StateRequest where F2: Into<Option<Vec<i64>>>, F3: Into<Option<bool>>, F4: Into<Option<Vec<i64>>>, F5: Into<Option<bool>> {
     StateRequest {
       offset,
       ends: ends.into(),
       pieces: pieces.into(),
       eras: eras.into(),
+      patches: patches.into(),
     }
   }
 }
@@ -2162,6 +2177,7 @@
     let mut f_2: Option<Vec<i64>> = None;
     let mut f_3: Option<bool> = None;
     let mut f_4: Option<Vec<i64>> = None;
+    let mut f_5: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2177,8 +2193,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_6 = i_prot.read_i64()?;
-            val.push(list_elem_6);
+            let list_elem_8 = i_prot.read_i64()?;
+            val.push(list_elem_8);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -2191,12 +2207,16 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_10 = i_prot.read_i64()?;
-            val.push(list_elem_10);
+            let list_elem_9 = i_prot.read_i64()?;
+            val.push(list_elem_9);
           }
           i_prot.read_list_end()?;
           f_4 = Some(val);
         },
+        5 => {
+          let val = i_prot.read_bool()?;
+          f_5 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2210,6 +2230,7 @@
       ends: f_2,
       pieces: f_3,
       eras: f_4,
+      patches: f_5,
     };
     Ok(ret)
   }
@@ -2242,6 +2263,11 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.patches {
+      o_prot.write_field_begin(&TFieldIdentifier::new("patches", TType::Bool, 5))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2326,16 +2352,20 @@
   pub at: i64,
   pub digest: Option<i64>,
   pub era: Option<i64>,
+  pub address: Option<String>,
+  pub stays: Option<bool>,
 }
 
 impl PieceRequest {
-  pub fn new<F4, F5>(table: i16, known: i64, at: i64, digest: F4, era: F5) -> PieceRequest where F4: Into<Option<i64>>, F5: Into<Option<i64>> {
+  pub fn new<F4, F5, F6, F7>(table: i16, known: i64, at: i64, digest: F4, era: F5, address: F6, stays: F7) -> PieceRequest where F4: Into<Option<i64>>, F5: Into<Option<i64>>, F6: Into<Option<String>>, F7: Into<Option<bool>> {
     PieceRequest {
       table,
       known,
       at,
       digest: digest.into(),
       era: era.into(),
+      address: address.into(),
+      stays: stays.into(),
     }
   }
 }
@@ -2348,6 +2378,8 @@
     let mut f_3: Option<i64> = None;
     let mut f_4: Option<i64> = None;
     let mut f_5: Option<i64> = None;
+    let mut f_6: Option<String> = None;
+    let mut f_7: Option<bool> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -2375,6 +2407,14 @@
           let val = i_prot.read_i64()?;
           f_5 = Some(val);
         },
+        6 => {
+          let val = i_prot.read_string()?;
+          f_6 = Some(val);
+        },
+        7 => {
+          let val = i_prot.read_bool()?;
+          f_7 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -2391,6 +2431,8 @@
       at: f_3.expect("auto-generated code should have checked for presence of required fields"),
       digest: f_4,
       era: f_5,
+      address: f_6,
+      stays: f_7,
     };
     Ok(ret)
   }
@@ -2416,6 +2458,108 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.address {
+      o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 6))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.stays {
+      o_prot.write_field_begin(&TFieldIdentifier::new("stays", TType::Bool, 7))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Referral
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Referral {
+  pub table: i16,
+  pub digest: i64,
+  pub instance: String,
+  pub address: String,
+}
+
+impl Referral {
+  pub fn new(table: i16, digest: i64, instance: String, address: String) -> Referral {
+    Referral {
+      table,
+      digest,
+      instance,
+      address,
+    }
+  }
+}
+
+impl TSerializable for Referral {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Referral> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i16> = None;
+    let mut f_2: Option<i64> = None;
+    let mut f_3: Option<String> = None;
+    let mut f_4: Option<String> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i16()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i64()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_string()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_string()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Referral.table", &f_1)?;
+    verify_required_field_exists("Referral.digest", &f_2)?;
+    verify_required_field_exists("Referral.instance", &f_3)?;
+    verify_required_field_exists("Referral.address", &f_4)?;
+    let ret = Referral {
+      table: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      digest: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      instance: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      address: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Referral");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("table", TType::I16, 1))?;
+    o_prot.write_i16(self.table)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("digest", TType::I64, 2))?;
+    o_prot.write_i64(self.digest)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("instance", TType::String, 3))?;
+    o_prot.write_string(&self.instance)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("address", TType::String, 4))?;
+    o_prot.write_string(&self.address)?;
+    o_prot.write_field_end()?;
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -2632,8 +2776,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_7 = i_prot.read_string()?;
-            val.push(list_elem_7);
+            let list_elem_10 = i_prot.read_string()?;
+            val.push(list_elem_10);
           }
           i_prot.read_list_end()?;
           f_2 = Some(val);
@@ -2759,8 +2903,8 @@
           let list_ident = i_prot.read_list_begin()?;
           let mut val: Vec<i64> = Vec::with_capacity(list_ident.size as usize);
           for _ in 0..list_ident.size {
-            let list_elem_13 = i_prot.read_i64()?;
-            val.push(list_elem_13);
+            let list_elem_11 = i_prot.read_i64()?;
+            val.push(list_elem_11);
           }
           i_prot.read_list_end()?;
           f_9 = Some(val);
@@ -2865,6 +3009,7 @@
   Crash(Crash),
   Notice(Notice),
   TunnelReply(TunnelReply),
+  Referral(Referral),
 }
 
 impl TSerializable for Message {
@@ -3040,6 +3185,13 @@
           }
           received_field_count += 1;
         },
+        24 => {
+          let val = Referral::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Message::Referral(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -3189,6 +3341,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Message::Referral(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("referral", TType::Struct, 24))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/drumusher/src/connection/handshake.rs
+++ b/crates/drumusher/src/connection/handshake.rs
@@ -26,8 +26,31 @@
 pub struct Peer {
     /// Its name.
     pub name: Arc<str>,
-    /// What the connection is to be tunnelled to, if it is a tunnel.
-    pub tunnel: Option<Tunnel>,
+    /// What the connection is for.
+    pub purpose: Purpose,
+}
+
+/// What a connection with another instance is for.
+#[derive(Clone, Debug, Default)]
+pub enum Purpose {
+    /// All messages between instances.
+    #[default]
+    Messages,
+    /// Only the pieces of updates, so that these delay no other message.
+    Transfer,
+    /// The bytes of a connection with a backend server.
+    Tunnel(Tunnel),
+}
+
+impl Purpose {
+    /// The purpose that an instance states when it connects.
+    fn of(hello: &Hello) -> Purpose {
+        match &hello.tunnel {
+            Some(tunnel) => Purpose::Tunnel(tunnel.clone()),
+            None if hello.transfer == Some(true) => Purpose::Transfer,
+            None => Purpose::Messages,
+        }
+    }
 }
 
 /// This instance, as it introduces itself when it connects.
@@ -59,7 +82,7 @@
             return Err(Error::Refused);
         };
         let valid = auth::verify(secret, Side::Connecting, &nonce, &hello.instance, &proof.proof);
-        let peer = Peer { name: hello.instance.as_str().into(), tunnel: hello.tunnel };
+        let peer = Peer { name: hello.instance.as_str().into(), purpose: Purpose::of(&hello) };
         if valid { Ok(peer) } else { Err(Error::Refused) }
     })
     .await
@@ -75,11 +98,33 @@
     address: &str,
     expected_peer: Option<&str>,
     identity: Identity<'_>,
+) -> Result<(Io, Arc<str>), Error> {
+    connect_for(Purpose::Messages, address, expected_peer, identity).await
+}
+
+/// Like [`connect`], for a connection that carries only the pieces of updates.
+///
+/// # Errors
+///
+/// Any [`Error`].
+pub async fn connect_for_transfer(
+    address: &str,
+    peer: &str,
+    identity: Identity<'_>,
+) -> Result<(Io, Arc<str>), Error> {
+    connect_for(Purpose::Transfer, address, Some(peer), identity).await
+}
+
+async fn connect_for(
+    purpose: Purpose,
+    address: &str,
+    expected_peer: Option<&str>,
+    identity: Identity<'_>,
 ) -> Result<(Io, Arc<str>), Error> {
     let address = address.parse().map_err(|_| Error::Closed)?;
     let config = SharedCfg::new("peer").build();
     let io = tcp::connect(address, CONNECT_TIMEOUT, config).await.map_err(Error::Io)?;
-    let peer = with_timeout(HANDSHAKE_TIMEOUT, authenticate(&io, identity, None)).await?;
+    let peer = with_timeout(HANDSHAKE_TIMEOUT, authenticate(&io, identity, purpose)).await?;
     let matches = expected_peer.is_none_or(|name| name == &*peer);
     if matches { Ok((io, peer)) } else { Err(Error::Refused) }
 }
@@ -101,7 +146,7 @@
     with_timeout(limit, async {
         let config = SharedCfg::new("tunnel").build();
         let (io, socket) = tcp::connect_watched(address, limit, config).await.map_err(Error::Io)?;
-        if *authenticate(&io, identity, Some(tunnel)).await? != *peer {
+        if *authenticate(&io, identity, Purpose::Tunnel(tunnel)).await? != *peer {
             return Err(Error::Refused);
         }
         let Message::TunnelReply(reply) = receive(&io).await? else {
@@ -118,11 +163,16 @@
 async fn authenticate(
     io: &Io,
     identity: Identity<'_>,
-    tunnel: Option<Tunnel>,
+    purpose: Purpose,
 ) -> Result<Arc<str>, Error> {
     let Identity { name, area, secret } = identity;
     let nonce = new_nonce();
-    let hello = Hello::new(name.to_string(), area.to_string(), nonce.clone(), tunnel);
+    let (tunnel, transfer) = match purpose {
+        Purpose::Messages => (None, None),
+        Purpose::Transfer => (None, Some(true)),
+        Purpose::Tunnel(tunnel) => (Some(tunnel), None),
+    };
+    let hello = Hello::new(name.to_string(), area.to_string(), nonce.clone(), tunnel, transfer);
     send(io, Message::Hello(hello)).await?;
     let Message::Challenge(challenge) = receive(io).await? else {
         return Err(Error::Refused);
--- a/crates/drumusher/src/connection/mod.rs
+++ b/crates/drumusher/src/connection/mod.rs
@@ -5,7 +5,7 @@
 pub mod tunnel;
 
 pub use codec::Codec;
-pub use handshake::{Identity, Peer, accept, connect, open_tunnel};
+pub use handshake::{Identity, Peer, Purpose, accept, connect, connect_for_transfer, open_tunnel};
 
 use std::fmt;
 
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -19,6 +19,7 @@
 mod entries;
 mod health;
 mod membership;
+mod patch;
 mod poll;
 mod quarantine;
 mod records;
@@ -29,8 +30,9 @@
 pub use entries::Entries;
 pub use health::{Health, RECOVERY_GRACE, Reports};
 pub use membership::{Registrations, entry};
+pub use patch::Patch;
 pub use poll::RELAY_TIMEOUT;
-pub use records::{Ends, Records, TABLES, TableUpdate, Update};
+pub use records::{Ends, Form, Records, TABLES, TableUpdate, Update};
 pub use skipped::Skipped;
 
 use std::{
--- a/crates/drumusher/src/process/catalog/records.rs
+++ b/crates/drumusher/src/process/catalog/records.rs
@@ -6,6 +6,8 @@
 use drumusher_platform::catalog::{Record, Table};
 use serde::{Deserialize, Serialize};
 
+use super::Patch;
+
 /// The tables, in the order of [`Ends`].
 pub const TABLES: [Table; 4] =
     [Table::Configuration, Table::Servers, Table::Instances, Table::Quarantine];
@@ -14,10 +16,25 @@
 /// Size limit of these changes. If a key such as the configuration changes often, the whole table with its newest
 /// value is shorter than longer changes.
 const MAX_RECENT_BYTES: usize = 64 * 1024;
+/// Of a large table, changes are kept up to this part of its keys and of its size.
+const RECENT_DIVISOR: usize = 4;
+/// Values of at least this many bytes are kept as patches of the previous value.
+const MIN_PATCHED_BYTES: usize = 16 * 1024;
+/// A patch is kept only if the value is longer by this factor.
+const PATCH_FACTOR: usize = 4;
 
 /// The positions up to which the tables are known, in the order of [`TABLES`].
 pub type Ends = [Position; TABLES.len()];
 
+/// What the receiver of an update can read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Form {
+    /// Only whole values, as earlier versions of the program.
+    Values,
+    /// Also patches of long values.
+    Patches,
+}
+
 /// A table's index in [`TABLES`].
 fn index_of(table: Table) -> usize {
     match table {
@@ -33,6 +50,9 @@
 struct Entry {
     key: String,
     value: Option<String>,
+    /// How to make the value from the previous one of the key, in place of the value.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    patch: Option<Patch>,
 }
 
 /// Update of one table, as sent between instances.
@@ -104,6 +124,8 @@
 struct Log {
     /// The newest value of each key that has one.
     newest: BTreeMap<Box<str>, Box<str>>,
+    /// Size of these keys and values, in bytes.
+    newest_bytes: usize,
     /// The latest changes, the last of which ends at `end`.
     recent: VecDeque<Entry>,
     /// Size of the recent changes, in bytes.
@@ -148,18 +170,19 @@
         log.end = end;
         if restored && table == Table::Configuration {
             for record in &records {
-                if let Some(value) = &record.value {
-                    log.newest
-                        .entry(record.key.as_str().into())
-                        .or_insert_with(|| value.as_str().into());
+                if let Some(value) = &record.value
+                    && !log.newest.contains_key(record.key.as_str())
+                {
+                    log.put(&record.key, value);
                 }
             }
             return TableUpdate::Restored(table, records);
         }
         log.newest.clear();
+        log.newest_bytes = 0;
         for record in &records {
             if let Some(value) = &record.value {
-                log.newest.insert(record.key.as_str().into(), value.as_str().into());
+                log.put(&record.key, value);
             }
         }
         if restored {
@@ -171,7 +194,7 @@
 
     /// Sets a value that is newer than the known one of its key, although it does not come after it in the log.
     pub fn put(&mut self, table: Table, key: &str, value: &str) {
-        self.logs[index_of(table)].newest.insert(key.into(), value.into());
+        self.logs[index_of(table)].put(key, value);
     }
 
     /// Applies changes, the last of which ends at `end`.
@@ -179,13 +202,7 @@
         let log = &mut self.logs[index_of(table)];
         log.end = end;
         for record in records {
-            match &record.value {
-                Some(value) => log.newest.insert(record.key.as_str().into(), value.as_str().into()),
-                None => log.newest.remove(record.key.as_str()),
-            };
-            let entry = Entry { key: record.key.clone(), value: record.value.clone() };
-            log.recent_bytes += entry.byte_len();
-            log.recent.push_back(entry);
+            log.push(record, None);
         }
         log.trim();
     }
@@ -203,21 +220,33 @@
 
     /// The update for an instance that knows the tables up to `ends`, with the tables whose part is shorter than
     /// `max_bytes`; `None` if there is none.
-    pub fn since(&self, ends: &Ends, confirmed: Position, max_bytes: usize) -> Option<Update> {
+    pub fn since(
+        &self,
+        ends: &Ends,
+        confirmed: Position,
+        max_bytes: usize,
+        form: Form,
+    ) -> Option<Update> {
         let logs = self.logs.iter().enumerate();
-        let short = logs.filter(|(index, log)| log.bytes_since(ends[*index]) < max_bytes);
+        let short = logs.filter(|(index, log)| log.bytes_since(ends[*index], form) < max_bytes);
         let parts: Vec<Part> =
-            short.filter_map(|(index, log)| log.since(index, ends[index])).collect();
+            short.filter_map(|(index, log)| log.since(index, ends[index], form)).collect();
         (!parts.is_empty()).then(|| self.update(confirmed, parts))
     }
 
     /// The update of one table for an instance that knows it up to `known`, or the whole table if that is the
     /// start; `None` if the instance is up to date.
-    pub fn of_table(&self, table: Table, known: Position, confirmed: Position) -> Option<Update> {
+    pub fn of_table(
+        &self,
+        table: Table,
+        known: Position,
+        confirmed: Position,
+        form: Form,
+    ) -> Option<Update> {
         let index = index_of(table);
         let log = &self.logs[index];
         let whole = known.is_start() && !log.end.is_start();
-        let part = if whole { log.whole(index) } else { log.since(index, known)? };
+        let part = if whole { log.whole(index) } else { log.since(index, known, form)? };
         Some(self.update(confirmed, vec![part]))
     }
 
@@ -241,10 +270,10 @@
     }
 
     /// The positions that an instance at `ends` reaches with the update of [`Records::since`].
-    pub fn ends_after(&self, ends: &Ends, max_bytes: usize) -> Ends {
+    pub fn ends_after(&self, ends: &Ends, max_bytes: usize, form: Form) -> Ends {
         std::array::from_fn(|index| {
             let log = &self.logs[index];
-            if log.bytes_since(ends[index]) < max_bytes {
+            if log.bytes_since(ends[index], form) < max_bytes {
                 log.end.max(ends[index])
             } else {
                 ends[index]
@@ -261,7 +290,8 @@
             };
             let (own, end) = (self.end(table), part.end());
             let entries = part.entries.into_iter();
-            let records = entries.map(|entry| Record { key: entry.key, value: entry.value });
+            let records =
+                entries.clone().map(|entry| Record { key: entry.key, value: entry.value });
             match part.from {
                 // After a restore a newer version of the configuration may come with an earlier position: its
                 // version number decides.
@@ -272,9 +302,10 @@
                 None => updates.push(self.replace(table, records.collect(), end)),
                 Some(from) if own.since(Position::new(end.era, from)).is_some() => {
                     let known = (own.offset - from) as usize;
-                    let records: Vec<Record> = records.skip(known).collect();
-                    self.append(table, &records, end);
-                    updates.push(TableUpdate::Changes(table, records));
+                    let log = &mut self.logs[part.place];
+                    if let Some(records) = log.append_entries(entries.skip(known), end) {
+                        updates.push(TableUpdate::Changes(table, records));
+                    }
                 }
                 // There is a gap before these changes; the next heartbeat requests them again.
                 Some(_) => {}
@@ -287,14 +318,84 @@
 impl Entry {
     /// Size in bytes.
     fn byte_len(&self) -> usize {
-        self.key.len() + self.value.as_ref().map_or(0, String::len)
+        let patch = self.patch.as_ref().map_or(0, Patch::byte_len);
+        self.key.len() + self.value.as_ref().map_or(0, String::len) + patch
+    }
+
+    /// Whether it removes the key.
+    fn is_removal(&self) -> bool {
+        self.value.is_none() && self.patch.is_none()
     }
 }
 
 impl Log {
+    /// Sets the newest value of a key. Returns the previous one.
+    fn put(&mut self, key: &str, value: &str) -> Option<Box<str>> {
+        self.newest_bytes += key.len() + value.len();
+        let previous = self.newest.insert(key.into(), value.into());
+        self.newest_bytes -= previous.as_ref().map_or(0, |previous| key.len() + previous.len());
+        previous
+    }
+
+    /// Applies a change, and keeps it as the latest one: as `patch` if it was received as one, or as a new patch if its
+    /// value is long.
+    fn push(&mut self, record: &Record, patch: Option<Patch>) {
+        let patch = match &record.value {
+            Some(value) => {
+                let previous = self.put(&record.key, value);
+                let previous = previous.filter(|_| value.len() >= MIN_PATCHED_BYTES);
+                let patch = patch.or_else(|| Some(Patch::new(&previous?, value)));
+                patch.filter(|patch| patch.byte_len() < value.len() / PATCH_FACTOR)
+            }
+            None => {
+                let previous = self.newest.remove(record.key.as_str());
+                self.newest_bytes -= previous.map_or(0, |value| record.key.len() + value.len());
+                None
+            }
+        };
+        let value = if patch.is_some() { None } else { record.value.clone() };
+        let entry = Entry { key: record.key.clone(), value, patch };
+        self.recent_bytes += entry.byte_len();
+        self.recent.push_back(entry);
+    }
+
+    /// Applies changes that another instance sent, the last of which ends at `end`. If a patch was not made from the
+    /// value known here, the table counts as unknown from there on, so that it is sent whole, and this returns `None`.
+    fn append_entries(
+        &mut self,
+        entries: impl Iterator<Item = Entry>,
+        end: Position,
+    ) -> Option<Vec<Record>> {
+        let mut records = Vec::new();
+        for entry in entries {
+            let value = match &entry.patch {
+                None => entry.value,
+                Some(patch) => {
+                    let previous = self.newest.get(entry.key.as_str());
+                    let Some(value) = previous.and_then(|previous| patch.apply(previous)) else {
+                        log::warn!(key = entry.key.as_str(); "a patch does not fit the known value; the table is fetched whole");
+                        self.end = Position::default();
+                        self.recent.clear();
+                        self.recent_bytes = 0;
+                        return None;
+                    };
+                    Some(value)
+                }
+            };
+            let record = Record { key: entry.key, value };
+            self.push(&record, entry.patch);
+            records.push(record);
+        }
+        self.end = end;
+        self.trim();
+        Some(records)
+    }
+
     /// Drops the oldest recent changes beyond the limits.
     fn trim(&mut self) {
-        while self.recent.len() > MAX_RECENT || self.recent_bytes > MAX_RECENT_BYTES {
+        let max = MAX_RECENT.max(self.newest.len() / RECENT_DIVISOR);
+        let max_bytes = MAX_RECENT_BYTES.max(self.newest_bytes / RECENT_DIVISOR);
+        while self.recent.len() > max || self.recent_bytes > max_bytes {
             let Some(oldest) = self.recent.pop_front() else { return };
             self.recent_bytes -= oldest.byte_len();
         }
@@ -307,31 +408,39 @@
         (missing <= self.recent.len()).then_some(missing)
     }
 
+    /// Like [`Log::missing`]; `None` also if the receiver cannot read them.
+    fn readable(&self, end: Position, form: Form) -> Option<usize> {
+        let missing = self.missing(end)?;
+        let mut changes = self.recent.iter().rev().take(missing);
+        let is_readable = form == Form::Patches || changes.all(|entry| entry.patch.is_none());
+        is_readable.then_some(missing)
+    }
+
     /// Whether the changes that an instance at `end` lacks hold a removal after `confirmed`.
     fn removes_beyond(&self, end: Position, confirmed: Position) -> bool {
         let missing = self.missing(end).unwrap_or(0) as u64;
         let offsets = (0..missing).map(|back| self.end.offset - back);
         let mut changes = self.recent.iter().rev().zip(offsets);
         changes.any(|(entry, offset)| {
-            entry.value.is_none() && Position::new(self.end.era, offset) > confirmed
+            entry.is_removal() && Position::new(self.end.era, offset) > confirmed
         })
     }
 
     /// Size in bytes of what an instance at `end` lacks.
-    fn bytes_since(&self, end: Position) -> usize {
-        match self.missing(end) {
+    fn bytes_since(&self, end: Position, form: Form) -> usize {
+        match self.readable(end, form) {
             Some(missing) => self.recent.iter().rev().take(missing).map(Entry::byte_len).sum(),
-            None => self.newest.iter().map(|(key, value)| key.len() + value.len()).sum(),
+            None => self.newest_bytes,
         }
     }
 
     /// What an instance at `end` lacks: the changes if all of them are still kept, otherwise the whole table;
     /// `None` if it is up to date.
-    fn since(&self, place: usize, end: Position) -> Option<Part> {
+    fn since(&self, place: usize, end: Position, form: Form) -> Option<Part> {
         if end >= self.end {
             return None;
         }
-        let Some(missing) = self.missing(end) else {
+        let Some(missing) = self.readable(end, form) else {
             return Some(self.whole(place));
         };
         let entries = self.recent.iter().skip(self.recent.len() - missing).cloned().collect();
@@ -340,10 +449,11 @@
 
     /// The whole table.
     fn whole(&self, place: usize) -> Part {
-        let entries = self
-            .newest
-            .iter()
-            .map(|(key, value)| Entry { key: key.to_string(), value: Some(value.to_string()) });
+        let entries = self.newest.iter().map(|(key, value)| Entry {
+            key: key.to_string(),
+            value: Some(value.to_string()),
+            patch: None,
+        });
         self.part(place, None, entries.collect())
     }
 
--- a/crates/drumusher/src/process/peers.rs
+++ b/crates/drumusher/src/process/peers.rs
@@ -11,6 +11,7 @@
 //! | `pieces` | transfers large updates in pieces |
 //! | `fetch` | from which instance to request which piece |
 //! | `uploads` | which instances are sent pieces concurrently |
+//! | `referral` | sends instances on to others that receive the same update |
 //! | `tunnel` | passes the bytes between another instance and a backend server |
 //! | `query` | operators' queries, distributed to all instances and answered for others |
 
@@ -20,6 +21,7 @@
 mod messages;
 mod pieces;
 mod query;
+mod referral;
 mod replica;
 mod session;
 mod store;
@@ -43,7 +45,7 @@
     time::{Millis, sleep},
 };
 
-use super::{Shared, broker, catalog::TABLES, dispatch, ring};
+use super::{Shared, broker, catalog::TABLES, clock, dispatch, ring};
 use crate::operator::rows::Row;
 
 /// Interval between batches of reports.
@@ -106,6 +108,22 @@
     replica: Replica,
     /// The updates whose pieces are being sent to the other instance, by table.
     sending: [Option<Rc<pieces::Encoded>>; TABLES.len()],
+    /// Whether it carries only pieces of updates: no heartbeats and no asks.
+    transfers_only: bool,
+}
+
+impl Conn {
+    fn new(io: IoRef, instance: Arc<str>) -> Self {
+        Conn {
+            instance,
+            io,
+            heard_at: clock::now(),
+            behind: false,
+            replica: Replica::new(),
+            sending: Default::default(),
+            transfers_only: false,
+        }
+    }
 }
 
 /// State of the connection to an instance.
@@ -137,13 +155,38 @@
     /// The latest encoded updates to be fetched in pieces, by table.
     cached_updates: [pieces::CachedUpdate; TABLES.len()],
     /// The instances that are sent pieces, and the waiting requests.
-    uploads: Uploads<peer::PieceRequest>,
+    uploads: Uploads<pieces::Place, peer::PieceRequest>,
+    /// The instances to which others are referred.
+    receivers: referral::Receivers,
+    /// Requests for pieces that this instance does not have yet.
+    parked: Vec<(pieces::Place, peer::PieceRequest)>,
+    /// The updates received last, by table, which others may be fetching.
+    received: [Option<pieces::Received>; TABLES.len()],
     /// What this instance fetches, by table.
     fetches: [Fetch; TABLES.len()],
     /// Number of open tunnels.
     tunnels: usize,
 }
 
+impl Inner {
+    /// Adds a connection. Returns its number.
+    fn add_conn(&mut self, conn: Conn) -> u32 {
+        let number = self.next_conn;
+        self.next_conn += 1;
+        self.conns.insert(number, conn);
+        number
+    }
+
+    /// Removes a closed connection and its transfers.
+    fn remove_conn(&mut self, number: u32) {
+        self.conns.remove(&number);
+        self.uploads.drop_where(|place| place.conn == number);
+        self.parked.retain(|(place, _)| place.conn != number);
+        self.receivers.remove(number);
+        self.fetches.iter_mut().for_each(|fetch| fetch.connection_closed(number));
+    }
+}
+
 /// Handle of the peers thread's tasks to the connections and asks.
 #[derive(Clone)]
 pub struct Peers {
@@ -174,6 +217,9 @@
             cached_state: None,
             cached_updates: Default::default(),
             uploads: Uploads::new(),
+            receivers: referral::Receivers::default(),
+            parked: Vec::new(),
+            received: Default::default(),
             fetches: Default::default(),
             tunnels: 0,
         };
--- a/crates/drumusher/src/process/peers/fetch.rs
+++ b/crates/drumusher/src/process/peers/fetch.rs
@@ -16,6 +16,9 @@
 /// An update that was fetched completely is not requested again within this time, in which it is put into force. 87
 /// instances had a version of 1 MB in force within a second of its sending, most on an eighth of a core.
 const APPLY_TIME: Micros = 2_000 * MILLISECOND;
+/// Number of referrals that an instance follows before it waits. A tree of this height, in which each instance passes an
+/// update on to two others, has more than 2,000 instances below a reader.
+const MAX_REFERRALS: u32 = 10;
 /// Longest accepted update, in bytes on the wire. A configuration has at most 4 MiB before it is compressed.
 pub const MAX_UPDATE_BYTES: usize = 16 * 1024 * 1024;
 
@@ -28,6 +31,8 @@
     pub known: Position,
     /// Number of bytes already received.
     pub offset: usize,
+    /// Whether this instance waits for its turn there, and follows no more referrals.
+    pub stays: bool,
     /// The digest of the update that these bytes belong to.
     pub digest: Option<i64>,
 }
@@ -72,7 +77,11 @@
     known: Position,
     digest: Option<i64>,
     bytes: Vec<u8>,
+    /// Length of the whole update, in bytes; 0 until the first piece.
+    total: usize,
     requested_at: Micros,
+    /// Number of referrals since the source was asked.
+    referrals: u32,
     /// Whether the connection of the latest request was closed.
     disconnected: bool,
 }
@@ -126,10 +135,19 @@
             return None;
         }
         let previous = self.transfer.take().filter(|transfer| transfer.known == known);
-        let (digest, bytes) =
-            previous.map_or((None, Vec::new()), |previous| (previous.digest, previous.bytes));
-        let transfer =
-            Transfer { conn, known, digest, bytes, requested_at: now, disconnected: false };
+        let (digest, bytes, total) = previous.map_or((None, Vec::new(), 0), |previous| {
+            (previous.digest, previous.bytes, previous.total)
+        });
+        let transfer = Transfer {
+            conn,
+            known,
+            digest,
+            bytes,
+            total,
+            requested_at: now,
+            referrals: 0,
+            disconnected: false,
+        };
         let request = transfer.request();
         self.transfer = Some(transfer);
         Some(request)
@@ -156,6 +174,7 @@
             return Step::Ignore;
         }
         transfer.bytes.extend_from_slice(piece.bytes);
+        transfer.total = piece.total;
         if end < piece.total {
             (transfer.conn, transfer.requested_at, transfer.disconnected) = (conn, now, false);
             return Step::Next(transfer.request());
@@ -165,6 +184,49 @@
         Step::Complete(complete.map_or_else(Vec::new, |complete| complete.bytes))
     }
 
+    /// Records that the other side of a connection referred this instance to another one. Returns whether a piece was
+    /// awaited from it; it is awaited from the other one from now on.
+    pub fn referred(&mut self, now: Micros, conn: u32) -> bool {
+        let waits = |transfer: &&mut Transfer| transfer.conn == conn && !transfer.disconnected;
+        let Some(transfer) = self.transfer.as_mut().filter(waits) else {
+            return false;
+        };
+        transfer.requested_at = now;
+        transfer.referrals += 1;
+        true
+    }
+
+    /// Continues a transfer over `conn`, after a referral over the connection `from` to an instance that has the update
+    /// with this digest. Returns what to request; `None` if the transfer went on elsewhere meanwhile.
+    pub fn follow(&mut self, now: Micros, from: u32, conn: u32, digest: i64) -> Option<Request> {
+        let waits = |transfer: &&mut Transfer| transfer.conn == from;
+        let transfer = self.transfer.as_mut().filter(waits)?;
+        if transfer.digest != Some(digest) {
+            transfer.digest = Some(digest);
+            transfer.bytes.clear();
+        }
+        (transfer.conn, transfer.requested_at, transfer.disconnected) = (conn, now, false);
+        Some(transfer.request())
+    }
+
+    /// The received part of the update with this digest, and the length of the whole; `None` if another update or none
+    /// is being fetched.
+    pub fn part(&self, digest: i64) -> Option<(&[u8], usize)> {
+        let transfer = self.transfer.as_ref()?;
+        let is_same = transfer.digest == Some(digest);
+        is_same.then_some((transfer.bytes.as_slice(), transfer.total))
+    }
+
+    /// The connection over which a piece is awaited.
+    pub fn conn(&self) -> Option<u32> {
+        self.transfer.as_ref().map(|transfer| transfer.conn)
+    }
+
+    /// How long another instance has been known to be ahead.
+    pub fn behind_for(&self, now: Micros) -> Micros {
+        self.behind_since.map_or(0, |(_, since)| now.saturating_sub(since))
+    }
+
     /// Records that a complete update was unusable, so that it may be requested again.
     pub fn reject(&mut self) {
         self.applying = None;
@@ -185,6 +247,7 @@
             known: self.known,
             offset: self.bytes.len(),
             digest: self.digest,
+            stays: self.referrals >= MAX_REFERRALS,
         }
     }
 }
--- a/crates/drumusher/src/process/peers/heartbeat.rs
+++ b/crates/drumusher/src/process/peers/heartbeat.rs
@@ -47,6 +47,7 @@
             self.connect_dispatchers();
             self.publish_lost(now);
             self.serve_waiting();
+            self.drop_received(now);
         }
     }
 
@@ -96,7 +97,7 @@
     fn send_heartbeats(&self, now: u64, paused: bool) {
         let heartbeat = self.current_heartbeat();
         let mut inner = self.inner.borrow_mut();
-        for conn in inner.conns.values_mut() {
+        for conn in inner.conns.values_mut().filter(|conn| !conn.transfers_only) {
             if paused {
                 conn.heard_at = now;
             }
--- a/crates/drumusher/src/process/peers/link.rs
+++ b/crates/drumusher/src/process/peers/link.rs
@@ -125,7 +125,7 @@
         for other in others.iter().take(MAX_ASKED) {
             self.send(
                 &other.name,
-                Message::StateRequest(peer::StateRequest::new(0, None, true, None)),
+                Message::StateRequest(peer::StateRequest::new(0, None, true, None, None)),
             );
         }
         if !others.is_empty() {
@@ -139,7 +139,7 @@
     async fn fetch_configuration_from(self, address: String) {
         let connected = connection::connect(&address, None, self.shared.identity()).await;
         if let Ok((io, instance)) = connected {
-            let request = Message::StateRequest(peer::StateRequest::new(0, None, true, None));
+            let request = Message::StateRequest(peer::StateRequest::new(0, None, true, None, None));
             let _ = io.get_ref().encode(request, &Codec);
             rt::spawn(self.serve(io, instance));
         }
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -59,6 +59,7 @@
             }
             Message::PieceRequest(request) => self.on_piece_request(number, request),
             Message::Piece(piece) => self.on_piece(number, instance, &piece),
+            Message::Referral(referral) => self.on_referral(number, referral),
             Message::Query(query) => self.on_query(number, query),
             Message::Answer(answer) => self.on_answer(instance, &answer),
             Message::Hello(_)
--- a/crates/drumusher/src/process/peers/replica.rs
+++ b/crates/drumusher/src/process/peers/replica.rs
@@ -2,7 +2,7 @@
 
 use drumusher_schedule::time::{MILLISECOND, Micros};
 
-use crate::process::catalog::Ends;
+use crate::process::catalog::{Ends, Form};
 
 /// What was sent is not sent again within this time. Four heartbeat intervals: each heartbeat of an instance that
 /// is still applying whole tables would otherwise cause them to be sent once more.
@@ -19,6 +19,8 @@
     subscribed: bool,
     /// Whether it fetches large updates itself.
     fetches: bool,
+    /// Whether it takes patches of long values.
+    patches: bool,
 }
 
 impl Replica {
@@ -38,6 +40,16 @@
         self.fetches = fetches;
     }
 
+    /// Sets whether the other side takes patches of long values.
+    pub fn set_patches(&mut self, patches: bool) {
+        self.patches = patches;
+    }
+
+    /// The form of the updates that the other side can read.
+    pub fn form(&self) -> Form {
+        if self.patches { Form::Patches } else { Form::Values }
+    }
+
     /// Whether all updates are sent to the other side, including large ones: it is subscribed, but of an earlier
     /// version that does not fetch.
     pub fn receives_large_updates(&self) -> bool {
--- a/crates/drumusher/src/process/peers/session.rs
+++ b/crates/drumusher/src/process/peers/session.rs
@@ -5,10 +5,10 @@
 use drumusher_schedule::ask::Entry;
 use ntex::io::Io;
 
-use super::{Conn, Link, Peers, Replica};
+use super::{Conn, Link, Peers};
 use crate::{
-    connection::{self, Codec, Peer},
-    process::{clock, dispatch},
+    connection::{self, Codec, Peer, Purpose},
+    process::dispatch,
 };
 
 impl Peers {
@@ -16,8 +16,14 @@
     pub async fn accepted(self, io: Io) {
         let secret = self.shared.settings.fleet_secret.clone();
         match connection::accept(&io, &self.shared.name, secret.as_bytes()).await {
-            Ok(Peer { tunnel: Some(tunnel), .. }) => self.serve_tunnel(io, &tunnel).await,
-            Ok(Peer { name, tunnel: None }) => self.serve(io, name).await,
+            Ok(Peer { purpose: Purpose::Tunnel(tunnel), .. }) => {
+                self.serve_tunnel(io, &tunnel).await
+            }
+            Ok(Peer { name, purpose: Purpose::Messages }) => self.serve(io, name).await,
+            Ok(Peer { name, purpose: Purpose::Transfer }) => {
+                let number = self.register_transfer(&io, &name);
+                self.serve_transfer(io, name, number).await;
+            }
             Err(error) => {
                 self.shared.telemetry.count("drumusher.peer.refused", &[]);
                 log::warn!("refused a connection from another instance: {error}");
@@ -46,17 +52,7 @@
         let mut sends = Vec::new();
         let (number, pending) = {
             let mut inner = self.inner.borrow_mut();
-            let number = inner.next_conn;
-            inner.next_conn += 1;
-            let conn = Conn {
-                instance: instance.clone(),
-                io: io.get_ref(),
-                heard_at: clock::now(),
-                behind: false,
-                replica: Replica::new(),
-                sending: Default::default(),
-            };
-            inner.conns.insert(number, conn);
+            let number = inner.add_conn(Conn::new(io.get_ref(), instance.clone()));
             let before = inner.links.insert(instance.clone(), Link::Up(number));
             inner.table.set_reachable(instance, true, &mut sends);
             let pending = match before {
@@ -79,9 +75,7 @@
         let _ = self.shared.dispatch.try_send(dispatch::Input::Disconnected(Entry(number)));
         let other = {
             let mut inner = self.inner.borrow_mut();
-            inner.conns.remove(&number);
-            inner.uploads.finish(number);
-            inner.fetches.iter_mut().for_each(|fetch| fetch.connection_closed(number));
+            inner.remove_conn(number);
             let used = matches!(inner.links.get(instance), Some(Link::Up(up)) if *up == number);
             if !used {
                 return;
@@ -89,7 +83,8 @@
             inner.links.remove(instance);
             inner.sources.retain(|source| source != instance);
             let mut others = inner.conns.iter();
-            others.find(|(_, conn)| conn.instance == *instance).map(|(number, _)| *number)
+            let is_other = |conn: &Conn| conn.instance == *instance && !conn.transfers_only;
+            others.find(|(_, conn)| is_other(conn)).map(|(number, _)| *number)
         };
         let Some(other) = other else {
             self.note_unreachable(instance);
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -8,13 +8,13 @@
 
 use super::{Peers, pieces::PIECE_BYTES};
 use crate::process::{
-    catalog::{Ends, LARGE_UPDATE_BYTES, RELAY_TIMEOUT},
+    catalog::{Ends, Form, LARGE_UPDATE_BYTES, RELAY_TIMEOUT},
     clock, platform,
 };
 
-/// What an update was made from: the positions known to the other side, the positions known here, and the position
-/// up to which removals were confirmed.
-pub(super) type UpdateKey = (Ends, Ends, Position);
+/// What an update was made from: the positions known to the other side, the positions known here, the position up to
+/// which removals were confirmed, and the form.
+pub(super) type UpdateKey = (Ends, Ends, Position, Form);
 
 /// Decodes positions from their wire format; missing ones count as the start. The era of a program that sends no
 /// eras is taken from `otherwise`.
@@ -136,7 +136,7 @@
 
     fn subscribe(&self, reader: &Arc<str>) {
         let position = self.shared.position() as i64;
-        let request = peer::StateRequest::new(position, self.ends(), true, self.eras());
+        let request = peer::StateRequest::new(position, self.ends(), true, self.eras(), true);
         self.send(reader, Message::StateRequest(request));
         if self.missing_entry().is_some() {
             self.send(reader, self.current_heartbeat());
@@ -230,6 +230,7 @@
             let (offsets, eras) = (request.ends.as_deref(), request.eras.as_deref());
             conn.replica.report(parse_ends(offsets, eras, &own));
             conn.replica.subscribe(request.pieces == Some(true));
+            conn.replica.set_patches(request.patches == Some(true));
         }
         self.relay_to(number);
         self.send_ends(number);
@@ -269,14 +270,14 @@
     /// of 1,175 messages of some 360 KB had not been requested (87 instances, 48 s, two versions of 1,400 routes).
     fn relay_to(&self, number: u32) {
         let now = clock::now();
-        let (known, instance, max_bytes) = {
+        let (known, instance, max_bytes, form) = {
             let inner = self.inner.borrow();
             let Some(conn) = inner.conns.get(&number) else {
                 return;
             };
             let max_bytes =
                 if conn.replica.receives_large_updates() { usize::MAX } else { PIECE_BYTES };
-            (conn.replica.expected(now), conn.instance.clone(), max_bytes)
+            (conn.replica.expected(now), conn.instance.clone(), max_bytes, conn.replica.form())
         };
         let (from, ends) = {
             let confirmed = self.shared.confirmed();
@@ -288,7 +289,7 @@
             } else {
                 records.without_unconfirmed_removals(&known, confirmed)
             };
-            let mut ends = records.ends_after(&from, max_bytes);
+            let mut ends = records.ends_after(&from, max_bytes, form);
             for table in (0..ends.len()).filter(|table| from[*table] != known[*table]) {
                 ends[table] = known[table];
             }
@@ -297,7 +298,7 @@
         if let Some(conn) = self.inner.borrow_mut().conns.get_mut(&number) {
             conn.replica.record_sent(now, ends);
         }
-        let Some(snapshot) = self.encoded_update(&from, &ends, max_bytes) else {
+        let Some(snapshot) = self.encoded_update(&from, &ends, max_bytes, form) else {
             return;
         };
         if snapshot.len() >= LARGE_UPDATE_BYTES {
@@ -318,15 +319,21 @@
     /// The encoded update from `known` up to `ends`, with the tables whose part is shorter than `max_bytes`; `None`
     /// if there is none. The latest one is cached: when all instances start at once, most of them know the same
     /// positions.
-    fn encoded_update(&self, known: &Ends, ends: &Ends, max_bytes: usize) -> Option<Vec<u8>> {
+    fn encoded_update(
+        &self,
+        known: &Ends,
+        ends: &Ends,
+        max_bytes: usize,
+        form: Form,
+    ) -> Option<Vec<u8>> {
         let confirmed = self.shared.confirmed();
-        let key: UpdateKey = (*known, *ends, confirmed);
+        let key: UpdateKey = (*known, *ends, confirmed, form);
         if let Some((_, bytes)) =
             self.inner.borrow().cached_state.as_ref().filter(|(of, _)| *of == key)
         {
             return Some(bytes.clone());
         }
-        let update = self.shared.update_since(known, max_bytes)?;
+        let update = self.shared.update_since(known, max_bytes, form)?;
         match serde_json::to_vec(&update) {
             Ok(bytes) => {
                 self.inner.borrow_mut().cached_state = Some((key, bytes.clone()));
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -19,7 +19,12 @@
 use drumusher_schedule::time::Micros;
 
 use super::{
-    broker, catalog, clock, dispatch, explain::Explanations, notices::Notices, peers, platform,
+    broker,
+    catalog::{self, Form},
+    clock, dispatch,
+    explain::Explanations,
+    notices::Notices,
+    peers, platform,
     telemetry::Telemetry,
 };
 use crate::{
@@ -255,15 +260,20 @@
     /// than `max_bytes` bytes to send; `None` if there are none. The confirmed position is read after the
     /// records because it is stored before them: otherwise a removal could be sent without its confirmation,
     /// and the receiver would hold it back for nothing.
-    pub fn update_since(&self, ends: &catalog::Ends, max_bytes: usize) -> Option<catalog::Update> {
+    pub fn update_since(
+        &self,
+        ends: &catalog::Ends,
+        max_bytes: usize,
+        form: Form,
+    ) -> Option<catalog::Update> {
         let records = self.records();
-        records.since(ends, self.confirmed(), max_bytes)
+        records.since(ends, self.confirmed(), max_bytes, form)
     }
 
     /// Like [`Self::update_since`] for one table of any size, for an instance that has read it up to `known`.
-    pub fn update_of(&self, table: Table, known: Position) -> Option<catalog::Update> {
+    pub fn update_of(&self, table: Table, known: Position, form: Form) -> Option<catalog::Update> {
         let records = self.records();
-        records.of_table(table, known, self.confirmed())
+        records.of_table(table, known, self.confirmed(), form)
     }
 
     /// Usage counted by the dispatcher that is still to be published.
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -25,4 +25,5 @@
 mod transfer;
 mod uncertain_removals;
 mod uneven_load;
+mod version_spread;
 mod warm_up;
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -15,6 +15,7 @@
 mod hosted_pool;
 mod notices;
 mod options;
+mod patch;
 mod paths;
 mod preemption;
 mod records;
