fix: starting instances look for another contact before they read the tables

Cause: an instance that heard no contact for two seconds read the table of instances, and after three failures all tables, at the same time as all others.

Now an instance that hears no contact waits for up to a second and reads the list again. If somebody new is on it, it turns to that instance; otherwise it adds itself and reads the tables. So the number of those that read follows the time of a call, not the size of the fleet. A store that does not answer at the start is asked for the list until it does. An instance that gets the table of instances from another one expects to be fed for two seconds, as one that read it itself does. Readers take surplus contacts off the list.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -74,6 +74,8 @@
     met_others: Cell<Micros>,
     /// Whether the table of instances was read or relayed, so that it tells whether this instance is listed.
     knows_instances: Cell<bool>,
+    /// Whether this instance still looks for another one that relays the tables, and reads none itself.
+    seeks_contact: Cell<bool>,
     /// Number of failed reads of the table of instances.
     instance_failures: Cell<u32>,
     store: Rc<S>,
@@ -125,6 +127,7 @@
         shared,
         met_others: Cell::new(0),
         knows_instances: Cell::new(false),
+        seeks_contact: Cell::new(false),
         instance_failures: Cell::new(0),
         store,
         probing: Cell::new(false),
@@ -155,13 +158,19 @@
 /// `spread_ms` milliseconds; nobody has been a reader before it.
 async fn start_polling<S: Store + 'static>(catalog: Rc<Catalog<S>>, spread_ms: u64) {
     sleep(Millis(rand::random_range(0..=spread_ms) as u32)).await;
-    let began = clock::now();
-    if (spread_ms > 0 || !catalog.find_contacts().await)
-        && let Err(error) = catalog.read_table(Table::Instances).await
-    {
-        catalog.note_failure(Table::Instances, began, &error);
+    let mut contacts = Vec::new();
+    let seeks = spread_ms == 0 && catalog.starts_with_contacts(&mut contacts).await;
+    if !seeks {
+        let began = clock::now();
+        if let Err(error) = catalog.read_table(Table::Instances).await {
+            catalog.note_failure(Table::Instances, began, &error);
+        }
     }
     catalog.met_others.set(clock::now());
+    catalog.seeks_contact.set(seeks);
+    if seeks {
+        rt::spawn(contacts::seek_contact(catalog.clone(), contacts));
+    }
     rt::spawn(contacts::keep_contact(catalog.clone()));
     rt::spawn(membership::keep_registered(catalog.clone()));
     rt::spawn(membership::remove_lost(catalog.clone()));
@@ -287,7 +296,9 @@
         self.shared.confirm(update.confirmed());
         self.state.borrow_mut().entries.confirm(self.shared.confirmed());
         let updates = self.shared.records().merge(update);
-        self.knows_instances.set(self.knows_instances.get() || self.is_known(Table::Instances));
+        if self.is_known(Table::Instances) && !self.knows_instances.replace(true) {
+            self.met_others.set(clock::now());
+        }
         if bytes.len() >= LARGE_UPDATE_BYTES {
             log::info!(bytes = bytes.len(), new = updates.len(); "received a large update from another instance");
         }
--- a/crates/drumusher/src/process/catalog/contacts.rs
+++ b/crates/drumusher/src/process/catalog/contacts.rs
@@ -4,6 +4,9 @@
 //! grows with the square of their number. So readers of a large deployment keep their entries in a short list of its
 //! own. A starting instance reads this list and gets the tables from the instances on it; only they read the tables
 //! from the store.
+//!
+//! If none of them answers, one starting instance after the other adds itself to the list, until the rest finds a new one
+//! there.
 
 use std::{collections::BTreeMap, rc::Rc, sync::atomic::Ordering};
 
@@ -14,7 +17,7 @@
 use drumusher_schedule::time::{Micros, SECOND};
 use ntex::time::{Millis, sleep};
 
-use super::{Catalog, membership::Instance};
+use super::{Backoff, Catalog, membership::Instance};
 use crate::process::clock;
 
 /// The list is kept where at least this many instances are listed. A shorter table of instances is one short page.
@@ -25,6 +28,11 @@
 const MIN_READER_TIME: Micros = 2 * SECOND;
 /// Interval between checks whether this instance has to be added.
 const CHECK_INTERVAL: Millis = Millis(1_000);
+/// Interval between checks whether a listed instance relays updates.
+const SEEK_INTERVAL: Millis = Millis(50);
+/// Instances that found no contact look for a new one within this time, in milliseconds. The first of a thousand adds
+/// itself while few others do.
+const SEEK_SPREAD_MS: u32 = 1_000;
 
 /// Adds this instance to the list while it is a reader.
 pub(super) async fn keep_contact<S: Store + 'static>(catalog: Rc<Catalog<S>>) {
@@ -50,30 +58,86 @@
     }
 }
 
-impl<S: Store + 'static> Catalog<S> {
-    /// Reads the list and makes its instances known until the table of instances is read. Returns whether this
-    /// instance can turn to them: there are some, and it is none of them.
-    pub(super) async fn find_contacts(&self) -> bool {
+/// What a read of the list showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Contacts {
+    /// The list is empty, as in a small deployment.
+    Empty,
+    /// This instance is on it, or has turned to all instances on it before.
+    Tried,
+    /// There are others, which are known now.
+    New,
+}
+
+/// Looks for instances that relay the tables until one has relayed the table of instances. If none of those in `tried`
+/// does, and there are no others, adds this instance to the list and lets it read the tables.
+pub(super) async fn seek_contact<S: Store + 'static>(
+    catalog: Rc<Catalog<S>>,
+    mut tried: Vec<Record>,
+) {
+    let mut backoff = Backoff::new();
+    let spread = || rand::random_range(0..=SEEK_SPREAD_MS);
+    let mut pause = if tried.is_empty() { backoff.next(true).0 } else { spread() };
+    while !catalog.knows_instances.get() {
+        if catalog.is_fed() {
+            sleep(SEEK_INTERVAL).await;
+            continue;
+        }
+        sleep(Millis(pause)).await;
+        if catalog.is_fed() || catalog.knows_instances.get() {
+            continue;
+        }
         let began = clock::now();
-        let records = match self.store.contacts().await {
-            Ok(records) => records,
+        match catalog.find_contacts(&mut tried).await {
+            Ok(Contacts::New) => {
+                catalog.met_others.set(clock::now());
+                pause = spread();
+            }
+            Ok(Contacts::Tried) => {
+                catalog.become_contact().await;
+                break;
+            }
+            Ok(Contacts::Empty) => break,
             Err(error) => {
-                self.note_failure(Table::Instances, began, &error);
-                return false;
+                catalog.note_failure(Table::Instances, began, &error);
+                pause = backoff.next(true).0;
+                pause += rand::random_range(0..=pause);
             }
-        };
+        }
+    }
+    catalog.seeks_contact.set(false);
+}
+
+impl<S: Store + 'static> Catalog<S> {
+    /// The entry of this instance in the list.
+    fn own_contact(&self) -> Record {
+        Record { key: self.shared.name.to_string(), value: Some(self.shared.entry.clone()) }
+    }
+
+    /// Reads the list, adds its instances to `tried`, and makes those that were not in it known until the table of
+    /// instances is read.
+    ///
+    /// # Errors
+    ///
+    /// Any [`Error`] of the store.
+    pub(super) async fn find_contacts(&self, tried: &mut Vec<Record>) -> Result<Contacts, Error> {
         let mut contacts = BTreeMap::new();
-        for record in &records {
+        for record in self.store.contacts().await? {
             let Some(value) = &record.value else { continue };
             match Instance::parse(&record.key, value) {
+                Ok(_) if tried.contains(&record) => {}
                 Ok(instance) => {
                     contacts.insert(record.key.clone(), instance);
+                    tried.push(record);
                 }
                 Err(error) => log::error!(key = record.key.as_str(); "malformed contact: {error}"),
             }
         }
+        if tried.is_empty() {
+            return Ok(Contacts::Empty);
+        }
         if contacts.is_empty() || contacts.contains_key(&*self.shared.name) {
-            return false;
+            return Ok(Contacts::Tried);
         }
         log::info!(contacts = contacts.len(); "starting with the instances that read the store");
         {
@@ -82,17 +146,35 @@
             state.instances_changed = true;
         }
         self.publish();
-        true
+        Ok(Contacts::New)
+    }
+
+    /// Reads the list when this instance starts. Returns whether it looks for a contact before it reads a table itself:
+    /// there are some, or the store does not answer.
+    pub(super) async fn starts_with_contacts(&self, tried: &mut Vec<Record>) -> bool {
+        let began = clock::now();
+        match self.find_contacts(tried).await {
+            Ok(contacts) => contacts == Contacts::New,
+            Err(error) => {
+                self.note_failure(Table::Instances, began, &error);
+                true
+            }
+        }
+    }
+
+    /// Adds this instance to the list, which has no other one that answers.
+    async fn become_contact(&self) {
+        match self.store.put_contacts(&[self.own_contact()]).await {
+            Ok(()) => log::info!("no contact answers; this instance reads the store"),
+            Err(error) => log::warn!("cannot add this instance to the contacts: the store {error}"),
+        }
     }
 
     /// Adds this instance to the list, and removes those that are gone and those beyond the maximum.
     async fn add_contact(&self) -> Result<(), Error> {
         let known = self.store.contacts().await?;
-        let own =
-            Record { key: self.shared.name.to_string(), value: Some(self.shared.entry.clone()) };
-        if known.contains(&own) {
-            return Ok(());
-        }
+        let own = self.own_contact();
+        let is_listed = known.contains(&own);
         let mut records = {
             let state = self.state.borrow();
             let others = known.into_iter().filter(|contact| contact.key != own.key);
@@ -102,9 +184,13 @@
             let removed = gone.into_iter().chain(listed.into_iter().take(surplus));
             removed.map(|contact| Record { value: None, ..contact }).collect::<Vec<Record>>()
         };
+        let removed = records.len();
+        if is_listed && removed == 0 {
+            return Ok(());
+        }
         records.push(own);
         self.store.put_contacts(&records).await?;
-        log::info!(removed = records.len() - 1; "added this instance to the contacts");
+        log::info!(removed = removed; "added this instance to the contacts");
         Ok(())
     }
 }
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -52,6 +52,7 @@
     let mut known = catalog.is_known(table);
     loop {
         if catalog.is_fed()
+            || catalog.seeks_contact.get()
             || catalog.waits_for_probe(table)
             || catalog.waits_for_configuration(table)
             || catalog.waits_for_instances(table)
--- a/crates/drumusher/tests/routes/mass_restart.rs
+++ b/crates/drumusher/tests/routes/mass_restart.rs
@@ -9,8 +9,10 @@
     time::{Duration, Instant},
 };
 
+use drumusher_adapter_stand_in::Outage;
 use drumusher_bench::fleet::{Mode, wait_for};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rstest::rstest;
 
 use crate::support::{DESK, Deployment, Request, configuration};
 
@@ -30,6 +32,8 @@
 const LINK_BYTES_PER_SECOND: u64 = 2_500_000;
 /// Number of backend servers that run.
 const RUNNING: usize = 4;
+/// How long the store stays unavailable after the start.
+const OUTAGE_TIME: Duration = Duration::from_secs(3);
 /// Pause between two requests to an instance that does not serve yet.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of threads that send such requests.
@@ -69,11 +73,11 @@
     deployment
 }
 
-/// The times from `since` until the instances serve, in order; only of those that do.
-fn times_to_serve(deployment: &Deployment, since: Instant) -> Vec<Duration> {
+/// The times from `since` until these instances serve, in order; only of those that do.
+fn times_to_serve(deployment: &Deployment, instances: &[usize], since: Instant) -> Vec<Duration> {
     let probe = |thread: usize| {
         let mut waiting: Vec<usize> =
-            (thread..deployment.instances.len()).step_by(PROBES).collect();
+            instances.iter().skip(thread).step_by(PROBES).copied().collect();
         let mut times = Vec::new();
         while !waiting.is_empty() && since.elapsed() < PATIENCE {
             waiting.retain(|at| {
@@ -100,31 +104,71 @@
     relays.map(|relays| relays.peers.bytes()).collect()
 }
 
-#[test]
-fn all_instances_serve_again_after_all_were_killed() {
+/// Which instances are started again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Restart {
+    All,
+    /// All but those that a starting instance turns to.
+    NoContacts,
+    /// All, while the store is unavailable.
+    StoreAway,
+}
+
+/// The instances that are started again.
+fn restarted(deployment: &Deployment, restart: Restart) -> Vec<usize> {
+    let is_contact = |at: &usize| {
+        let name = format!("i{at}");
+        deployment.store.newest("keyed.contacts", &name).is_some()
+    };
+    let all = 0..deployment.instances.len();
+    all.filter(|at| restart != Restart::NoContacts || !is_contact(at)).collect()
+}
+
+fn set_store_outage(deployment: &Deployment, outage: Outage) {
+    deployment.store.set_outage(outage);
+    for instance in &deployment.instances {
+        instance.store_endpoint.set_outage(outage);
+    }
+}
+
+#[rstest]
+fn instances_serve_again_after_all_were_killed(
+    #[values(Restart::All, Restart::NoContacts, Restart::StoreAway)] restart: Restart,
+) {
     let instances = size(INSTANCES_VARIABLE, INSTANCES);
     let servers = size(SERVERS_VARIABLE, SERVERS);
     let mut deployment = deploy(instances, servers);
-    let first = times_to_serve(&deployment, Instant::now());
+    let all: Vec<usize> = (0..instances).collect();
+    let first = times_to_serve(&deployment, &all, Instant::now());
     assert_eq!(first.len(), instances, "all serve before they are killed");
     for instance in &deployment.instances {
         let relays = instance.relays.as_ref().expect("the instance has relays");
         relays.peers.set(Mode::Throttled(LINK_BYTES_PER_SECOND));
     }
     deployment.instances.iter_mut().for_each(|instance| instance.kill());
+    let restarted = restarted(&deployment, restart);
     deployment.store.limit_read_rate(size(STORE_RATE_VARIABLE, STORE_RATE) as u64);
     let before = carried(&deployment);
     let (reads, read_bytes) = (deployment.store.reads(), deployment.store.read_bytes());
-    let since = Instant::now();
-    deployment.instances.iter_mut().for_each(|instance| instance.respawn());
-    let times = times_to_serve(&deployment, since);
+    if restart == Restart::StoreAway {
+        set_store_outage(&deployment, Outage::Unavailable);
+    }
+    let mut since = Instant::now();
+    restarted.iter().for_each(|at| deployment.instances[*at].respawn());
+    if restart == Restart::StoreAway {
+        thread::sleep(OUTAGE_TIME);
+        set_store_outage(&deployment, Outage::None);
+        since = Instant::now();
+    }
+    let times = times_to_serve(&deployment, &restarted, since);
     let after = carried(&deployment);
     let mut sent: Vec<u64> = after.iter().zip(&before).map(|(now, then)| now - then).collect();
     sent.sort();
     println!(
-        "{instances} instances, {servers} servers: {} serve, the first, a quarter, half, the last after {:?}; \
-         {} reads of the store, {} bytes; {} bytes between instances, {} at the busiest",
+        "{instances} instances, {servers} servers, {restart:?}: {} of {} serve, the first, a quarter, half, the last \
+         after {:?}; {} reads of the store, {} bytes; {} bytes between instances, {} at the busiest",
         times.len(),
+        restarted.len(),
         [0, times.len() / 4, times.len() / 2, times.len().saturating_sub(1)]
             .map(|at| times.get(at)),
         deployment.store.reads() - reads,
@@ -132,5 +176,5 @@
         sent.iter().sum::<u64>(),
         sent[sent.len() - 1],
     );
-    assert_eq!(times.len(), instances, "all serve again");
+    assert_eq!(times.len(), restarted.len(), "all serve again");
 }
