fix: crashes that come together are evidence against a part that was never answered

Callers with a part in their prompts that crashes engines were noticed late when they came together: 30 to 39 engines crashed, and 11 to 22 requests arrived later than three seconds after the fifth crash, where three are allowed (BUDGET).

Cause: crashes of several engines within 50 ms were no evidence against any part, since an outage that takes many engines would otherwise accuse every popular part. Callers that come together crash several engines within 50 ms.

What tells a guilty part from a sound one is whether it is ever answered. Of crashes that come together, those are evidence now against a part that all of these engines had begun to answer on, if it was never answered, and if the dispatcher has seen answers for two seconds, so that a popular part would have been answered. An outage of many engines leaves no such part.

The cases with 0.3 s are new, and fail on the code before.

--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -205,9 +205,9 @@
         let alone = known.unwrap_or(crash.alone == Some(true));
         self.record_crash(digest, crash, (alone, false));
         self.answered.note_crash(clock::now(), &start(crash));
-        if crash.parts.is_none() {
-            return;
-        }
+        let Some(parts) = &crash.parts else { return };
+        let parts: Vec<u64> = parts.iter().take(MAX_PARTS).map(|part| *part as u64).collect();
+        self.answered.note_parts(&crash.workspace, &parts, &start(crash));
         if self.undecided.len() >= MAX_UNDECIDED {
             log::warn!(server = crash.server.as_str(); "a crash is not considered as evidence against parts: too many");
         } else {
@@ -215,24 +215,26 @@
         }
     }
 
-    /// Records crashes as evidence against parts of prompts, once it is known whether other servers crashed at the same
+    /// Records crashes as evidence against parts of prompts, once it is known which other servers crashed at the same
     /// time.
     pub(super) fn decide_crashes(&mut self) {
         let now = clock::now();
         while let Some(next) =
             self.undecided.pop_front_if(|next| self.answered.is_decided(now, next.at))
         {
-            if !self.answered.has_common_cause(&start(&next.crash)) {
-                self.record_part_crashes(now, &next);
-            }
+            self.record_part_crashes(now, &next);
         }
     }
 
     fn record_part_crashes(&mut self, now: Micros, undecided: &Undecided) {
         let Undecided { alone, crash, .. } = undecided;
         let (workspace, start) = (&crash.workspace, start(crash));
+        let together = self.answered.has_common_cause(&start);
         for part in crash.parts.iter().flatten().take(MAX_PARTS) {
             let part = *part as u64;
+            if together && !self.answered.is_common_cause(now, workspace, part, &start) {
+                continue;
+            }
             if self.answered.record_crash(now, workspace, part, &start) {
                 let secret = &self.shared.settings.fleet_secret;
                 let digest = digest::of_part(secret, workspace, part);
--- a/crates/drumusher/tests/routes/crashing_part.rs
+++ b/crates/drumusher/tests/routes/crashing_part.rs
@@ -21,7 +21,7 @@
 /// Callers of requests with the part, and of sound ones.
 const CRASHING_CALLERS: usize = 3;
 const SOUND_CALLERS: usize = 4;
-/// Pause between two requests of a caller.
+/// Pause between two requests of a caller of sound requests.
 const PAUSE: Duration = Duration::from_millis(100);
 /// The part that crashes engines.
 const PART: &str = "dead";
@@ -77,7 +77,13 @@
 }
 
 /// Sends requests to one instance after the other until `until`.
-fn call(deployment: &Deployment, at: usize, parts: &str, until: Instant, sent: &Sent) {
+fn call(
+    deployment: &Deployment,
+    at: usize,
+    (parts, pause): (&str, Duration),
+    until: Instant,
+    sent: &Sent,
+) {
     for number in 0.. {
         if Instant::now() >= until {
             return;
@@ -86,7 +92,7 @@
         let response = deployment.send((at + number) % INSTANCES, &request(parts));
         let served = response.is_ok_and(|response| response.status == 200 && response.complete);
         sent.lock().expect("no holder panics").push((began, served));
-        thread::sleep(PAUSE);
+        thread::sleep(pause);
     }
 }
 
@@ -106,7 +112,9 @@
 fn requests_with_a_part_that_crashes_engines_are_held_back_and_sound_ones_served(
     #[case] crashing: &str,
     #[case] sound: &str,
+    #[values(100, 300)] crashing_pause_ms: u64,
 ) {
+    let crashing_pause = Duration::from_millis(crashing_pause_ms);
     let deployment = deploy();
     let (sent, ignored) = (Sent::default(), Sent::default());
     let began = Instant::now();
@@ -114,12 +122,12 @@
     thread::scope(|scope| {
         let (deployment, sent, ignored) = (&deployment, &sent, &ignored);
         for at in 0..SOUND_CALLERS {
-            scope.spawn(move || call(deployment, at, sound, until, sent));
+            scope.spawn(move || call(deployment, at, (sound, PAUSE), until, sent));
         }
         for at in 0..CRASHING_CALLERS {
             scope.spawn(move || {
                 thread::sleep(SOUND_TIME);
-                call(deployment, at, crashing, until, ignored);
+                call(deployment, at, (crashing, crashing_pause), until, ignored);
             });
         }
     });
--- a/crates/drumusher/tests/unit/answered.rs
+++ b/crates/drumusher/tests/unit/answered.rs
@@ -35,6 +35,40 @@
     assert!(answered.is_decided(SECOND + 60_000, SECOND));
 }
 
+/// Two servers that crash at the same time, each while answering on the parts given with it.
+fn crashed_together(answered: &mut Answered, at: u64, parts: [&[u64]; 2]) {
+    for (start, parts) in ["s1", "s2"].iter().zip(parts) {
+        answered.note_crash(at, start);
+        answered.note_parts("a", parts, start);
+    }
+}
+
+#[test]
+fn a_part_that_was_never_answered_may_be_the_common_cause() {
+    let mut answered = Answered::default();
+    answered.record_answer(0, "a", &[1]);
+    let now = 3 * SECOND;
+    crashed_together(&mut answered, now, [&[1, 7, 8], &[1, 7, 9]]);
+    let causes: Vec<u64> = [1, 7, 8, 9]
+        .into_iter()
+        .filter(|part| answered.is_common_cause(now, "a", *part, "s1"))
+        .collect();
+    assert_eq!(causes, [7], "1 was answered, 8 and 9 were in use on one of them");
+    assert!(!answered.is_common_cause(now, "b", 7, "s1"), "of another workspace");
+    answered.record_answer(now, "a", &[7]);
+    assert!(!answered.is_common_cause(now, "a", 7, "s1"), "answered since");
+}
+
+#[test]
+fn no_part_is_the_common_cause_before_others_were_answered() {
+    let mut answered = Answered::default();
+    crashed_together(&mut answered, SECOND, [&[7], &[7]]);
+    assert!(!answered.is_common_cause(SECOND, "a", 7, "s1"), "no answer yet");
+    answered.record_answer(SECOND, "a", &[1]);
+    assert!(!answered.is_common_cause(2 * SECOND, "a", 7, "s1"), "answers for one second");
+    assert!(answered.is_common_cause(4 * SECOND, "a", 7, "s1"));
+}
+
 #[test]
 fn answers_count_for_their_workspace_and_for_a_while() {
     let mut answered = Answered::default();
