fix: contacts that the store lost are listed again

If the store lost the list of instances that a starting instance turns to, as when it returns from an older copy, no reader wrote it again, and a start of all instances would have read all tables from the store again (RECOVER).

Cause: a reader added itself once and never looked again. A state kept outside was taken for granted.

A reader on the list reads it every ten seconds and adds itself if it is missing: four short calls in ten seconds in all.

Both tests that take sizes from the environment share the function that reads them.

--- a/crates/drumusher/src/process/catalog/contacts.rs
+++ b/crates/drumusher/src/process/catalog/contacts.rs
@@ -28,31 +28,35 @@
 const MIN_READER_TIME: Micros = 2 * SECOND;
 /// Interval between checks whether this instance has to be added.
 const CHECK_INTERVAL: Millis = Millis(1_000);
+/// Interval between reads of the list by an instance that was added.
+const LIST_INTERVAL: Micros = 10 * SECOND;
 /// Interval between checks whether a listed instance relays updates.
 const SEEK_INTERVAL: Millis = Millis(50);
 /// Instances that found no contact look for a new one within this time, in milliseconds. The first of a thousand adds
 /// itself while few others do.
 const SEEK_SPREAD_MS: u32 = 1_000;
 
-/// Adds this instance to the list while it is a reader.
+/// Adds this instance to the list while it is a reader, and again if the store lost the entry.
 pub(super) async fn keep_contact<S: Store + 'static>(catalog: Rc<Catalog<S>>) {
     let mut reader_since = None;
-    let mut listed = false;
+    let mut listed_at: Option<Micros> = None;
     loop {
         sleep(CHECK_INTERVAL).await;
         let shared = &catalog.shared;
         let reads = shared.reader.load(Ordering::Acquire)
             && !shared.store_unavailable.load(Ordering::Acquire);
         if !reads || shared.stopping() || catalog.state.borrow().instances.len() < MIN_INSTANCES {
-            (reader_since, listed) = (None, false);
+            (reader_since, listed_at) = (None, None);
             continue;
         }
-        let since = *reader_since.get_or_insert(clock::now());
-        if listed || clock::now() < since + MIN_READER_TIME {
+        let now = clock::now();
+        let since = *reader_since.get_or_insert(now);
+        let is_recent = listed_at.is_some_and(|at| now < at + LIST_INTERVAL);
+        if is_recent || now < since + MIN_READER_TIME {
             continue;
         }
         match catalog.add_contact().await {
-            Ok(()) => listed = true,
+            Ok(()) => listed_at = Some(now),
             Err(error) => log::warn!("cannot add this instance to the contacts: the store {error}"),
         }
     }
--- a/crates/drumusher/tests/routes/mass_restart.rs
+++ b/crates/drumusher/tests/routes/mass_restart.rs
@@ -5,7 +5,7 @@
 //! on keep it busy for good.
 
 use std::{
-    env, thread,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 
-use crate::support::{DESK, Deployment, Request, configuration};
+use crate::support::{DESK, Deployment, Request, configuration, size};
 
 /// Environment variables with another number of instances, of entries of backend servers, and another rate of the store.
 const INSTANCES_VARIABLE: &str = "DRUMUSHER_INSTANCES";
@@ -41,10 +41,6 @@
 /// Longest wait for service. Only keeps the test from hanging; it is no performance bound.
 const PATIENCE: Duration = Duration::from_secs(60);
 
-fn size(variable: &str, default: usize) -> usize {
-    env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 /// Registered instances behind relays, with `servers` entries of a service that gets no requests.
 fn deploy(instances: usize, servers: usize) -> Deployment {
     let mut deployment = Deployment::empty(true);
@@ -64,15 +60,28 @@
     for number in 0..instances {
         deployment.add_instance(&format!("i{number}"));
     }
-    let count = |topic: &str| {
-        let entered = |at: &usize| deployment.store.newest(topic, &format!("i{at}")).is_some();
-        (0..instances).filter(entered).count()
-    };
-    wait_for("all instances are registered", || count("keyed.instances") == instances);
-    wait_for("the readers are known to starting instances", || count("keyed.contacts") >= 4);
+    wait_for("all instances are registered", || {
+        listed(&deployment, "keyed.instances").len() == instances
+    });
+    wait_for_contacts(&deployment);
     deployment
 }
 
+/// The instances that have an entry in a topic of the store.
+fn listed(deployment: &Deployment, topic: &str) -> Vec<usize> {
+    let is_listed = |at: &usize| deployment.store.newest(topic, &format!("i{at}")).is_some();
+    (0..deployment.instances.len()).filter(is_listed).collect()
+}
+
+/// The instances that a starting instance turns to.
+fn contacts(deployment: &Deployment) -> Vec<usize> {
+    listed(deployment, "keyed.contacts")
+}
+
+fn wait_for_contacts(deployment: &Deployment) {
+    wait_for("the readers are known to starting instances", || contacts(deployment).len() >= 4);
+}
+
 /// The times from `since` until these instances serve, in order; only of those that do.
 fn times_to_serve(deployment: &Deployment, instances: &[usize], since: Instant) -> Vec<Duration> {
     let probe = |thread: usize| {
@@ -116,12 +125,9 @@
 
 /// The instances that are started again.
 fn restarted(deployment: &Deployment, restart: Restart) -> Vec<usize> {
-    let is_contact = |at: &usize| {
-        let name = format!("i{at}");
-        deployment.store.newest("keyed.contacts", &name).is_some()
-    };
+    let contacts = contacts(deployment);
     let all = 0..deployment.instances.len();
-    all.filter(|at| restart != Restart::NoContacts || !is_contact(at)).collect()
+    all.filter(|at| restart != Restart::NoContacts || !contacts.contains(at)).collect()
 }
 
 fn set_store_outage(deployment: &Deployment, outage: Outage) {
@@ -178,3 +184,13 @@
     );
     assert_eq!(times.len(), restarted.len(), "all serve again");
 }
+
+/// A store that returns from an older copy may have no contacts.
+#[test]
+fn lost_contacts_are_listed_again() {
+    let deployment = deploy(INSTANCES, 0);
+    for at in contacts(&deployment) {
+        deployment.store.remove("keyed.contacts", &format!("i{at}"));
+    }
+    wait_for_contacts(&deployment);
+}
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -9,6 +9,7 @@
 pub use response::{Response, read_response};
 
 use std::{
+    env,
     fs::{self, File},
     io::{self, Write},
     net::{SocketAddr, TcpListener, TcpStream},
@@ -104,6 +105,11 @@
     )
 }
 
+/// The value of an environment variable with a size, or the default.
+pub fn size(variable: &str, default: usize) -> usize {
+    env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 /// The same configuration with about `bytes` more bytes of routes, whose pseudo-random paths hardly
 /// compress.
 pub fn large_configuration(version: u64, extra: &str, bytes: usize) -> String {
--- a/crates/drumusher/tests/routes/version_spread.rs
+++ b/crates/drumusher/tests/routes/version_spread.rs
@@ -1,7 +1,7 @@
 //! How a version of the configuration reaches all instances, over narrow links and through faults.
 
 use std::{
-    env, thread,
+    thread,
     time::{Duration, Instant},
 };
 
@@ -10,7 +10,7 @@
 use rstest::rstest;
 
 use crate::{
-    support::{Deployment, Instance, configuration, large_configuration},
+    support::{Deployment, Instance, configuration, large_configuration, size},
     transfer::{deployment, has_version, reads_store},
 };
 
@@ -47,10 +47,6 @@
     NextVersion,
 }
 
-fn size(variable: &str, default: usize) -> usize {
-    env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
-}
-
 /// The times from `since` until the instances have a version in force, in order; only of those that get it.
 fn times_until_in_force(deployment: &Deployment, since: Instant, version: u64) -> Vec<Duration> {
     let watch = |thread: usize| {
