fix: a second read of a restored store does not bring back an older configuration

Callers of an instance that started after the store had returned from an older copy got 404 for a route that all others served, for good.

Cause: of a restored store's configuration an instance keeps what it knows, since the copy may hold an older version. That held for its first read only. A second read of the whole table, or one after it had learned of the restore from another instance, replaced the records with those of the copy. What was in force stayed, but who asked was sent the older version. The class: a fact (the era began with a copy) that was kept only at the moment of its discovery.

Evidence: restore::instance_that_read_the_old_copy_catches_up failed once beside fourteen busy loops on; the new instance fetched the configuration 22 times, each of 1,588 bytes, the length of version 1 (1,587; version 2 has 1,785), from an instance that had version 2 in force.

Ruled out: the transfer, which completed each time, and patches, which are not made of values this short.

The table of a restored store now remembers digests of what was read from it. Only what was written or removed since replaces known values.

--- a/crates/drumusher/src/process/catalog/records.rs
+++ b/crates/drumusher/src/process/catalog/records.rs
@@ -6,7 +6,7 @@
 use drumusher_platform::catalog::{Record, Table};
 use serde::{Deserialize, Serialize};
 
-use self::table::{Log, Part};
+use self::table::{Log, Part, Source};
 
 /// The tables, in the order of [`Ends`].
 pub const TABLES: [Table; 4] =
@@ -102,13 +102,27 @@
         self.ends().iter().map(|end| end.offset).sum()
     }
 
-    /// Replaces a whole table. Of the configuration in a restored store only unknown keys are taken over, since known
-    /// ones may have an older value there; [`Records::put`] inserts a newer one.
+    /// Replaces a whole table with one read from the store. Of the configuration in a restored store only unknown keys
+    /// and what was written since are taken over, since known ones may have an older value there; [`Records::put`]
+    /// inserts a newer one.
     pub fn replace(&mut self, table: Table, records: Vec<Record>, end: Position) -> TableUpdate {
+        self.replace_from(Source::Store, table, records, end)
+    }
+
+    fn replace_from(
+        &mut self,
+        source: Source,
+        table: Table,
+        records: Vec<Record>,
+        end: Position,
+    ) -> TableUpdate {
         let log = &mut self.logs[index_of(table)];
         let restored = !log.end().is_start() && log.end().era < end.era;
-        if restored && table == Table::Configuration {
-            log.complete(&records, end);
+        if restored {
+            log.forget_reads();
+        }
+        if table == Table::Configuration && (restored || log.is_restored()) {
+            log.complete(&records, end, source);
             return TableUpdate::Restored(table, records);
         }
         log.replace(&records, end);
@@ -217,7 +231,10 @@
                     updates.push(TableUpdate::Restored(table, part.into_records()));
                 }
                 _ if end <= own => {}
-                None => updates.push(self.replace(table, part.into_records(), end)),
+                None => {
+                    let records = part.into_records();
+                    updates.push(self.replace_from(Source::Instance, table, records, end));
+                }
                 Some(from) if own.since(Position::new(end.era, from)).is_some() => {
                     let known = (own.offset - from) as usize;
                     let log = &mut self.logs[part.place()];
--- a/crates/drumusher/src/process/catalog/records/table.rs
+++ b/crates/drumusher/src/process/catalog/records/table.rs
@@ -5,6 +5,7 @@
 use drumusher_log::position::{Era, Position};
 use drumusher_platform::catalog::Record;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::Form;
 use crate::process::catalog::Patch;
@@ -81,6 +82,28 @@
     /// Size of the recent changes, in bytes.
     recent_bytes: usize,
     end: Position,
+    /// Digests of the values read from the store since it was restored from a backup: other known values may be newer
+    /// than those in the store. `None` if it was not restored.
+    restored: Option<BTreeMap<Box<str>, u64>>,
+}
+
+/// Where a whole table was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Source {
+    Store,
+    /// Another instance, which may know newer values than a restored store.
+    Instance,
+}
+
+fn digest(value: &str) -> u64 {
+    xxh3_64(value.as_bytes())
+}
+
+/// The keys of these records that have a value, with its digest.
+fn digests(records: &[Record]) -> BTreeMap<Box<str>, u64> {
+    let values =
+        records.iter().filter_map(|record| Some((record.key.as_str(), record.value.as_ref()?)));
+    values.map(|(key, value)| (key.into(), digest(value))).collect()
 }
 
 impl Entry {
@@ -112,6 +135,11 @@
         self.newest.get(key).map(|value| &**value)
     }
 
+    /// Whether known values may be newer than those in the store, which was restored from a backup.
+    pub(super) fn is_restored(&self) -> bool {
+        self.restored.is_some()
+    }
+
     /// Replaces all values with those of a whole table that ends at `end`.
     pub(super) fn replace(&mut self, records: &[Record], end: Position) {
         self.restart(end);
@@ -124,16 +152,31 @@
         }
     }
 
-    /// Adds the values of a whole table that ends at `end`, for keys that have none.
-    pub(super) fn complete(&mut self, records: &[Record], end: Position) {
+    /// Takes over a whole table of a restored store that ends at `end`: values of unknown keys, and what was written
+    /// or removed since an earlier read.
+    pub(super) fn complete(&mut self, records: &[Record], end: Position, source: Source) {
         self.restart(end);
+        let before = self.restored.take().unwrap_or_default();
+        let read = digests(records);
+        for key in before.keys().filter(|key| !read.contains_key(*key)) {
+            self.remove(key);
+        }
         for record in records {
-            if let Some(value) = &record.value
-                && !self.newest.contains_key(record.key.as_str())
-            {
+            let Some(value) = &record.value else { continue };
+            let written = before.get(record.key.as_str()).is_some_and(|old| *old != digest(value));
+            if written || !self.newest.contains_key(record.key.as_str()) {
                 self.put(&record.key, value);
             }
         }
+        self.restored = Some(match source {
+            Source::Store => read,
+            Source::Instance => before,
+        });
+    }
+
+    /// Forgets what was read from the store, which was restored from another backup.
+    pub(super) fn forget_reads(&mut self) {
+        self.restored = None;
     }
 
     /// Forgets the latest changes; the table is known up to `end`.
@@ -160,6 +203,11 @@
         previous
     }
 
+    fn remove(&mut self, key: &str) {
+        let previous = self.newest.remove(key);
+        self.newest_bytes -= previous.map_or(0, |value| key.len() + value.len());
+    }
+
     /// Applies a change, and keeps it as the latest one: as `patch` if it was received as one, or as a new patch if its
     /// value is long.
     fn push(&mut self, record: &Record, patch: Option<Patch>) {
@@ -171,11 +219,16 @@
                 patch.filter(|patch| patch.byte_len() < value.len() / PATCH_FACTOR)
             }
             None => {
-                let previous = self.newest.remove(record.key.as_str());
-                self.newest_bytes -= previous.map_or(0, |value| record.key.len() + value.len());
+                self.remove(&record.key);
                 None
             }
         };
+        if let Some(restored) = &mut self.restored {
+            match &record.value {
+                Some(value) => restored.insert(record.key.as_str().into(), digest(value)),
+                None => restored.remove(record.key.as_str()),
+            };
+        }
         let value = if patch.is_some() { None } else { record.value.clone() };
         let entry = Entry { key: record.key.clone(), value, patch };
         self.recent_bytes += entry.byte_len();
--- a/crates/drumusher/tests/unit/records.rs
+++ b/crates/drumusher/tests/unit/records.rs
@@ -199,6 +199,43 @@
     );
 }
 
+/// A second read of a restored store replaces known values only with what was written since the first one.
+#[test]
+fn a_second_read_of_a_restored_store_replaces_only_what_was_written_since() {
+    let key = |key: &str, length| Record { key: key.into(), ..record("", length) };
+    let mut records = Records::new();
+    let known = [key("config", 100), key("lost", 1), key("removed", 1)];
+    records.append(Table::Configuration, &known, Position::new(1, 3));
+    let copy = vec![key("config", 10), key("removed", 1)];
+    records.replace(Table::Configuration, copy.clone(), Position::new(2, 2));
+    let length = |records: &Records, key| records.value(Table::Configuration, key).map(str::len);
+    let second = records.replace(Table::Configuration, copy.clone(), Position::new(2, 2));
+    assert_eq!(second, TableUpdate::Restored(Table::Configuration, copy));
+    assert_eq!(
+        ["config", "lost", "removed"].map(|key| length(&records, key)),
+        [Some(100), Some(1), Some(1)]
+    );
+    let written = vec![key("config", 200), key("new", 5)];
+    records.replace(Table::Configuration, written, Position::new(2, 5));
+    assert_eq!(length(&records, "config"), Some(200), "it was written since");
+    assert_eq!(
+        ["lost", "new", "removed"].map(|key| length(&records, key)),
+        [Some(1), Some(5), None]
+    );
+}
+
+/// An instance that learns of a restore from another one keeps its values when it reads the store itself.
+#[test]
+fn a_relayed_restore_keeps_the_known_configuration() {
+    let mut reader = records();
+    reader.replace(Table::Configuration, vec![record("config", 10)], Position::new(2, 1));
+    let mut other = records();
+    let update = reader.of_table(Table::Configuration, START, START, Form::Values);
+    other.merge(update.expect("it is known"));
+    other.replace(Table::Configuration, vec![record("config", 10)], Position::new(2, 1));
+    assert_eq!(other.value(Table::Configuration, "config").map(str::len), Some(100_000));
+}
+
 /// A value of many segments, of which one is `changed`.
 fn long_value(changed: &str) -> String {
     let segments = (0..2_000).map(|number| match number {
