--- a/crates/drumusher/tests/routes/mass_restart.rs
+++ b/crates/drumusher/tests/routes/mass_restart.rs
@@ -5,6 +5,7 @@
 //! on keep it busy for good.
 
 use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
     thread,
     time::{Duration, Instant},
 };
@@ -38,9 +39,15 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of threads that send such requests.
 const PROBES: usize = 64;
+/// Held by the test that runs: each has many processes.
+static TURN: Mutex<()> = Mutex::new(());
 /// Longest wait for service. Only keeps the test from hanging; it is no performance bound.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+fn run_alone() -> MutexGuard<'static, ()> {
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Registered instances behind relays, with `servers` entries of a service that gets no requests.
 fn deploy(instances: usize, servers: usize) -> Deployment {
     let mut deployment = Deployment::empty(true);
@@ -141,6 +148,7 @@
 fn instances_serve_again_after_all_were_killed(
     #[values(Restart::All, Restart::NoContacts, Restart::StoreAway)] restart: Restart,
 ) {
+    let _alone = run_alone();
     let instances = size(INSTANCES_VARIABLE, INSTANCES);
     let servers = size(SERVERS_VARIABLE, SERVERS);
     let mut deployment = deploy(instances, servers);
@@ -188,6 +196,7 @@
 /// A store that returns from an older copy may have no contacts.
 #[test]
 fn lost_contacts_are_listed_again() {
+    let _alone = run_alone();
     let deployment = deploy(INSTANCES, 0);
     for at in contacts(&deployment) {
         deployment.store.remove("keyed.contacts", &format!("i{at}"));
