test: lookups of connections share one reading of the table of sockets

The proxies of routes::lost_paths read the kernel's table of sockets for each lookup, up to forty times a connection. With some 15,000 rows in it, as when starts of many instances run in the same suite, 656 of their threads used all 16 cores (sampled: 6,330 of 6,335 ticks of the process), lost_paths failed, and so did others beside it.

A reading now serves all lookups that began before it, and rows that belong to no process are left out.

--- a/crates/drumusher/tests/routes/support/gateway.rs
+++ b/crates/drumusher/tests/routes/support/gateway.rs
@@ -10,7 +10,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use socket2::SockRef;
@@ -22,6 +22,9 @@
 /// Interval at which a silent link checks whether it works again.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// States in the kernel's table of sockets whose socket belongs to no process, or is not connected.
+const UNCONNECTED: [&str; 2] = ["06", "0A"];
+
 /// State of the link from an instance to the backend servers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Link {
@@ -162,13 +165,38 @@
     let _ = stream.shutdown(Shutdown::Read);
 }
 
+/// The kernel's table of sockets, by their two addresses. One reading serves all lookups that began before it, since the
+/// table is long where many tests run.
+struct Sockets {
+    read_at: Instant,
+    inodes: HashMap<(String, String), u64>,
+}
+
+static SOCKETS: Mutex<Option<Sockets>> = Mutex::new(None);
+
+impl Sockets {
+    fn read() -> Option<Sockets> {
+        let read_at = Instant::now();
+        let table = fs::read_to_string("/proc/net/tcp").ok()?;
+        let connected = table.lines().filter_map(|line| {
+            let mut row = line.split_whitespace().skip(1);
+            let (local, remote, state) = (row.next()?, row.next()?, row.next()?);
+            let inode = row.nth(5).filter(|_| !UNCONNECTED.contains(&state))?.parse().ok()?;
+            Some(((local.to_string(), remote.to_string()), inode))
+        });
+        Some(Sockets { read_at, inodes: connected.collect() })
+    }
+}
+
 /// The inode of the socket of this host that is connected from `local` to `remote`.
 fn socket_inode(local: SocketAddr, remote: SocketAddr) -> Option<u64> {
-    let (local, remote) = (table_form(local)?, table_form(remote)?);
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let mut rows = rows.filter(|row| row.get(1) == Some(&&*local) && row.get(2) == Some(&&*remote));
-    rows.find_map(|row| row.get(9)?.parse().ok())
+    let began = Instant::now();
+    let addresses = (table_form(local)?, table_form(remote)?);
+    let mut sockets = lock(&SOCKETS);
+    if sockets.as_ref().is_none_or(|sockets| sockets.read_at < began) {
+        *sockets = Sockets::read();
+    }
+    sockets.as_ref()?.inodes.get(&addresses).copied()
 }
 
 /// An address as the kernel's table of sockets has it.
