fix: crashes of one request are no evidence against parts that others share

Callers saw: while a request that is sent again and again crashed engines, requests with the same first parts of their prompts were held back with it, for an hour.

Cause: each crash counted against each part of the prompt, also where all crashes happened during one request.

Ruled out: that the other requests were held for their own digest; theirs had no record.

unit::lone_requests:: is new.

--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -10,6 +10,7 @@
 //! | `budget` | the retry budget of a pool |
 //! | `health` | log lines on the health of backend servers |
 //! | `hosted_pool` | the state of one pool: scheduler, names of backend servers, budget, trials |
+//! | `lone_requests` | crashes that one request alone explains |
 //! | `notices` | limits, rests and departures that backend servers announced to any entry |
 //! | `orders` | execution of the scheduler's orders |
 //! | `requesters` | the other instances that use this dispatcher |
@@ -23,6 +24,7 @@
 mod budget;
 mod health;
 mod hosted_pool;
+mod lone_requests;
 mod notices;
 mod orders;
 mod requesters;
@@ -34,6 +36,7 @@
 pub use answered::Answered;
 pub use budget::{Bound, Budget};
 pub use hosted_pool::HostedPool;
+pub use lone_requests::LoneRequests;
 pub use requesters::Requesters;
 pub use trials::Trials;
 
@@ -144,6 +147,7 @@
     pools: HashMap<Pool, HostedPool>,
     divisor: Divisor,
     answered: Answered,
+    lone_requests: LoneRequests,
     undecided: VecDeque<suspects::Undecided>,
     orders: Vec<Order>,
     unsent: VecDeque<(Entry, Message)>,
@@ -159,6 +163,7 @@
         pools,
         divisor: 1,
         answered: Answered::default(),
+        lone_requests: LoneRequests::default(),
         undecided: VecDeque::new(),
         orders,
         unsent,
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -164,9 +164,11 @@
             return;
         }
         self.answered.record_answer(clock::now(), &subject.workspace, &subject.parts);
-        if self.shared.quarantine().has_parts() {
-            let parts = subject.part_digests(&self.shared.settings.fleet_secret);
-            parts.into_iter().for_each(|part| self.clear_suspect(part));
+        if self.shared.quarantine().has_parts() || !self.lone_requests.is_empty() {
+            for part in subject.part_digests(&self.shared.settings.fleet_secret) {
+                self.lone_requests.answered(part);
+                self.clear_suspect(part);
+            }
         }
     }
 
@@ -235,10 +237,14 @@
             if together && !self.answered.is_common_cause(now, workspace, part, &start) {
                 continue;
             }
-            if self.answered.record_crash(now, workspace, part, &start) {
-                let secret = &self.shared.settings.fleet_secret;
-                let digest = digest::of_part(secret, workspace, part);
-                self.record_crash(digest, crash, (*alone, true));
+            if !self.answered.record_crash(now, workspace, part, &start) {
+                continue;
+            }
+            let Some(request) = Digest::from_wire(&crash.digest) else { continue };
+            let secret = &self.shared.settings.fleet_secret;
+            let digest = digest::of_part(secret, workspace, part);
+            for (alone, crash) in self.lone_requests.add(digest, request, (*alone, crash.clone())) {
+                self.record_crash(digest, &crash, (alone, true));
             }
         }
     }
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -13,6 +13,7 @@
 mod failures;
 mod fetch;
 mod hosted_pool;
+mod lone_requests;
 mod notices;
 mod options;
 mod patch;
