fix: requests that crash engines are held back however the engines end

Callers saw: a request under which three engines had ended was sent to engines again and again, and all that ran beside it was broken off or got 502.

Cause: only a connection that closed, of a server that was still listed with the same start and whose host refused a new connection at once, counted as a crash. Engines also fall silent, restart before the probe, come back under another name, or crash after their instance gave the attempt up; and a request whose answer had gone on for a second was cleared. The class: a fault that is known by one of its signs.

Now a server at which an attempt broke, was given up, or waits in silence is watched until it is known what became of it: refused connections, another server at its address or listed there, or a later start are a crash; an answer is none; silence alone proves nothing. Its dispatcher hears of the suspicion at once (message 25, which the release before passes over): two suspected crashes make a request run on trial, and a trial of which it is not known yet whether it crashed its server holds up the next one with a refusal that tells when to come back. Only the end of an answer clears a request.

--- a/crates/drumusher-log/src/quarantine.rs
+++ b/crates/drumusher-log/src/quarantine.rs
@@ -22,7 +22,7 @@
 
 /// Number of crashes from which on a request runs only on trial. Many requests are running at one crash, but few of
 /// them at a second one, since their retries go to different backend servers.
-const TRIAL_THRESHOLD: usize = 2;
+pub const TRIAL_THRESHOLD: usize = 2;
 /// Number of crashes on trial from which on a request is held back. One of them may be unrelated: a backend server
 /// that crashes by itself, or because of a suspect that is not known yet. With [`TRIAL_THRESHOLD`], a request whose
 /// retries come one after the other crashes four backend servers.
--- a/crates/drumusher-platform/src/dialect.rs
+++ b/crates/drumusher-platform/src/dialect.rs
@@ -88,6 +88,8 @@
 pub struct Answer {
     /// ID of the request that it answers.
     pub id: Option<String>,
+    /// Name of the backend server that answers, if it says it.
+    pub server: Option<String>,
     /// Whether the backend server states that it did not execute the request.
     pub not_run: bool,
     /// Whether it carries the backend server's signature.
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -21,6 +21,8 @@
     NoRepeat,
     /// It is quarantined: backend servers crashed whenever it ran.
     HeldBack,
+    /// A backend server that ran it on trial does not answer, and may have crashed.
+    Undecided,
 }
 
 /// Why a request was placed on its backend server.
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -292,6 +292,14 @@
   9: optional list<i64> parts
 }
 
+/* An attempt broke or was given up, and its backend server may have crashed: it does not answer, or may still be at work. The
+   crash follows if there is one. */
+struct Break {
+  1: required Crash attempt
+  /* the server answered since, so that it has not crashed yet */
+  2: optional bool survived
+}
+
 union Message {
   1: Hello hello
   2: Challenge challenge
@@ -317,4 +325,5 @@
   22: Notice notice
   23: TunnelReply tunnel_reply
   24: Referral referral
+  25: Break broken
 }
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -2980,6 +2980,75 @@
   }
 }
 
+//
+// Break
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Break {
+  pub attempt: Crash,
+  pub survived: Option<bool>,
+}
+
+impl Break {
+  pub fn new<F2>(attempt: Crash, survived: F2) -> Break where F2: Into<Option<bool>> {
+    Break {
+      attempt,
+      survived: survived.into(),
+    }
+  }
+}
+
+impl TSerializable for Break {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Break> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<Crash> = None;
+    let mut f_2: Option<bool> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = Crash::read_from_in_protocol(i_prot)?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_bool()?;
+          f_2 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Break.attempt", &f_1)?;
+    let ret = Break {
+      attempt: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      survived: f_2,
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Break");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("attempt", TType::Struct, 1))?;
+    self.attempt.write_to_out_protocol(o_prot)?;
+    o_prot.write_field_end()?;
+    if let Some(fld_var) = self.survived {
+      o_prot.write_field_begin(&TFieldIdentifier::new("survived", TType::Bool, 2))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Message
 //
@@ -3010,6 +3079,7 @@
   Notice(Notice),
   TunnelReply(TunnelReply),
   Referral(Referral),
+  Broken(Break),
 }
 
 impl TSerializable for Message {
@@ -3192,6 +3262,13 @@
           }
           received_field_count += 1;
         },
+        25 => {
+          let val = Break::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Message::Broken(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -3346,6 +3423,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Message::Broken(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("broken", TType::Struct, 25))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -88,11 +88,11 @@
     assert_eq!(frame::length(&prefix), Err(Error::TooLong(MAX_MESSAGE_BYTES + 1)));
 }
 
-/// A message of a newer version: number 25, whose field number is written in the long form, and number 0.
+/// A message of a newer version: number 26, whose field number is written in the long form, and number 0.
 #[test]
 fn an_unknown_message_is_reported_by_its_number() {
-    let in_long_form = [0, 0, 0, 4, 0x0c, 0x32, 0x00, 0x00];
-    assert_eq!(frame::read(&in_long_form), Err(Error::Unknown(25)));
+    let in_long_form = [0, 0, 0, 4, 0x0c, 0x34, 0x00, 0x00];
+    assert_eq!(frame::read(&in_long_form), Err(Error::Unknown(26)));
     let number_zero = [0, 0, 0, 3, 0x0c, 0x00, 0x00];
     assert_eq!(frame::read(&number_zero), Err(Error::Unknown(0)));
 }
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -14,7 +14,7 @@
 use drumusher_schedule::ask::{Id, Part};
 use drumusher_wire::peer::Message;
 
-pub use crash::{Crash, Crashes};
+pub use crash::{Break, Crash, Crashes};
 pub use delegation::{BudgetReport, Delegations};
 pub use table::Table;
 pub use view::View;
@@ -38,6 +38,8 @@
     Progress(Id, Report),
     /// A backend server crashed while it ran a request.
     Crash(Box<Crash>),
+    /// An attempt broke or was given up at a backend server that may have crashed.
+    Break(Box<Break>),
     /// A backend server announced a limit, a rest or its departure.
     Notice(Box<notices::Record>),
     /// The directory of instances and backend servers changed.
--- a/crates/drumusher/src/process/broker/crash.rs
+++ b/crates/drumusher/src/process/broker/crash.rs
@@ -43,6 +43,15 @@
     pub parts: Vec<u64>,
 }
 
+/// An attempt that broke or was given up at a backend server that may have crashed.
+#[derive(Clone, Debug)]
+pub struct Break {
+    /// The crash that it may have caused.
+    pub attempt: Crash,
+    /// Whether the backend server answered since.
+    pub survived: bool,
+}
+
 /// A crash with the dispatcher that it was last reported to.
 #[derive(Debug)]
 struct Reported {
@@ -68,6 +77,15 @@
         self.reports.push_back(Reported { at: now, to, crash });
     }
 
+    /// Reports a suspected crash to the dispatcher of its pool.
+    pub fn suspect(suspected: &Break, view: &View, sends: &mut Vec<Outgoing>) {
+        let attempt = &suspected.attempt;
+        let Some(to) = view.dispatcher(&attempt.pool, &attempt.area) else { return };
+        let survived = suspected.survived.then_some(true);
+        let message = Message::Broken(peer::Break { attempt: encode(attempt), survived });
+        sends.push(Outgoing { to, message });
+    }
+
     /// Reports the crashes again whose dispatcher changed.
     pub fn reassign(&mut self, now: Micros, view: &View, sends: &mut Vec<Outgoing>) {
         self.expire(now);
@@ -89,7 +107,11 @@
 }
 
 fn message(crash: &Crash) -> Message {
-    Message::Crash(peer::Crash {
+    Message::Crash(encode(crash))
+}
+
+fn encode(crash: &Crash) -> peer::Crash {
+    peer::Crash {
         id: id::to_wire(crash.id),
         pool: crash.pool.to_string(),
         digest: crash.digest.to_wire(),
@@ -100,5 +122,5 @@
         route: crash.route.to_string(),
         parts: (!crash.parts.is_empty())
             .then(|| crash.parts.iter().map(|part| *part as i64).collect()),
-    })
+    }
 }
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -112,6 +112,7 @@
             Input::Finish(id, outcome, produced) => self.finish(id, outcome, produced, sends),
             Input::Progress(id, report) => self.record_progress(id, report),
             Input::Crash(crash) => self.crashes.add(clock::now(), *crash, &self.view, sends),
+            Input::Break(suspected) => Crashes::suspect(&suspected, &self.view, sends),
             Input::Notice(record) => self.notice(&record, sends),
             Input::Changed => {}
         }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -7,6 +7,7 @@
 //! |---|---|
 //! | `answered` | parts of prompts that backend servers have answered |
 //! | `asks` | `Ask` messages: retry budget, quarantine, submission to the scheduler |
+//! | `breaks` | attempts that broke at backend servers which may have crashed |
 //! | `budget` | the retry budget of a pool |
 //! | `health` | log lines on the health of backend servers |
 //! | `hosted_pool` | the state of one pool: scheduler, names of backend servers, budget, trials |
@@ -21,6 +22,7 @@
 
 mod answered;
 mod asks;
+mod breaks;
 mod budget;
 mod health;
 mod hosted_pool;
@@ -34,6 +36,7 @@
 mod wire;
 
 pub use answered::Answered;
+pub use breaks::Breaks;
 pub use budget::{Bound, Budget};
 pub use hosted_pool::HostedPool;
 pub use lone_requests::LoneRequests;
@@ -147,6 +150,7 @@
     pools: HashMap<Pool, HostedPool>,
     divisor: Divisor,
     answered: Answered,
+    breaks: Breaks,
     lone_requests: LoneRequests,
     undecided: VecDeque<suspects::Undecided>,
     orders: Vec<Order>,
@@ -163,6 +167,7 @@
         pools,
         divisor: 1,
         answered: Answered::default(),
+        breaks: Breaks::default(),
         lone_requests: LoneRequests::default(),
         undecided: VecDeque::new(),
         orders,
@@ -209,6 +214,7 @@
                 }
             }
             Message::Crash(crash) => self.handle_crash(&crash),
+            Message::Broken(suspected) => self.handle_break(suspected),
             Message::Notice(notice) => self.handle_notice(entry, &notice),
             Message::Progress(batch) => self.handle_progress(&batch),
             Message::Finish(finish) => self.handle_finish(&finish),
@@ -297,6 +303,7 @@
     fn tick(&mut self) {
         self.flush();
         self.decide_crashes();
+        self.breaks.expire(clock::now());
         self.handle_all(|_| Event::Tick);
         self.record_load();
         let now = clock::now();
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -39,6 +39,7 @@
         match self.check_quarantine(&message, &pool) {
             Admission::Run => self.submit(entry, &message, &pool),
             Admission::Refuse => self.refuse_quarantined(entry, message.id),
+            Admission::Postpone => self.refuse_undecided(entry, message.id),
             Admission::Wait => {
                 let hosted = self.pools.get_mut(&pool);
                 return hosted.is_some_and(|hosted| hosted.trials.wait(entry, message));
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -1,12 +1,12 @@
 //! Requests suspected of crashing backend servers: crash reports of entries, trial runs, and quarantine.
 
-use drumusher_log::quarantine::{Crash, Digest, Verdict};
+use drumusher_log::quarantine::{Crash, Digest, TRIAL_THRESHOLD, Table, Verdict};
 use drumusher_schedule::{
     ask::{Entry, Id, Outcome},
     order::Refusal,
     pool,
     server::Server,
-    time::Micros,
+    time::{MILLISECOND, Micros},
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -24,6 +24,8 @@
 
 /// Maximum number of crash reports that wait for others.
 const MAX_UNDECIDED: usize = 4_096;
+/// When a caller is to come again while it is not known whether a backend server crashed: it usually is within this time.
+const UNDECIDED_RETRY: Micros = 500 * MILLISECOND;
 /// Maximum number of parts of one prompt that a crash is evidence against.
 const MAX_PARTS: usize = 16;
 
@@ -36,6 +38,8 @@
     Wait,
     /// It is quarantined.
     Refuse,
+    /// It may come again once it is known whether the backend server of its latest trial crashed.
+    Postpone,
 }
 
 /// What crashes are recorded for: a request, and the parts of its prompt that others share.
@@ -75,6 +79,9 @@
             return Admission::Run;
         };
         let suspects = self.suspects(&subject);
+        let undecided = !suspects.is_empty()
+            && message.server.is_none()
+            && self.breaks.is_trial_undecided(subject.request, &subject.workspace, &subject.parts);
         let held = suspects.iter().any(|(_, verdict)| *verdict == Verdict::Held);
         let Some(hosted) = self.pools.get_mut(pool) else {
             return Admission::Run;
@@ -83,6 +90,9 @@
         if held && !runs_already {
             return Admission::Refuse;
         }
+        if undecided {
+            return Admission::Postpone;
+        }
         if suspects.is_empty() {
             hosted.trials.forget(id);
         } else {
@@ -105,9 +115,18 @@
         } else {
             Vec::new()
         };
-        let digests = parts.into_iter().chain([subject.request]);
-        let verdicts = digests.map(|digest| (digest, table.verdict(digest)));
-        verdicts.filter(|(_, verdict)| *verdict != Verdict::Free).collect()
+        let verdicts = parts.into_iter().map(|digest| (digest, table.verdict(digest)));
+        let request = (subject.request, self.request_verdict(&table, subject.request));
+        verdicts.chain([request]).filter(|(_, verdict)| *verdict != Verdict::Free).collect()
+    }
+
+    /// How a request may be run. Backend servers that may have crashed count for a trial, but not against the request.
+    fn request_verdict(&self, table: &Table, request: Digest) -> Verdict {
+        let verdict = table.verdict(request);
+        let known = table.get(request).map_or(0, |record| record.ends.len());
+        let suspected = self.breaks.undecided(request);
+        let on_trial = suspected > 0 && known + suspected >= TRIAL_THRESHOLD;
+        if verdict == Verdict::Free && on_trial { Verdict::Trial } else { verdict }
     }
 
     /// Refuses a quarantined request, without a time to try again.
@@ -118,6 +137,14 @@
         self.flush();
     }
 
+    /// Refuses a request of which it is not known yet whether its latest trial crashed a backend server.
+    pub(super) fn refuse_undecided(&mut self, entry: Entry, id: Vec<u8>) {
+        let refusal = Refusal::Undecided as i16;
+        let refuse = Message::Refuse(peer::Refuse::new(id, refusal, UNDECIDED_RETRY as i64));
+        self.unsent.push_back((entry, refuse));
+        self.flush();
+    }
+
     /// Submits the waiting requests that may have a trial run now, and refuses those that have been quarantined since.
     pub(super) fn admit_waiting(&mut self, pool: &Pool) {
         let Some(hosted) =
@@ -172,11 +199,19 @@
         }
     }
 
-    /// Clears the suspects whose trials have been answered for long enough.
+    /// Clears the suspected parts of prompts whose trials have been answered for long enough. A request may crash its
+    /// backend server at any time until its answer is complete.
     pub(super) fn clear_proven(&mut self, pool: &Pool) {
         let Some(hosted) = self.pools.get_mut(pool) else { return };
         let proven = hosted.trials.take_proven(clock::now());
-        proven.into_iter().for_each(|digest| self.clear_suspect(digest));
+        if proven.is_empty() {
+            return;
+        }
+        let is_part = |digest: &Digest| {
+            self.shared.quarantine().get(*digest).is_some_and(|record| record.part)
+        };
+        let parts: Vec<Digest> = proven.into_iter().filter(is_part).collect();
+        parts.into_iter().for_each(|digest| self.clear_suspect(digest));
     }
 
     /// Clears a request or part that was answered from suspicion.
@@ -196,15 +231,42 @@
         }
     }
 
-    /// Handles an entry's report that a backend server crashed while it ran a request.
-    pub(super) fn handle_crash(&mut self, crash: &peer::Crash) {
-        let digest = Digest::from_wire(&crash.digest);
-        let (Some(digest), Some(id)) = (digest, id::from_wire(&crash.id)) else {
+    /// Handles an entry's report of an attempt whose backend server may have crashed.
+    pub(super) fn handle_break(&mut self, suspected: peer::Break) {
+        let attempt = suspected.attempt;
+        let start = start(&attempt);
+        if suspected.survived == Some(true) {
+            self.breaks.survived(&start);
             return;
-        };
+        }
+        let alone = self.ran_alone(&attempt);
+        if let Some(crashed) = self.breaks.add(clock::now(), &start, alone, attempt) {
+            self.count_crash(&crashed, alone);
+        }
+    }
+
+    /// Whether a request was the only trial on its backend server.
+    fn ran_alone(&self, crash: &peer::Crash) -> bool {
         let hosted = Pool::parse(&crash.pool).and_then(|pool| self.pools.get(&pool));
-        let known = hosted.and_then(|hosted| hosted.trials.was_alone(id));
-        let alone = known.unwrap_or(crash.alone == Some(true));
+        let known = hosted.zip(id::from_wire(&crash.id));
+        let known = known.and_then(|(hosted, id)| hosted.trials.was_alone(id));
+        known.unwrap_or(crash.alone == Some(true))
+    }
+
+    /// Handles an entry's report that a backend server crashed while it ran a request. The crash counts for all attempts
+    /// that broke there.
+    pub(super) fn handle_crash(&mut self, crash: &peer::Crash) {
+        for (alone, attempt) in self.breaks.crashed(clock::now(), &start(crash)) {
+            if attempt.id != crash.id {
+                self.count_crash(&attempt, alone);
+            }
+        }
+        self.count_crash(crash, self.ran_alone(crash));
+    }
+
+    /// Records a crash as evidence against a request, and notes it as evidence against the parts of its prompt.
+    fn count_crash(&mut self, crash: &peer::Crash, alone: bool) {
+        let Some(digest) = Digest::from_wire(&crash.digest) else { return };
         self.record_crash(digest, crash, (alone, false));
         self.answered.note_crash(clock::now(), &start(crash));
         let Some(parts) = &crash.parts else { return };
--- a/crates/drumusher/src/process/dispatch/trials.rs
+++ b/crates/drumusher/src/process/dispatch/trials.rs
@@ -25,6 +25,8 @@
     started: Option<Micros>,
     /// Whether no other trial ran on its backend server at the same time.
     alone: bool,
+    /// Whether it has been answered for [`PROOF_TIME`].
+    proven: bool,
 }
 
 /// A request that waits for its trial run.
@@ -47,13 +49,14 @@
     /// at a time.
     pub(super) fn may_begin(&self, suspects: &[Digest], max: usize) -> bool {
         let open = self.running.values().filter(|trial| trial.started.is_none()).count();
-        let mut tried = self.running.values().flat_map(|trial| &trial.suspects);
+        let unproven = self.running.values().filter(|trial| !trial.proven);
+        let mut tried = unproven.flat_map(|trial| &trial.suspects);
         open < max && !tried.any(|tried| suspects.contains(tried))
     }
 
     /// Begins the trial of a request that is submitted to the scheduler.
     pub fn begin(&mut self, id: Id, suspects: Vec<Digest>) {
-        let trial = Trial { suspects, server: None, started: None, alone: true };
+        let trial = Trial { suspects, server: None, started: None, alone: true, proven: false };
         self.running.insert(id, trial);
     }
 
@@ -100,11 +103,19 @@
         }
     }
 
-    /// Ends the trials whose answers have gone on for so long that they prove their suspects innocent. Returns these.
+    /// Returns the suspects of the trials whose answers have gone on for [`PROOF_TIME`] by now. They no longer keep
+    /// another trial from beginning.
     pub fn take_proven(&mut self, now: Micros) -> Vec<Digest> {
-        let is_proven = |trial: &mut Trial| trial.started.is_some_and(|at| now > at + PROOF_TIME);
-        let proven = self.running.extract_if(|_, trial| is_proven(trial));
-        proven.flat_map(|(_, trial)| trial.suspects).collect()
+        let is_due = |trial: &&mut Trial| {
+            !trial.proven && trial.started.is_some_and(|at| now > at + PROOF_TIME)
+        };
+        let due = self.running.values_mut().filter(is_due);
+        let mut suspects = Vec::new();
+        for trial in due {
+            trial.proven = true;
+            suspects.extend_from_slice(&trial.suspects);
+        }
+        suspects
     }
 
     /// Removes a request that ended, moved to another dispatcher or was withdrawn. Returns whether that made room for
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -32,6 +32,7 @@
             | Message::Progress(_)
             | Message::Finish(_)
             | Message::Crash(_)
+            | Message::Broken(_)
             | Message::Notice(_) => {
                 let input = dispatch::Input::Message(Entry(number), Box::new(message));
                 self.try_dispatch(input);
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -139,7 +139,7 @@
             shared: shared.clone(),
             dialect: dialect.clone(),
             conns: upstream::Pool::new(),
-            crash_checks: RefCell::default(),
+            watches: RefCell::default(),
             client_connections: ClientConnections::new(),
         };
         rt::spawn(close_idle_callers(shared.clone(), worker.client_connections.clone()));
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -24,6 +24,7 @@
 mod response;
 mod timing;
 
+pub use crash::Watch;
 pub use failure::Failure;
 pub use grant::Refused;
 pub use path::probe_lost_paths;
@@ -116,6 +117,10 @@
     part_digests: OnceCell<Vec<Digest>>,
     /// When it was last recorded that the backend server of the latest attempt was heard.
     heard_at: Cell<Micros>,
+    /// When the latest part of the response of the latest attempt arrived.
+    received_at: Cell<Micros>,
+    /// Whether the backend server of the latest attempt is watched for a crash because of it.
+    watched: Cell<bool>,
     unsent_failures: u32,
     /// Whether a grant was requested at least once.
     grant_requested: bool,
@@ -174,6 +179,8 @@
             first_event_at: None,
             part_digests: OnceCell::new(),
             heard_at: Cell::new(0),
+            received_at: Cell::new(0),
+            watched: Cell::new(false),
             unsent_failures: 0,
             grant_requested: false,
             grant_requested_at: 0,
@@ -235,6 +242,8 @@
         self.backend = Some(backend.clone());
         self.tunnelled = conn.is_tunnel();
         self.heard_at.set(0);
+        self.received_at.set(0);
+        self.watched.set(false);
         self.first_event_at = None;
         let began = clock::now();
         let dialect = &self.worker.dialect;
@@ -311,9 +320,13 @@
     /// See [`Conn::next_part`].
     pub async fn next_part(&self, conn: &mut Conn, until: Micros) -> Result<Part, upstream::Error> {
         let since = clock::now();
-        let is_gone = || self.backend_restarted() || self.gives_up_path(since);
+        let is_gone = || {
+            self.watch_silent(since);
+            self.backend_restarted() || self.gives_up_path(since)
+        };
         let part = conn.next_part(until, is_gone).await;
         if part.is_ok() {
+            self.received_at.set(clock::now());
             self.record_heard();
         }
         part
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -43,6 +43,8 @@
     pub fn record_failure(&mut self, backend: &Backend, failure: &Failure) {
         // A lost path says nothing about the server.
         let blames_path = self.is_path_failure(backend, failure);
+        // The dispatcher has to know of the crash that is suspected when the attempt ends.
+        self.detect_crash(backend, failure);
         self.ticket.finish(if blames_path { Outcome::Cancelled } else { failure.outcome() });
         self.avoid = Some(backend.name.clone());
         let was_sent = !matches!(failure, Failure::NotConnected | Failure::Withheld);
@@ -52,7 +54,6 @@
             Failure::NotRun(_) => {}
             Failure::Broken(_) | Failure::Failed(_) => self.may_have_run = true,
         }
-        self.detect_crash(backend, failure);
         let shared = &self.worker.shared;
         shared.telemetry.count("drumusher.attempt.failures", &[("reason", failure.as_str())]);
         log::info!(
@@ -160,6 +161,9 @@
             r if r == Refusal::WorkspaceLimit as i16 => {
                 (Kind::WorkspaceLimit, "the workspace has reached its limit")
             }
+            r if r == Refusal::Undecided as i16 => {
+                (Kind::NoServer, "a backend server that ran this request may have crashed")
+            }
             r if r == Refusal::WaitBound as i16 => {
                 (Kind::WaitBound, "the request would wait longer than its class allows")
             }
--- a/crates/drumusher/src/routed/exchange/path.rs
+++ b/crates/drumusher/src/routed/exchange/path.rs
@@ -115,17 +115,21 @@
         }
     }
 
+    /// Time without a part of the response after which the path and the backend server are checked.
+    pub(super) fn suspicious_silence(&self) -> Micros {
+        let target = self.request.route_match.first_ms * MILLISECOND + self.expected_first_event;
+        (target * 3 / 2).max(MIN_SILENCE)
+    }
+
     /// Whether to give up an attempt whose backend server has been silent since `since`, because the path to it is lost
     /// and the request may go elsewhere. Checks the path first.
     pub(super) fn gives_up_path(&self, since: Micros) -> bool {
         let now = clock::now();
-        let route_match = &self.request.route_match;
-        let target = route_match.first_ms * MILLISECOND + self.expected_first_event;
-        let silence = (target * 3 / 2).max(MIN_SILENCE);
         let Some(backend) = &self.backend else { return false };
-        if self.tunnelled || now < since + silence {
+        if self.tunnelled || now < since + self.suspicious_silence() {
             return false;
         }
+        let route_match = &self.request.route_match;
         let paths = &self.worker.shared.paths;
         if paths.begin_check(now, backend, since) {
             let (worker, pool) = (self.worker.clone(), self.ticket.pool().clone());
@@ -195,22 +199,46 @@
 }
 
 /// Queries the health of a backend server over a connection. Returns the connection if the server answered, whatever it
-/// said.
+/// said of its health.
 pub(super) async fn answers<D: Dialect>(
     worker: &Handle<D>,
     pool: &Pool,
     backend: &Backend,
-    mut conn: Conn,
+    conn: Conn,
 ) -> Option<Conn> {
+    let answer = query_health(worker, pool, backend, conn).await?;
+    (!answer.is_other).then_some(answer.conn)
+}
+
+/// An answer to a query of the health of a backend server.
+pub(super) struct Answered {
+    pub(super) conn: Conn,
+    /// Whether another server than the expected one gave it.
+    pub(super) is_other: bool,
+}
+
+/// Queries the health of a backend server over a connection; `None` if nothing answered.
+pub(super) async fn query_health<D: Dialect>(
+    worker: &Handle<D>,
+    pool: &Pool,
+    backend: &Backend,
+    mut conn: Conn,
+) -> Option<Answered> {
     let until = clock::now() + PROBE_TIMEOUT;
     let routing = worker.shared.routing.load();
     let path = pool.service().zip(routing.as_ref());
     let path = path.and_then(|(service, routing)| routing.health_path(service)).unwrap_or("/");
     let head = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", backend.address);
     conn.send(head.as_bytes(), &Bytes::new(), false).ok()?;
+    let mut is_other = false;
     loop {
-        if let Part::End = conn.next_part(until, || false).await.ok()? {
-            return Some(conn);
+        match conn.next_part(until, || false).await.ok()? {
+            Part::Head(head) => {
+                let answer = worker.dialect.read_answer(head.status, &head.headers);
+                is_other = answer.server.is_some_and(|server| server != *backend.name);
+            }
+            Part::Data(_) => {}
+            Part::End => return Some(Answered { conn, is_other }),
         }
     }
 }
--- a/crates/drumusher/src/routed/mod.rs
+++ b/crates/drumusher/src/routed/mod.rs
@@ -21,10 +21,7 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
 
-use crate::{
-    process::{Shared, broker::Crash},
-    upstream,
-};
+use crate::{process::Shared, upstream};
 
 /// State shared by the requests of one HTTP worker.
 pub struct Worker<D> {
@@ -34,8 +31,8 @@
     pub dialect: D,
     /// Idle connections to backend servers.
     pub conns: upstream::Pool,
-    /// Requests that ran on backend servers which may have crashed, while that is checked.
-    pub crash_checks: RefCell<HashMap<upstream::Incarnation, Vec<Crash>>>,
+    /// Backend servers that may have crashed, while that is watched.
+    pub watches: RefCell<HashMap<upstream::Incarnation, exchange::Watch>>,
     /// Open client connections.
     pub client_connections: client_connections::ClientConnections,
 }
--- a/crates/drumusher/src/upstream/mod.rs
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -24,7 +24,7 @@
 pub type Incarnation = (Arc<str>, Option<u64>);
 
 /// The run of a backend server that an entry of the directory is about.
-fn incarnation(server: &Backend) -> Incarnation {
+pub fn incarnation(server: &Backend) -> Incarnation {
     (server.name.clone(), server.started_ms)
 }
 
--- a/crates/drumusher/src/upstream/paths.rs
+++ b/crates/drumusher/src/upstream/paths.rs
@@ -110,6 +110,11 @@
         inner.heard.insert(incarnation(backend), now);
     }
 
+    /// Whether a backend server sent anything over its path after `since`.
+    pub fn was_heard_after(&self, since: Micros, backend: &Backend) -> bool {
+        self.lock().heard.get(&incarnation(backend)).is_some_and(|at| *at > since)
+    }
+
     /// Records that another instance reached a backend server that this one does not reach. Returns whether its path
     /// was not lost before.
     pub fn record_lost(&self, now: Micros, pool: &Pool, backend: &Backend) -> bool {
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -256,6 +256,17 @@
         now.is_some_and(|now| now.started_ms > backend.started_ms && backend.started_ms.is_some())
     }
 
+    /// Returns whether another backend server of the pool is listed at the address of `backend`, and started later if the
+    /// start times are known: a server that crashed comes back under another name.
+    pub fn is_replaced(&self, pool: &Pool, backend: &Backend) -> bool {
+        let servers = self.pools.get(&pool.whole());
+        let mut servers = servers.into_iter().flat_map(|servers| servers.part(cell::Part::ALL));
+        servers.any(|other| {
+            let is_other = other.address == backend.address && other.name != backend.name;
+            is_other && (other.started_ms.is_none() || other.started_ms > backend.started_ms)
+        })
+    }
+
     /// Returns how a service is divided into cells; `None` if one dispatcher decides for all of it.
     pub fn cells(&self, service: &Arc<str>) -> Option<Cells<'_>> {
         let backends = self.pools.get(&Pool::Service(service.clone()))?;
--- a/crates/drumusher/tests/routes/brittle.rs
+++ b/crates/drumusher/tests/routes/brittle.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use drumusher_adapter_stand_in::{Crash, Server, server::Room};
+use drumusher_adapter_stand_in::{Crash, Ending, Server, server::Room};
 use rstest::rstest;
 
 use crate::support::{DESK, Deployment, Request, configuration};
@@ -34,7 +34,9 @@
     let crash = Crash {
         path: String::new(),
         part: None,
+        events: 0,
         after: Duration::ZERO,
+        ending: Ending::Closed,
         down: DOWNTIME,
         renamed: false,
         service: DESK.into(),
--- /dev/null
+++ b/crates/drumusher/tests/routes/crash_endings.rs
@@ -0,0 +1,263 @@
+//! Requests that crash their backend servers in different ways, and what looks like it and is no crash.
+
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
+};
+
+use drumusher_adapter_stand_in::{Crash, Ending, Server, server::events};
+use drumusher_bench::fleet::wait_for;
+use rstest::rstest;
+
+use crate::{
+    quarantine::{
+        MAX_LATE_ARRIVALS, REPEAT_DURATION, crash_times, deploy, deploy_with, late_arrivals,
+        repeat_request, status_and_code, wait_until_held,
+    },
+    support::{DESK, Deployment, MODEL, Request, operator_query},
+};
+
+/// How long a crashed server is down.
+const DOWNTIME: Duration = Duration::from_millis(600);
+/// How long it is down if it is noticed only by its return.
+const LONG_DOWNTIME: Duration = Duration::from_secs(5);
+/// Pause between two requests of a caller.
+const PAUSE: Duration = Duration::from_millis(150);
+/// How long servers stand still, or are down in an outage.
+const PAUSE_OF_SERVER: Duration = Duration::from_millis(1_500);
+
+/// When a request crashes its backend server.
+#[derive(Clone, Copy, Debug)]
+enum Moment {
+    /// On arrival.
+    Arrival,
+    /// Long after its arrival, without any answer before.
+    Late,
+    /// The same, after its instance turned to another server.
+    Overdue,
+    /// After the first event of a stream.
+    FirstEvent,
+    /// After events of more than a second.
+    ManyEvents,
+}
+
+impl Moment {
+    /// The request that crashes servers.
+    fn request(self) -> Request {
+        match self {
+            Moment::Arrival => Request::get("/read/x"),
+            Moment::Late => Request::post("/book/x", "a booking"),
+            Moment::Overdue | Moment::FirstEvent | Moment::ManyEvents => Request::get("/talk/x"),
+        }
+    }
+
+    /// The number of events before the crash, and the time from the last one or the arrival to the crash.
+    fn delay(self) -> (u64, Duration) {
+        match self {
+            Moment::Arrival => (0, Duration::ZERO),
+            Moment::Late => (0, Duration::from_millis(1_200)),
+            Moment::Overdue => (0, Duration::from_millis(1_500)),
+            Moment::FirstEvent => (1, Duration::from_millis(40)),
+            Moment::ManyEvents => (15, Duration::ZERO),
+        }
+    }
+}
+
+/// How servers crash.
+#[derive(Clone, Copy, Debug)]
+struct Manner {
+    moment: Moment,
+    ending: Ending,
+    renamed: bool,
+    down: Duration,
+}
+
+/// Makes the servers of the request's service crash on it.
+fn crash_servers(deployment: &Deployment, manner: Manner) {
+    let request = manner.moment.request();
+    let (service, prefix) =
+        if request.path.starts_with("/talk") { (MODEL, 'm') } else { (DESK, 'd') };
+    let (events, after) = manner.moment.delay();
+    for server in deployment.servers.iter().filter(|server| server.id.starts_with(prefix)) {
+        server.crash_on(Some(Crash {
+            path: request.path.clone(),
+            part: None,
+            events,
+            after,
+            ending: manner.ending,
+            down: manner.down,
+            renamed: manner.renamed,
+            service: service.into(),
+            store: deployment.store.clone(),
+        }));
+    }
+}
+
+fn check_held_back(manner: Manner) {
+    let deployment = deploy(3);
+    crash_servers(&deployment, manner);
+    let request = manner.moment.request();
+    repeat_request(&deployment, &request, REPEAT_DURATION);
+    wait_until_held(&deployment, &request);
+    let crashes = crash_times(&deployment).len();
+    let late = late_arrivals(&deployment, &request.path);
+    println!("{manner:?}: {crashes} crashes, {late} late arrivals");
+    assert!(late <= MAX_LATE_ARRIVALS, "{manner:?}: {late} late arrivals, {crashes} crashes");
+    for path in ["/read/other", "/talk/other"] {
+        wait_for("other requests are served", || {
+            let response = deployment.send(0, &Request::get(path));
+            response.is_ok_and(|response| response.status == 200 && response.complete)
+        });
+    }
+}
+
+/// From three seconds after the third crash, the request arrives at servers three more times at most.
+#[rstest]
+fn request_is_held_back_however_it_crashes_its_servers(
+    #[values(Ending::Closed, Ending::Reset, Ending::Silent)] ending: Ending,
+    #[values(
+        Moment::Arrival,
+        Moment::Late,
+        Moment::Overdue,
+        Moment::FirstEvent,
+        Moment::ManyEvents
+    )]
+    moment: Moment,
+    #[values(false, true)] renamed: bool,
+) {
+    check_held_back(Manner { moment, ending, renamed, down: DOWNTIME });
+}
+
+/// Servers that stay silent for longer than the time in which the request has to be noticed.
+#[rstest]
+fn request_is_held_back_although_its_servers_stay_silent(
+    #[values(Moment::Arrival, Moment::FirstEvent)] moment: Moment,
+    #[values(false, true)] renamed: bool,
+) {
+    check_held_back(Manner { moment, ending: Ending::Silent, renamed, down: LONG_DOWNTIME });
+}
+
+/// Sound streams are served while such a request crashes servers, and after it is held back.
+#[rstest]
+#[case(Ending::Closed)]
+#[case(Ending::Reset)]
+#[case(Ending::Silent)]
+fn sound_streams_beside_it_are_served(#[case] ending: Ending) {
+    let deployment = deploy_with(3, 9);
+    let manner = Manner { moment: Moment::FirstEvent, ending, renamed: true, down: DOWNTIME };
+    crash_servers(&deployment, manner);
+    let culprit = manner.moment.request();
+    let is_held = AtomicBool::new(false);
+    let (beside, after) = thread::scope(|scope| {
+        let sound = scope.spawn(|| {
+            let (mut beside, mut after) = ((0, 0), (0, 0));
+            for number in 0.. {
+                let held = is_held.load(Ordering::Acquire);
+                if held && after.1 == 20 {
+                    break;
+                }
+                let request = Request::get(&format!("/talk/sound{number}"));
+                let response = deployment.send(number % 3, &request);
+                let served = response.is_ok_and(|response| response.text() == events(&request.id));
+                let counts = if held { &mut after } else { &mut beside };
+                *counts = (counts.0 + usize::from(served), counts.1 + 1);
+                thread::sleep(PAUSE);
+            }
+            (beside, after)
+        });
+        repeat_request(&deployment, &culprit, REPEAT_DURATION);
+        wait_until_held(&deployment, &culprit);
+        is_held.store(true, Ordering::Release);
+        sound.join().expect("the caller ends")
+    });
+    println!("{ending:?}: {beside:?} served beside it, {after:?} after it");
+    assert!(beside.0 * 2 >= beside.1, "{beside:?} served beside it");
+    assert_eq!(after.0, after.1, "all are served after it");
+}
+
+/// What befalls the servers of a deployment, none of it caused by a request.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    /// One server after the other stands still.
+    Pauses,
+    /// All stand still at the same time.
+    CommonPause,
+    /// One after the other stands still, and loses its entry meanwhile.
+    LapsedEntries,
+    /// All fall silent at the same time and start again.
+    Outage,
+}
+
+fn befall(deployment: &Deployment, trouble: Trouble, round: usize) {
+    let engines: Vec<&Server> =
+        deployment.servers.iter().filter(|server| server.id.starts_with('m')).collect();
+    let one = engines[round % engines.len()];
+    match trouble {
+        Trouble::Pauses => one.pause(PAUSE_OF_SERVER),
+        Trouble::CommonPause => engines.iter().for_each(|server| server.pause(PAUSE_OF_SERVER)),
+        Trouble::LapsedEntries => {
+            let entry = deployment.store.newest("keyed.servers", &one.id).expect("its entry");
+            one.pause(PAUSE_OF_SERVER);
+            thread::sleep(PAUSE_OF_SERVER / 3);
+            deployment.store.remove("keyed.servers", &one.id);
+            thread::sleep(PAUSE_OF_SERVER * 2 / 3);
+            deployment.store.put("keyed.servers", &one.id, &entry);
+        }
+        Trouble::Outage => thread::scope(|scope| {
+            for server in engines {
+                let crash = Crash {
+                    path: "/".into(),
+                    part: None,
+                    events: 0,
+                    after: Duration::ZERO,
+                    ending: Ending::Silent,
+                    down: PAUSE_OF_SERVER,
+                    renamed: false,
+                    service: MODEL.into(),
+                    store: deployment.store.clone(),
+                };
+                scope.spawn(move || server.crash(&crash));
+            }
+        }),
+    }
+}
+
+/// A request whose servers pause, are cut off or fail for another reason is not taken for the cause.
+#[rstest]
+fn sound_request_is_not_held_back(
+    #[values(Trouble::Pauses, Trouble::CommonPause, Trouble::LapsedEntries, Trouble::Outage)]
+    trouble: Trouble,
+) {
+    let deployment = deploy_with(2, 3);
+    let request = Request::get("/talk/same");
+    let is_over = AtomicBool::new(false);
+    let held = thread::scope(|scope| {
+        let callers: Vec<_> = (0..2)
+            .map(|at| {
+                let (deployment, request, is_over) = (&deployment, &request, &is_over);
+                scope.spawn(move || {
+                    let mut held = 0;
+                    while !is_over.load(Ordering::Acquire) {
+                        held +=
+                            usize::from(status_and_code(deployment, at, request).1 == "held_back");
+                        thread::sleep(PAUSE);
+                    }
+                    held
+                })
+            })
+            .collect();
+        for round in 0..4 {
+            befall(&deployment, trouble, round);
+            thread::sleep(PAUSE_OF_SERVER);
+        }
+        is_over.store(true, Ordering::Release);
+        callers.into_iter().map(|caller| caller.join().expect("a count")).sum::<usize>()
+    });
+    assert_eq!(held, 0, "{trouble:?}: answers that hold the request back");
+    assert_eq!(
+        operator_query(&deployment.instances[0], "show quarantine where verdict = held"),
+        ""
+    );
+    wait_for("the request is served", || status_and_code(&deployment, 1, &request).0 == 200);
+}
--- a/crates/drumusher/tests/routes/crashing_part.rs
+++ b/crates/drumusher/tests/routes/crashing_part.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use drumusher_adapter_stand_in::{Crash, Server};
+use drumusher_adapter_stand_in::{Crash, Ending, Server};
 use rstest::rstest;
 
 use crate::support::{Deployment, MODEL, Request, configuration};
@@ -57,7 +57,9 @@
         server.crash_on(Some(Crash {
             path: "/talk/".into(),
             part: Some(PART.into()),
+            events: 0,
             after: Duration::from_millis(40),
+            ending: Ending::Closed,
             down: DOWNTIME,
             renamed: false,
             service: MODEL.into(),
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -5,6 +5,7 @@
 mod brittle;
 mod cells;
 mod config;
+mod crash_endings;
 mod crashing_part;
 mod duties;
 mod evacuation;
--- a/crates/drumusher/tests/routes/quarantine.rs
+++ b/crates/drumusher/tests/routes/quarantine.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use drumusher_adapter_stand_in::{Crash, Fault, Run, Server, server::events};
+use drumusher_adapter_stand_in::{Crash, Ending, Fault, Run, Server, server::events};
 use drumusher_bench::fleet::{Mode, wait_for};
 
 use rstest::rstest;
@@ -28,11 +28,11 @@
 /// All instances have to hold the request back from this time after the third crash.
 const DETECTION_TIME: Duration = Duration::from_secs(3);
 /// How often the request may reach backend servers after that time.
-const MAX_LATE_ARRIVALS: usize = 3;
+pub(super) const MAX_LATE_ARRIVALS: usize = 3;
 /// Time between two requests of the caller.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// How long the caller repeats the request.
-const REPEAT_DURATION: Duration = Duration::from_secs(9);
+pub(super) const REPEAT_DURATION: Duration = Duration::from_secs(9);
 /// An API key of the other workspace.
 const OTHER_KEY: &str = "key-of-another";
 /// How long the request runs before its backend server crashes.
@@ -43,12 +43,12 @@
 const LONG_DOWNTIME: Duration = Duration::from_secs(60);
 
 /// A deployment of instances and six backend servers of each service.
-fn deploy(instances: usize) -> Deployment {
+pub(super) fn deploy(instances: usize) -> Deployment {
     deploy_with(instances, 6)
 }
 
 /// A deployment of instances and `servers` backend servers of each service.
-fn deploy_with(instances: usize, servers: usize) -> Deployment {
+pub(super) fn deploy_with(instances: usize, servers: usize) -> Deployment {
     let mut deployment = Deployment::empty(false);
     for number in 0..servers {
         deployment.add_server(&format!("d{number}"), DESK);
@@ -71,14 +71,18 @@
 
 /// Sends the request with a new ID to an instance and returns the status and the error code of the
 /// response.
-fn status_and_code(deployment: &Deployment, at: usize, request: &Request) -> (u16, String) {
+pub(super) fn status_and_code(
+    deployment: &Deployment,
+    at: usize,
+    request: &Request,
+) -> (u16, String) {
     let response = deployment.send(at, &request.with_new_id()).expect("a response");
     let error = serde_json::from_str::<serde_json::Value>(&response.text()).unwrap_or_default();
     (response.status, error["error"]["code"].as_str().unwrap_or_default().to_string())
 }
 
 /// Repeats a request until all instances hold it back.
-fn wait_until_held(deployment: &Deployment, request: &Request) {
+pub(super) fn wait_until_held(deployment: &Deployment, request: &Request) {
     for at in 0..deployment.instances.len() {
         wait_for("the request is held back", || {
             status_and_code(deployment, at, request).1 == "held_back"
@@ -91,7 +95,9 @@
     Crash {
         path: path.into(),
         part: None,
+        events: 0,
         after: CRASH_DELAY,
+        ending: Ending::Closed,
         down: DOWNTIME,
         renamed,
         service: service.into(),
@@ -120,7 +126,7 @@
 }
 
 /// The times at which backend servers crashed, in order.
-fn crash_times(deployment: &Deployment) -> Vec<Instant> {
+pub(super) fn crash_times(deployment: &Deployment) -> Vec<Instant> {
     let mut times: Vec<Instant> = deployment.servers.iter().flat_map(Server::crashes).collect();
     times.sort();
     times
@@ -133,7 +139,7 @@
 }
 
 /// Number of arrivals after the time at which all instances have to hold the request back.
-fn late_arrivals(deployment: &Deployment, path: &str) -> usize {
+pub(super) fn late_arrivals(deployment: &Deployment, path: &str) -> usize {
     let Some(third) = crash_times(deployment).get(2).copied() else {
         return 0;
     };
@@ -142,7 +148,7 @@
 }
 
 /// Sends the same request to one instance after the other for a time, without waiting for responses.
-fn repeat_request(deployment: &Deployment, request: &Request, time: Duration) {
+pub(super) fn repeat_request(deployment: &Deployment, request: &Request, time: Duration) {
     let since = Instant::now();
     thread::scope(|scope| {
         for number in 0.. {
--- a/crates/drumusher/tests/routes/soak/crashing_request.rs
+++ b/crates/drumusher/tests/routes/soak/crashing_request.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use drumusher_adapter_stand_in::Crash;
+use drumusher_adapter_stand_in::{Crash, Ending};
 use drumusher_bench::fleet::wait_for;
 
 use crate::support::{DESK, Deployment, MODEL, Request, read_response};
@@ -34,7 +34,9 @@
         server.crash_on(Some(Crash {
             path: path.into(),
             part: None,
+            events: 0,
             after: CRASH_DELAY,
+            ending: Ending::Closed,
             down: DOWNTIME,
             renamed: false,
             service: service.into(),
