fix: an answer does not excuse a request that crashed a server on trial

Callers saw: a request that crashes some engines and is answered by others, say of another version, went on to crash engines.

Cause: each answer cleared all that was known of a request, also crashes that it had caused by itself, on trial. The class is that of requests that end servers: evidence wiped by what does not refute it.

Now an answer clears the crashes at which others ran beside the request; those on trial stay, two of which hold it back. Sound requests crash nothing on trial unless their server fails by itself, twice within ten minutes.

--- a/crates/drumusher-log/src/quarantine.rs
+++ b/crates/drumusher-log/src/quarantine.rs
@@ -269,6 +269,19 @@
         self.take(digest).is_some()
     }
 
+    /// Removes the crashes that an answer explains otherwise: those of a request that was not on trial, and all of a
+    /// part. A request that crashed a backend server on trial did so by itself, also if others answer it. Returns
+    /// whether the record changed.
+    pub fn clear_answered(&mut self, digest: Digest) -> bool {
+        let Some(record) = self.records.get_mut(&digest) else { return false };
+        if record.part || !record.ends.values().any(|alone| *alone) {
+            return self.clear(digest);
+        }
+        let before = record.ends.len();
+        record.ends.retain(|_, alone| *alone);
+        record.ends.len() != before
+    }
+
     /// Removes a record.
     fn take(&mut self, digest: Digest) -> Option<Record> {
         let record = self.records.remove(&digest)?;
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -220,7 +220,9 @@
             let mut table = self.shared.quarantine();
             let Some(record) = table.get(digest) else { return };
             let found = (record.verdict(), record.part);
-            table.clear(digest);
+            if !table.clear_answered(digest) {
+                return;
+            }
             found
         };
         if verdict == Verdict::Held {
--- a/crates/drumusher/tests/routes/crash_endings.rs
+++ b/crates/drumusher/tests/routes/crash_endings.rs
@@ -138,6 +138,24 @@
     check_held_back(Manner { moment, ending: Ending::Silent, renamed, down: LONG_DOWNTIME });
 }
 
+/// A request that half of the servers answer is held back as well.
+#[rstest]
+#[case(Ending::Closed)]
+#[case(Ending::Silent)]
+fn request_that_crashes_some_servers_is_held_back(#[case] ending: Ending) {
+    let deployment = deploy_with(3, 8);
+    let manner = Manner { moment: Moment::Arrival, ending, renamed: true, down: DOWNTIME };
+    crash_servers(&deployment, manner);
+    let sound = deployment.servers.iter().filter(|server| server.id.starts_with('d')).skip(4);
+    sound.for_each(|server| server.crash_on(None));
+    let request = manner.moment.request();
+    repeat_request(&deployment, &request, REPEAT_DURATION);
+    wait_until_held(&deployment, &request);
+    let late = late_arrivals(&deployment, &request.path);
+    println!("{ending:?}: {} crashes, {late} late arrivals", crash_times(&deployment).len());
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals");
+}
+
 /// Sound streams are served while such a request crashes servers, and after it is held back.
 #[rstest]
 #[case(Ending::Closed)]
