--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -3,8 +3,8 @@
 use drumusher_wire::{
     frame::{self, Error, MAX_MESSAGE_BYTES, PREFIX_BYTES},
     peer::{
-        Answer, Ask, Count, Grant, Heartbeat, Hello, Message, Notice, Part, Piece, PieceRequest,
-        Progress, ProgressBatch, Referral, StateRequest,
+        Answer, Ask, Break, Count, Crash, Grant, Heartbeat, Hello, Message, Notice, Part, Piece,
+        PieceRequest, Progress, ProgressBatch, Referral, StateRequest,
     },
 };
 use proptest::prelude::*;
@@ -142,6 +142,17 @@
     assert_eq!(round_trip(&Message::Grant(grant.clone())), Message::Grant(grant));
 }
 
+/// Guards against a message that is sent and passed over as unknown.
+#[test]
+fn suspected_crashes_round_trip() {
+    let (id, digest) = (vec![1; 16], vec![2; 16]);
+    let (pool, server) = ("service:desk".into(), "d1".into());
+    let parts = vec![-7, 8];
+    let attempt = Crash::new(id, pool, digest, server, 1, true, "a".into(), "r".into(), parts);
+    let message = Message::Broken(Break::new(attempt, true));
+    assert_eq!(round_trip(&message), message);
+}
+
 proptest! {
     #[test]
     fn random_bytes_do_not_panic(body in proptest::collection::vec(any::<u8>(), 0..512)) {
