fix: a request waits while it is found out whether its trial crashed a server

Cause: a trial whose server is not known to have survived refused the next one at once, although the server's answer takes a millisecond; and a server that answered counted as suspected for a second more, in which a restart under its name would be listed, also if it had only closed a connection.

Now such a request waits for 0.4 s before it is refused, and only a server that had fallen silent has to be listed again before it counts as well. A restart that is listed later is still a crash.

Ruled out: that both engines were down (the second went down 0.1 s after the refusal, by its lines).

--- a/crates/drumusher/src/process/dispatch/breaks.rs
+++ b/crates/drumusher/src/process/dispatch/breaks.rs
@@ -94,12 +94,19 @@
         if own * 2 >= all { own } else { 0 }
     }
 
-    /// Whether a server may have crashed by a trial of a request, or of another one of its workspace with one of these
+    /// Since when a server may have crashed by a trial of a request, or of another one of its workspace with one of these
     /// parts in its prompt.
-    pub fn is_trial_undecided(&self, request: Digest, workspace: &str, parts: &[u64]) -> bool {
+    pub fn trial_undecided_since(
+        &self,
+        request: Digest,
+        workspace: &str,
+        parts: &[u64],
+    ) -> Option<Micros> {
         let undecided = self.servers.values().filter(|server| !server.survived);
-        let mut trials = undecided.flat_map(|server| &server.attempts).filter(|a| a.alone);
-        trials.any(|trial| trial.is_of(request) || trial.shares_part(workspace, parts))
+        let trials = undecided.flat_map(|server| &server.attempts).filter(|a| a.alone);
+        let own =
+            trials.filter(|trial| trial.is_of(request) || trial.shares_part(workspace, parts));
+        own.map(|trial| trial.at).min()
     }
 
     /// Forgets what is too old.
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -24,6 +24,8 @@
 
 /// Maximum number of crash reports that wait for others.
 const MAX_UNDECIDED: usize = 4_096;
+/// Within this time it is usually known whether a backend server whose connection broke has crashed.
+const DECISION_TIME: Micros = 400 * MILLISECOND;
 /// When a caller is to come again while it is not known whether a backend server crashed: it usually is within this time.
 const UNDECIDED_RETRY: Micros = 500 * MILLISECOND;
 /// Maximum number of parts of one prompt that a crash is evidence against.
@@ -79,9 +81,12 @@
             return Admission::Run;
         };
         let suspects = self.suspects(&subject);
-        let undecided = !suspects.is_empty()
-            && message.server.is_none()
-            && self.breaks.is_trial_undecided(subject.request, &subject.workspace, &subject.parts);
+        let undecided_since = (!suspects.is_empty() && message.server.is_none())
+            .then(|| {
+                let Subject { request, workspace, parts } = &subject;
+                self.breaks.trial_undecided_since(*request, workspace, parts)
+            })
+            .flatten();
         let held = suspects.iter().any(|(_, verdict)| *verdict == Verdict::Held);
         let Some(hosted) = self.pools.get_mut(pool) else {
             return Admission::Run;
@@ -90,8 +95,9 @@
         if held && !runs_already {
             return Admission::Refuse;
         }
-        if undecided {
-            return Admission::Postpone;
+        if let Some(since) = undecided_since {
+            let is_soon_decided = clock::now() < since + DECISION_TIME;
+            return if is_soon_decided { Admission::Wait } else { Admission::Postpone };
         }
         if suspects.is_empty() {
             hosted.trials.forget(id);
--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -50,6 +50,8 @@
     undecided: bool,
     /// When the server first answered after the latest attempt.
     answered_at: Option<Micros>,
+    /// Whether it fell silent, so that it may have restarted before it answered.
+    was_silent: bool,
     /// Since when no part of a response to the latest of them arrived.
     silent_since: Micros,
     /// Until when a crash of a server that answers again counts.
@@ -62,10 +64,10 @@
     pub(super) fn detect_crash(&self, backend: &Backend, failure: &Failure) {
         let Failure::Broken(error) = failure else { return };
         let now = clock::now();
-        if *error == upstream::Error::TimedOut {
-            self.watch(backend, now + GIVEN_UP_TIME, now);
-        } else {
-            self.watch(backend, now + LISTING_TIME, now);
+        match error {
+            upstream::Error::TimedOut => self.watch(backend, now + GIVEN_UP_TIME, now, true),
+            upstream::Error::Lost => self.watch(backend, now + LISTING_TIME, now, true),
+            _ => self.watch(backend, now + LISTING_TIME, now, false),
         }
     }
 
@@ -76,11 +78,11 @@
             return;
         }
         if let Some(backend) = &self.backend {
-            self.watch(backend, now + GIVEN_UP_TIME, now + SILENT_PROBE_PAUSE);
+            self.watch(backend, now + GIVEN_UP_TIME, now + SILENT_PROBE_PAUSE, true);
         }
     }
 
-    fn watch(&self, backend: &Backend, until: Micros, probe_at: Micros) {
+    fn watch(&self, backend: &Backend, until: Micros, probe_at: Micros, is_silent: bool) {
         if self.is_departing(backend) {
             return;
         }
@@ -91,6 +93,7 @@
         let watch = watches.entry(key).or_default();
         watch.silent_since = self.received_at.get().max(self.sent_at);
         watch.until = watch.until.max(until);
+        watch.was_silent |= is_silent;
         watch.probe_at = if begins { probe_at } else { watch.probe_at.min(probe_at) };
         if is_new {
             let attempt = self.suspected_crash(backend);
@@ -223,8 +226,8 @@
     }
 }
 
-/// Reports that a watched server answers, once a restart under the same name would be listed. It may still run attempts
-/// that were given up.
+/// Reports that a watched server answers; if it was silent, once a restart under the same name would be listed. It may
+/// still run attempts that were given up.
 fn report_survival<D: Dialect>(worker: &Handle<D>, backend: &Backend, answers: bool) {
     let now = clock::now();
     let mut watches = worker.watches.borrow_mut();
@@ -232,7 +235,8 @@
     if answers {
         watch.answered_at.get_or_insert(now);
     }
-    let survived = watch.answered_at.is_some_and(|at| now >= at + LISTING_TIME);
+    let listing_time = if watch.was_silent { LISTING_TIME } else { 0 };
+    let survived = watch.answered_at.is_some_and(|at| now >= at + listing_time);
     if survived
         && std::mem::take(&mut watch.undecided)
         && let Some(attempt) = watch.attempts.first()
