--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -135,6 +135,7 @@
         avoid: None,
         migrated: false,
         anti_affinity: Vec::new(),
+        versions: drumusher_schedule::version::Set::All,
         output: 0,
         parts: Vec::new(),
     }
@@ -340,6 +341,10 @@
             sent: None,
             notices: None,
             parts: None,
+            stream: None,
+            patience: None,
+            resumed: None,
+            version: None,
         };
         let grant = peer::Grant::new(
             id.clone(),
@@ -352,6 +357,7 @@
             None,
             None,
             None,
+            None,
         );
         let finish = peer::Finish::new(id.clone(), pool.clone(), 0, 210, None, Some(9_000));
         let report = peer::Progress::new(id.clone(), 210, None, Some(9_000));
--- a/crates/drumusher-bench/src/policy/simulation/attempt.rs
+++ b/crates/drumusher-bench/src/policy/simulation/attempt.rs
@@ -53,6 +53,7 @@
             avoid: self.avoid[number],
             migrated: false,
             anti_affinity: Vec::new(),
+            versions: drumusher_schedule::version::Set::All,
             output: 0,
             parts: Vec::new(),
         };
--- a/crates/drumusher-platform/src/dialect.rs
+++ b/crates/drumusher-platform/src/dialect.rs
@@ -30,6 +30,8 @@
     pub parts: Vec<Part>,
     /// Number of the last event that the caller received of an earlier, interrupted response.
     pub last_event: Option<u64>,
+    /// ID of the caller's attempt that brought the first event of that response.
+    pub resumes: Option<String>,
 }
 
 /// Headers that an instance adds for the backend server to those of the caller.
--- a/crates/drumusher-platform/src/routing.rs
+++ b/crates/drumusher-platform/src/routing.rs
@@ -146,6 +146,8 @@
     pub address: SocketAddr,
     /// Availability zone.
     pub availability_zone: Arc<str>,
+    /// Version of its software. Versions have no order.
+    pub version: Arc<str>,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is shutting down.
--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -1,6 +1,6 @@
 //! Requests as the dispatcher sees them.
 
-use crate::{policy, server, time::Micros};
+use crate::{policy, server, time::Micros, version};
 
 /// Identifies a request in the whole system: 128 random bits chosen by its entry instance.
 pub type Id = u128;
@@ -58,6 +58,8 @@
     pub output: u32,
     /// Parts of the prompt in order; empty if the caller did not name them.
     pub parts: Vec<Part>,
+    /// The software versions at which it may run.
+    pub versions: version::Set,
 }
 
 impl Ask {
--- a/crates/drumusher-schedule/src/lib.rs
+++ b/crates/drumusher-schedule/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod server;
 pub mod share;
 pub mod time;
+pub mod version;
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -23,6 +23,8 @@
     HeldBack,
     /// A backend server that ran it on trial does not answer, and may have crashed.
     Undecided,
+    /// It goes on with a stream, and it is not known which software version began that.
+    UnknownVersion,
 }
 
 /// Why a request was placed on its backend server.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -345,6 +345,7 @@
         self.preempt_for_server_queues(now, orders);
         self.refuse_in_outage(now, orders);
         self.refuse_in_cooldown(now, orders);
+        self.refuse_bound(now, orders);
         self.refuse_expired(now, orders);
     }
 
--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -1,11 +1,13 @@
 //! Admission of requests, and refusal of those for which there is no capacity.
 
-use super::{OUTAGE_LIMIT, Pool, position};
+use super::{OUTAGE_LIMIT, Pool, position, scope::Availability};
 use crate::{
     ask::{Ask, Key, Outcome, State, Waiting},
     order::{Order, Refusal},
     policy::WorkspaceKey,
+    server::Server,
     time::{MILLISECOND, Micros, SECOND},
+    version,
 };
 
 /// Bounds of the time after which a refused caller is told to try again.
@@ -64,11 +66,10 @@
 
     /// Refusals that do not depend on other workspaces.
     fn early_refusal(&mut self, now: Micros, ask: &Ask) -> Option<Refusal> {
-        let regions = self.regions(ask);
-        let serving = self
-            .servers()
-            .any(|(_, server)| !server.leaving() && regions.contains(server.region()));
-        if (!serving || self.must_refuse_in_outage(now, ask)) && !self.settling(now) {
+        let scope = self.scope(ask, Availability::Free);
+        let serving = self.servers().any(|(_, server)| !server.leaving() && scope.allows(server));
+        let unusable = !serving || self.bound_to_outage(now, ask);
+        if (unusable || self.must_refuse_in_outage(now, ask)) && !self.settling(now) {
             return Some(Refusal::NoServer);
         }
         if self.cooldown_exceeds_wait(now, ask, 0) && !self.settling(now) {
@@ -219,6 +220,34 @@
         !ask.has_begun() || self.outage_since().is_some_and(outlasted)
     }
 
+    /// Whether a stream is bound to a software version whose backend servers are all down for long or leave.
+    fn bound_to_outage(&self, now: Micros, ask: &Ask) -> bool {
+        let version::Set::Only(version) = ask.versions else { return false };
+        let mut own = self.servers().filter(|(_, server)| server.version() == version);
+        let is_out = |server: &Server| {
+            server.leaving() || server.next_probe().is_some_and(|due| due > now + LONG_OUTAGE)
+        };
+        own.all(|(_, server)| is_out(server))
+    }
+
+    /// Refuses the waiting requests that are bound to a software version without a usable backend server.
+    pub(super) fn refuse_bound(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        if self.settling(now) {
+            return;
+        }
+        let refused = |key: &Key| {
+            let waiting = self.waiting_at(*key)?;
+            self.bound_to_outage(now, &waiting.ask).then_some(*key)
+        };
+        let refused: Vec<Key> =
+            self.wait_deadlines.iter().filter_map(|(_, key)| refused(key)).collect();
+        for key in refused {
+            if let Some(waiting) = self.remove_waiting(key) {
+                orders.push(self.refusal(now, &waiting.ask, Refusal::NoServer, 0));
+            }
+        }
+    }
+
     /// Refuses the requests that must not wait for the end of a long outage.
     pub(super) fn refuse_in_outage(&mut self, now: Micros, orders: &mut Vec<Order>) {
         if self.settling(now) || self.long_outage(now).is_none() {
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -15,6 +15,7 @@
     region,
     server::{self, Server, Urgency},
     time::{MILLISECOND, Micros},
+    version,
 };
 
 /// One grant in this many goes to the most urgent request even if it is late, so that late requests
@@ -52,15 +53,22 @@
     }
 
     /// Skips a request that has no slot because the free backend servers are in cooldown for its
-    /// entry instance or in regions in which it may not run. Returns whether that is the reason.
+    /// entry instance, or in regions or of software versions in which it may not run. Returns whether that is the reason.
     fn skip(&mut self, now: Micros, key: Key) -> bool {
         let excluded = self.waiting_at(key).is_some_and(|waiting| {
             let ask = &waiting.ask;
-            self.cooldowns.any_active(now, ask.entry) || self.regions(ask) != region::Set::All
+            self.cooldowns.any_active(now, ask.entry)
+                || self.regions(ask) != region::Set::All
+                || ask.versions != version::Set::All
         });
         excluded && self.skipped.len() < MAX_SKIPPED && self.skipped.insert(key)
     }
 
+    /// The backend servers that are eligible for a request.
+    pub(super) fn scope(&self, ask: &Ask, availability: Availability) -> Scope {
+        Scope { availability, regions: self.regions(ask), versions: ask.versions }
+    }
+
     /// The regions in which a request may run.
     pub(super) fn regions(&self, ask: &Ask) -> region::Set {
         self.policy.regions(ask.class, ask.workspace)
@@ -208,7 +216,7 @@
             return false;
         };
         let ask = waiting.ask.clone();
-        let scope = Scope { availability, regions: self.regions(&ask) };
+        let scope = self.scope(&ask, availability);
         let Some(Placement { server, prefill, source, expected }) =
             self.choose_server(now, &ask, scope)
         else {
--- a/crates/drumusher-schedule/src/pool/scope.rs
+++ b/crates/drumusher-schedule/src/pool/scope.rs
@@ -4,6 +4,7 @@
     region,
     server::{Server, Urgency},
     time::Micros,
+    version,
 };
 
 /// Which backend servers are eligible because of their state.
@@ -21,6 +22,8 @@
     pub(super) availability: Availability,
     /// The regions in which the request may run.
     pub(super) regions: region::Set,
+    /// The software versions at which it may run.
+    pub(super) versions: version::Set,
 }
 
 impl Scope {
@@ -30,6 +33,11 @@
             Availability::Free => server.free(now) > 0,
             Availability::Probe(urgency) => server.may_probe(now, urgency),
         };
-        available && self.regions.contains(server.region())
+        available && self.allows(server)
+    }
+
+    /// Whether the request may run on a backend server at all.
+    pub(super) fn allows(self, server: &Server) -> bool {
+        self.regions.contains(server.region()) && self.versions.contains(server.version())
     }
 }
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -23,6 +23,7 @@
     outlier::Detector,
     region,
     time::{MILLISECOND, Micros, SECOND},
+    version,
 };
 
 /// Index of a backend server in its pool.
@@ -42,11 +43,20 @@
     pub rank: u64,
     /// Its region.
     pub region: region::Key,
+    /// Its software version.
+    pub version: version::Key,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { slots: 64, first_slots: 16, learned: true, rank: 0, region: region::Key::UNKNOWN }
+        Options {
+            slots: 64,
+            first_slots: 16,
+            learned: true,
+            rank: 0,
+            region: region::Key::UNKNOWN,
+            version: version::Key::default(),
+        }
     }
 }
 
@@ -191,6 +201,11 @@
         self.options.region
     }
 
+    /// Its software version.
+    pub fn version(&self) -> version::Key {
+        self.options.version
+    }
+
     /// Whether it is leaving.
     pub fn leaving(&self) -> bool {
         self.leaving
--- a/crates/drumusher-schedule/tests/schedule/support.rs
+++ b/crates/drumusher-schedule/tests/schedule/support.rs
@@ -50,6 +50,7 @@
         avoid: None,
         migrated: false,
         anti_affinity: Vec::new(),
+        versions: drumusher_schedule::version::Set::All,
         output: 0,
         parts: Vec::new(),
     }
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -108,6 +108,14 @@
   20: optional list<Count> sent
   /* what backend servers said of themselves, unless the dispatcher knows it */
   21: optional list<Notice> notices
+  /* tells a stream from others: a hash of its workspace and of the caller's attempt that began it */
+  22: optional i64 stream
+  /* how much longer its caller waits, in milliseconds: the stream may be taken up for so long */
+  23: optional i64 patience
+  /* the caller has a part of it, and whether it named the attempt that began it */
+  24: optional bool resumed
+  /* the software version that began it, if the entry knows it */
+  25: optional string version
 }
 
 /* The dispatcher has the ask and grants it when its turn comes. */
@@ -161,6 +169,8 @@
   9: optional bool limited
   /* how long ago a request was sent whose answer lifted such a limit */
   10: optional i64 lifted
+  /* for a stream of which the caller has a part, the software version that began it */
+  11: optional string version
 }
 
 struct Refuse {
@@ -300,6 +310,23 @@
   2: optional bool survived
 }
 
+/* A stream that may be taken up, in a list of streams. */
+struct Stream {
+  1: required i64 key
+  /* the place of the software version that began it in the list of these */
+  2: required i16 version
+  /* how long ago it was granted, and how much longer its caller waits, in milliseconds */
+  3: required i64 age
+  4: required i64 patience
+}
+
+/* Streams that the sender granted or knows, for instances that may become the dispatcher of their pool. */
+struct Streams {
+  1: required string pool
+  2: required list<string> versions
+  3: required list<Stream> streams
+}
+
 union Message {
   1: Hello hello
   2: Challenge challenge
@@ -326,4 +353,5 @@
   23: TunnelReply tunnel_reply
   24: Referral referral
   25: Break broken
+  26: Streams streams
 }
--- a/crates/drumusher-wire/src/frame.rs
+++ b/crates/drumusher-wire/src/frame.rs
@@ -18,7 +18,7 @@
 /// near it.
 pub const MAX_MESSAGE_BYTES: usize = 4 * 1024 * 1024;
 /// Field numbers of the messages in the union `Message` of `idl/peer.thrift`.
-const KNOWN_MESSAGES: RangeInclusive<i16> = 1..=25;
+const KNOWN_MESSAGES: RangeInclusive<i16> = 1..=26;
 /// Maximum length that a message may declare for a list, in elements.
 const MAX_LIST_LENGTH: usize = 65_536;
 
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -738,10 +738,14 @@
   pub digest: Option<Vec<u8>>,
   pub sent: Option<Vec<Count>>,
   pub notices: Option<Vec<Notice>>,
+  pub stream: Option<i64>,
+  pub patience: Option<i64>,
+  pub resumed: Option<bool>,
+  pub version: Option<String>,
 }
 
 impl Ask {
-  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18, digest: F19, sent: F20, notices: F21) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>>, F19: Into<Option<Vec<u8>>>, F20: Into<Option<Vec<Count>>>, F21: Into<Option<Vec<Notice>>> {
+  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24, F25>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18, digest: F19, sent: F20, notices: F21, stream: F22, patience: F23, resumed: F24, version: F25) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>>, F19: Into<Option<Vec<u8>>>, F20: Into<Option<Vec<Count>>>, F21: Into<Option<Vec<Notice>>>, F22: Into<Option<i64>>, F23: Into<Option<i64>>, F24: Into<Option<bool>>, F25: Into<Option<String>> {
     Ask {
       id,
       pool,
@@ -764,6 +768,10 @@
       digest: digest.into(),
       sent: sent.into(),
       notices: notices.into(),
+      stream: stream.into(),
+      patience: patience.into(),
+      resumed: resumed.into(),
+      version: version.into(),
     }
   }
 }
@@ -792,6 +800,10 @@
     let mut f_19: Option<Vec<u8>> = None;
     let mut f_20: Option<Vec<Count>> = None;
     let mut f_21: Option<Vec<Notice>> = None;
+    let mut f_22: Option<i64> = None;
+    let mut f_23: Option<i64> = None;
+    let mut f_24: Option<bool> = None;
+    let mut f_25: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -901,6 +913,22 @@
           i_prot.read_list_end()?;
           f_21 = Some(val);
         },
+        22 => {
+          let val = i_prot.read_i64()?;
+          f_22 = Some(val);
+        },
+        23 => {
+          let val = i_prot.read_i64()?;
+          f_23 = Some(val);
+        },
+        24 => {
+          let val = i_prot.read_bool()?;
+          f_24 = Some(val);
+        },
+        25 => {
+          let val = i_prot.read_string()?;
+          f_25 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -936,6 +964,10 @@
       digest: f_19,
       sent: f_20,
       notices: f_21,
+      stream: f_22,
+      patience: f_23,
+      resumed: f_24,
+      version: f_25,
     };
     Ok(ret)
   }
@@ -1047,6 +1079,26 @@
       o_prot.write_list_end()?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.stream {
+      o_prot.write_field_begin(&TFieldIdentifier::new("stream", TType::I64, 22))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.patience {
+      o_prot.write_field_begin(&TFieldIdentifier::new("patience", TType::I64, 23))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(fld_var) = self.resumed {
+      o_prot.write_field_begin(&TFieldIdentifier::new("resumed", TType::Bool, 24))?;
+      o_prot.write_bool(fld_var)?;
+      o_prot.write_field_end()?
+    }
+    if let Some(ref fld_var) = self.version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::String, 25))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1482,10 +1534,11 @@
   pub alone: Option<bool>,
   pub limited: Option<bool>,
   pub lifted: Option<i64>,
+  pub version: Option<String>,
 }
 
 impl Grant {
-  pub fn new<F5, F6, F7, F8, F9, F10>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6, spent: F7, alone: F8, limited: F9, lifted: F10) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<i16>>, F8: Into<Option<bool>>, F9: Into<Option<bool>>, F10: Into<Option<i64>> {
+  pub fn new<F5, F6, F7, F8, F9, F10, F11>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6, spent: F7, alone: F8, limited: F9, lifted: F10, version: F11) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<i16>>, F8: Into<Option<bool>>, F9: Into<Option<bool>>, F10: Into<Option<i64>>, F11: Into<Option<String>> {
     Grant {
       id,
       server,
@@ -1497,6 +1550,7 @@
       alone: alone.into(),
       limited: limited.into(),
       lifted: lifted.into(),
+      version: version.into(),
     }
   }
 }
@@ -1514,6 +1568,7 @@
     let mut f_8: Option<bool> = None;
     let mut f_9: Option<bool> = None;
     let mut f_10: Option<i64> = None;
+    let mut f_11: Option<String> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1561,6 +1616,10 @@
           let val = i_prot.read_i64()?;
           f_10 = Some(val);
         },
+        11 => {
+          let val = i_prot.read_string()?;
+          f_11 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1583,6 +1642,7 @@
       alone: f_8,
       limited: f_9,
       lifted: f_10,
+      version: f_11,
     };
     Ok(ret)
   }
@@ -1631,6 +1691,11 @@
       o_prot.write_i64(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(ref fld_var) = self.version {
+      o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::String, 11))?;
+      o_prot.write_string(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -3049,6 +3114,198 @@
   }
 }
 
+//
+// Stream
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Stream {
+  pub key: i64,
+  pub version: i16,
+  pub age: i64,
+  pub patience: i64,
+}
+
+impl Stream {
+  pub fn new(key: i64, version: i16, age: i64, patience: i64) -> Stream {
+    Stream {
+      key,
+      version,
+      age,
+      patience,
+    }
+  }
+}
+
+impl TSerializable for Stream {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Stream> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<i64> = None;
+    let mut f_2: Option<i16> = None;
+    let mut f_3: Option<i64> = None;
+    let mut f_4: Option<i64> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_i64()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let val = i_prot.read_i16()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let val = i_prot.read_i64()?;
+          f_3 = Some(val);
+        },
+        4 => {
+          let val = i_prot.read_i64()?;
+          f_4 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Stream.key", &f_1)?;
+    verify_required_field_exists("Stream.version", &f_2)?;
+    verify_required_field_exists("Stream.age", &f_3)?;
+    verify_required_field_exists("Stream.patience", &f_4)?;
+    let ret = Stream {
+      key: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      version: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      age: f_3.expect("auto-generated code should have checked for presence of required fields"),
+      patience: f_4.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Stream");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("key", TType::I64, 1))?;
+    o_prot.write_i64(self.key)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("version", TType::I16, 2))?;
+    o_prot.write_i16(self.version)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("age", TType::I64, 3))?;
+    o_prot.write_i64(self.age)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("patience", TType::I64, 4))?;
+    o_prot.write_i64(self.patience)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
+//
+// Streams
+//
+
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Streams {
+  pub pool: String,
+  pub versions: Vec<String>,
+  pub streams: Vec<Stream>,
+}
+
+impl Streams {
+  pub fn new(pool: String, versions: Vec<String>, streams: Vec<Stream>) -> Streams {
+    Streams {
+      pool,
+      versions,
+      streams,
+    }
+  }
+}
+
+impl TSerializable for Streams {
+  fn read_from_in_protocol(i_prot: &mut dyn TInputProtocol) -> thrift::Result<Streams> {
+    i_prot.read_struct_begin()?;
+    let mut f_1: Option<String> = None;
+    let mut f_2: Option<Vec<String>> = None;
+    let mut f_3: Option<Vec<Stream>> = None;
+    loop {
+      let field_ident = i_prot.read_field_begin()?;
+      if field_ident.field_type == TType::Stop {
+        break;
+      }
+      let field_id = field_id(&field_ident)?;
+      match field_id {
+        1 => {
+          let val = i_prot.read_string()?;
+          f_1 = Some(val);
+        },
+        2 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<String> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_12 = i_prot.read_string()?;
+            val.push(list_elem_12);
+          }
+          i_prot.read_list_end()?;
+          f_2 = Some(val);
+        },
+        3 => {
+          let list_ident = i_prot.read_list_begin()?;
+          let mut val: Vec<Stream> = Vec::with_capacity(list_ident.size as usize);
+          for _ in 0..list_ident.size {
+            let list_elem_13 = Stream::read_from_in_protocol(i_prot)?;
+            val.push(list_elem_13);
+          }
+          i_prot.read_list_end()?;
+          f_3 = Some(val);
+        },
+        _ => {
+          i_prot.skip(field_ident.field_type)?;
+        },
+      };
+      i_prot.read_field_end()?;
+    }
+    i_prot.read_struct_end()?;
+    verify_required_field_exists("Streams.pool", &f_1)?;
+    verify_required_field_exists("Streams.versions", &f_2)?;
+    verify_required_field_exists("Streams.streams", &f_3)?;
+    let ret = Streams {
+      pool: f_1.expect("auto-generated code should have checked for presence of required fields"),
+      versions: f_2.expect("auto-generated code should have checked for presence of required fields"),
+      streams: f_3.expect("auto-generated code should have checked for presence of required fields"),
+    };
+    Ok(ret)
+  }
+  fn write_to_out_protocol(&self, o_prot: &mut dyn TOutputProtocol) -> thrift::Result<()> {
+    let struct_ident = TStructIdentifier::new("Streams");
+    o_prot.write_struct_begin(&struct_ident)?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("pool", TType::String, 1))?;
+    o_prot.write_string(&self.pool)?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("versions", TType::List, 2))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::String, self.versions.len() as i32))?;
+    for e in &self.versions {
+      o_prot.write_string(e)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_begin(&TFieldIdentifier::new("streams", TType::List, 3))?;
+    o_prot.write_list_begin(&TListIdentifier::new(TType::Struct, self.streams.len() as i32))?;
+    for e in &self.streams {
+      e.write_to_out_protocol(o_prot)?;
+    }
+    o_prot.write_list_end()?;
+    o_prot.write_field_end()?;
+    o_prot.write_field_stop()?;
+    o_prot.write_struct_end()
+  }
+}
+
 //
 // Message
 //
@@ -3080,6 +3337,7 @@
   TunnelReply(TunnelReply),
   Referral(Referral),
   Broken(Break),
+  Streams(Streams),
 }
 
 impl TSerializable for Message {
@@ -3269,6 +3527,13 @@
           }
           received_field_count += 1;
         },
+        26 => {
+          let val = Streams::read_from_in_protocol(i_prot)?;
+          if ret.is_none() {
+            ret = Some(Message::Streams(val));
+          }
+          received_field_count += 1;
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
           received_field_count += 1;
@@ -3428,6 +3693,11 @@
         f.write_to_out_protocol(o_prot)?;
         o_prot.write_field_end()?;
       },
+      Message::Streams(ref f) => {
+        o_prot.write_field_begin(&TFieldIdentifier::new("streams", TType::Struct, 26))?;
+        f.write_to_out_protocol(o_prot)?;
+        o_prot.write_field_end()?;
+      },
     }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -4,7 +4,7 @@
     frame::{self, Error, MAX_MESSAGE_BYTES, PREFIX_BYTES},
     peer::{
         Answer, Ask, Break, Count, Crash, Grant, Heartbeat, Hello, Message, Notice, Part, Piece,
-        PieceRequest, Progress, ProgressBatch, Referral, StateRequest,
+        PieceRequest, Progress, ProgressBatch, Referral, StateRequest, Stream, Streams,
     },
 };
 use proptest::prelude::*;
@@ -32,6 +32,10 @@
         sent: Some(vec![Count::new(3, 40, 2)]),
         parts: Some(vec![Part::new(-7, 512)]),
         notices: None,
+        stream: Some(-11),
+        patience: Some(14_500),
+        resumed: Some(true),
+        version: Some("v1.1".into()),
     }
 }
 
@@ -71,6 +75,7 @@
         true,
         true,
         i64::MAX,
+        "v2026.12.4".to_string(),
     );
     let mut buffer = Vec::new();
     frame::write(&Message::Grant(grant), &mut buffer).expect("the message fits");
@@ -88,11 +93,11 @@
     assert_eq!(frame::length(&prefix), Err(Error::TooLong(MAX_MESSAGE_BYTES + 1)));
 }
 
-/// A message of a newer version: number 26, whose field number is written in the long form, and number 0.
+/// A message of a newer version: number 27, whose field number is written in the long form, and number 0.
 #[test]
 fn an_unknown_message_is_reported_by_its_number() {
-    let in_long_form = [0, 0, 0, 4, 0x0c, 0x34, 0x00, 0x00];
-    assert_eq!(frame::read(&in_long_form), Err(Error::Unknown(26)));
+    let in_long_form = [0, 0, 0, 4, 0x0c, 0x36, 0x00, 0x00];
+    assert_eq!(frame::read(&in_long_form), Err(Error::Unknown(27)));
     let number_zero = [0, 0, 0, 3, 0x0c, 0x00, 0x00];
     assert_eq!(frame::read(&number_zero), Err(Error::Unknown(0)));
 }
@@ -138,6 +143,7 @@
         terms.3,
         terms.4,
         terms.5,
+        "v1.1".to_string(),
     );
     assert_eq!(round_trip(&Message::Grant(grant.clone())), Message::Grant(grant));
 }
@@ -153,6 +159,15 @@
     assert_eq!(round_trip(&message), message);
 }
 
+/// The same.
+#[test]
+fn streams_round_trip() {
+    let streams = vec![Stream::new(-5, 1, 40, 14_000), Stream::new(6, 0, 0, 1)];
+    let versions = vec!["v1".into(), "v1.1".into()];
+    let message = Message::Streams(Streams::new("service:model".into(), versions, streams));
+    assert_eq!(round_trip(&message), message);
+}
+
 proptest! {
     #[test]
     fn random_bytes_do_not_panic(body in proptest::collection::vec(any::<u8>(), 0..512)) {
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -20,7 +20,7 @@
 pub use view::View;
 
 use crate::{
-    process::{notices, ring},
+    process::{notices, ring, streams},
     version::Pool,
 };
 
@@ -72,6 +72,8 @@
     pub alone: bool,
     /// What the dispatcher knows of the backend server's rate limit.
     pub known_limit: notices::KnownLimit,
+    /// The software version that began the stream with which the request goes on.
+    pub version: Option<Arc<str>>,
 }
 
 /// A dispatcher's reply to a request.
@@ -130,6 +132,21 @@
     }
 }
 
+/// A stream that its caller may take up again, as its entry knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Stream {
+    /// Tells it from others.
+    pub key: streams::Key,
+    /// Until when its caller waits, on the process's clock.
+    pub until: u64,
+    /// Whether the caller has a part of it.
+    pub resumed: bool,
+    /// Whether the caller named the attempt that began it.
+    pub named: bool,
+    /// The software version that began it, if known.
+    pub version: Option<Arc<str>>,
+}
+
 /// A request to be dispatched, as its entry keeps it.
 #[derive(Clone, Debug)]
 pub struct DispatchRequest {
@@ -165,6 +182,8 @@
     pub attempt: Attempt,
     /// Digest that identifies the content when the request is sent again, if quarantine applies to it.
     pub digest: Option<Digest>,
+    /// The stream, if it may be taken up again.
+    pub stream: Option<Stream>,
     /// Receives the replies.
     pub replies: async_channel::Sender<Reply>,
 }
--- a/crates/drumusher/src/process/broker/wire.rs
+++ b/crates/drumusher/src/process/broker/wire.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use drumusher_log::quarantine::Digest;
-use drumusher_schedule::{ask::Part, time::Micros};
+use drumusher_schedule::{
+    ask::Part,
+    time::{MILLISECOND, Micros},
+};
 use drumusher_wire::peer;
 
 use super::{Attempt, BudgetReport, DispatchRequest, Grant};
@@ -45,6 +48,16 @@
         digest: request.digest.map(Digest::to_wire),
         sent: budget_report.sent.as_ref().map(|sent| sent.iter().map(count).collect()),
         notices: None,
+        stream: request.stream.as_ref().map(|stream| stream.key.0 as i64),
+        patience: request
+            .stream
+            .as_ref()
+            .map(|stream| (stream.until.saturating_sub(clock::now()) / MILLISECOND) as i64),
+        resumed: request.stream.as_ref().filter(|stream| stream.resumed).map(|s| s.named),
+        version: request
+            .stream
+            .as_ref()
+            .and_then(|stream| Some(stream.version.as_ref()?.to_string())),
     }
 }
 
@@ -86,5 +99,6 @@
             limited: grant.limited == Some(true),
             lifted: grant.lifted.map(|age| clock::now().saturating_sub(age.max(0) as u64)),
         },
+        version: grant.version.as_deref().map(Arc::from),
     }
 }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -15,6 +15,7 @@
 //! | `notices` | limits, rests and departures that backend servers announced to any entry |
 //! | `orders` | execution of the scheduler's orders |
 //! | `requesters` | the other instances that use this dispatcher |
+//! | `streams` | the software versions of streams, passed on to instances that may become the dispatcher |
 //! | `suspects` | requests that may crash backend servers: trial runs and quarantine |
 //! | `trials` | the trial runs of a pool, isolated from each other |
 //! | `usage` | counts of started requests for usage reports, and the load for autoscaling |
@@ -30,6 +31,7 @@
 mod notices;
 mod orders;
 mod requesters;
+mod streams;
 mod suspects;
 mod trials;
 mod usage;
@@ -82,6 +84,8 @@
 pub enum Input {
     /// A peer message from an entry.
     Message(Entry, Box<Message>),
+    /// A connection with another instance was established.
+    Connected(Entry, Arc<str>),
     /// The connection with an entry ended.
     Disconnected(Entry),
     /// The configuration or the directory of backend servers changed.
@@ -153,6 +157,8 @@
     breaks: Breaks,
     lone_requests: LoneRequests,
     undecided: VecDeque<suspects::Undecided>,
+    /// Connections of other instances, and those of them that follow this one as dispatchers.
+    successors: streams::Successors,
     orders: Vec<Order>,
     unsent: VecDeque<(Entry, Message)>,
 }
@@ -170,6 +176,7 @@
         breaks: Breaks::default(),
         lone_requests: LoneRequests::default(),
         undecided: VecDeque::new(),
+        successors: streams::Successors::default(),
         orders,
         unsent,
     };
@@ -188,6 +195,7 @@
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Message(entry, message) => self.handle_message(entry, *message),
+            Input::Connected(entry, name) => self.share_streams(entry, name),
             Input::Disconnected(entry) => self.entry_disconnected(entry),
             Input::Changed => self.configuration_changed(),
             Input::Load { pool, server, report } => self.load_report(&pool, &server, report),
@@ -215,6 +223,7 @@
             }
             Message::Crash(crash) => self.handle_crash(&crash),
             Message::Broken(suspected) => self.handle_break(suspected),
+            Message::Streams(shared) => self.shared.streams().merge(clock::now(), &shared),
             Message::Notice(notice) => self.handle_notice(entry, &notice),
             Message::Progress(batch) => self.handle_progress(&batch),
             Message::Finish(finish) => self.handle_finish(&finish),
@@ -223,6 +232,7 @@
     }
 
     fn entry_disconnected(&mut self, entry: Entry) {
+        self.successors.disconnected(entry);
         let now = clock::now();
         let directory = self.shared.directory.load();
         for (pool, hosted) in &mut self.pools {
@@ -304,6 +314,7 @@
         self.flush();
         self.decide_crashes();
         self.breaks.expire(clock::now());
+        self.expire_streams();
         self.handle_all(|_| Event::Tick);
         self.record_load();
         let now = clock::now();
@@ -373,6 +384,7 @@
     }
 
     fn configuration_changed(&mut self) {
+        self.successors.forget();
         let policy = self.shared.version.load().policy.clone();
         self.handle_all(|_| Event::Policy(policy.clone()));
         let pools: Vec<Pool> = self.pools.keys().cloned().collect();
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -4,16 +4,21 @@
     ask::{Ask, Entry, Outcome},
     event::Event,
     order::Refusal,
+    time::{MILLISECOND, Micros},
+    version,
 };
 use drumusher_wire::peer::{self, Message};
 
-use super::{Dispatcher, LOCAL_ENTRY, SPENT_SCALE, suspects::Admission, wire};
+use super::{Dispatcher, LOCAL_ENTRY, SPENT_SCALE, streams, suspects::Admission, wire};
 use crate::{
     process::{broker::Attempt, clock},
     request::id,
     version::Pool,
 };
 
+/// When a caller may try again to take a stream up: by then another instance may have told which version began it.
+const STREAM_RETRY: Micros = 300 * MILLISECOND;
+
 impl Dispatcher {
     /// Handles an ask: submits it to the scheduler, unless its request waits for a trial run, is quarantined, or is a
     /// retry beyond the retry budget.
@@ -50,6 +55,10 @@
 
     /// Submits an ask to the scheduler.
     fn submit(&mut self, entry: Entry, message: &peer::Ask, pool: &Pool) {
+        let versions = match self.versions(message, pool) {
+            Ok(versions) => versions,
+            Err(refused) => return self.refuse_stream(entry, message, pool, refused),
+        };
         if message.server.is_none() && !self.count_attempt(entry, message, pool) {
             self.refuse_retry(entry, message.id.clone());
             if let Some(id) = id::from_wire(&message.id) {
@@ -57,15 +66,18 @@
             }
             return;
         }
-        let Some(ask) = self.decode_ask(entry, message, pool) else {
+        let Some(ask) = self.decode_ask(entry, message, pool, versions) else {
             return;
         };
+        self.note_stream(message, ask.id, pool);
         let declared = message
             .server
             .as_deref()
             .and_then(|name| self.pools.get(pool)?.keys.get(name).copied());
         if let Some((hosted, server)) = self.pools.get_mut(pool).zip(declared) {
             hosted.trials.grant(ask.id, server);
+            let name = hosted.names[usize::from(server.0)].clone();
+            self.record_stream(pool, ask.id, &name);
         }
         let event = match declared {
             Some(server) => Event::Declare(ask, server),
@@ -109,6 +121,28 @@
         true
     }
 
+    /// Refuses a request that goes on with a stream.
+    fn refuse_stream(
+        &mut self,
+        entry: Entry,
+        message: &peer::Ask,
+        pool: &Pool,
+        refused: streams::Refused,
+    ) {
+        self.shared.telemetry.count("drumusher.streams.refused", &[]);
+        let refusal = match refused {
+            streams::Refused::NoServer => Refusal::NoServer,
+            streams::Refused::UnknownVersion => Refusal::UnknownVersion,
+        };
+        log::info!(pool = pool.to_string().as_str(); "a stream is not taken up: {refused:?}");
+        let refuse = peer::Refuse::new(message.id.clone(), refusal as i16, STREAM_RETRY as i64);
+        self.unsent.push_back((entry, Message::Refuse(refuse)));
+        self.flush();
+        if let Some(id) = id::from_wire(&message.id) {
+            self.attempt_ended(pool, id, Outcome::Cancelled);
+        }
+    }
+
     /// Refuses a retry; its entry then ends the request with the outcome of the previous attempt.
     pub(super) fn refuse_retry(&mut self, entry: Entry, id: Vec<u8>) {
         let refusal = Refusal::NoRepeat as i16;
@@ -137,11 +171,17 @@
         self.flush();
     }
 
-    fn decode_ask(&self, entry: Entry, ask: &peer::Ask, pool: &Pool) -> Option<Ask> {
+    fn decode_ask(
+        &self,
+        entry: Entry,
+        ask: &peer::Ask,
+        pool: &Pool,
+        versions: version::Set,
+    ) -> Option<Ask> {
         let version = self.shared.version.load();
         let hosted = self.pools.get(pool)?;
         let on_trial = id::from_wire(&ask.id).and_then(|id| hosted.trials.was_alone(id)).is_some();
         let apart = if on_trial { hosted.trials.servers() } else { Vec::new() };
-        wire::ask(entry, ask, &version, &hosted.keys, apart)
+        wire::ask(entry, ask, &version, &hosted.keys, apart, versions)
     }
 }
--- a/crates/drumusher/src/process/dispatch/hosted_pool.rs
+++ b/crates/drumusher/src/process/dispatch/hosted_pool.rs
@@ -1,7 +1,7 @@
 //! The state of one pool that this instance dispatches.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
 };
 
@@ -9,11 +9,12 @@
     ask::{Entry, Id},
     event::Event,
     policy::Policy,
-    pool, rank, server,
+    pool, rank, server, version,
 };
 
 use super::{
-    Bound, Budget, Divisor, Requesters, health, notices::Notices, suspects::Subject, trials::Trials,
+    Bound, Budget, Divisor, Requesters, health, notices::Notices, streams::Stream,
+    suspects::Subject, trials::Trials,
 };
 use crate::{
     settings::Regions,
@@ -55,6 +56,12 @@
     pub(super) trials: Trials,
     /// What identifies the requests that were submitted to the scheduler when they come again.
     pub(super) subjects: HashMap<Id, Subject>,
+    /// The streams among these requests that callers may take up again.
+    pub(super) streams: HashMap<Id, Stream>,
+    /// The requests that go on with a stream.
+    pub(super) resumed: HashSet<Id>,
+    /// The software versions of its backend servers; a key is the index.
+    versions: Vec<Arc<str>>,
     /// Writes log lines on the health of its backend servers.
     pub(super) health: health::Log,
     /// When the latest event for this pool alone was handled.
@@ -76,6 +83,9 @@
             reserved: HashMap::new(),
             trials: Trials::default(),
             subjects: HashMap::new(),
+            streams: HashMap::new(),
+            resumed: HashSet::new(),
+            versions: Vec::new(),
             health: health::Log::new(now),
             last_used: now,
         }
@@ -125,6 +135,30 @@
         if self.subjects.len() > scheduler.waiting() + scheduler.running() {
             self.subjects.retain(|id, _| is_known(*id));
         }
+        if self.streams.len() > scheduler.waiting() + scheduler.running() {
+            self.streams.retain(|id, _| is_known(*id));
+        }
+        if self.resumed.len() > scheduler.waiting() + scheduler.running() {
+            self.resumed.retain(|id| is_known(*id));
+        }
+    }
+
+    /// The key of a software version, if a backend server ever had it.
+    pub(super) fn version_key(&self, version: &str) -> Option<version::Key> {
+        let index = self.versions.iter().position(|known| **known == *version)?;
+        Some(version::Key(index as u16))
+    }
+
+    /// The software version with this key.
+    pub(super) fn version_at(&self, key: version::Key) -> Option<Arc<str>> {
+        self.versions.get(usize::from(key.0)).cloned()
+    }
+
+    fn add_version(&mut self, version: &Arc<str>) -> version::Key {
+        self.version_key(version).unwrap_or_else(|| {
+            self.versions.push(version.clone());
+            version::Key(self.versions.len() as u16 - 1)
+        })
     }
 
     /// Sets the rate limit of each backend server that warms up, from all instances together.
@@ -177,6 +211,7 @@
             let slots = (backend.slots / divisor).max(1);
             self.notices.set_warm_at(name, backend.warm_at);
             let options = server::Options {
+                version: self.add_version(&backend.version),
                 region: regions.key_of_zone(&backend.availability_zone),
                 ..options(slots, learned, rank::weight(pool, name))
             };
--- /dev/null
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -0,0 +1,188 @@
+//! Streams that callers may take up again: the software version to which each is bound, and the instances that know it.
+
+use std::{collections::HashMap, sync::Arc};
+
+use drumusher_schedule::{
+    ask::{Entry, Id},
+    rank::{self, Candidate},
+    server,
+    time::{MILLISECOND, Micros, SECOND},
+    version,
+};
+use drumusher_wire::peer::{self, Message};
+
+use super::Dispatcher;
+use crate::{
+    process::{
+        clock,
+        streams::{Key, Record},
+    },
+    version::Pool,
+};
+
+/// Number of instances, the next ones by rank, that know the streams of a dispatcher.
+const COPIES: usize = 3;
+/// Interval at which streams that nobody waits for are forgotten.
+const EXPIRY_INTERVAL: Micros = SECOND;
+
+/// A granted stream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stream {
+    key: Key,
+    /// Until when its caller waits.
+    until: Micros,
+}
+
+/// The connections of other instances, and which of them follow this one as the dispatcher of a pool.
+#[derive(Debug, Default)]
+pub(super) struct Successors {
+    connections: HashMap<Arc<str>, Entry>,
+    /// The successors of each pool, until connections or instances change.
+    by_pool: HashMap<Pool, Vec<Entry>>,
+    expired_at: Micros,
+}
+
+impl Successors {
+    pub(super) fn disconnected(&mut self, entry: Entry) {
+        let before = self.connections.len();
+        self.connections.retain(|_, connection| *connection != entry);
+        if self.connections.len() != before {
+            self.forget();
+        }
+    }
+
+    /// Forgets who follows whom.
+    pub(super) fn forget(&mut self) {
+        self.by_pool.clear();
+    }
+}
+
+impl Dispatcher {
+    /// The software versions at which a request may run.
+    ///
+    /// # Errors
+    ///
+    /// The refusal, if it goes on with a stream whose version is not known or has no backend server.
+    pub(super) fn versions(&self, ask: &peer::Ask, pool: &Pool) -> Result<version::Set, Refused> {
+        let Some(named) = ask.resumed else { return Ok(version::Set::All) };
+        let (now, streams) = (clock::now(), self.shared.streams());
+        let known = ask.version.as_deref().map(Arc::from);
+        let known = known.or_else(|| streams.version(now, Key(ask.stream? as u64)));
+        match known {
+            Some(version) => {
+                let hosted = self.pools.get(pool).ok_or(Refused::NoServer)?;
+                hosted.version_key(&version).map(version::Set::Only).ok_or(Refused::NoServer)
+            }
+            None if streams.has_single_version(now, pool, named) => Ok(version::Set::All),
+            None => Err(Refused::UnknownVersion),
+        }
+    }
+
+    /// Notes the stream of an ask, to record it with its grant.
+    pub(super) fn note_stream(&mut self, ask: &peer::Ask, id: Id, pool: &Pool) {
+        let Some(hosted) = self.pools.get_mut(pool) else { return };
+        if ask.resumed.is_some() {
+            hosted.resumed.insert(id);
+        }
+        let (Some(key), None) = (ask.stream, ask.resumed) else {
+            hosted.streams.remove(&id);
+            return;
+        };
+        let patience = ask.patience.unwrap_or(0).max(0) as u64 * MILLISECOND;
+        let stream = Stream { key: Key(key as u64), until: clock::now() + patience };
+        hosted.streams.insert(id, stream);
+    }
+
+    /// The software version of the granted backend server, for a request that goes on with a stream.
+    pub(super) fn bound_version(
+        &self,
+        pool: &Pool,
+        id: Id,
+        server: server::Key,
+    ) -> Option<Arc<str>> {
+        let hosted = self.pools.get(pool)?;
+        if !hosted.resumed.contains(&id) {
+            return None;
+        }
+        let version = hosted.scheduler.server_at(server)?.version();
+        hosted.version_at(version)
+    }
+
+    /// Records the software version of the backend server that was granted to a stream. Returns the stream's key.
+    pub(super) fn record_stream(&self, pool: &Pool, id: Id, server: &str) -> Option<Key> {
+        let Stream { key, until } = *self.pools.get(pool)?.streams.get(&id)?;
+        let directory = self.shared.directory.load();
+        let version = directory.backend(pool, server)?.version.clone();
+        let now = clock::now();
+        let record = Record { pool: pool.clone(), version, granted_at: now, until };
+        self.shared.streams().record(now, key, record);
+        Some(key)
+    }
+
+    /// The messages that pass streams on to the instances which may become the dispatcher of a pool.
+    pub(super) fn copies(&mut self, pool: &Pool, keys: &[Key]) -> Vec<(Entry, Message)> {
+        if keys.is_empty() {
+            return Vec::new();
+        }
+        let successors = self.successors(pool);
+        let shared = self.shared.streams().share_some(clock::now(), pool, keys);
+        let messages = successors.into_iter().map(|to| (to, Message::Streams(shared.clone())));
+        messages.collect()
+    }
+
+    /// Passes all known streams on to an instance that was connected, of the pools whose dispatcher it may become.
+    pub(super) fn share_streams(&mut self, entry: Entry, name: Arc<str>) {
+        self.successors.connections.insert(name, entry);
+        self.successors.forget();
+        let pools = self.shared.streams().pools();
+        for pool in pools {
+            if self.successors(&pool).contains(&entry) {
+                let shared = self.shared.streams().share(clock::now(), &pool);
+                let messages = shared.into_iter().map(|shared| (entry, Message::Streams(shared)));
+                self.unsent.extend(messages);
+            }
+        }
+        self.flush();
+    }
+
+    /// The connected instances that follow by rank as the dispatcher of a pool.
+    fn successors(&mut self, pool: &Pool) -> Vec<Entry> {
+        if let Some(known) = self.successors.by_pool.get(pool) {
+            return known.clone();
+        }
+        let directory = self.shared.directory.load();
+        let zone = pool.cell().map(|cell| &cell.zone);
+        let eligible = directory.instances.values().filter(|instance| {
+            let near = zone.is_none_or(|zone| *zone == instance.availability_zone);
+            near && instance.area == self.shared.area && !instance.leaving
+        });
+        let candidates = eligible
+            .map(|instance| Candidate { name: &instance.name, capacity: instance.capacity });
+        let ranked = rank::order(&pool.to_string(), candidates);
+        let connected = ranked.iter().filter_map(|name| self.successors.connections.get(*name));
+        let successors: Vec<Entry> = connected.take(COPIES).copied().collect();
+        self.successors.by_pool.insert(pool.clone(), successors.clone());
+        successors
+    }
+
+    /// Forgets the streams that nobody waits for.
+    pub(super) fn expire_streams(&mut self) {
+        let now = clock::now();
+        if now < self.successors.expired_at + EXPIRY_INTERVAL {
+            return;
+        }
+        self.successors.expired_at = now;
+        let mut streams = self.shared.streams();
+        streams.expire(now);
+        self.shared.telemetry.gauge("drumusher.streams.known", streams.len() as u64);
+    }
+}
+
+/// Why a request that goes on with a stream is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Refused {
+    /// The version that began the stream has no backend server.
+    NoServer,
+    /// It is not known which version began the stream.
+    UnknownVersion,
+}
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -178,6 +178,8 @@
         };
         hosted.release_retry(id);
         let subject = hosted.subjects.remove(&id);
+        hosted.streams.remove(&id);
+        hosted.resumed.remove(&id);
         let may_admit = hosted.trials.end(clock::now(), id);
         if let Some(subject) = subject {
             self.clear_answered(&subject, outcome);
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -9,6 +9,7 @@
     policy::{ClassKey, WorkspaceKey},
     server,
     time::Micros,
+    version,
 };
 use drumusher_wire::peer::{self, Message};
 
@@ -19,13 +20,14 @@
 };
 
 /// Decodes an ask of an entry. An unknown class counts as the lowest one. `keys` has the keys of the pool's backend
-/// servers by name; the request must not run on those in `apart`.
+/// servers by name; the request must not run on those in `apart`, and only at these software `versions`.
 pub(super) fn ask(
     entry: Entry,
     wire: &peer::Ask,
     version: &Version,
     keys: &HashMap<Arc<str>, server::Key>,
     apart: Vec<server::Key>,
+    versions: version::Set,
 ) -> Option<Ask> {
     let lowest = ClassKey(version.policy.classes.len() as u16 - 1);
     let avoid = wire.avoid.as_deref();
@@ -46,6 +48,7 @@
         anti_affinity: apart,
         output: wire.output.unwrap_or(0).max(0) as u32,
         parts: wire.parts.iter().flatten().map(read_part).collect(),
+        versions,
     })
 }
 
@@ -99,6 +102,8 @@
     pub(super) alone: Option<bool>,
     /// What is known of the rate limit of its backend server.
     pub(super) known_limit: KnownLimit,
+    /// The software version that began the stream with which the request goes on.
+    pub(super) version: Option<Arc<str>>,
     /// When the grant is sent.
     pub(super) now: Micros,
 }
@@ -128,6 +133,7 @@
                 alone: context.alone,
                 limited: context.known_limit.limited.then_some(true),
                 lifted: context.known_limit.lifted.map(|at| context.now.saturating_sub(at) as i64),
+                version: context.version.as_deref().map(String::from),
             };
             (entry, id, Message::Grant(grant), why)
         }
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -47,6 +47,7 @@
 pub mod routes;
 pub mod serve;
 pub mod shared;
+pub mod streams;
 pub mod telemetry;
 
 pub use drumusher_platform::clock;
--- a/crates/drumusher/src/process/peers/messages.rs
+++ b/crates/drumusher/src/process/peers/messages.rs
@@ -33,6 +33,7 @@
             | Message::Finish(_)
             | Message::Crash(_)
             | Message::Broken(_)
+            | Message::Streams(_)
             | Message::Notice(_) => {
                 let input = dispatch::Input::Message(Entry(number), Box::new(message));
                 self.try_dispatch(input);
--- a/crates/drumusher/src/process/peers/session.rs
+++ b/crates/drumusher/src/process/peers/session.rs
@@ -66,6 +66,7 @@
         }
         self.send_all(sends);
         self.update_capacity_divisor();
+        self.try_dispatch(dispatch::Input::Connected(Entry(number), instance.clone()));
         number
     }
 
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -25,6 +25,7 @@
     explain::Explanations,
     notices::Notices,
     peers, platform,
+    streams::Streams,
     telemetry::Telemetry,
 };
 use crate::{
@@ -58,6 +59,8 @@
     tally: Mutex<Tally>,
     /// Quarantine of requests that crash backend servers.
     quarantine: Mutex<quarantine::Table>,
+    /// The software versions that began streams.
+    streams: Mutex<Streams>,
     /// Number of quarantined requests that are held back.
     held: AtomicUsize,
     /// Limits, back-off periods and departures that backend servers announced in their responses to this
@@ -149,6 +152,7 @@
             records: Mutex::default(),
             tally: Mutex::default(),
             quarantine: Mutex::default(),
+            streams: Mutex::default(),
             held: AtomicUsize::new(0),
             notices: Arc::default(),
             paths: Paths::default(),
@@ -329,6 +333,11 @@
         *known = confirmed.max(*known);
     }
 
+    /// The software versions that began streams.
+    pub fn streams(&self) -> MutexGuard<'_, Streams> {
+        self.streams.lock().expect("no holder panics")
+    }
+
     /// Whether the store is known to hold this instance's current registration.
     pub fn is_registered(&self) -> bool {
         let records = self.records();
@@ -350,6 +359,7 @@
         }
         self.notices.keep_listed(clock::now(), &directory);
         self.paths.keep_listed(&directory);
+        self.streams().set_directory(clock::now(), &directory);
         self.directory.store(Arc::new(directory));
         let _ = self.dispatch.try_send(dispatch::Input::Changed);
         let _ = self.broker.try_send(broker::Input::Changed);
--- /dev/null
+++ b/crates/drumusher/src/process/streams.rs
@@ -0,0 +1,181 @@
+//! Which software version began each stream that its caller may take up again. Without I/O.
+//!
+//! Versions of the software of a service's backend servers have no order, and what two of them write does not fit together.
+//! An instance knows the streams that it sent as their entry, those that it granted as their dispatcher, and those of
+//! dispatchers that it may follow: a dispatcher passes its records on before its grants. So a caller can take its stream
+//! up at another instance after its entry and its dispatcher ended together.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use drumusher_schedule::time::{MILLISECOND, Micros, SECOND};
+use drumusher_wire::peer;
+
+use crate::version::{Directory, Pool};
+
+/// A service has had one software version if no other one was listed for this long, which outlives its streams.
+const MEMORY: Micros = 60 * SECOND;
+/// Longest time for which a stream may be taken up.
+const MAX_PATIENCE: Micros = 600 * SECOND;
+/// Maximum number of records: a minute of the streams that one dispatcher grants, with a margin of four.
+const MAX_RECORDS: usize = 262_144;
+/// Maximum number of streams in one message.
+const MAX_SHARED: usize = 1_024;
+
+/// Tells a stream from others: a keyed hash of its workspace and of the caller's attempt that began it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Key(pub u64);
+
+/// A stream that may be taken up again.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Its pool.
+    pub pool: Pool,
+    /// The software version that began it.
+    pub version: Arc<str>,
+    /// When it was granted. A grant that began nothing is replaced by a later one.
+    pub granted_at: Micros,
+    /// Until when its caller waits.
+    pub until: Micros,
+}
+
+/// The software versions of a service.
+#[derive(Debug, Default)]
+struct Versions {
+    listed: BTreeSet<Arc<str>>,
+    /// When there was more than one, or another one, for the last time.
+    mixed_at: Option<Micros>,
+}
+
+/// The streams that an instance knows.
+#[derive(Debug, Default)]
+pub struct Streams {
+    records: HashMap<Key, Record>,
+    services: BTreeMap<Pool, Versions>,
+    /// Since when the listed versions are followed.
+    since: Option<Micros>,
+}
+
+impl Streams {
+    /// Records a stream, unless a later grant of it is known.
+    pub fn record(&mut self, now: Micros, key: Key, record: Record) {
+        if self.records.len() >= MAX_RECORDS && !self.records.contains_key(&key) {
+            self.expire(now);
+            if self.records.len() >= MAX_RECORDS {
+                log::warn!("a stream cannot be taken up elsewhere: too many are known");
+                return;
+            }
+        }
+        let known = self.records.get(&key);
+        if known.is_none_or(|known| known.granted_at <= record.granted_at) {
+            let until = record.until.min(now + MAX_PATIENCE);
+            self.records.insert(key, Record { until, ..record });
+        }
+    }
+
+    /// The software version that began a stream.
+    pub fn version(&self, now: Micros, key: Key) -> Option<Arc<str>> {
+        let record = self.records.get(&key).filter(|record| now < record.until)?;
+        Some(record.version.clone())
+    }
+
+    /// Number of streams.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Whether no stream is known.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// The pools of all streams.
+    pub fn pools(&self) -> BTreeSet<Pool> {
+        self.records.values().map(|record| record.pool.clone()).collect()
+    }
+
+    /// Forgets the streams that nobody waits for.
+    pub fn expire(&mut self, now: Micros) {
+        self.records.retain(|_, record| now < record.until);
+    }
+
+    /// Follows the software versions that are listed.
+    pub fn set_directory(&mut self, now: Micros, directory: &Directory) {
+        self.since.get_or_insert(now);
+        for (pool, backends) in &directory.pools {
+            let versions = self.services.entry(pool.clone()).or_default();
+            let is_same = versions.listed.len() == backends.versions().len()
+                && backends.versions().all(|version| versions.listed.contains(version));
+            if !is_same {
+                if !versions.listed.is_empty() {
+                    versions.mixed_at = Some(now);
+                }
+                versions.listed = backends.versions().cloned().collect();
+            }
+        }
+    }
+
+    /// Whether the backend servers of a service have had the same software version for longer than a stream may be taken
+    /// up, as far as this instance can tell. One that was `named` by its caller has begun, perhaps before this instance
+    /// did.
+    pub fn has_single_version(&self, now: Micros, pool: &Pool, named: bool) -> bool {
+        let Some(versions) = self.services.get(&pool.whole()) else { return false };
+        let is_past = |at: Option<Micros>| at.is_none_or(|at| now >= at + MEMORY);
+        let followed = !named || self.since.is_some_and(|since| now >= since + MEMORY);
+        versions.listed.len() == 1 && is_past(versions.mixed_at) && followed
+    }
+
+    /// Encodes the streams of a pool for another instance.
+    pub fn share(&self, now: Micros, pool: &Pool) -> Vec<peer::Streams> {
+        let own = self.records.iter().filter(|(_, record)| record.pool == *pool);
+        let streams: Vec<(Key, &Record)> = own.map(|(key, record)| (*key, record)).collect();
+        streams.chunks(MAX_SHARED).map(|chunk| encode(now, pool, chunk)).collect()
+    }
+
+    /// Encodes these streams of a pool for another instance.
+    pub fn share_some(&self, now: Micros, pool: &Pool, keys: &[Key]) -> peer::Streams {
+        let known = keys.iter().filter_map(|key| Some((*key, self.records.get(key)?)));
+        encode(now, pool, &known.collect::<Vec<_>>())
+    }
+
+    /// Adds the streams that another instance knows. Those that cannot be decoded are passed over.
+    pub fn merge(&mut self, now: Micros, shared: &peer::Streams) {
+        let Some(pool) = Pool::parse(&shared.pool) else { return };
+        let versions: Vec<Arc<str>> =
+            shared.versions.iter().map(|version| version.as_str().into()).collect();
+        for stream in &shared.streams {
+            let Some(version) = versions.get(stream.version as usize) else { continue };
+            let time = |milliseconds: i64| milliseconds.max(0) as u64 * MILLISECOND;
+            let record = Record {
+                pool: pool.clone(),
+                version: version.clone(),
+                granted_at: now.saturating_sub(time(stream.age)),
+                until: now + time(stream.patience).min(MAX_PATIENCE),
+            };
+            self.record(now, Key(stream.key as u64), record);
+        }
+    }
+}
+
+fn encode(now: Micros, pool: &Pool, streams: &[(Key, &Record)]) -> peer::Streams {
+    let mut versions: Vec<&str> = Vec::new();
+    let streams = streams.iter().map(|(key, record)| {
+        let known = versions.iter().position(|version| *version == &*record.version);
+        let version = known.unwrap_or_else(|| {
+            versions.push(&record.version);
+            versions.len() - 1
+        });
+        let milliseconds = |time: Micros| (time / MILLISECOND) as i64;
+        peer::Stream {
+            key: key.0 as i64,
+            version: version as i16,
+            age: milliseconds(now.saturating_sub(record.granted_at)),
+            patience: milliseconds(record.until.saturating_sub(now)),
+        }
+    });
+    let streams = streams.collect();
+    let versions = versions.into_iter().map(String::from).collect();
+    peer::Streams { pool: pool.to_string(), versions, streams }
+}
--- a/crates/drumusher/src/request/grant.rs
+++ b/crates/drumusher/src/request/grant.rs
@@ -187,6 +187,7 @@
         DispatchRequest {
             attempt: Attempt::First,
             digest: None,
+            stream: None,
             id: self.id,
             pool: self.pool.clone(),
             area,
--- a/crates/drumusher/src/routed/digest.rs
+++ b/crates/drumusher/src/routed/digest.rs
@@ -6,6 +6,7 @@
 use sha2::Sha256;
 
 use super::exchange::Request;
+use crate::process::streams;
 
 /// Digest length in bytes. 128 bits are enough that no two requests of a deployment collide by chance.
 const DIGEST_BYTES: usize = 16;
@@ -20,6 +21,13 @@
     hash(secret, &[b"part", workspace.as_bytes(), &part.to_be_bytes()])
 }
 
+/// Computes the key of a stream from the workspace and the caller's attempt that began it. It is keyed, so that nobody
+/// can name the stream of another workspace.
+pub fn of_stream(secret: &str, workspace: &str, attempt: &str) -> streams::Key {
+    let digest = hash(secret, &[b"stream", workspace.as_bytes(), attempt.as_bytes()]);
+    streams::Key(digest.0 as u64)
+}
+
 /// Computes the digest of a request: an HMAC over workspace, method, host, path with query, and body, keyed by the
 /// fleet secret so that nobody can craft a request with the digest of another one. A client without a workspace is
 /// identified by its API key. Values that differ between submissions, such as the request ID and the remaining time,
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -11,6 +11,7 @@
 //! | `end` | retry decision and final response |
 //! | `notice` | records notices of backend servers (limit, rest, leaving) and checks them before sending |
 //! | `path` | connects to a backend server, through another instance if the path to it is lost |
+//! | `stream` | binds a stream to the software version that began it |
 //! | `timing` | time to the first event and gaps between events |
 
 mod cells;
@@ -22,6 +23,7 @@
 mod path;
 mod request;
 mod response;
+mod stream;
 mod timing;
 
 pub use crash::Watch;
@@ -144,6 +146,7 @@
         let id = id::random();
         let (pool, pools) = Pools::new(&shared, route_match, id, &parts);
         let digest = digest::compute(&shared.settings.fleet_secret, &request);
+        let stream = stream::of_request(&shared, &request, deadline);
         let spec = Spec {
             pool,
             workspace: route_match.workspace.clone().unwrap_or_else(|| "".into()),
@@ -154,6 +157,7 @@
             parts,
             repeatable: route_match.kind.repeatable(),
             digest,
+            stream,
         };
         let ticket = Ticket::new(shared, id, spec);
         Exchange {
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -164,6 +164,9 @@
             r if r == Refusal::Undecided as i16 => {
                 (Kind::NoServer, "a backend server that ran this request may have crashed")
             }
+            r if r == Refusal::UnknownVersion as i16 => {
+                (Kind::NoServer, "the software version that began the stream is not known")
+            }
             r if r == Refusal::WaitBound as i16 => {
                 (Kind::WaitBound, "the request would wait longer than its class allows")
             }
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -103,7 +103,8 @@
     /// Turns to the next pool of the service if this one refused the request for lack of capacity. Returns whether there
     /// is one.
     fn turn_to_next_pool(&mut self, refusal: i16) -> bool {
-        let reasons = [Refusal::NoServer, Refusal::QueueFull, Refusal::WaitBound];
+        let reasons =
+            [Refusal::NoServer, Refusal::QueueFull, Refusal::WaitBound, Refusal::UnknownVersion];
         if !reasons.iter().any(|reason| *reason as i16 == refusal) {
             return false;
         }
@@ -122,12 +123,13 @@
     ///
     /// The time in milliseconds after which the server is usable again, if known.
     fn accept(&mut self, grant: Grant) -> Result<Backend, Option<u64>> {
-        let Grant { server, source, expected, dispatcher, alone, known_limit } = grant;
+        let usable = self.usable_backend(&grant.server);
+        let usable = usable.filter(|backend| self.may_continue(&grant, backend));
+        let Grant { server, source, expected, dispatcher, alone, known_limit, .. } = grant;
         (self.isolated, self.known_limit, self.expected_first_event) =
             (alone, known_limit, expected);
         self.dispatcher = Some(dispatcher);
         self.cache_source = self.find_cache_source(source);
-        let usable = self.usable_backend(&server);
         let withheld = usable.as_ref().and_then(|backend| self.check_withheld(backend).err());
         if let Some(backend) = usable.filter(|_| withheld.is_none()) {
             log::debug!(
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -111,6 +111,7 @@
         let elapsed = clock::now() - self.started;
         exchange.timing.backend_first_event = Some(elapsed);
         exchange.first_event_at = Some(clock::now());
+        exchange.bind_stream();
         exchange.ticket.report_progress(self.events, Some(elapsed), 0);
         self.reported_at = clock::now();
         self.reported_events = self.events;
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -12,7 +12,7 @@
 use crate::{
     process::{
         Shared,
-        broker::{Attempt, CANCELLED, Decision, DispatchRequest, Input, Reply, Report},
+        broker::{Attempt, CANCELLED, Decision, DispatchRequest, Input, Reply, Report, Stream},
         clock,
     },
     version::Pool,
@@ -44,6 +44,8 @@
     pub repeatable: bool,
     /// Digest that recognises repeated submissions of the same request.
     pub digest: Digest,
+    /// The stream, if it may be taken up again.
+    pub stream: Option<Stream>,
 }
 
 /// A request's registration with the dispatcher; dropping it cancels the request or releases its grant.
@@ -80,6 +82,18 @@
         &self.spec.parts
     }
 
+    /// The stream, if it may be taken up again.
+    pub fn stream(&self) -> Option<&Stream> {
+        self.spec.stream.as_ref()
+    }
+
+    /// Binds the stream to the software version that began it.
+    pub fn bind_stream(&mut self, version: &Arc<str>) {
+        if let Some(stream) = &mut self.spec.stream {
+            (stream.resumed, stream.version) = (true, Some(version.clone()));
+        }
+    }
+
     /// Turns to another pool of the same service. The dispatcher of the previous one must hold nothing for the request.
     pub fn set_pool(&mut self, pool: Pool) {
         self.spec.pool = pool;
@@ -137,6 +151,7 @@
             parts: spec.parts.clone(),
             attempt,
             digest: Some(spec.digest),
+            stream: spec.stream.clone(),
             replies: self.sender.clone(),
         }
     }
--- a/crates/drumusher/src/version/backends.rs
+++ b/crates/drumusher/src/version/backends.rs
@@ -26,12 +26,19 @@
     /// Each sorted by name.
     buckets: Vec<Arc<Vec<Arc<Backend>>>>,
     zones: BTreeMap<Arc<str>, ZoneCount>,
+    /// The number of servers of each software version.
+    versions: BTreeMap<Arc<str>, usize>,
     len: usize,
 }
 
 impl Default for Backends {
     fn default() -> Self {
-        Backends { buckets: vec![Arc::default(); BUCKETS], zones: BTreeMap::new(), len: 0 }
+        Backends {
+            buckets: vec![Arc::default(); BUCKETS],
+            zones: BTreeMap::new(),
+            versions: BTreeMap::new(),
+            len: 0,
+        }
     }
 }
 
@@ -46,6 +53,11 @@
         self.len == 0
     }
 
+    /// The software versions.
+    pub fn versions(&self) -> impl ExactSizeIterator<Item = &Arc<str>> {
+        self.versions.keys()
+    }
+
     /// The server with this name.
     pub fn get(&self, name: &str) -> Option<&Backend> {
         let bucket = &self.buckets[bucket_of(name)];
@@ -59,6 +71,7 @@
         let count = self.zones.entry(backend.availability_zone.clone()).or_default();
         count.listed += 1;
         count.accepting += usize::from(!backend.leaving);
+        *self.versions.entry(backend.version.clone()).or_default() += 1;
         self.len += 1;
         let bucket = Arc::make_mut(&mut self.buckets[bucket_of(&backend.name)]);
         let (Ok(index) | Err(index)) = position(bucket, &backend.name);
@@ -71,6 +84,12 @@
         let Ok(index) = position(bucket, name) else { return };
         let backend = Arc::make_mut(bucket).remove(index);
         self.len -= 1;
+        if let Some(count) = self.versions.get_mut(&backend.version) {
+            *count -= 1;
+            if *count == 0 {
+                self.versions.remove(&backend.version);
+            }
+        }
         let zone = &backend.availability_zone;
         if let Some(count) = self.zones.get_mut(zone) {
             count.listed -= 1;
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -49,6 +49,8 @@
     pub area: Arc<str>,
     /// `ip:port`.
     pub address: String,
+    /// Version of its software; empty if it is not known.
+    pub version: Arc<str>,
     /// Maximum number of concurrent requests.
     pub slots: u32,
     /// Whether it accepts no new requests.
@@ -111,6 +113,7 @@
                 warm_at: 0,
                 evacuated: false,
                 address: address.clone(),
+                version: Arc::default(),
                 slots: engine.slots,
                 leaving: engine.drained,
                 started_ms: None,
@@ -141,10 +144,13 @@
         let moved: Vec<Pool> = moved.map(|(pool, _)| pool.clone()).collect();
         moved.iter().for_each(|pool| self.remove_from(pool, &server.id));
         let backends = self.pools.entry(pool).or_default();
+        let version = backends.versions().find(|version| **version == server.version);
+        let version = version.unwrap_or(&server.version).clone();
         backends.put(Backend {
             name: server.id.clone(),
             area: area.clone(),
             address: server.address.to_string(),
+            version,
             slots: server.slots,
             leaving: server.leaving || evacuated,
             started_ms: server.started_ms,
@@ -199,6 +205,7 @@
                 name: name.clone(),
                 area: area.clone(),
                 address: member.address.clone(),
+                version: Arc::default(),
                 slots,
                 leaving: leaving || drained,
                 availability_zone: area.clone(),
--- a/crates/drumusher/tests/memory.rs
+++ b/crates/drumusher/tests/memory.rs
@@ -53,6 +53,7 @@
         slots: 32,
         leaving,
         started_ms: Some(number as u64),
+        version: "v1".into(),
         spot: false,
         warm_up_ms: 0,
     }
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -20,6 +20,7 @@
 mod restore;
 mod server_entries;
 mod soak;
+mod software_versions;
 mod streams;
 mod support;
 mod suspected_outages;
--- /dev/null
+++ b/crates/drumusher/tests/routes/software_versions.rs
@@ -0,0 +1,271 @@
+//! Backend servers of several software versions: what they write does not fit together, so that a stream goes on only at
+//! the version that began it.
+
+use std::{
+    collections::BTreeSet,
+    io::Write,
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
+
+use drumusher_adapter_stand_in::{Crash, Ending, Server};
+use drumusher_bench::fleet::{Mode, wait_for};
+use rstest::rstest;
+
+use crate::support::{
+    Deployment, Instance, MODEL, OPERATOR, Relays, Request, Response, configuration,
+    operator_query, read_response,
+};
+
+/// Engines of each version.
+const ENGINES: usize = 3;
+const VERSIONS: [&str; 2] = ["v1", "v1.1"];
+const STREAMS: usize = 24;
+/// Number of events of a stream, and the time between two.
+const EVENTS: u64 = 60;
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+/// When the trouble begins.
+const TROUBLE_AT: Duration = Duration::from_millis(900);
+/// How long a caller goes on taking its stream up, and the pause between two tries.
+const CALLER_TIME: Duration = Duration::from_secs(8);
+const CALLER_PAUSE: Duration = Duration::from_millis(150);
+/// Pause after the restart of an instance.
+const RESTART_PAUSE: Duration = Duration::from_millis(700);
+
+/// What happens to a deployment while streams run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Trouble {
+    /// One engine of each version ends.
+    OneEngineOfEach,
+    /// All engines of the first version end.
+    AllEnginesOfOne,
+    /// One instance is killed.
+    OneInstance,
+    /// Three of four instances are killed.
+    ThreeInstances,
+    /// One instance reaches neither the store nor the others, and another one is killed.
+    CutOffAndKill,
+    /// Three instances are killed and started again, one after the other.
+    RestartsInSeries,
+}
+
+fn deploy(instances: usize, versions: &[&str]) -> Deployment {
+    let mut deployment = Deployment::empty(true);
+    for (at, version) in versions.iter().enumerate() {
+        for number in 0..ENGINES {
+            let id = format!("m{at}{number}");
+            let server = Server::start(&id).expect("the server starts");
+            server.set_version(version);
+            server.set_pace(EVENTS, EVENT_INTERVAL);
+            deployment.store.put("keyed.servers", &id, &server.entry(MODEL, "ready"));
+            deployment.servers.push(server);
+        }
+    }
+    for number in 0..instances {
+        let store_endpoint = deployment.store.endpoint().expect("the store endpoint starts");
+        deployment.add_instance_with(&format!("i{number}"), store_endpoint, OPERATOR);
+    }
+    let routes = configuration(1, "").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":12000");
+    deployment.store.put("keyed.op", "config", &routes);
+    for at in 0..instances {
+        wait_for("the instance is ready", || deployment.instances[at].ready());
+        wait_for("all are listed", || {
+            let listed = operator_query(&deployment.instances[at], "show instances");
+            (0..instances).all(|other| listed.contains(&format!("\"i{other}\"")))
+        });
+    }
+    deployment
+}
+
+/// A stream as its caller got it.
+#[derive(Debug, Default)]
+struct Received {
+    numbers: Vec<u64>,
+    versions: BTreeSet<String>,
+    /// Whether the caller had to take it up.
+    taken_up: bool,
+}
+
+impl Received {
+    /// Adds the complete events of a response.
+    fn add(&mut self, text: &str) {
+        let complete = text.rfind("\n\n").map_or("", |end| &text[..end]);
+        for event in complete.split("\n\n").filter(|event| !event.is_empty()) {
+            let (number, data) = event.split_once('\n').expect("a number and data");
+            self.numbers.push(number["id: ".len()..].parse().expect("a number"));
+            let version = data.split(' ').nth(4).unwrap_or("v1");
+            self.versions.insert(version.into());
+        }
+    }
+
+    fn is_whole(&self) -> bool {
+        self.numbers == (1..=EVENTS).collect::<Vec<_>>()
+    }
+}
+
+/// Sends a request to an instance; `None` if it does not respond.
+fn send(address: SocketAddr, request: &Request) -> Option<Response> {
+    let mut conn = TcpStream::connect(address).ok()?;
+    conn.set_read_timeout(Some(CALLER_TIME)).ok()?;
+    conn.write_all(&request.bytes()).ok()?;
+    read_response(&mut conn).ok()
+}
+
+/// Receives a stream, and takes it up at the instance `next` when it is cut off.
+fn receive(addresses: &[SocketAddr], number: usize, next: impl Fn(usize) -> usize) -> Received {
+    // Without the parts of its prompt a request may run on any engine.
+    let first = Request::get(&format!("/talk/{number}")).without("Drumusher-Prompt-Prefix");
+    let (began, mut at) = (Instant::now(), number % addresses.len());
+    let mut received = Received::default();
+    let mut request = first.clone();
+    while began.elapsed() < CALLER_TIME && !received.is_whole() {
+        let response = send(addresses[at], &request);
+        if let Some(response) = response.filter(|response| response.status == 200) {
+            received.add(&response.text());
+        }
+        at = next(at);
+        let Some(last) = received.numbers.last() else { continue };
+        received.taken_up |= !received.is_whole();
+        let request_again = first.with_new_id().with("Last-Event-Id", &last.to_string());
+        request = request_again.with("Resumes", &first.id);
+        thread::sleep(CALLER_PAUSE);
+    }
+    received
+}
+
+fn end_engines(deployment: &Deployment, ends: impl Fn(&str) -> bool) {
+    for server in deployment.servers.iter().filter(|server| ends(&server.id)) {
+        let server = server.clone();
+        let crash = Crash {
+            path: "/".into(),
+            part: None,
+            events: 0,
+            after: Duration::ZERO,
+            ending: Ending::Closed,
+            down: Duration::from_secs(60),
+            renamed: false,
+            service: MODEL.into(),
+            store: deployment.store.clone(),
+        };
+        thread::spawn(move || server.crash(&crash));
+    }
+}
+
+fn relays(instance: &Instance) -> &Relays {
+    instance.relays.as_ref().expect("the instance has relays")
+}
+
+fn befall(deployment: &mut Deployment, trouble: Trouble) {
+    match trouble {
+        Trouble::OneEngineOfEach => end_engines(deployment, |id| id.ends_with('0')),
+        Trouble::AllEnginesOfOne => end_engines(deployment, |id| id.starts_with("m0")),
+        Trouble::OneInstance => deployment.instances[1].kill(),
+        Trouble::ThreeInstances => deployment.instances[1..].iter_mut().for_each(Instance::kill),
+        Trouble::CutOffAndKill => {
+            deployment.instances.iter().for_each(|i| relays(i).peers.set(Mode::Stalled));
+            relays(&deployment.instances[0]).store.set(Mode::Stalled);
+            deployment.instances[2].kill();
+        }
+        Trouble::RestartsInSeries => {
+            for instance in &mut deployment.instances[1..] {
+                instance.kill();
+                instance.restart();
+                thread::sleep(RESTART_PAUSE);
+            }
+        }
+    }
+}
+
+/// Runs streams through a trouble. Returns what their callers got.
+fn run(deployment: &mut Deployment, trouble: Trouble) -> Vec<Received> {
+    let addresses: Vec<SocketAddr> =
+        deployment.instances.iter().map(|instance| instance.http_address).collect();
+    // The caller of an instance that was killed turns to the one that is left or cut off, or to the next one.
+    let next = |at: usize| match trouble {
+        Trouble::ThreeInstances => 0,
+        Trouble::CutOffAndKill => {
+            if at == 2 {
+                0
+            } else {
+                at
+            }
+        }
+        _ => (at + 1) % addresses.len(),
+    };
+    thread::scope(|scope| {
+        let (addresses, next) = (&addresses, &next);
+        let callers: Vec<_> = (0..STREAMS)
+            .map(|number| scope.spawn(move || receive(addresses, number, next)))
+            .collect();
+        thread::sleep(TROUBLE_AT);
+        befall(deployment, trouble);
+        callers.into_iter().map(|caller| caller.join().expect("a stream")).collect()
+    })
+}
+
+/// A stream goes on only at the version that began it, whoever takes it up, and whatever happens meanwhile. At least half
+/// of those that are taken up go on while servers of their version are left.
+#[rstest]
+fn stream_goes_on_only_at_the_version_that_began_it(
+    #[values(
+        Trouble::OneEngineOfEach,
+        Trouble::AllEnginesOfOne,
+        Trouble::OneInstance,
+        Trouble::ThreeInstances,
+        Trouble::CutOffAndKill,
+        Trouble::RestartsInSeries
+    )]
+    trouble: Trouble,
+) {
+    let instances = if trouble == Trouble::OneEngineOfEach { 3 } else { 4 };
+    let mut deployment = deploy(instances, &VERSIONS);
+    let received = run(&mut deployment, trouble);
+    let mixed = received.iter().filter(|stream| stream.versions.len() > 1).count();
+    let taken_up: Vec<&Received> = received.iter().filter(|stream| stream.taken_up).collect();
+    let went_on = taken_up.iter().filter(|stream| stream.is_whole()).count();
+    let whole = received.iter().filter(|stream| stream.is_whole()).count();
+    println!(
+        "{trouble:?}: {whole} whole, {mixed} of two versions, {went_on} of {} went on",
+        taken_up.len()
+    );
+    assert_eq!(mixed, 0, "{trouble:?}: streams of two versions");
+    for stream in &received {
+        let in_order = (1..).zip(&stream.numbers).all(|(due, number)| due == *number);
+        assert!(in_order, "events are missing or come twice: {stream:?}");
+    }
+    if trouble != Trouble::AllEnginesOfOne {
+        assert!(went_on * 2 >= taken_up.len(), "{went_on} of {} went on", taken_up.len());
+    }
+}
+
+/// With one version, all streams go on, by their instance and by their callers.
+#[rstest]
+#[case(Trouble::OneEngineOfEach)]
+#[case(Trouble::OneInstance)]
+fn all_streams_of_a_single_version_go_on(#[case] trouble: Trouble) {
+    let mut deployment = deploy(4, &VERSIONS[..1]);
+    let received = run(&mut deployment, trouble);
+    let whole = received.iter().filter(|stream| stream.is_whole()).count();
+    assert_eq!(whole, STREAMS, "{trouble:?}");
+}
+
+/// A stream whose version is not known does not run, and the answer says so and when to come back.
+#[rstest]
+#[case::of_an_unknown_attempt(Some("ffffffffffffffff"))]
+#[case::of_no_attempt(None)]
+fn stream_of_an_unknown_version_is_not_run(#[case] resumes: Option<&str>) {
+    let deployment = deploy(2, &VERSIONS);
+    let mut request = Request::get("/talk/unknown").with("Last-Event-Id", "5");
+    if let Some(attempt) = resumes {
+        request = request.with("Resumes", attempt);
+    }
+    for at in 0..2 {
+        let response = deployment.send(at, &request.with_new_id()).expect("a response");
+        assert_eq!(response.status, 503, "{}", response.text());
+        assert!(response.text().contains(r#""ran":"no""#), "{}", response.text());
+        assert!(response.header("retry-after").is_some());
+    }
+    let runs = deployment.servers.iter().flat_map(Server::runs);
+    assert_eq!(runs.filter(|run| run.request.path() == "/talk/unknown").count(), 0);
+}
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -83,6 +83,7 @@
     let own = DispatchRequest {
         attempt: Attempt::First,
         digest: None,
+        stream: None,
         id,
         pool: pool(),
         area: "suva".into(),
@@ -125,6 +126,7 @@
         None,
         None,
         None,
+        None,
     );
     table.answer(from, Message::Grant(grant), &mut sends);
     sends
@@ -424,6 +426,7 @@
         leaving: false,
         started_ms: None,
         availability_zone: "suva".into(),
+        version: "v1".into(),
         spot: false,
         warm_at: 0,
         evacuated: false,
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -19,6 +19,7 @@
         slots: 1,
         leaving: false,
         started_ms: None,
+        version: "v1".into(),
         spot: false,
         warm_up_ms: 0,
     }
--- a/crates/drumusher/tests/unit/directory.rs
+++ b/crates/drumusher/tests/unit/directory.rs
@@ -20,6 +20,7 @@
         slots: 12,
         leaving: false,
         started_ms: None,
+        version: "v1".into(),
         spot: false,
         warm_up_ms: 0,
     }
--- a/crates/drumusher/tests/unit/hosted_pool.rs
+++ b/crates/drumusher/tests/unit/hosted_pool.rs
@@ -26,6 +26,7 @@
         leaving: false,
         started_ms: None,
         availability_zone: "z".into(),
+        version: "v1".into(),
         spot: false,
         warm_at: 0,
         evacuated: false,
--- a/crates/drumusher/tests/unit/notices.rs
+++ b/crates/drumusher/tests/unit/notices.rs
@@ -31,6 +31,7 @@
         leaving: false,
         started_ms,
         availability_zone: "z".into(),
+        version: "v1".into(),
         spot: false,
         warm_at: 0,
         evacuated: false,
--- a/crates/drumusher/tests/unit/paths.rs
+++ b/crates/drumusher/tests/unit/paths.rs
@@ -18,6 +18,7 @@
         leaving: false,
         started_ms: Some(started_ms),
         availability_zone: "z".into(),
+        version: "v1".into(),
         spot: false,
         warm_at: 0,
         evacuated: false,
--- a/crates/drumusher/tests/unit/preemption.rs
+++ b/crates/drumusher/tests/unit/preemption.rs
@@ -38,6 +38,7 @@
     let request = DispatchRequest {
         attempt: Attempt::First,
         digest: None,
+        stream: None,
         id: ID,
         pool: Pool::Model("draft".into()),
         area: "suva".into(),
@@ -66,7 +67,7 @@
 fn grant() -> Message {
     let wire = id::to_wire(ID);
     let (engine, none) = ("engine-0".to_string(), None);
-    Message::Grant(peer::Grant::new(wire, engine, 0, 0, none, None, None, None, None, None))
+    Message::Grant(peer::Grant::new(wire, engine, 0, 0, none, None, None, None, None, None, None))
 }
 
 fn preempt() -> Message {
