fix: an undecided trial holds up only requests with the suspected part

Callers could see: requests that are suspected themselves got 503 while it was not known whether the trial of another request, with which they share any part of their prompts, had crashed its server, for up to a minute where the server was cut off.

All parts of a suspected request were compared, not the suspected ones.

Now only suspected parts are compared, and a suspicion lasts 15 s in place of a minute.

--- a/crates/drumusher/src/process/dispatch/breaks.rs
+++ b/crates/drumusher/src/process/dispatch/breaks.rs
@@ -9,8 +9,9 @@
 use drumusher_schedule::time::{Micros, SECOND};
 use drumusher_wire::peer;
 
-/// How long a crash is suspected. A server that stays silent for longer may be gone for good.
-const UNDECIDED_RETENTION: Micros = 60 * SECOND;
+/// How long a crash is suspected: crashed servers are back within some seconds. One that stays silent for longer may be
+/// gone for good, or cut off.
+const UNDECIDED_RETENTION: Micros = 15 * SECOND;
 /// For this long after an attempt, a crash of a server that answered since counts: it may still have run the request.
 const SURVIVED_RETENTION: Micros = 5 * SECOND;
 /// How long it is remembered that a server crashed, for instances that report their attempts later.
@@ -95,7 +96,7 @@
     }
 
     /// Since when a server may have crashed by a trial of a request, or of another one of its workspace with one of these
-    /// parts in its prompt.
+    /// suspected parts in its prompt.
     pub fn trial_undecided_since(
         &self,
         request: Digest,
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -52,6 +52,14 @@
     parts: Vec<u64>,
 }
 
+/// A request, or a part of its prompt, that may run only on trial or not at all.
+struct Suspect {
+    digest: Digest,
+    verdict: Verdict,
+    /// The part of the prompt; `None` for the request itself.
+    part: Option<u64>,
+}
+
 impl Subject {
     /// The subject of an ask; `None` if it has no digest.
     fn new(ask: &peer::Ask) -> Option<Self> {
@@ -81,13 +89,8 @@
             return Admission::Run;
         };
         let suspects = self.suspects(&subject);
-        let undecided_since = (!suspects.is_empty() && message.server.is_none())
-            .then(|| {
-                let Subject { request, workspace, parts } = &subject;
-                self.breaks.trial_undecided_since(*request, workspace, parts)
-            })
-            .flatten();
-        let held = suspects.iter().any(|(_, verdict)| *verdict == Verdict::Held);
+        let undecided_since = self.undecided_since(&subject, &suspects);
+        let held = suspects.iter().any(|suspect| suspect.verdict == Verdict::Held);
         let Some(hosted) = self.pools.get_mut(pool) else {
             return Admission::Run;
         };
@@ -95,14 +98,14 @@
         if held && !runs_already {
             return Admission::Refuse;
         }
-        if let Some(since) = undecided_since {
+        if let Some(since) = undecided_since.filter(|_| !runs_already) {
             let is_soon_decided = clock::now() < since + DECISION_TIME;
             return if is_soon_decided { Admission::Wait } else { Admission::Postpone };
         }
         if suspects.is_empty() {
             hosted.trials.forget(id);
         } else {
-            let suspects: Vec<Digest> = suspects.into_iter().map(|(digest, _)| digest).collect();
+            let suspects: Vec<Digest> = suspects.iter().map(|suspect| suspect.digest).collect();
             let max = max_trials(&hosted.scheduler);
             if !runs_already && !hosted.trials.may_begin(&suspects, max) {
                 return Admission::Wait;
@@ -114,16 +117,30 @@
     }
 
     /// What of a request may run only on trial, or not at all.
-    fn suspects(&self, subject: &Subject) -> Vec<(Digest, Verdict)> {
+    fn suspects(&self, subject: &Subject) -> Vec<Suspect> {
         let table = self.shared.quarantine();
-        let parts = if table.has_parts() {
+        let digests = if table.has_parts() {
             subject.part_digests(&self.shared.settings.fleet_secret)
         } else {
             Vec::new()
         };
-        let verdicts = parts.into_iter().map(|digest| (digest, table.verdict(digest)));
-        let request = (subject.request, self.request_verdict(&table, subject.request));
-        verdicts.chain([request]).filter(|(_, verdict)| *verdict != Verdict::Free).collect()
+        let parts = digests.into_iter().zip(&subject.parts).map(|(digest, part)| Suspect {
+            digest,
+            verdict: table.verdict(digest),
+            part: Some(*part),
+        });
+        let verdict = self.request_verdict(&table, subject.request);
+        let request = Suspect { digest: subject.request, verdict, part: None };
+        parts.chain([request]).filter(|suspect| suspect.verdict != Verdict::Free).collect()
+    }
+
+    /// Since when it is not known whether a trial of these suspects crashed its backend server.
+    fn undecided_since(&self, subject: &Subject, suspects: &[Suspect]) -> Option<Micros> {
+        if suspects.is_empty() {
+            return None;
+        }
+        let parts: Vec<u64> = suspects.iter().filter_map(|suspect| suspect.part).collect();
+        self.breaks.trial_undecided_since(subject.request, &subject.workspace, &parts)
     }
 
     /// How a request may be run. Backend servers that may have crashed count for a trial, but not against the request.
