fix: what a server sent before its connection broke does not hide its crash

Callers could see: a request that crashes busy servers is noticed later than on idle ones.

Cause, by reading: a server was taken for alive without a probe if it had sent anything after the latest part of the broken attempt's response, also before the crash. It was then watched for a second only, and a server that is back later was missed. What counts now is what it sends after the break.

--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -52,8 +52,8 @@
     answered_at: Option<Micros>,
     /// Whether it fell silent, so that it may have restarted before it answered.
     was_silent: bool,
-    /// Since when no part of a response to the latest of them arrived.
-    silent_since: Micros,
+    /// When the latest of them was added. What the server sent before says nothing about a crash.
+    added_at: Micros,
     /// Until when a crash of a server that answers again counts.
     until: Micros,
     probe_at: Micros,
@@ -91,7 +91,7 @@
         let key = incarnation(backend);
         let begins = !watches.contains_key(&key);
         let watch = watches.entry(key).or_default();
-        watch.silent_since = self.received_at.get().max(self.sent_at);
+        watch.added_at = clock::now();
         watch.until = watch.until.max(until);
         watch.was_silent |= is_silent;
         watch.probe_at = if begins { probe_at } else { watch.probe_at.min(probe_at) };
@@ -255,9 +255,9 @@
     backend: &Backend,
     tunnelled: bool,
 ) -> Finding {
-    let silent_since = worker.watches.borrow().get(&incarnation(backend)).map(|w| w.silent_since);
+    let added_at = worker.watches.borrow().get(&incarnation(backend)).map(|watch| watch.added_at);
     let paths = &worker.shared.paths;
-    if silent_since.is_some_and(|since| paths.was_heard_after(since, backend)) {
+    if added_at.is_some_and(|at| paths.was_heard_after(at, backend)) {
         return Finding::Answers;
     }
     let reached = if tunnelled { Reached::Refused } else { reach(worker, pool, backend).await };
--- a/crates/drumusher/tests/routes/crash_endings.rs
+++ b/crates/drumusher/tests/routes/crash_endings.rs
@@ -22,6 +22,8 @@
 const DOWNTIME: Duration = Duration::from_millis(600);
 /// How long it is down if it is noticed only by its return.
 const LONG_DOWNTIME: Duration = Duration::from_secs(5);
+/// How long it is down if its end has to be noticed before it is back.
+const RESTART_TIME: Duration = Duration::from_millis(2_500);
 /// Pause between two requests of a caller.
 const PAUSE: Duration = Duration::from_millis(150);
 /// How long servers stand still, or are down in an outage.
@@ -156,40 +158,58 @@
     assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals");
 }
 
-/// Sound streams are served while such a request crashes servers, and after it is held back.
+/// Callers of sound streams, which keep all engines busy.
+const SOUND_CALLERS: usize = 9;
+
+/// Sends sound streams until `is_held` and then 20 more. Returns how many of how many were served before and after.
+fn call_sound(deployment: &Deployment, caller: usize, is_held: &AtomicBool) -> [(usize, usize); 2] {
+    let mut counts = [(0, 0); 2];
+    for number in 0.. {
+        let held = usize::from(is_held.load(Ordering::Acquire));
+        if counts[1].1 == 20 {
+            break;
+        }
+        let request = Request::get(&format!("/talk/sound{caller}-{number}"));
+        let response = deployment.send((caller + number) % 3, &request);
+        let served = response.is_ok_and(|response| response.text() == events(&request.id));
+        counts[held] = (counts[held].0 + usize::from(served), counts[held].1 + 1);
+    }
+    counts
+}
+
+/// Sound streams are served while such a request crashes servers, and after it is held back. What they receive from a
+/// server just before its crash does not hide the crash.
 #[rstest]
 #[case(Ending::Closed)]
 #[case(Ending::Reset)]
 #[case(Ending::Silent)]
 fn sound_streams_beside_it_are_served(#[case] ending: Ending) {
     let deployment = deploy_with(3, 9);
-    let manner = Manner { moment: Moment::FirstEvent, ending, renamed: true, down: DOWNTIME };
+    let manner = Manner { moment: Moment::FirstEvent, ending, renamed: true, down: RESTART_TIME };
     crash_servers(&deployment, manner);
     let culprit = manner.moment.request();
     let is_held = AtomicBool::new(false);
-    let (beside, after) = thread::scope(|scope| {
-        let sound = scope.spawn(|| {
-            let (mut beside, mut after) = ((0, 0), (0, 0));
-            for number in 0.. {
-                let held = is_held.load(Ordering::Acquire);
-                if held && after.1 == 20 {
-                    break;
-                }
-                let request = Request::get(&format!("/talk/sound{number}"));
-                let response = deployment.send(number % 3, &request);
-                let served = response.is_ok_and(|response| response.text() == events(&request.id));
-                let counts = if held { &mut after } else { &mut beside };
-                *counts = (counts.0 + usize::from(served), counts.1 + 1);
-                thread::sleep(PAUSE);
-            }
-            (beside, after)
-        });
-        repeat_request(&deployment, &culprit, REPEAT_DURATION);
-        wait_until_held(&deployment, &culprit);
+    let counts = thread::scope(|scope| {
+        let (deployment, is_held) = (&deployment, &is_held);
+        let callers: Vec<_> = (0..SOUND_CALLERS)
+            .map(|caller| scope.spawn(move || call_sound(deployment, caller, is_held)))
+            .collect();
+        repeat_request(deployment, &culprit, REPEAT_DURATION);
+        wait_until_held(deployment, &culprit);
         is_held.store(true, Ordering::Release);
-        sound.join().expect("the caller ends")
+        let counts = callers.into_iter().map(|caller| caller.join().expect("the caller ends"));
+        counts.collect::<Vec<_>>()
     });
-    println!("{ending:?}: {beside:?} served beside it, {after:?} after it");
+    let total = |at: usize| {
+        counts.iter().fold((0, 0), |(served, sent), of| (served + of[at].0, sent + of[at].1))
+    };
+    let (beside, after) = (total(0), total(1));
+    let (crashes, late) =
+        (crash_times(&deployment).len(), late_arrivals(&deployment, &culprit.path));
+    println!(
+        "{ending:?}: {crashes} crashes, {late} late arrivals; {beside:?} served beside it, {after:?} after it"
+    );
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals, {crashes} crashes");
     assert!(beside.0 * 2 >= beside.1, "{beside:?} served beside it");
     assert_eq!(after.0, after.1, "all are served after it");
 }
