fix: interim responses and trailers without end are given up soon

Callers saw: 14 of 24 repeatable requests served beside one server that sends trailers without end, which were read at full speed until the route's timeout: 4.7 GB in 11 runs. Interim responses without end: 117 MB in 3 runs, 24 of 24 served.

Cause: each interim head and each trailer line was bounded, their number was not. All of a response together are bounded now by the size of a head, 64 KiB; beyond it the response is malformed, and the request goes elsewhere.

backend_faults::response_without_end_is_given_up_soon failed before in both cases; after: 24 of 24 served, 7.7 and 8.6 MB in 3 runs each, which is what the buffers of both sides take. A body of a byte every 20 ms still takes a repeatable request to its timeout; that is not changed.

--- a/crates/drumusher/src/upstream/response.rs
+++ b/crates/drumusher/src/upstream/response.rs
@@ -13,7 +13,7 @@
 
 use super::Error;
 
-/// Maximum size of a response head, in bytes.
+/// Maximum size of a response head, and of all interim responses and trailers of a response, in bytes.
 const MAX_HEAD_BYTES: usize = 65_536;
 /// Maximum number of headers in a response.
 const MAX_HEADERS: usize = 96;
@@ -66,6 +66,8 @@
     state: Cell<State>,
     /// Whether the request was a HEAD, so that the response has no body.
     is_head: Cell<bool>,
+    /// Bytes of interim responses and trailers of the current response.
+    skipped: Cell<usize>,
 }
 
 impl Default for Codec {
@@ -77,13 +79,14 @@
 impl Codec {
     /// Creates a decoder that expects no response yet.
     pub fn new() -> Self {
-        Codec { state: Cell::new(State::Idle), is_head: Cell::new(false) }
+        Codec { state: Cell::new(State::Idle), is_head: Cell::new(false), skipped: Cell::new(0) }
     }
 
     /// Expects a response to a request that was just sent; `is_head` if that was a HEAD.
     pub fn expect(&self, is_head: bool) {
         self.state.set(State::Head);
         self.is_head.set(is_head);
+        self.skipped.set(0);
     }
 
     /// Returns whether no response is in progress.
@@ -109,6 +112,7 @@
             let _ = source.split_to(length);
             // Interim (1xx) responses are skipped.
             if (100..200).contains(&head.status) {
+                self.skip(length)?;
                 continue;
             }
             self.state.set(self.body_framing(&head)?);
@@ -118,6 +122,12 @@
         }
     }
 
+    /// Counts bytes that are skipped. A server may send them without end.
+    fn skip(&self, bytes: usize) -> Result<(), Error> {
+        self.skipped.set(self.skipped.get() + bytes);
+        if self.skipped.get() > MAX_HEAD_BYTES { Err(Error::Malformed) } else { Ok(()) }
+    }
+
     /// Determines how the body is delimited.
     fn body_framing(&self, head: &Head) -> Result<State, Error> {
         if self.is_head.get() || matches!(head.status, 204 | 304) {
@@ -214,6 +224,7 @@
                         self.state.set(State::Idle);
                         return Ok(Some(Part::End));
                     }
+                    self.skip(line.len() + CRLF.len())?;
                 }
             }
         }
--- a/crates/drumusher/tests/routes/backend_faults.rs
+++ b/crates/drumusher/tests/routes/backend_faults.rs
@@ -200,3 +200,28 @@
     conn.write_all(&request.bytes()).expect("the request is sent");
     wait_for("the request runs", || deployment.runs(&request.id) == 1);
 }
+
+/// Number of requests beside a server that answers without end.
+const REQUESTS: usize = 24;
+/// Bytes that one response without end may cost: what the instance reads before it gives up, and what the buffers of both
+/// sides of a connection take.
+const MAX_ENDLESS_BYTES: usize = 8 * 1024 * 1024;
+
+/// A response whose interim responses or trailers have no end costs little, and its request is served elsewhere.
+#[rstest]
+#[case(Fault::EndlessInterim)]
+#[case(Fault::EndlessTrailers)]
+fn response_without_end_is_given_up_soon(#[case] fault: Fault) {
+    let deployment = Deployment::new(1);
+    deployment.server("d1").set(fault);
+    let mut served = 0;
+    for _ in 0..REQUESTS {
+        let response = deployment.send(0, &Request::get("/read/")).expect("a response");
+        served += usize::from(response.status == 200);
+    }
+    let server = deployment.server("d1");
+    let (sent, runs) = (server.endless_bytes(), server.runs().len());
+    println!("{fault:?}: {served} served, {runs} runs with {sent} bytes without end");
+    assert_eq!(served, REQUESTS);
+    assert!(sent <= runs * MAX_ENDLESS_BYTES, "{sent} bytes in {runs} runs");
+}
