--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -28,6 +28,7 @@
 mod routing;
 mod settings;
 mod sse;
+mod stream_records;
 mod summary;
 mod tcp;
 mod trials;
