refactor: crashes as evidence have a module of their own

dispatch::suspects keeps admission, trials and clearing; dispatch::crashes has reports and suspicions. Two loops of the scheduler that refuse waiting requests are one. Moved only; no logic changed.

--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -232,30 +232,28 @@
 
     /// Refuses the waiting requests that are bound to a software version without a usable backend server.
     pub(super) fn refuse_bound(&mut self, now: Micros, orders: &mut Vec<Order>) {
-        if self.settling(now) {
-            return;
-        }
-        let refused = |key: &Key| {
-            let waiting = self.waiting_at(*key)?;
-            self.bound_to_outage(now, &waiting.ask).then_some(*key)
-        };
-        let refused: Vec<Key> =
-            self.wait_deadlines.iter().filter_map(|(_, key)| refused(key)).collect();
-        for key in refused {
-            if let Some(waiting) = self.remove_waiting(key) {
-                orders.push(self.refusal(now, &waiting.ask, Refusal::NoServer, 0));
-            }
+        if !self.settling(now) {
+            self.refuse_where(now, |pool, ask| pool.bound_to_outage(now, ask), orders);
         }
     }
 
     /// Refuses the requests that must not wait for the end of a long outage.
     pub(super) fn refuse_in_outage(&mut self, now: Micros, orders: &mut Vec<Order>) {
-        if self.settling(now) || self.long_outage(now).is_none() {
-            return;
+        if !self.settling(now) && self.long_outage(now).is_some() {
+            self.refuse_where(now, |pool, ask| pool.must_refuse_in_outage(now, ask), orders);
         }
+    }
+
+    /// Refuses the waiting requests to which this applies, for lack of a backend server.
+    fn refuse_where(
+        &mut self,
+        now: Micros,
+        applies: impl Fn(&Pool, &Ask) -> bool,
+        orders: &mut Vec<Order>,
+    ) {
         let refused = |key: &Key| {
             let waiting = self.waiting_at(*key)?;
-            self.must_refuse_in_outage(now, &waiting.ask).then_some(*key)
+            applies(self, &waiting.ask).then_some(*key)
         };
         let refused: Vec<Key> =
             self.wait_deadlines.iter().filter_map(|(_, key)| refused(key)).collect();
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -9,6 +9,7 @@
 //! | `asks` | `Ask` messages: retry budget, quarantine, submission to the scheduler |
 //! | `breaks` | attempts that broke at backend servers which may have crashed |
 //! | `budget` | the retry budget of a pool |
+//! | `crashes` | crashes of backend servers as evidence against requests and parts of prompts |
 //! | `health` | log lines on the health of backend servers |
 //! | `hosted_pool` | the state of one pool: scheduler, names of backend servers, budget, trials |
 //! | `lone_requests` | crashes that one request alone explains |
@@ -25,6 +26,7 @@
 mod asks;
 mod breaks;
 mod budget;
+mod crashes;
 mod health;
 mod hosted_pool;
 mod lone_requests;
@@ -156,7 +158,7 @@
     answered: Answered,
     breaks: Breaks,
     lone_requests: LoneRequests,
-    undecided: VecDeque<suspects::Undecided>,
+    undecided: VecDeque<crashes::Undecided>,
     /// Connections of other instances, and those of them that follow this one as dispatchers.
     successors: streams::Successors,
     orders: Vec<Order>,
