fix: a silent attempt is suspected only once a probe is not answered

Cause: an attempt that waited for half a second was told to its dispatcher as a suspected crash, for 1.5 s and more, although its server worked; two such made the request run on trial, one at a time.

Now a broken connection is suspected at once, silence only after a probe that is not answered.

--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -3,7 +3,7 @@
 //! What a crash looks like from here differs, but afterwards the server is gone: its host refuses connections, another
 //! server answers at its address or is listed there, or it is listed with a later start. So a server at which an
 //! attempt broke, was given up or waits in silence is watched for a time. A server that answers as before has not
-//! crashed, and silence alone proves nothing.
+//! crashed, and silence alone proves nothing. Its dispatcher hears of the suspicion when a connection breaks, or a probe is not answered.
 
 use drumusher_log::quarantine::PROOF_TIME;
 use drumusher_platform::dialect::Dialect;
@@ -34,7 +34,7 @@
 /// Longest pause between two probes.
 const MAX_PROBE_PAUSE: Micros = SECOND;
 /// Pause before the first probe of a server that is only silent: the path to it is checked at the same time.
-const SILENT_PROBE_PAUSE: Micros = 500 * MILLISECOND;
+const SILENT_PROBE_PAUSE: Micros = 200 * MILLISECOND;
 /// A server that answers may be one that restarted under its name: its new entry is listed within this time.
 const LISTING_TIME: Micros = SECOND;
 /// A server may still run a request that was given up, and crash this much later.
@@ -46,8 +46,8 @@
 #[derive(Debug, Default)]
 pub struct Watch {
     attempts: Vec<Crash>,
-    /// Whether an attempt was added since it was last reported that the server answers.
-    undecided: bool,
+    /// Number of these that were reported as suspected crashes.
+    suspected: usize,
     /// When the server first answered after the latest attempt.
     answered_at: Option<Micros>,
     /// Whether it fell silent, so that it may have restarted before it answered.
@@ -96,11 +96,11 @@
         watch.was_silent |= is_silent;
         watch.probe_at = if begins { probe_at } else { watch.probe_at.min(probe_at) };
         if is_new {
-            let attempt = self.suspected_crash(backend);
-            let suspicion = Break { attempt: attempt.clone(), survived: false };
-            self.worker.shared.broker.send(Input::Break(Box::new(suspicion)));
-            watch.attempts.push(attempt);
-            (watch.undecided, watch.answered_at) = (true, None);
+            watch.attempts.push(self.suspected_crash(backend));
+            watch.answered_at = None;
+        }
+        if !is_silent {
+            suspect(watch, &self.worker);
         }
         if begins {
             let (worker, pool) = (self.worker.clone(), self.ticket.pool().clone());
@@ -165,12 +165,13 @@
     let give_up_at = clock::now() + MAX_WATCH_TIME;
     let mut pause = MIN_PROBE_PAUSE;
     loop {
-        let finding = match listing(&worker, &pool, &backend) {
-            Finding::Unknown if begin_probe(&worker, &backend, &mut pause) => {
-                probe_server(&worker, &pool, &backend, tunnelled).await
+        let mut finding = listing(&worker, &pool, &backend);
+        if finding == Finding::Unknown && begin_probe(&worker, &backend, &mut pause) {
+            finding = probe_server(&worker, &pool, &backend, tunnelled).await;
+            if finding == Finding::Unknown {
+                report_suspicion(&worker, &backend);
             }
-            finding => finding,
-        };
+        }
         if finding == Finding::Crashed {
             return report_crash(&worker, &backend);
         }
@@ -185,7 +186,10 @@
 
 fn is_over<D: Dialect>(worker: &Handle<D>, backend: &Backend, give_up_at: Micros) -> bool {
     let now = clock::now();
-    let over = |watch: &Watch| now >= give_up_at || !watch.undecided && now >= watch.until;
+    let over = |watch: &Watch| {
+        let survived = watch.answered_at.is_some() && watch.suspected == 0;
+        now >= give_up_at || survived && now >= watch.until
+    };
     worker.watches.borrow().get(&incarnation(backend)).is_none_or(over)
 }
 
@@ -226,6 +230,22 @@
     }
 }
 
+/// Reports the attempts at a watched server that does not answer as suspected crashes.
+fn report_suspicion<D: Dialect>(worker: &Handle<D>, backend: &Backend) {
+    let mut watches = worker.watches.borrow_mut();
+    if let Some(watch) = watches.get_mut(&incarnation(backend)) {
+        suspect(watch, worker);
+    }
+}
+
+fn suspect<D: Dialect>(watch: &mut Watch, worker: &Handle<D>) {
+    for attempt in &watch.attempts[watch.suspected..] {
+        let suspicion = Break { attempt: attempt.clone(), survived: false };
+        worker.shared.broker.send(Input::Break(Box::new(suspicion)));
+    }
+    (watch.suspected, watch.answered_at) = (watch.attempts.len(), None);
+}
+
 /// Reports that a watched server answers; if it was silent, once a restart under the same name would be listed. It may
 /// still run attempts that were given up.
 fn report_survival<D: Dialect>(worker: &Handle<D>, backend: &Backend, answers: bool) {
@@ -238,7 +258,7 @@
     let listing_time = if watch.was_silent { LISTING_TIME } else { 0 };
     let survived = watch.answered_at.is_some_and(|at| now >= at + listing_time);
     if survived
-        && std::mem::take(&mut watch.undecided)
+        && std::mem::take(&mut watch.suspected) > 0
         && let Some(attempt) = watch.attempts.first()
     {
         let survival = Break { attempt: attempt.clone(), survived: true };
@@ -255,7 +275,9 @@
     backend: &Backend,
     tunnelled: bool,
 ) -> Finding {
-    let added_at = worker.watches.borrow().get(&incarnation(backend)).map(|watch| watch.added_at);
+    let watch =
+        worker.watches.borrow().get(&incarnation(backend)).map(|w| (w.added_at, w.was_silent));
+    let (added_at, was_silent) = watch.unzip();
     let paths = &worker.shared.paths;
     if added_at.is_some_and(|at| paths.was_heard_after(at, backend)) {
         return Finding::Answers;
@@ -266,7 +288,9 @@
         Reached::Other => return Finding::Crashed,
         Reached::Refused | Reached::Nothing => {}
     }
-    let refused = match path::connect_tunnel(worker, pool, backend).await {
+    // A server that was silent for a moment may answer the other instance just after it did not answer here.
+    let blames_path = was_silent != Some(true);
+    let refused = match path::connect_tunnel(worker, pool, backend, blames_path).await {
         Ok(()) => return Finding::Answers,
         Err(tunnel::Error::Refused) => reached == Reached::Refused,
         Err(tunnel::Error::NoAnswer) => false,
--- a/crates/drumusher/src/routed/exchange/path.rs
+++ b/crates/drumusher/src/routed/exchange/path.rs
@@ -146,13 +146,13 @@
     if probe_path(&worker, &pool, &backend).await {
         return;
     }
-    if let Err(error) = connect_tunnel(&worker, &pool, &backend).await {
+    if let Err(error) = connect_tunnel(&worker, &pool, &backend, true).await {
         log::debug!("a silent backend server is not reached through another instance: {error:?}");
     }
 }
 
 /// Connects to a backend server that this instance does not reach through another one. The path is lost if the server
-/// answers there.
+/// answers there, and `blames_path`.
 ///
 /// # Errors
 ///
@@ -161,11 +161,14 @@
     worker: &Handle<D>,
     pool: &Pool,
     backend: &Backend,
+    blames_path: bool,
 ) -> Result<(), tunnel::Error> {
     let conn = tunnel::connect(&worker.shared, pool, backend).await?;
     let conn = answers(worker, pool, backend, conn).await.ok_or(tunnel::Error::NoAnswer)?;
-    note_lost(worker, pool, backend);
-    worker.conns.put(backend, conn);
+    if blames_path {
+        note_lost(worker, pool, backend);
+        worker.conns.put(backend, conn);
+    }
     Ok(())
 }
 
