fix: a trial that is given up before its server answers holds up the next one

Cause: since silence is suspected only after a probe that is not answered, a trial that ran out of its caller's time said nothing. Requests that had waited for their trial have little of their time left: each began, was given up after 0.25 s while its server still answered, and made way for the next one.

Ruled out: that the crashes were not seen (all were, within 1.2 s), and that the request was cleared (its record had eight crashes, one of them on trial).

Now a trial at which the server is silent is suspected at once, as all silent attempts were before. It concerns only requests that are on trial anyway, so requests at slow servers do not come under suspicion again.

--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -99,7 +99,8 @@
             watch.attempts.push(self.suspected_crash(backend));
             watch.answered_at = None;
         }
-        if !is_silent {
+        // A trial that is given up before its server answers has decided nothing.
+        if !is_silent || self.isolated {
             suspect(watch, &self.worker);
         }
         if begins {
