fix: a request that some servers answer and others do not survive is held back

Cause: each answer cleared the request of the crashes before it, of which a trial takes two. A silent crash is known a second after it happens; in a failed run twelve were cleared one by one, since an answer came between each two. Once it had crashed a server on trial it was not tried again either: that one crash is kept, but a trial took two.

The class is that of the other faults of this issue: evidence wiped by what does not refute it. An answer says that another request may have caused the crash, not that this one did not.

Now the dispatcher remembers how often an answer cleared a request. From the second such occasion on it runs on trial, as it does from the second crash on; and it stays on trial after it crashed a server there. Only crashes on trial hold it back, as before. What is remembered is the dispatcher's own and bounded: nothing new is written to the store.

The new test of the table failed before (Free instead of Trial).

--- a/crates/drumusher-log/src/quarantine.rs
+++ b/crates/drumusher-log/src/quarantine.rs
@@ -147,6 +147,8 @@
         let hold_threshold = if self.part { PART_HOLD_THRESHOLD } else { HOLD_THRESHOLD };
         match total {
             _ if alone >= hold_threshold => Verdict::Held,
+            // Answers clear the other crashes of a request, not this one.
+            _ if alone > 0 && !self.part => Verdict::Trial,
             total if total >= TRIAL_THRESHOLD => Verdict::Trial,
             _ => Verdict::Free,
         }
--- a/crates/drumusher-log/tests/log/quarantine.rs
+++ b/crates/drumusher-log/tests/log/quarantine.rs
@@ -32,6 +32,16 @@
     assert_eq!(table(Digest(1), ends).verdict(Digest(2)), Verdict::Free);
 }
 
+/// A request that some servers answer remains on trial after it crashed one there.
+#[test]
+fn an_answer_does_not_end_the_trial_of_a_request_that_crashed_a_server_on_trial() {
+    let mut table = table(Digest(1), &[("a", false), ("b", false), ("c", true)]);
+    assert!(table.clear_answered(Digest(1)), "the crashes beside others are cleared");
+    assert_eq!(table.verdict(Digest(1)), Verdict::Trial);
+    table.record_crash(Digest(1), crash("d", true, 2_000));
+    assert_eq!(table.verdict(Digest(1)), Verdict::Held);
+}
+
 /// Clearing a request requires a write to the store even if the store is not known to have its record. Otherwise a
 /// record that was written but not read back yet returned, and the request was a suspect again at all instances
 /// although it had been answered.
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -12,6 +12,7 @@
 //! | `crashes` | crashes of backend servers as evidence against requests and parts of prompts |
 //! | `health` | log lines on the health of backend servers |
 //! | `hosted_pool` | the state of one pool: scheduler, names of backend servers, budget, trials |
+//! | `excused` | requests that were answered after crashes |
 //! | `lone_requests` | crashes that one request alone explains |
 //! | `notices` | limits, rests and departures that backend servers announced to any entry |
 //! | `orders` | execution of the scheduler's orders |
@@ -27,6 +28,7 @@
 mod breaks;
 mod budget;
 mod crashes;
+mod excused;
 mod health;
 mod hosted_pool;
 mod lone_requests;
@@ -42,6 +44,7 @@
 pub use answered::Answered;
 pub use breaks::Breaks;
 pub use budget::{Bound, Budget};
+pub use excused::Excused;
 pub use hosted_pool::HostedPool;
 pub use lone_requests::LoneRequests;
 pub use requesters::Requesters;
@@ -158,6 +161,7 @@
     answered: Answered,
     breaks: Breaks,
     lone_requests: LoneRequests,
+    excused: Excused,
     undecided: VecDeque<crashes::Undecided>,
     /// Connections of other instances, and those of them that follow this one as dispatchers.
     successors: streams::Successors,
@@ -177,6 +181,7 @@
         answered: Answered::default(),
         breaks: Breaks::default(),
         lone_requests: LoneRequests::default(),
+        excused: Excused::default(),
         undecided: VecDeque::new(),
         successors: streams::Successors::default(),
         orders,
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -127,12 +127,13 @@
         self.breaks.trial_undecided_since(subject.request, &subject.workspace, &parts)
     }
 
-    /// How a request may be run. Backend servers that may have crashed count for a trial, but not against the request.
+    /// How a request may be run. Backend servers that may have crashed, and crashes that an answer cleared it of, count
+    /// for a trial, but not against the request.
     fn request_verdict(&self, table: &Table, request: Digest) -> Verdict {
         let verdict = table.verdict(request);
         let known = table.get(request).map_or(0, |record| record.ends.len());
-        let suspected = self.breaks.undecided(request);
-        let on_trial = suspected > 0 && known + suspected >= TRIAL_THRESHOLD;
+        let weak = self.breaks.undecided(request) + self.excused.count(clock::now(), request);
+        let on_trial = weak > 0 && known + weak >= TRIAL_THRESHOLD;
         if verdict == Verdict::Free && on_trial { Verdict::Trial } else { verdict }
     }
 
@@ -224,7 +225,7 @@
     }
 
     /// Clears a request or part that was answered from suspicion.
-    fn clear_suspect(&self, digest: Digest) {
+    fn clear_suspect(&mut self, digest: Digest) {
         let (verdict, is_part) = {
             let mut table = self.shared.quarantine();
             let Some(record) = table.get(digest) else { return };
@@ -234,6 +235,9 @@
             }
             found
         };
+        if !is_part {
+            self.excused.add(clock::now(), digest);
+        }
         if verdict == Verdict::Held {
             self.shared.update_held_count();
         }
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod digest;
 mod directory;
+mod excused;
 mod explain;
 mod failures;
 mod fetch;
