test: engines of the stand-ins rest while they have no work

Eight that ran at the same time waited 45 s in vain for tokens of their engines, or had none of 1, 2 or 12 streams whole; a ninth, tiers::urgent_requests_ preempt_summaries_although_the_window_exceeds_the_batch, for its window. The binary took 387 s there, 281 s here. In the run here on the same commit all passed, and so did engine_outages:: and tiers:: on two of the eight cores (80 of 80).

Suspected, not reproduced: stand-ins serve until the process ends, and each engine woke two threads every millisecond, with or without work. At the end of the run here 2,422 threads of ended tests took two to three cores from the running ones. That a machine with less to spare starves them there is not shown by a run.

Now an engine without work, or told to hang, waits until it gets some. Timing with work is unchanged. engine_outages::streams_outlive_an_outage::, 28 of 28 each, one run each: 117 s of processor time before, 56 after, 101 s and 85 s elapsed.

--- a/crates/drumusher-bench/src/stand_in/engine.rs
+++ b/crates/drumusher-bench/src/stand_in/engine.rs
@@ -112,6 +112,15 @@
     stats: Stats,
     reports: VecDeque<(Instant, Value)>,
     cached: HashSet<String>,
+    /// Wakes the steps when there is work again.
+    work: Option<async_channel::Sender<()>>,
+}
+
+impl Engine {
+    fn wake(&self) {
+        // A full channel wakes them, too.
+        let _ = self.work.as_ref().map(|work| work.try_send(()));
+    }
 }
 
 #[derive(Clone, Default)]
@@ -139,7 +148,9 @@
         if switches.crash {
             std::process::exit(1);
         }
-        state.0.borrow_mut().switches = switches;
+        let mut engine = state.0.borrow_mut();
+        engine.switches = switches;
+        engine.wake();
     })
 }
 
@@ -225,6 +236,7 @@
     let at = engine.waiting.iter().position(|other| other.priority > sequence.priority);
     let at = at.unwrap_or(engine.waiting.len());
     engine.waiting.insert(at, sequence);
+    engine.wake();
     let echoed = if engine.switches.cross { "00000000000000000000000000000000" } else { id };
     let mut response = HttpResponse::Ok();
     response.set_header("X-Request-Id", echoed);
@@ -276,7 +288,7 @@
     (0..total).map(|index| token(tag, index)).collect()
 }
 
-/// Runs steps forever. The timers of the async runtime are too coarse for steps of a few milliseconds, so a
+/// Runs steps while there is work. The timers of the async runtime are too coarse for steps of a few milliseconds, so a
 /// dedicated thread sleeps until each step is due.
 async fn run_steps(state: State) {
     let (timer_sender, timer_receiver) = async_channel::bounded::<Instant>(1);
@@ -289,21 +301,27 @@
             }
         }
     });
+    let (sender, work) = async_channel::bounded(1);
+    state.0.borrow_mut().work = Some(sender);
     let mut due = Instant::now();
     loop {
-        due = (due + step(&state)).max(Instant::now());
+        let Some(duration) = step(&state) else {
+            let _ = work.recv().await;
+            continue;
+        };
+        due = (due + duration).max(Instant::now());
         let _ = timer_sender.send(due).await;
         let _ = elapsed_receiver.recv().await;
     }
 }
 
-/// Runs one step for the whole batch and returns its duration.
-fn step(state: &State) -> Duration {
+/// Runs one step for the whole batch and returns its duration; `None` if there is no work.
+fn step(state: &State) -> Option<Duration> {
     let mut engine = state.0.borrow_mut();
     let engine = &mut *engine;
     let switches = engine.switches.clone();
     if switches.hang {
-        return Duration::from_millis(1);
+        return None;
     }
     let before = engine.batch.len() + engine.waiting.len();
     engine.batch.retain(|sequence| !sequence.sender.is_closed());
@@ -314,14 +332,14 @@
         engine.batch.push(sequence);
     }
     if engine.batch.is_empty() {
-        return Duration::from_millis(1);
+        return None;
     }
     engine.stats.steps += 1;
     let occupancy = engine.batch.len() as f64 / switches.batch as f64;
     let stats = &mut engine.stats;
     engine.batch.retain_mut(|sequence| advance(sequence, &switches, stats));
     let duration_ms = switches.step_ms * (1.0 + switches.batch_cost * occupancy) * switches.slow;
-    Duration::from_secs_f64(duration_ms / 1_000.0)
+    Some(Duration::from_secs_f64(duration_ms / 1_000.0))
 }
 
 /// Advances one sequence by a step. Returns whether it continues.
