--- a/crates/drumusher/tests/unit/excused.rs
+++ b/crates/drumusher/tests/unit/excused.rs
@@ -22,7 +22,8 @@
     for number in 0..20_000u64 {
         excused.add(number, Digest(number.into()));
     }
-    let known = (0..20_000u64).filter(|number| excused.count(20_000, Digest(u128::from(*number))) > 0);
+    let known =
+        (0..20_000u64).filter(|number| excused.count(20_000, Digest(u128::from(*number))) > 0);
     assert!(known.count() <= 4_096);
     assert_eq!(excused.count(20_000, Digest(19_999)), 1);
 }
