fix: a popular request that was running at two crashes is not kept on trial

Callers would see: a request that many send alike, such as the same GET, is running whenever a server crashes. After two crashes with answers between them it ran on trial, one at a time in its pool, until ten minutes after the latest one.

Rare answers say little of a request that crashes half of its servers; many do.

crash_endings::popular_request_is_cleared_by_many_answers: two servers crash during the request, 40 answers follow, then three of it are sent at once to servers that hang, and each has to reach one.

--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -10,9 +10,9 @@
 //! | `breaks` | attempts that broke at backend servers which may have crashed |
 //! | `budget` | the retry budget of a pool |
 //! | `crashes` | crashes of backend servers as evidence against requests and parts of prompts |
+//! | `excused` | requests that were answered after crashes |
 //! | `health` | log lines on the health of backend servers |
 //! | `hosted_pool` | the state of one pool: scheduler, names of backend servers, budget, trials |
-//! | `excused` | requests that were answered after crashes |
 //! | `lone_requests` | crashes that one request alone explains |
 //! | `notices` | limits, rests and departures that backend servers announced to any entry |
 //! | `orders` | execution of the scheduler's orders |
--- a/crates/drumusher/src/process/dispatch/crashes.rs
+++ b/crates/drumusher/src/process/dispatch/crashes.rs
@@ -108,7 +108,10 @@
 
     /// Records a crash as evidence against a request or a part of its prompt. One crash against a part is not written to
     /// the store: most of them are cleared soon.
-    fn record_crash(&self, digest: Digest, crash: &peer::Crash, (alone, part): (bool, bool)) {
+    fn record_crash(&mut self, digest: Digest, crash: &peer::Crash, (alone, part): (bool, bool)) {
+        if !part {
+            self.excused.crashed(clock::now(), digest);
+        }
         let verdict = {
             let mut table = self.shared.quarantine();
             let changed = table.record_crash(digest, end(crash, alone, part));
--- a/crates/drumusher/src/process/dispatch/suspects.rs
+++ b/crates/drumusher/src/process/dispatch/suspects.rs
@@ -196,6 +196,7 @@
     fn clear_answered(&mut self, subject: &Subject, outcome: Outcome) {
         if matches!(outcome, Outcome::Done | Outcome::ErrorResponse) {
             self.clear_suspect(subject.request);
+            self.acquit_answered(subject.request);
         }
         if outcome != Outcome::Done {
             return;
@@ -224,6 +225,20 @@
         parts.into_iter().for_each(|digest| self.clear_suspect(digest));
     }
 
+    /// Clears a request of all crashes, also those on trial, once it was answered many times in a row.
+    fn acquit_answered(&mut self, request: Digest) {
+        if !self.excused.answered(request) {
+            return;
+        }
+        let cleared = {
+            let mut table = self.shared.quarantine();
+            table.verdict(request) != Verdict::Held && table.clear(request)
+        };
+        if cleared {
+            self.store_record(request);
+        }
+    }
+
     /// Clears a request or part that was answered from suspicion.
     fn clear_suspect(&mut self, digest: Digest) {
         let (verdict, is_part) = {
@@ -236,7 +251,7 @@
             found
         };
         if !is_part {
-            self.excused.add(clock::now(), digest);
+            self.excused.cleared(digest);
         }
         if verdict == Verdict::Held {
             self.shared.update_held_count();
--- a/crates/drumusher/tests/routes/crash_endings.rs
+++ b/crates/drumusher/tests/routes/crash_endings.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use drumusher_adapter_stand_in::{Crash, Ending, Server, server::events};
+use drumusher_adapter_stand_in::{Crash, Ending, Fault, Server, server::events};
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
@@ -158,6 +158,43 @@
     assert!(late <= MAX_LATE_ARRIVALS, "{late} late arrivals");
 }
 
+/// A popular request, running at each crash, may run several times at once again after many answers.
+#[test]
+fn popular_request_is_cleared_by_many_answers() {
+    let deployment = deploy_with(1, 4);
+    let request = Moment::Arrival.request();
+    let manner =
+        Manner { moment: Moment::Arrival, ending: Ending::Closed, renamed: true, down: DOWNTIME };
+    for round in 1..=2 {
+        crash_servers(&deployment, manner);
+        let sound = deployment.servers.iter().filter(|server| server.id != format!("d{round}"));
+        sound.for_each(|server| server.crash_on(None));
+        wait_for("a server crashes", || {
+            status_and_code(&deployment, 0, &request);
+            crash_times(&deployment).len() >= round
+        });
+        deployment.servers.iter().for_each(|server| server.crash_on(None));
+        wait_for("the crash is known", || {
+            let known = "a backend server crashed while it ran a request";
+            deployment.instances[0].log().matches(known).count() >= round
+        });
+        wait_for("the request is answered", || status_and_code(&deployment, 0, &request).0 == 200);
+    }
+    for _ in 0..40 {
+        status_and_code(&deployment, 0, &request);
+    }
+    deployment.servers.iter().for_each(|server| server.set(Fault::Hang));
+    let requests: Vec<Request> = (0..3).map(|_| request.with_new_id()).collect();
+    thread::scope(|scope| {
+        for request in &requests {
+            scope.spawn(|| deployment.send(0, request));
+        }
+    });
+    for request in &requests {
+        assert!(deployment.runs(&request.id) > 0, "each request runs");
+    }
+}
+
 /// Callers of sound streams, which keep all engines busy.
 const SOUND_CALLERS: usize = 9;
 
