--- a/crates/drumusher-bench/src/capacity/slopes.rs
+++ b/crates/drumusher-bench/src/capacity/slopes.rs
@@ -136,6 +136,7 @@
         migrated: false,
         anti_affinity: Vec::new(),
         versions: drumusher_schedule::version::Set::All,
+        deadline: None,
         output: 0,
         parts: Vec::new(),
     }
@@ -345,6 +346,7 @@
             patience: None,
             resumed: None,
             version: None,
+            left: Some(15_000_000),
         };
         let grant = peer::Grant::new(
             id.clone(),
@@ -358,6 +360,7 @@
             None,
             None,
             None,
+            None,
         );
         let finish = peer::Finish::new(id.clone(), pool.clone(), 0, 210, None, Some(9_000));
         let report = peer::Progress::new(id.clone(), 210, None, Some(9_000));
--- a/crates/drumusher-bench/src/policy/baseline.rs
+++ b/crates/drumusher-bench/src/policy/baseline.rs
@@ -22,6 +22,7 @@
         server,
         source: None,
         expected: 0,
+        urgency: None,
         choice: Choice::LeastLoaded,
         waited: 0,
         overtaken: 0,
--- a/crates/drumusher-bench/src/policy/simulation/attempt.rs
+++ b/crates/drumusher-bench/src/policy/simulation/attempt.rs
@@ -54,6 +54,7 @@
             migrated: false,
             anti_affinity: Vec::new(),
             versions: drumusher_schedule::version::Set::All,
+            deadline: None,
             output: 0,
             parts: Vec::new(),
         };
--- a/crates/drumusher-platform/src/routing.rs
+++ b/crates/drumusher-platform/src/routing.rs
@@ -1,6 +1,6 @@
 //! The configuration of routes, which operators write as a whole version at once.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 /// A version of the configuration. A higher number is newer; numbers need not be consecutive.
 #[derive(Clone, Debug, PartialEq)]
@@ -92,6 +92,8 @@
     pub health_path: Option<String>,
     /// Whether its backend servers are engines, which run language models.
     pub engine: bool,
+    /// What is known of these engines; `None` if there are none, or if a value is missing or makes no sense.
+    pub profile: Option<Profile>,
     /// Requests per second that each backend server accepts while it warms up, from all instances together; `None` if
     /// there is no such limit.
     pub warm_up_rate: Option<f64>,
@@ -99,6 +101,19 @@
     pub scaling: Option<Scaling>,
 }
 
+/// Sizes of the engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Profile {
+    /// Memory for running requests and cached parts of prompts, in tokens.
+    pub tokens: u64,
+    /// Memory of a token, in bytes.
+    pub token_bytes: u64,
+    /// Rate of an engine's link to other engines, in Mbit/s.
+    pub link_mbps: f64,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
+}
+
 /// Bounds for ordering backend servers of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scaling {
@@ -110,6 +125,9 @@
     pub boot_ms: u64,
     /// Price of a spot server relative to an ordinary one; 1 where there are no spot servers.
     pub spot_price: f64,
+    /// Price of a server by availability zone, relative to one in a zone that is not listed. Prices that
+    /// are not positive and finite are left out.
+    pub zone_prices: BTreeMap<String, f64>,
 }
 
 /// Limits on callers' requests.
--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -58,6 +58,8 @@
     pub output: u32,
     /// Parts of the prompt in order; empty if the caller did not name them.
     pub parts: Vec<Part>,
+    /// When its caller stops waiting for the answer; `None` if unknown.
+    pub deadline: Option<Micros>,
     /// The software versions at which it may run.
     pub versions: version::Set,
 }
--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -66,6 +66,19 @@
 /// to be produced, and reports of them come every 50 ms.
 const OVERDUE_GRACE: Micros = 150 * MILLISECOND;
 
+/// What the configuration says of the engines of a service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Profile {
+    /// Memory for running requests and cached parts, in tokens.
+    pub tokens: u64,
+    /// Memory of a token, in bytes.
+    pub token_bytes: u64,
+    /// Rate of its link to other engines, in Mbit/s.
+    pub link_mbps: f64,
+    /// Tokens in one event of a stream.
+    pub event_tokens: u32,
+}
+
 /// A prompt to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct Prompt<'a> {
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -64,6 +64,9 @@
         source: Option<server::Key>,
         /// Expected time from now to the first event; 0 if unknown.
         expected: Micros,
+        /// The urgency of the request inside the engine, if it is not the priority of its route;
+        /// 0 is the highest.
+        urgency: Option<u8>,
         /// Why this backend server was chosen.
         choice: Choice,
         /// Time spent in this dispatcher's queue.
--- a/crates/drumusher-schedule/src/policy.rs
+++ b/crates/drumusher-schedule/src/policy.rs
@@ -154,6 +154,18 @@
     pub slow: bool,
     /// Backend servers that fail far more often than the others are relieved of requests.
     pub outliers: bool,
+    /// What an engine keeps is believed by its memory in tokens; otherwise by the number of parts.
+    pub memory: bool,
+    /// Requests wait for a prompt part that an engine is prefilling, to be copied to another one.
+    pub await_copies: bool,
+    /// An engine is given a limited time of prompts ahead; the other requests wait at the dispatcher.
+    pub read_ahead: bool,
+    /// Requests that cannot end before their callers stop waiting are refused at once.
+    pub unmeetable: bool,
+    /// Engines are chosen by how long the rest of an answer takes on them.
+    pub pace: bool,
+    /// Streams that continue after a failure are admitted before new ones inside an engine.
+    pub resume_first: bool,
 }
 
 /// No switch has the given name.
@@ -162,7 +174,7 @@
 
 impl Switches {
     /// Names of the switches as operators write them.
-    pub const NAMES: [&str; 16] = [
+    pub const NAMES: [&str; 22] = [
         "tiers",
         "fairness",
         "deadlines",
@@ -179,6 +191,12 @@
         "usual_engine",
         "slow",
         "outliers",
+        "memory",
+        "await_copies",
+        "read_ahead",
+        "unmeetable",
+        "pace",
+        "resume_first",
     ];
 
     /// Disables a mechanism.
@@ -204,6 +222,12 @@
             "usual_engine" => &mut self.usual_engine,
             "slow" => &mut self.slow,
             "outliers" => &mut self.outliers,
+            "memory" => &mut self.memory,
+            "await_copies" => &mut self.await_copies,
+            "read_ahead" => &mut self.read_ahead,
+            "unmeetable" => &mut self.unmeetable,
+            "pace" => &mut self.pace,
+            "resume_first" => &mut self.resume_first,
             _ => return Err(UnknownSwitch),
         };
         *switch = false;
@@ -230,6 +254,12 @@
             usual_engine: true,
             slow: true,
             outliers: true,
+            memory: true,
+            await_copies: true,
+            read_ahead: true,
+            unmeetable: true,
+            pace: true,
+            resume_first: true,
         }
     }
 }
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -8,6 +8,7 @@
 mod preempt;
 mod scope;
 mod sensitivity;
+mod slack;
 mod track;
 
 use std::{
--- a/crates/drumusher-schedule/src/pool/sensitivity.rs
+++ b/crates/drumusher-schedule/src/pool/sensitivity.rs
@@ -22,6 +22,16 @@
     at: Micros,
     /// Mean prompt length in tokens.
     prompt: f64,
+    /// Recent number of requests, decayed to `at`.
+    requests: f64,
+}
+
+impl Demand {
+    /// Recent number of requests, decayed to `now`.
+    fn requests_at(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.at) as f64;
+        self.requests * (-age / RECENT_DEMAND as f64).exp()
+    }
 }
 
 impl Pool {
@@ -31,6 +41,12 @@
         recent.map(|(class, _)| *class)
     }
 
+    /// The classes with recent requests, with the recent number of each.
+    pub(super) fn recent_demand(&self, now: Micros) -> Vec<(ClassKey, f64)> {
+        let recent = self.demand.iter().filter(|(_, demand)| now < demand.at + RECENT_DEMAND);
+        recent.map(|(class, demand)| (*class, demand.requests_at(now))).collect()
+    }
+
     /// The sensitivity of the streams of a class.
     pub(super) fn sensitivity(&self, now: Micros, class: ClassKey) -> Sensitivity {
         if self.is_tolerant(now, class) { Sensitivity::Tolerant } else { Sensitivity::Sensitive }
@@ -69,7 +85,9 @@
     /// Records a request of a class.
     pub(super) fn record_demand(&mut self, now: Micros, ask: &Ask) {
         let prompt = f64::from(ask.prompt);
-        let demand = self.demand.entry(ask.class).or_insert(Demand { at: now, prompt });
+        let demand =
+            self.demand.entry(ask.class).or_insert(Demand { at: now, prompt, requests: 0.0 });
+        demand.requests = demand.requests_at(now) + 1.0;
         demand.at = now;
         demand.prompt += (prompt - demand.prompt) * PROMPT_SMOOTHING;
     }
--- a/crates/drumusher-schedule/src/server.rs
+++ b/crates/drumusher-schedule/src/server.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     ask::Outcome,
-    engine::Engine,
+    engine::{Engine, Profile},
     outlier::Detector,
     region,
     time::{MILLISECOND, Micros, SECOND},
@@ -45,6 +45,8 @@
     pub region: region::Key,
     /// Its software version.
     pub version: version::Key,
+    /// What the configuration says of the engine; `None` if it is none, or if nothing is known.
+    pub profile: Option<Profile>,
 }
 
 impl Default for Options {
@@ -56,6 +58,7 @@
             rank: 0,
             region: region::Key::UNKNOWN,
             version: version::Key::default(),
+            profile: None,
         }
     }
 }
@@ -196,6 +199,11 @@
         self.options.slots
     }
 
+    /// What the configuration says of it, if it is an engine.
+    pub fn profile(&self) -> Option<Profile> {
+        self.options.profile
+    }
+
     /// Its region.
     pub fn region(&self) -> region::Key {
         self.options.region
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -15,5 +15,6 @@
 mod rate_limit;
 mod region;
 mod retry;
+mod slack;
 mod support;
 mod transfer;
--- a/crates/drumusher-schedule/tests/schedule/support.rs
+++ b/crates/drumusher-schedule/tests/schedule/support.rs
@@ -51,6 +51,7 @@
         migrated: false,
         anti_affinity: Vec::new(),
         versions: drumusher_schedule::version::Set::All,
+        deadline: None,
         output: 0,
         parts: Vec::new(),
     }
--- a/crates/drumusher-wire/idl/peer.thrift
+++ b/crates/drumusher-wire/idl/peer.thrift
@@ -116,6 +116,8 @@
   24: optional bool resumed
   /* the software version that began it, if the entry knows it */
   25: optional string version
+  /* how much longer the caller waits for its answer, in microseconds */
+  26: optional i64 left
 }
 
 /* The dispatcher has the ask and grants it when its turn comes. */
@@ -171,6 +173,8 @@
   10: optional i64 lifted
   /* for a stream of which the caller has a part, the software version that began it */
   11: optional string version
+  /* the urgency of the request inside the engine, in place of the priority of its route; 0 is the highest */
+  12: optional i16 urgency
 }
 
 struct Refuse {
--- a/crates/drumusher-wire/src/peer.rs
+++ b/crates/drumusher-wire/src/peer.rs
@@ -742,10 +742,11 @@
   pub patience: Option<i64>,
   pub resumed: Option<bool>,
   pub version: Option<String>,
+  pub left: Option<i64>,
 }
 
 impl Ask {
-  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24, F25>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18, digest: F19, sent: F20, notices: F21, stream: F22, patience: F23, resumed: F24, version: F25) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>>, F19: Into<Option<Vec<u8>>>, F20: Into<Option<Vec<Count>>>, F21: Into<Option<Vec<Notice>>>, F22: Into<Option<i64>>, F23: Into<Option<i64>>, F24: Into<Option<bool>>, F25: Into<Option<String>> {
+  pub fn new<F7, F8, F9, F10, F11, F12, F13, F14, F15, F16, F17, F18, F19, F20, F21, F22, F23, F24, F25, F26>(id: Vec<u8>, pool: String, workspace: String, traffic_class: String, age: i64, prompt: i32, prefix: F7, produced: F8, unrepeatable: F9, preemptions: F10, avoid: F11, server: F12, redirected: F13, output: F14, parts: F15, attempt: F16, lent: F17, spent: F18, digest: F19, sent: F20, notices: F21, stream: F22, patience: F23, resumed: F24, version: F25, left: F26) -> Ask where F7: Into<Option<i64>>, F8: Into<Option<i32>>, F9: Into<Option<bool>>, F10: Into<Option<i16>>, F11: Into<Option<String>>, F12: Into<Option<String>>, F13: Into<Option<bool>>, F14: Into<Option<i32>>, F15: Into<Option<Vec<Part>>>, F16: Into<Option<i16>>, F17: Into<Option<i64>>, F18: Into<Option<i16>>, F19: Into<Option<Vec<u8>>>, F20: Into<Option<Vec<Count>>>, F21: Into<Option<Vec<Notice>>>, F22: Into<Option<i64>>, F23: Into<Option<i64>>, F24: Into<Option<bool>>, F25: Into<Option<String>>, F26: Into<Option<i64>> {
     Ask {
       id,
       pool,
@@ -772,6 +773,7 @@
       patience: patience.into(),
       resumed: resumed.into(),
       version: version.into(),
+      left: left.into(),
     }
   }
 }
@@ -804,6 +806,7 @@
     let mut f_23: Option<i64> = None;
     let mut f_24: Option<bool> = None;
     let mut f_25: Option<String> = None;
+    let mut f_26: Option<i64> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -929,6 +932,10 @@
           let val = i_prot.read_string()?;
           f_25 = Some(val);
         },
+        26 => {
+          let val = i_prot.read_i64()?;
+          f_26 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -968,6 +975,7 @@
       patience: f_23,
       resumed: f_24,
       version: f_25,
+      left: f_26,
     };
     Ok(ret)
   }
@@ -1099,6 +1107,11 @@
       o_prot.write_string(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.left {
+      o_prot.write_field_begin(&TFieldIdentifier::new("left", TType::I64, 26))?;
+      o_prot.write_i64(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
@@ -1535,10 +1548,11 @@
   pub limited: Option<bool>,
   pub lifted: Option<i64>,
   pub version: Option<String>,
+  pub urgency: Option<i16>,
 }
 
 impl Grant {
-  pub fn new<F5, F6, F7, F8, F9, F10, F11>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6, spent: F7, alone: F8, limited: F9, lifted: F10, version: F11) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<i16>>, F8: Into<Option<bool>>, F9: Into<Option<bool>>, F10: Into<Option<i64>>, F11: Into<Option<String>> {
+  pub fn new<F5, F6, F7, F8, F9, F10, F11, F12>(id: Vec<u8>, server: String, waited: i64, choice: i16, source: F5, expected: F6, spent: F7, alone: F8, limited: F9, lifted: F10, version: F11, urgency: F12) -> Grant where F5: Into<Option<String>>, F6: Into<Option<i64>>, F7: Into<Option<i16>>, F8: Into<Option<bool>>, F9: Into<Option<bool>>, F10: Into<Option<i64>>, F11: Into<Option<String>>, F12: Into<Option<i16>> {
     Grant {
       id,
       server,
@@ -1551,6 +1565,7 @@
       limited: limited.into(),
       lifted: lifted.into(),
       version: version.into(),
+      urgency: urgency.into(),
     }
   }
 }
@@ -1569,6 +1584,7 @@
     let mut f_9: Option<bool> = None;
     let mut f_10: Option<i64> = None;
     let mut f_11: Option<String> = None;
+    let mut f_12: Option<i16> = None;
     loop {
       let field_ident = i_prot.read_field_begin()?;
       if field_ident.field_type == TType::Stop {
@@ -1620,6 +1636,10 @@
           let val = i_prot.read_string()?;
           f_11 = Some(val);
         },
+        12 => {
+          let val = i_prot.read_i16()?;
+          f_12 = Some(val);
+        },
         _ => {
           i_prot.skip(field_ident.field_type)?;
         },
@@ -1643,6 +1663,7 @@
       limited: f_9,
       lifted: f_10,
       version: f_11,
+      urgency: f_12,
     };
     Ok(ret)
   }
@@ -1696,6 +1717,11 @@
       o_prot.write_string(fld_var)?;
       o_prot.write_field_end()?
     }
+    if let Some(fld_var) = self.urgency {
+      o_prot.write_field_begin(&TFieldIdentifier::new("urgency", TType::I16, 12))?;
+      o_prot.write_i16(fld_var)?;
+      o_prot.write_field_end()?
+    }
     o_prot.write_field_stop()?;
     o_prot.write_struct_end()
   }
--- a/crates/drumusher-wire/tests/wire/frame.rs
+++ b/crates/drumusher-wire/tests/wire/frame.rs
@@ -36,6 +36,7 @@
         patience: Some(14_500),
         resumed: Some(true),
         version: Some("v1.1".into()),
+        left: Some(11_960_000),
     }
 }
 
@@ -76,6 +77,7 @@
         true,
         i64::MAX,
         "v2026.12.4".to_string(),
+        i16::MAX,
     );
     let mut buffer = Vec::new();
     frame::write(&Message::Grant(grant), &mut buffer).expect("the message fits");
@@ -144,6 +146,7 @@
         terms.4,
         terms.5,
         "v1.1".to_string(),
+        0,
     );
     assert_eq!(round_trip(&Message::Grant(grant.clone())), Message::Grant(grant));
 }
--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -74,6 +74,8 @@
     pub known_limit: notices::KnownLimit,
     /// The software version that began the stream with which the request goes on.
     pub version: Option<Arc<str>>,
+    /// The urgency of the request inside the engine, if it is not the priority of its route.
+    pub urgency: Option<u8>,
 }
 
 /// A dispatcher's reply to a request.
@@ -176,6 +178,8 @@
     pub avoid: Option<Arc<str>>,
     /// Expected tokens of the answer; 0 without a hint.
     pub output: u32,
+    /// When its caller stops waiting for the answer, on the process's clock; `None` if unknown.
+    pub deadline: Option<u64>,
     /// The parts of the prompt, in order.
     pub parts: Vec<Part>,
     /// How it relates to earlier dispatch requests.
--- a/crates/drumusher/src/process/broker/wire.rs
+++ b/crates/drumusher/src/process/broker/wire.rs
@@ -58,6 +58,7 @@
             .stream
             .as_ref()
             .and_then(|stream| Some(stream.version.as_ref()?.to_string())),
+        left: request.deadline.map(|deadline| deadline.saturating_sub(clock::now()) as i64),
     }
 }
 
@@ -100,5 +101,6 @@
             lifted: grant.lifted.map(|age| clock::now().saturating_sub(age.max(0) as u64)),
         },
         version: grant.version.as_deref().map(Arc::from),
+        urgency: grant.urgency.and_then(|urgency| u8::try_from(urgency).ok()),
     }
 }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -57,8 +57,10 @@
 };
 
 use crossbeam_channel::RecvTimeoutError;
+use drumusher_platform::routing;
 use drumusher_schedule::{
     ask::{Entry, Outcome},
+    engine,
     event::{Event, Load},
     order::Order,
     pool,
@@ -409,10 +411,12 @@
         let wanted: BTreeMap<Arc<str>, &Backend> = backends.map(|b| (b.name.clone(), b)).collect();
         let learned = self.shared.version.load().policy.switches.windows;
         let warm_up_rate = self.warm_up_rate(pool);
+        let profile = self.profile(pool);
         let Some(hosted) = self.pools.get_mut(pool) else {
             return;
         };
         hosted.set_warm_up_rate(warm_up_rate);
+        hosted.set_profile(profile);
         let regions = &self.shared.settings.regions;
         for event in hosted.refresh(&pool.to_string(), &wanted, regions, learned, self.divisor) {
             self.handle(pool, event);
@@ -425,6 +429,14 @@
         self.shared.routing.load().as_ref()?.warm_up_rate(pool.service()?)
     }
 
+    /// What the configuration says of the engines of a pool.
+    fn profile(&self, pool: &Pool) -> Option<engine::Profile> {
+        let routing = self.shared.routing.load();
+        let routing::Profile { tokens, token_bytes, link_mbps, event_tokens } =
+            routing.as_ref().as_ref()?.profile(pool.service()?)?;
+        Some(engine::Profile { tokens, token_bytes, link_mbps, event_tokens })
+    }
+
     fn load_report(&mut self, pool: &Pool, server: &str, report: Option<Report>) {
         let Some(hosted) = self.pools.get_mut(pool) else {
             return;
--- a/crates/drumusher/src/process/dispatch/hosted_pool.rs
+++ b/crates/drumusher/src/process/dispatch/hosted_pool.rs
@@ -7,6 +7,7 @@
 
 use drumusher_schedule::{
     ask::{Entry, Id},
+    engine::Profile,
     event::Event,
     policy::Policy,
     pool, rank, server, version,
@@ -44,6 +45,8 @@
     applied: BTreeMap<Arc<str>, Applied>,
     /// Backend servers whose load report said that they are leaving, and when it did.
     pub(super) reported_leaving: BTreeMap<Arc<str>, u64>,
+    /// What the configuration says of its engines.
+    profile: Option<Profile>,
     /// Limits and departures that backend servers announced to entries.
     pub(super) notices: Notices,
     /// The other instances that use this dispatcher, by their connections.
@@ -77,6 +80,7 @@
             keys: HashMap::new(),
             applied: BTreeMap::new(),
             reported_leaving: BTreeMap::new(),
+            profile: None,
             notices: Notices::default(),
             requesters: Requesters::new(),
             budget: Budget::new(bound),
@@ -166,6 +170,11 @@
         self.notices.set_warm_up_rate(rate);
     }
 
+    /// Sets what the configuration says of its engines, before the next [`HostedPool::refresh`].
+    pub(super) fn set_profile(&mut self, profile: Option<Profile>) {
+        self.profile = profile;
+    }
+
     /// The name and key of a backend server if its listed start time is `started_ms`, in Unix milliseconds.
     pub(super) fn incarnation(
         &self,
@@ -213,6 +222,7 @@
             let options = server::Options {
                 version: self.add_version(&backend.version),
                 region: regions.key_of_zone(&backend.availability_zone),
+                profile: self.profile,
                 ..options(slots, learned, rank::weight(pool, name))
             };
             let mut applied = Applied { options, leaving, started_ms: backend.started_ms };
--- a/crates/drumusher/src/process/dispatch/wire.rs
+++ b/crates/drumusher/src/process/dispatch/wire.rs
@@ -48,6 +48,7 @@
         anti_affinity: apart,
         output: wire.output.unwrap_or(0).max(0) as u32,
         parts: wire.parts.iter().flatten().map(read_part).collect(),
+        deadline: wire.left.map(|left| clock::now() + left.max(0) as u64),
         versions,
     })
 }
@@ -115,7 +116,17 @@
     context: &GrantContext,
 ) -> (Entry, Id, Message, String) {
     match *order {
-        Order::Grant { id, entry, server, source, expected, choice, waited, overtaken } => {
+        Order::Grant {
+            id,
+            entry,
+            server,
+            source,
+            expected,
+            urgency,
+            choice,
+            waited,
+            overtaken,
+        } => {
             let name = names[usize::from(server.0)].to_string();
             let source = source.map(|source| names[usize::from(source.0)].to_string());
             let why = format!(
@@ -134,6 +145,7 @@
                 limited: context.known_limit.limited.then_some(true),
                 lifted: context.known_limit.lifted.map(|at| context.now.saturating_sub(at) as i64),
                 version: context.version.as_deref().map(String::from),
+                urgency: urgency.map(i16::from),
             };
             (entry, id, Message::Grant(grant), why)
         }
--- a/crates/drumusher/src/request/grant.rs
+++ b/crates/drumusher/src/request/grant.rs
@@ -201,6 +201,7 @@
             preemptions: self.preemptions,
             avoid: self.avoid.clone(),
             output: 0,
+            deadline: None,
             parts: Vec::new(),
             replies: self.sender.clone(),
         }
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -31,6 +31,7 @@
 pub use grant::Refused;
 pub use path::probe_lost_paths;
 pub use request::Request;
+use request::Terms;
 pub use response::{BackendResponse, BufferedResponse};
 pub use timing::StreamTiming;
 
@@ -99,6 +100,8 @@
     cache_source: Option<Backend>,
     /// Whether an attempt with a cache source failed.
     cache_source_failed: bool,
+    /// Urgency of the latest attempt inside the engine, if it is not the priority of the route.
+    urgency: Option<u8>,
     /// Time that the first event of the latest attempt is expected to take; 0 if unknown.
     expected_first_event: Micros,
     /// Instance whose dispatcher granted the latest attempt.
@@ -152,6 +155,7 @@
             workspace: route_match.workspace.clone().unwrap_or_else(|| "".into()),
             class: route_match.class.clone(),
             arrived: request.arrived,
+            deadline,
             prompt: request.head.prompt,
             output: request.head.hint.unwrap_or(0),
             parts,
@@ -173,6 +177,7 @@
             backend: None,
             cache_source: None,
             cache_source_failed: false,
+            urgency: None,
             expected_first_event: 0,
             dispatcher: None,
             known_limit: KnownLimit::default(),
@@ -253,8 +258,14 @@
         let dialect = &self.worker.dialect;
         let source = self.cache_source.as_ref().map(|source| &*source.address);
         let remaining_ms = self.remaining_ms();
-        let headers =
-            self.request.attempt_headers(dialect, &backend.name, source, remaining_ms, last_event);
+        let terms = Terms {
+            server: &backend.name,
+            source,
+            remaining_ms,
+            last_event,
+            urgency: self.urgency,
+        };
+        let headers = self.request.attempt_headers(dialect, &terms);
         let head = self.request.encode_head(&headers);
         let is_head = self.request.method == Method::HEAD;
         self.attempts_sent += 1;
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -125,7 +125,8 @@
     fn accept(&mut self, grant: Grant) -> Result<Backend, Option<u64>> {
         let usable = self.usable_backend(&grant.server);
         let usable = usable.filter(|backend| self.may_continue(&grant, backend));
-        let Grant { server, source, expected, dispatcher, alone, known_limit, .. } = grant;
+        let Grant { server, source, expected, dispatcher, alone, known_limit, urgency, .. } = grant;
+        self.urgency = urgency;
         (self.isolated, self.known_limit, self.expected_first_event) =
             (alone, known_limit, expected);
         self.dispatcher = Some(dispatcher);
--- a/crates/drumusher/src/routed/exchange/request.rs
+++ b/crates/drumusher/src/routed/exchange/request.rs
@@ -36,26 +36,32 @@
     pub in_use: Option<InUse>,
 }
 
+/// What one attempt adds to the request.
+pub(super) struct Terms<'a> {
+    /// The backend server.
+    pub(super) server: &'a str,
+    /// The address from which it fetches cached prompt state.
+    pub(super) source: Option<&'a str>,
+    /// Time for the response, in milliseconds.
+    pub(super) remaining_ms: u64,
+    /// The last event delivered, if the stream is to be resumed after it.
+    pub(super) last_event: Option<u64>,
+    /// The urgency inside the engine, if it is not the priority of the route.
+    pub(super) urgency: Option<u8>,
+}
+
 impl Request {
-    /// Returns the headers of an attempt at the backend server `server`, which has `remaining_ms` milliseconds to
-    /// respond and fetches cached prompt state from the address `source`. `last_event` is the number of the last event
-    /// delivered, if the stream is to be resumed after it.
-    pub(super) fn attempt_headers<D: Dialect>(
-        &self,
-        dialect: &D,
-        server: &str,
-        source: Option<&str>,
-        remaining_ms: u64,
-        last_event: Option<u64>,
-    ) -> HeaderMap {
+    /// Returns the headers of an attempt.
+    pub(super) fn attempt_headers<D: Dialect>(&self, dialect: &D, terms: &Terms<'_>) -> HeaderMap {
         let route_match = &self.route_match;
+        let urgency = terms.urgency.unwrap_or(route_match.priority);
         let attempt = Attempt {
-            deadline_ms: remaining_ms,
-            server,
-            source,
+            deadline_ms: terms.remaining_ms,
+            server: terms.server,
+            source: terms.source,
             workspace: route_match.workspace.as_deref(),
-            urgency: route_match.engine.then_some(route_match.priority),
-            last_event,
+            urgency: route_match.engine.then_some(urgency),
+            last_event: terms.last_event,
         };
         let mut headers = self.headers.clone();
         dialect.write_attempt(&attempt, &mut headers);
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -34,6 +34,8 @@
     pub class: Arc<str>,
     /// Arrival time.
     pub arrived: Micros,
+    /// When the client stops waiting.
+    pub deadline: Micros,
     /// Prompt length in tokens.
     pub prompt: u32,
     /// Expected response length in tokens.
@@ -141,6 +143,7 @@
             workspace: spec.workspace.clone(),
             class: spec.class.clone(),
             arrived: spec.arrived,
+            deadline: Some(spec.deadline),
             prompt: spec.prompt,
             prefix: 0,
             produced: self.produced,
--- a/crates/drumusher/src/version/routing.rs
+++ b/crates/drumusher/src/version/routing.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use drumusher_platform::routing::{Configuration, Kind, Limits, Route, Service, Workspace};
+use drumusher_platform::routing::{
+    Configuration, Kind, Limits, Profile, Route, Service, Workspace,
+};
 use subtle::ConstantTimeEq;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -110,6 +112,11 @@
         self.service(service).is_some_and(|service| service.engine)
     }
 
+    /// Returns the sizes of a service's engines, if they are known.
+    pub fn profile(&self, service: &str) -> Option<Profile> {
+        self.service(service)?.profile
+    }
+
     /// Returns the path at which the backend servers of a service answer health checks, if they do.
     pub fn health_path(&self, service: &str) -> Option<&str> {
         self.service(service)?.health_path.as_deref()
--- a/crates/drumusher/tests/unit/broker.rs
+++ b/crates/drumusher/tests/unit/broker.rs
@@ -97,6 +97,7 @@
         preemptions: 0,
         avoid: None,
         output: 0,
+        deadline: None,
         parts: Vec::new(),
         replies,
     };
@@ -127,6 +128,7 @@
         None,
         None,
         None,
+        None,
     );
     table.answer(from, Message::Grant(grant), &mut sends);
     sends
--- a/crates/drumusher/tests/unit/preemption.rs
+++ b/crates/drumusher/tests/unit/preemption.rs
@@ -52,6 +52,7 @@
         preemptions: 0,
         avoid: None,
         output: 0,
+        deadline: None,
         parts: Vec::new(),
         replies: replies.clone(),
     };
@@ -67,7 +68,9 @@
 fn grant() -> Message {
     let wire = id::to_wire(ID);
     let (engine, none) = ("engine-0".to_string(), None);
-    Message::Grant(peer::Grant::new(wire, engine, 0, 0, none, None, None, None, None, None, None))
+    Message::Grant(peer::Grant::new(
+        wire, engine, 0, 0, none, None, None, None, None, None, None, None,
+    ))
 }
 
 fn preempt() -> Message {
--- a/crates/drumusher/tests/unit/routing.rs
+++ b/crates/drumusher/tests/unit/routing.rs
@@ -38,6 +38,7 @@
             connections: 1,
             health_path: None,
             engine: true,
+            profile: None,
             warm_up_rate: None,
             scaling: None,
         }],
