--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -13,7 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    ask::{Id, Part},
+    ask::{Id, Outcome, Part},
     time::{MILLISECOND, Micros, SECOND},
 };
 
@@ -62,6 +62,10 @@
 /// Maximum prompt parts remembered per engine.
 const MAX_PARTS: usize = 8_192;
 
+/// A prefill has hardly begun before this fraction of its time is over. An attempt that ends by then
+/// leaves none of its parts in the engine.
+const HARDLY_BEGUN_FRACTION: u64 = 10;
+
 /// A first event is overdue after twice the expected prefill time plus this: the first tokens have
 /// to be produced, and reports of them come every 50 ms.
 const OVERDUE_GRACE: Micros = 150 * MILLISECOND;
@@ -108,8 +112,17 @@
 struct CachedPart {
     /// When a request with this part was last placed on the engine.
     last_used: Micros,
-    /// Whether the part is completely prefilled, so that another engine can transfer it.
+    /// Whether the part is known to be completely prefilled, so that another engine can transfer it.
     complete: bool,
+    /// When it is expected to be complete; [`Micros::MAX`] if that counts only once it is known.
+    ready: Micros,
+}
+
+impl CachedPart {
+    /// Whether another engine can transfer it.
+    fn is_complete(&self, now: Micros) -> bool {
+        self.complete || self.ready <= now
+    }
 }
 
 /// A request whose first event has not arrived yet.
@@ -122,6 +135,8 @@
     /// Whether it queued behind other prompts, so that its wait says nothing about the time to
     /// prefill a token.
     queued: bool,
+    /// When its prefill is expected to begin.
+    starts: Micros,
     /// When its prompt is expected to be prefilled.
     expected_done: Micros,
 }
@@ -129,6 +144,8 @@
 /// State of one engine.
 #[derive(Debug)]
 pub struct Engine {
+    /// Its sizes, if its cache is modelled by them: in pools with slack.
+    profile: Option<Profile>,
     cache: HashMap<u64, CachedPart>,
     pending: HashMap<Id, Pending>,
     token_time: f64,
@@ -161,6 +178,7 @@
     /// An engine of which nothing is known.
     pub fn new() -> Self {
         Engine {
+            profile: None,
             cache: HashMap::new(),
             pending: HashMap::new(),
             token_time: DEFAULT_TOKEN_TIME,
@@ -173,6 +191,11 @@
         }
     }
 
+    /// Models its cache by its sizes, or by the number of parts if they are `None`.
+    pub fn set_profile(&mut self, profile: Option<Profile>) {
+        self.profile = profile;
+    }
+
     /// Time to prefill a token, in microseconds.
     pub fn token_time(&self) -> f64 {
         self.token_time
@@ -191,11 +214,16 @@
     /// Records that it reported these parts as cached.
     pub fn add_cached(&mut self, now: Micros, parts: &[u64]) {
         for part in parts {
-            self.cache.insert(*part, CachedPart { last_used: now, complete: true });
+            self.cache.insert(*part, CachedPart { last_used: now, complete: true, ready: now });
         }
         self.evict_oldest();
     }
 
+    /// Records that it lost its cache.
+    pub fn clear_cache(&mut self) {
+        self.cache.clear();
+    }
+
     /// Tokens of a prompt from the first part on that it has not cached.
     pub fn uncached_tokens(&self, prompt: &Prompt<'_>) -> u32 {
         let cached = prompt.parts.iter().take_while(|part| self.has_cached(part.id));
@@ -204,9 +232,9 @@
 
     /// Tokens at the start of a prompt that another engine can transfer from here, and the least
     /// recent use of their parts.
-    pub fn transferable(&self, prompt: &Prompt<'_>) -> (u32, Micros) {
+    pub fn transferable(&self, now: Micros, prompt: &Prompt<'_>) -> (u32, Micros) {
         let cached = prompt.parts.iter().map_while(|part| {
-            let cached = self.cache.get(&part.id).filter(|cached| cached.complete)?;
+            let cached = self.cache.get(&part.id).filter(|cached| cached.is_complete(now))?;
             Some((part.tokens, cached.last_used))
         });
         cached.fold((0, Micros::MAX), |(sum, oldest), (tokens, last_used)| {
@@ -309,8 +337,10 @@
         let time = self.prefill_time(prefill) as Micros;
         let queue_time = self.queue_time(now);
         let parts = prompt.parts.iter().map(|part| part.id).collect();
-        let (queued, expected_done) = (queue_time > 0, now + queue_time + time);
-        self.pending.insert(id, Pending { granted: now, prefill, parts, queued, expected_done });
+        let (queued, starts, expected_done) =
+            (queue_time > 0, now + queue_time, now + queue_time + time);
+        let pending = Pending { granted: now, prefill, parts, queued, starts, expected_done };
+        self.pending.insert(id, pending);
         self.running += 1;
         if prompt.tolerant {
             self.tolerant_load = self.recent_tolerant_load(now) + time as f64;
@@ -318,13 +348,32 @@
         } else {
             self.sensitive += 1;
         }
+        let mut tokens_after = prompt.tokens;
         for part in prompt.parts {
-            let complete = self.cache.get(&part.id).is_some_and(|cached| cached.complete);
-            self.cache.insert(part.id, CachedPart { last_used: now, complete });
+            tokens_after = tokens_after.saturating_sub(part.tokens);
+            let ready = self.part_ready(prefill, tokens_after, expected_done);
+            let earlier = self.cache.get(&part.id);
+            let complete = earlier.is_some_and(|cached| cached.complete);
+            let ready = earlier.map_or(ready, |cached| cached.ready.min(ready));
+            self.cache.insert(part.id, CachedPart { last_used: now, complete, ready });
         }
         self.evict_oldest();
     }
 
+    /// When a part of a prompt with `tokens_after` tokens after it is expected to be complete. A
+    /// copied part counts only when the whole prompt is prefilled, since its copy may wait for
+    /// others.
+    fn part_ready(&self, prefill: Prefill, tokens_after: u32, expected_done: Micros) -> Micros {
+        if self.profile.is_none() {
+            return Micros::MAX;
+        }
+        if tokens_after >= prefill.tokens && prefill.transferred > 0 {
+            return expected_done;
+        }
+        let after = f64::from(tokens_after.min(prefill.tokens)) * self.token_time;
+        expected_done.saturating_sub(after as Micros)
+    }
+
     fn evict_oldest(&mut self) {
         if self.cache.len() <= MAX_PARTS {
             return;
@@ -368,7 +417,10 @@
     fn complete_prefill(&mut self, id: Id) -> Option<Pending> {
         let pending = self.pending.remove(&id)?;
         for part in &pending.parts {
-            self.cache.insert(*part, CachedPart { last_used: pending.granted, complete: true });
+            let used_since = self.cache.get(part).filter(|_| self.profile.is_some());
+            let last_used = used_since.map_or(0, |cached| cached.last_used).max(pending.granted);
+            let ready = pending.granted;
+            self.cache.insert(*part, CachedPart { last_used, complete: true, ready });
         }
         Some(pending)
     }
@@ -378,6 +430,45 @@
         self.complete_prefill(id);
     }
 
+    /// Decides which parts of a prompt stay in the cache when its attempt ends before the first
+    /// event; called before [`Engine::end`]. An engine completes a prefill whose caller or entry
+    /// instance is gone, so the parts stay, unless the engine failed or had hardly begun with them.
+    ///
+    /// Deleting them had 4.7 of 54 million tokens prefilled again within ten seconds, on a day on
+    /// which a third of the instances was partitioned.
+    pub fn release(&mut self, now: Micros, id: Id, outcome: Outcome) {
+        if self.profile.is_none() {
+            return;
+        }
+        let Some(pending) = self.pending.get_mut(&id) else {
+            return;
+        };
+        let parts = std::mem::take(&mut pending.parts);
+        let time = pending.expected_done - pending.starts;
+        let begun = now >= pending.starts + time / HARDLY_BEGUN_FRACTION;
+        let failed =
+            matches!(outcome, Outcome::Failed | Outcome::ConnectFailed | Outcome::Overloaded);
+        if begun && !failed {
+            return;
+        }
+        for id in parts {
+            let holders = self.pending.values().filter(|pending| pending.parts.contains(&id));
+            let next = holders.map(|pending| pending.expected_done).min();
+            let Some(part) = self.cache.get_mut(&id) else {
+                continue;
+            };
+            if part.complete || !failed && part.ready <= now {
+                continue;
+            }
+            match next {
+                Some(expected_done) => part.ready = expected_done,
+                None => {
+                    self.cache.remove(&id);
+                }
+            }
+        }
+    }
+
     /// Records the end of a request. Parts that were not completely prefilled by then may be
     /// missing.
     pub fn end(&mut self, id: Id, tolerant: bool) {
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -361,9 +361,11 @@
         self.share.usage(ask.workspace).running += 1;
         let prompt = self.prompt(now, &ask);
         let tolerant = prompt.tolerant;
+        let profile = self.cache_profile(now);
         if let Some(server) = self.server_mut(server) {
             server.start(now, ask.prefix);
             let time = f64::from(prefill.tokens) * server.engine().token_time();
+            server.engine_mut().set_profile(profile);
             server.engine_mut().start(now, ask.id, &prompt, prefill);
             self.partition.record(now, tolerant, time);
         }
--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -46,7 +46,7 @@
             .policy
             .switches
             .sources
-            .then(|| self.transfer_source(&prompt, ask.avoid, scope.regions))
+            .then(|| self.transfer_source(now, &prompt, ask.avoid, scope.regions))
             .flatten();
         let transferable = source.map_or(0, |(tokens, _)| tokens);
         let tolerant_partition = self.tolerant_partition(now);
@@ -99,6 +99,7 @@
     /// 13.9% with the switch `sources` off.
     fn transfer_source(
         &self,
+        now: Micros,
         prompt: &Prompt<'_>,
         avoid: Option<server::Key>,
         regions: region::Set,
@@ -107,7 +108,8 @@
             let usable = !server.leaving() && server.next_probe().is_none();
             usable && avoid != Some(*key) && regions.contains(server.region())
         });
-        let transferable = engines.map(|(key, server)| (server.engine().transferable(prompt), key));
+        let transferable =
+            engines.map(|(key, server)| (server.engine().transferable(now, prompt), key));
         let ((tokens, _), key) = transferable.max_by_key(|(offer, _)| *offer)?;
         (tokens > 0).then_some((tokens, key))
     }
--- a/crates/drumusher-schedule/src/pool/slack.rs
+++ b/crates/drumusher-schedule/src/pool/slack.rs
@@ -37,6 +37,11 @@
         self.servers().find_map(|(_, server)| server.profile())
     }
 
+    /// The sizes by which the engines' caches are modelled; `None` in a pool without slack.
+    pub(super) fn cache_profile(&self, now: Micros) -> Option<Profile> {
+        self.profile().filter(|_| self.policy.switches.memory && self.has_slack(now))
+    }
+
     /// The smallest first-event target of the classes that made a notable part of the recent
     /// requests.
     fn smallest_target(&self, now: Micros) -> Option<Micros> {
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -128,9 +128,17 @@
             self.lengths.record(ask.class, ask.workspace, produced);
         }
         let tolerant = running.tolerant;
+        let profile = self.cache_profile(now);
         if let Some(server) = self.server_mut(running.server) {
             server.end(now, running.granted, outcome);
-            server.engine_mut().end(id, tolerant);
+            let is_down = server.down_from().is_some();
+            let engine = server.engine_mut();
+            engine.set_profile(profile);
+            engine.release(now, id, outcome);
+            engine.end(id, tolerant);
+            if is_down && profile.is_some() {
+                engine.clear_cache();
+            }
         }
         if let Some(attempts) = self.preemptible.get_mut(&running.tier) {
             attempts.remove(&(running.granted, key));
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -11,6 +11,7 @@
 mod outlier;
 mod partition;
 mod pool;
+mod prefill_kept;
 mod rank;
 mod rate_limit;
 mod region;
