--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -8,10 +8,13 @@
 //! prefilling it again elsewhere is wasted work. Where the queue there is long, another engine
 //! transfers the cached part, which is much faster than prefilling it again.
 
+pub mod cache;
+
 use std::collections::HashMap;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::cache::Cache;
 use crate::{
     ask::{Id, Outcome, Part},
     time::{MILLISECOND, Micros, SECOND},
@@ -59,9 +62,6 @@
 const TOLERANT_DECAY_TIME: f64 = 3.0 * SECOND as f64;
 /// Cost of each running stream, in microseconds of waiting: tokens are slower beside other streams.
 const STREAM_COST: f64 = MILLISECOND as f64;
-/// Maximum prompt parts remembered per engine.
-const MAX_PARTS: usize = 8_192;
-
 /// A prefill has hardly begun before this fraction of its time is over. An attempt that ends by then
 /// leaves none of its parts in the engine.
 const HARDLY_BEGUN_FRACTION: u64 = 10;
@@ -107,31 +107,13 @@
     pub transferred: u32,
 }
 
-/// A prompt part in an engine's cache.
-#[derive(Clone, Copy, Debug)]
-struct CachedPart {
-    /// When a request with this part was last placed on the engine.
-    last_used: Micros,
-    /// Whether the part is known to be completely prefilled, so that another engine can transfer it.
-    complete: bool,
-    /// When it is expected to be complete; [`Micros::MAX`] if that counts only once it is known.
-    ready: Micros,
-}
-
-impl CachedPart {
-    /// Whether another engine can transfer it.
-    fn is_complete(&self, now: Micros) -> bool {
-        self.complete || self.ready <= now
-    }
-}
-
 /// A request whose first event has not arrived yet.
 #[derive(Clone, Debug)]
 struct Pending {
     granted: Micros,
     prefill: Prefill,
     /// The parts of its prompt.
-    parts: Vec<u64>,
+    parts: Vec<Part>,
     /// Whether it queued behind other prompts, so that its wait says nothing about the time to
     /// prefill a token.
     queued: bool,
@@ -146,7 +128,7 @@
 pub struct Engine {
     /// Its sizes, if its cache is modelled by them: in pools with slack.
     profile: Option<Profile>,
-    cache: HashMap<u64, CachedPart>,
+    cache: Cache,
     pending: HashMap<Id, Pending>,
     token_time: f64,
     /// Time to transfer a token.
@@ -160,6 +142,13 @@
     tolerant_at: Micros,
 }
 
+impl Pending {
+    /// Whether a part is in its prompt.
+    fn has(&self, part: u64) -> bool {
+        self.parts.iter().any(|own| own.id == part)
+    }
+}
+
 impl Prompt<'_> {
     /// The longest part that other requests may share: the last part is the request's own.
     pub fn shared(&self) -> Option<Part> {
@@ -179,7 +168,7 @@
     pub fn new() -> Self {
         Engine {
             profile: None,
-            cache: HashMap::new(),
+            cache: Cache::default(),
             pending: HashMap::new(),
             token_time: DEFAULT_TOKEN_TIME,
             transfer_time: DEFAULT_TRANSFER_TIME,
@@ -194,6 +183,7 @@
     /// Models its cache by its sizes, or by the number of parts if they are `None`.
     pub fn set_profile(&mut self, profile: Option<Profile>) {
         self.profile = profile;
+        self.cache.set_capacity(profile.map(|profile| profile.tokens));
     }
 
     /// Time to prefill a token, in microseconds.
@@ -206,17 +196,28 @@
         self.fastest_token_time
     }
 
+    /// What it has in its memory.
+    pub fn cache(&self) -> &Cache {
+        &self.cache
+    }
+
+    /// Records how many events a running request has delivered so far.
+    pub fn record_output(&mut self, id: Id, events: u32) {
+        if let Some(profile) = self.profile {
+            self.cache.record_output(id, u64::from(events) * u64::from(profile.event_tokens));
+        }
+    }
+
     /// Whether it has a part in its cache.
     pub fn has_cached(&self, part: u64) -> bool {
-        self.cache.contains_key(&part)
+        self.cache.contains(part)
     }
 
     /// Records that it reported these parts as cached.
     pub fn add_cached(&mut self, now: Micros, parts: &[u64]) {
         for part in parts {
-            self.cache.insert(*part, CachedPart { last_used: now, complete: true, ready: now });
+            self.cache.add_reported(now, Part { id: *part, tokens: 0 });
         }
-        self.evict_oldest();
     }
 
     /// Records that it lost its cache.
@@ -234,8 +235,8 @@
     /// recent use of their parts.
     pub fn transferable(&self, now: Micros, prompt: &Prompt<'_>) -> (u32, Micros) {
         let cached = prompt.parts.iter().map_while(|part| {
-            let cached = self.cache.get(&part.id).filter(|cached| cached.is_complete(now))?;
-            Some((part.tokens, cached.last_used))
+            let last_used = self.cache.last_used(part.id)?;
+            self.cache.is_complete(now, part.id).then_some((part.tokens, last_used))
         });
         cached.fold((0, Micros::MAX), |(sum, oldest), (tokens, last_used)| {
             (sum + tokens, oldest.min(last_used))
@@ -336,7 +337,7 @@
     pub fn start(&mut self, now: Micros, id: Id, prompt: &Prompt<'_>, prefill: Prefill) {
         let time = self.prefill_time(prefill) as Micros;
         let queue_time = self.queue_time(now);
-        let parts = prompt.parts.iter().map(|part| part.id).collect();
+        let parts = prompt.parts.to_vec();
         let (queued, starts, expected_done) =
             (queue_time > 0, now + queue_time, now + queue_time + time);
         let pending = Pending { granted: now, prefill, parts, queued, starts, expected_done };
@@ -348,39 +349,13 @@
         } else {
             self.sensitive += 1;
         }
-        let mut tokens_after = prompt.tokens;
-        for part in prompt.parts {
-            tokens_after = tokens_after.saturating_sub(part.tokens);
-            let ready = self.part_ready(prefill, tokens_after, expected_done);
-            let earlier = self.cache.get(&part.id);
-            let complete = earlier.is_some_and(|cached| cached.complete);
-            let ready = earlier.map_or(ready, |cached| cached.ready.min(ready));
-            self.cache.insert(part.id, CachedPart { last_used: now, complete, ready });
-        }
-        self.evict_oldest();
-    }
-
-    /// When a part of a prompt with `tokens_after` tokens after it is expected to be complete. A
-    /// copied part counts only when the whole prompt is prefilled, since its copy may wait for
-    /// others.
-    fn part_ready(&self, prefill: Prefill, tokens_after: u32, expected_done: Micros) -> Micros {
-        if self.profile.is_none() {
-            return Micros::MAX;
-        }
-        if tokens_after >= prefill.tokens && prefill.transferred > 0 {
-            return expected_done;
-        }
-        let after = f64::from(tokens_after.min(prefill.tokens)) * self.token_time;
-        expected_done.saturating_sub(after as Micros)
-    }
-
-    fn evict_oldest(&mut self) {
-        if self.cache.len() <= MAX_PARTS {
-            return;
-        }
-        let sum: u128 = self.cache.values().map(|cached| u128::from(cached.last_used)).sum();
-        let mean_use = (sum / self.cache.len() as u128) as Micros;
-        self.cache.retain(|_, cached| cached.last_used >= mean_use);
+        let by_profile = self.profile.is_some();
+        let token_time = self.token_time;
+        let ready = |tokens_after| match by_profile {
+            true => part_ready(prefill, tokens_after, token_time, expected_done),
+            false => Micros::MAX,
+        };
+        self.cache.place(now, id, prompt.parts, prompt.tokens, ready);
     }
 
     /// Records that the first event of a request arrived `elapsed` after it was handed over.
@@ -417,10 +392,7 @@
     fn complete_prefill(&mut self, id: Id) -> Option<Pending> {
         let pending = self.pending.remove(&id)?;
         for part in &pending.parts {
-            let used_since = self.cache.get(part).filter(|_| self.profile.is_some());
-            let last_used = used_since.map_or(0, |cached| cached.last_used).max(pending.granted);
-            let ready = pending.granted;
-            self.cache.insert(*part, CachedPart { last_used, complete: true, ready });
+            self.cache.complete(pending.granted, *part);
         }
         Some(pending)
     }
@@ -430,8 +402,8 @@
         self.complete_prefill(id);
     }
 
-    /// Decides which parts of a prompt stay in the cache when its attempt ends before the first
-    /// event; called before [`Engine::end`]. An engine completes a prefill whose caller or entry
+    /// Records the last use of the parts of a prompt, and decides which of them stay in the cache
+    /// when its attempt ends before the first event; called before [`Engine::end`]. An engine completes a prefill whose caller or entry
     /// instance is gone, so the parts stay, unless the engine failed or had hardly begun with them.
     ///
     /// Deleting them had 4.7 of 54 million tokens prefilled again within ten seconds, on a day on
@@ -441,9 +413,11 @@
             return;
         }
         let Some(pending) = self.pending.get_mut(&id) else {
+            self.cache.end(now, id);
             return;
         };
         let parts = std::mem::take(&mut pending.parts);
+        self.cache.end(now, id);
         let time = pending.expected_done - pending.starts;
         let begun = now >= pending.starts + time / HARDLY_BEGUN_FRACTION;
         let failed =
@@ -451,20 +425,15 @@
         if begun && !failed {
             return;
         }
-        for id in parts {
-            let holders = self.pending.values().filter(|pending| pending.parts.contains(&id));
+        for part in parts {
+            let holders = self.pending.values().filter(|pending| pending.has(part.id));
             let next = holders.map(|pending| pending.expected_done).min();
-            let Some(part) = self.cache.get_mut(&id) else {
-                continue;
-            };
-            if part.complete || !failed && part.ready <= now {
-                continue;
-            }
+            let is_kept =
+                self.cache.is_known(part.id) || !failed && self.cache.is_complete(now, part.id);
             match next {
-                Some(expected_done) => part.ready = expected_done,
-                None => {
-                    self.cache.remove(&id);
-                }
+                _ if is_kept => {}
+                Some(expected_done) => self.cache.set_ready(part.id, expected_done),
+                None => self.cache.remove(part.id),
             }
         }
     }
@@ -474,11 +443,12 @@
     pub fn end(&mut self, id: Id, tolerant: bool) {
         if let Some(pending) = self.pending.remove(&id) {
             for part in &pending.parts {
-                if self.cache.get(part).is_some_and(|cached| !cached.complete) {
-                    self.cache.remove(part);
+                if !self.cache.is_known(part.id) {
+                    self.cache.remove(part.id);
                 }
             }
         }
+        self.cache.end(0, id);
         self.running = self.running.saturating_sub(1);
         if !tolerant {
             self.sensitive = self.sensitive.saturating_sub(1);
@@ -490,3 +460,18 @@
         self.pending.values().map(|pending| pending.granted).min()
     }
 }
+
+/// When a part of a prompt with `tokens_after` tokens after it is expected to be complete. A copied
+/// part counts only when the whole prompt is prefilled, since its copy may wait for others.
+fn part_ready(
+    prefill: Prefill,
+    tokens_after: u32,
+    token_time: f64,
+    expected_done: Micros,
+) -> Micros {
+    if tokens_after >= prefill.tokens && prefill.transferred > 0 {
+        return expected_done;
+    }
+    let after = f64::from(tokens_after.min(prefill.tokens)) * token_time;
+    expected_done.saturating_sub(after as Micros)
+}
--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -92,7 +92,9 @@
     }
 
     /// The engine from which most of a prompt can be transferred, other than `avoid` and in one of
-    /// the `regions`, with the number of tokens. Of equal ones, the one that used them last.
+    /// the `regions`, with the number of tokens. Of equal ones, the one that used them last. In a
+    /// pool whose engines' caches are modelled by their memory, an engine that is leaving is one
+    /// too, while requests run there: what only it has cached would be lost with it.
     ///
     /// Saves prefilling again what a busy engine has cached. With nine engines under bursts of long
     /// prompts, half a minute each, 2.4% of the prefilled tokens had been prefilled before, and
@@ -104,8 +106,10 @@
         avoid: Option<server::Key>,
         regions: region::Set,
     ) -> Option<(u32, server::Key)> {
+        let from_leaving = self.cache_profile(now).is_some();
         let engines = self.servers().filter(|(key, server)| {
-            let usable = !server.leaving() && server.next_probe().is_none();
+            let serves = !server.leaving() || from_leaving && server.running() > 0;
+            let usable = serves && server.next_probe().is_none();
             usable && avoid != Some(*key) && regions.contains(server.region())
         });
         let transferable =
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -89,12 +89,15 @@
         let beyond = (own - running.charged).max(0.0);
         running.charged += beyond;
         let (tier, workspace, server) = (running.tier, running.ask.workspace, running.server);
-        let class = running.ask.class;
+        let (class, produced) = (running.ask.class, running.produced);
         let policy = self.policy.clone();
         if beyond > 0.0 {
             self.share.charge(&policy, tier, workspace, beyond);
         }
         self.share.consume(&policy, workspace, f64::from(new), now);
+        if let Some(server) = self.server_mut(server) {
+            server.engine_mut().record_output(progress.id, produced);
+        }
         if !policy.switches.learning {
             return;
         }
@@ -131,12 +134,13 @@
         let profile = self.cache_profile(now);
         if let Some(server) = self.server_mut(running.server) {
             server.end(now, running.granted, outcome);
-            let is_down = server.down_from().is_some();
+            let broken = matches!(outcome, Outcome::Failed | Outcome::ConnectFailed);
+            let is_lost = server.down_from().is_some() || server.leaving() && broken;
             let engine = server.engine_mut();
             engine.set_profile(profile);
             engine.release(now, id, outcome);
             engine.end(id, tolerant);
-            if is_down && profile.is_some() {
+            if is_lost && profile.is_some() {
                 engine.clear_cache();
             }
         }
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -2,6 +2,7 @@
 
 mod begun;
 mod brittle;
+mod cache;
 mod cooldown;
 mod engine;
 mod invariants;
