--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -148,20 +148,27 @@
     }
 
     /// Returns the backend server from which the next attempt fetches cached prompt state. There is none after a
-    /// failed attempt that had one, since it may have caused the failure.
+    /// failed attempt that had one, since it may have caused the failure. One that is leaving still serves its cache, so
+    /// the dispatcher may name it.
     fn find_cache_source(&self, name: Option<Arc<str>>) -> Option<Backend> {
         if self.cache_source_failed {
             return None;
         }
-        self.usable_backend(&name?).filter(|backend| !self.worker.shared.notices.leaves(backend))
+        self.allowed_backend(&name?)
     }
 
     /// Returns the backend server unless it is leaving, missing in this instance's directory, or in a region in which
     /// the request may not run: the dispatcher may have another version of the configuration.
     fn usable_backend(&self, server: &str) -> Option<Backend> {
+        self.allowed_backend(server).filter(|backend| !backend.leaving)
+    }
+
+    /// Returns the backend server unless it is missing in this instance's directory, or in a region in which the
+    /// request may not run.
+    fn allowed_backend(&self, server: &str) -> Option<Backend> {
         let pool = self.ticket.pool().clone();
         let directory = self.worker.shared.directory.load();
-        let backend = directory.backend(&pool, server).filter(|backend| !backend.leaving)?;
+        let backend = directory.backend(&pool, server)?;
         let regions = &self.worker.shared.settings.regions;
         let region = regions.of_zone(&backend.availability_zone);
         self.request.route_match.allows_region(region).then(|| backend.clone())
