--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -254,11 +254,7 @@
         let uncached = self.uncached_tokens(prompt);
         let cached = prompt.tokens.saturating_sub(uncached);
         let transferred = transferable.saturating_sub(cached);
-        let transferred = if f64::from(transferred) * self.token_time < MIN_SAVED_PREFILL {
-            0
-        } else {
-            transferred
-        };
+        let transferred = if self.is_worth_copying(transferred) { transferred } else { 0 };
         Prefill {
             tokens: uncached.saturating_sub(transferred),
             recomputed: cached_elsewhere.saturating_sub(cached + transferred),
@@ -266,6 +262,11 @@
         }
     }
 
+    /// Whether copying tokens from another engine takes less time than prefilling them.
+    pub fn is_worth_copying(&self, tokens: u32) -> bool {
+        f64::from(tokens) * self.token_time >= MIN_SAVED_PREFILL
+    }
+
     /// Time that a prefill takes, in microseconds.
     pub fn prefill_time(&self, prefill: Prefill) -> f64 {
         f64::from(prefill.tokens) * self.token_time
--- a/crates/drumusher-schedule/src/lib.rs
+++ b/crates/drumusher-schedule/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod rank;
 pub mod region;
 pub mod retry;
+pub mod reuse;
 pub mod server;
 pub mod share;
 pub mod time;
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -6,6 +6,7 @@
 mod health;
 mod placement;
 mod preempt;
+mod reuse;
 mod scope;
 mod sensitivity;
 mod slack;
@@ -18,7 +19,7 @@
 
 use slab::Slab;
 
-use self::cooldown::Cooldowns;
+use self::{cooldown::Cooldowns, reuse::Reuse};
 use crate::{
     ask::{Ask, Entry, Id, Key, Running, State, Waiting},
     event::Event,
@@ -88,6 +89,8 @@
     typical_token_time: Option<f64>,
     /// Partition of the engines between delay-tolerant and delay-sensitive requests.
     partition: Partition,
+    /// How prompts were obtained.
+    reuse: Reuse,
     /// Mean time that an attempt occupies its slot, in microseconds.
     hold_time: f64,
     last_tick: Micros,
@@ -119,6 +122,7 @@
             demand: HashMap::new(),
             typical_token_time: None,
             partition: Partition::new(),
+            reuse: Reuse::default(),
             hold_time: DEFAULT_HOLD_TIME,
             last_tick: 0,
         }
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -238,6 +238,7 @@
             overtaken: self.grants - waiting.grants_before,
         });
         self.grants += 1;
+        self.count_prompt(now, &waiting.ask, server, prefill);
         let cost = self.remaining_tokens(&waiting.ask);
         self.credit_classes(waiting.ask.class, cost, reserved);
         self.start_running(now, waiting, server, prefill, reserved);
--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -106,11 +106,9 @@
         avoid: Option<server::Key>,
         regions: region::Set,
     ) -> Option<(u32, server::Key)> {
-        let from_leaving = self.cache_profile(now).is_some();
         let engines = self.servers().filter(|(key, server)| {
-            let serves = !server.leaving() || from_leaving && server.running() > 0;
-            let usable = serves && server.next_probe().is_none();
-            usable && avoid != Some(*key) && regions.contains(server.region())
+            let usable = avoid != Some(*key) && regions.contains(server.region());
+            usable && self.can_send_copies(now, server)
         });
         let transferable =
             engines.map(|(key, server)| (server.engine().transferable(now, prompt), key));
@@ -118,6 +116,12 @@
         (tokens > 0).then_some((tokens, key))
     }
 
+    /// Whether other engines can copy from an engine.
+    pub(super) fn can_send_copies(&self, now: Micros, server: &Server) -> bool {
+        let drains = || server.running() > 0 && self.cache_profile(now).is_some();
+        server.next_probe().is_none() && (!server.leaving() || drains())
+    }
+
     /// The engine on which the shared part of a prompt is placed while no engine has it cached.
     fn home_engine(
         &self,
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -141,7 +141,7 @@
             engine.release(now, id, outcome);
             engine.end(id, tolerant);
             if is_lost && profile.is_some() {
-                engine.clear_cache();
+                self.clear_cache(now, running.server);
             }
         }
         if let Some(attempts) = self.preemptible.get_mut(&running.tier) {
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -17,6 +17,7 @@
 mod rate_limit;
 mod region;
 mod retry;
+mod reuse;
 mod slack;
 mod support;
 mod transfer;
--- a/crates/drumusher/src/process/dispatch/orders.rs
+++ b/crates/drumusher/src/process/dispatch/orders.rs
@@ -16,6 +16,9 @@
 impl Dispatcher {
     /// Executes the orders that one event led to, and records the reason of each for `show request`.
     pub(super) fn send_orders(&mut self, pool: &Pool) {
+        if let Some(hosted) = self.pools.get_mut(pool) {
+            self.shared.telemetry.count_prompt_tokens(&hosted.scheduler.take_prompt_tokens());
+        }
         let mut orders = std::mem::take(&mut self.orders);
         let instances = self.shared.directory.load().requesters(pool);
         let mut revoked = Vec::new();
--- a/crates/drumusher/src/process/telemetry.rs
+++ b/crates/drumusher/src/process/telemetry.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use drumusher_schedule::order::Order;
+use drumusher_schedule::{order::Order, reuse};
 use opentelemetry::{
     Context, KeyValue,
     metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
@@ -40,6 +40,8 @@
     requests: Counter<u64>,
     /// Relayed tokens by class.
     tokens: Counter<u64>,
+    /// Prompt tokens by how they were obtained.
+    prompt_tokens: Counter<u64>,
     /// Time to the first token, in seconds.
     first_token: Histogram<f64>,
     orders: Counter<u64>,
@@ -118,6 +120,7 @@
             gauges: Mutex::default(),
             requests: meter.u64_counter("drumusher.requests").build(),
             tokens: meter.u64_counter("drumusher.tokens").build(),
+            prompt_tokens: meter.u64_counter("drumusher.prompt.tokens").build(),
             first_token: meter
                 .f64_histogram("gen_ai.server.time_to_first_token")
                 .with_unit("s")
@@ -158,6 +161,13 @@
         self.orders.add(1, &[KeyValue::new("order", kind)]);
     }
 
+    /// Counts tokens of prompts by how their engines obtain them.
+    pub fn count_prompt_tokens(&self, counts: &reuse::Counts) {
+        for (how, tokens) in counts.iter() {
+            self.prompt_tokens.add(tokens, &[KeyValue::new("how", how.word())]);
+        }
+    }
+
     /// Counts a finished request by class and outcome, and its tokens by class.
     pub fn count_request(&self, class: &str, outcome: &'static str, tokens: u64) {
         let class = KeyValue::new("class", class.to_string());
