--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -43,7 +43,7 @@
 const TRANSFER_WEIGHT: f64 = 2.0;
 /// Cost of prefilling a shared token again, in microseconds of waiting. It is much more than the
 /// time it takes, because users count it as waste whether or not another request waits.
-const RECOMPUTE_COST: f64 = 400.0;
+pub(crate) const RECOMPUTE_COST: f64 = 400.0;
 /// A prompt delays the other streams on its engine too long if prefilling all of it takes more than
 /// this fraction of the smallest gap target. A stream's own steps take up the rest of the gap. Of
 /// the known request classes, those with short prompts take 0.2 to 0.4 of it, and those with long
@@ -62,8 +62,8 @@
 const TOLERANT_DECAY_TIME: f64 = 3.0 * SECOND as f64;
 /// Cost of each running stream, in microseconds of waiting: tokens are slower beside other streams.
 const STREAM_COST: f64 = MILLISECOND as f64;
-/// A prefill has hardly begun before this fraction of its time is over. An attempt that ends by then
-/// leaves none of its parts in the engine.
+/// A prefill has hardly begun before this fraction of its time is over. An attempt that ends by
+/// then leaves none of its parts in the engine.
 const HARDLY_BEGUN_FRACTION: u64 = 10;
 
 /// A first event is overdue after twice the expected prefill time plus this: the first tokens have
@@ -273,6 +273,37 @@
             + f64::from(prefill.transferred) * self.transfer_time
     }
 
+    /// Cost of occupying the links of two engines, in microseconds of waiting.
+    pub(crate) fn link_cost(&self, prefill: Prefill) -> f64 {
+        f64::from(prefill.transferred) * self.transfer_time * (TRANSFER_WEIGHT - 1.0)
+    }
+
+    /// Whether a request that runs here is prefilling a part, which is not complete yet.
+    pub fn is_prefilling(&self, now: Micros, part: u64) -> bool {
+        !self.cache.is_complete(now, part) && self.pending.values().any(|p| p.has(part))
+    }
+
+    /// The start of a prompt that it has or is prefilling: the tokens, the time at which all of
+    /// them are expected to be complete, and the part that is complete last. `None` if none of it
+    /// is being prefilled.
+    pub fn prefilling(&self, now: Micros, prompt: &Prompt<'_>) -> Option<(u32, Micros, u64)> {
+        let (mut tokens, mut last) = (0, None);
+        for part in prompt.parts {
+            let Some(ready) = self.cache.ready_at(part.id).filter(|ready| *ready < Micros::MAX)
+            else {
+                break;
+            };
+            if ready > now {
+                if !self.is_prefilling(now, part.id) {
+                    break;
+                }
+                last = last.max(Some((ready, part.id)));
+            }
+            tokens += part.tokens;
+        }
+        last.map(|(ready, part)| (tokens, ready, part))
+    }
+
     /// Rendezvous hash of a prompt part for the engine with this rank. All dispatchers compute the
     /// same one, so that a new one places requests as its predecessor did.
     pub fn weight(part: u64, rank: u64) -> u64 {
@@ -307,8 +338,7 @@
     ) -> f64 {
         let wait = self.queue_time(now) as f64 + self.prefill_time(prefill);
         let recompute = f64::from(prefill.recomputed) * RECOMPUTE_COST;
-        let transfer =
-            f64::from(prefill.transferred) * self.transfer_time * (TRANSFER_WEIGHT - 1.0);
+        let transfer = self.link_cost(prefill);
         let streams = f64::from(self.running) * STREAM_COST;
         let interference = if prompt.tolerant {
             self.interference(wait, prompt, prefill)
@@ -404,8 +434,9 @@
     }
 
     /// Records the last use of the parts of a prompt, and decides which of them stay in the cache
-    /// when its attempt ends before the first event; called before [`Engine::end`]. An engine completes a prefill whose caller or entry
-    /// instance is gone, so the parts stay, unless the engine failed or had hardly begun with them.
+    /// when its attempt ends before the first event; called before [`Engine::end`]. An engine
+    /// completes a prefill whose caller or entry instance is gone, so the parts stay, unless the
+    /// engine failed or had hardly begun with them.
     ///
     /// Deleting them had 4.7 of 54 million tokens prefilled again within ten seconds, on a day on
     /// which a third of the instances was partitioned.
--- a/crates/drumusher-schedule/src/engine/cache.rs
+++ b/crates/drumusher-schedule/src/engine/cache.rs
@@ -228,7 +228,8 @@
         }
     }
 
-    /// Records a complete list of what the engine has cached. Parts that running requests have stay.
+    /// Records a complete list of what the engine has cached. Parts that running requests have
+    /// stay.
     pub fn replace_reported(&mut self, now: Micros, parts: &[Part]) {
         let listed: BTreeSet<u64> = parts.iter().map(|part| part.id).collect();
         let gone: Vec<u64> =
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -1,6 +1,7 @@
 //! State and decisions of one pool: consumes events and returns orders.
 
 mod admit;
+mod await_copy;
 mod cooldown;
 mod grant;
 mod health;
@@ -19,7 +20,7 @@
 
 use slab::Slab;
 
-use self::{cooldown::Cooldowns, reuse::Reuse};
+use self::{await_copy::Awaiting, cooldown::Cooldowns, reuse::Reuse};
 use crate::{
     ask::{Ask, Entry, Id, Key, Running, State, Waiting},
     event::Event,
@@ -69,6 +70,8 @@
     /// Requests skipped in the current round of grants, because the free backend servers are in
     /// cooldown for their entry instance.
     skipped: BTreeSet<Key>,
+    /// Waiting requests that wait for copies of prompt parts.
+    awaiting: Awaiting,
     /// Running attempts that may be preempted, by tier and time of the grant.
     preemptible: BTreeMap<u8, BTreeSet<(Micros, Key)>>,
     /// Number of attempts whose preemption is under way.
@@ -112,6 +115,7 @@
             servers: Vec::new(),
             cooldowns: Cooldowns::default(),
             skipped: BTreeSet::new(),
+            awaiting: Awaiting::default(),
             preemptible: BTreeMap::new(),
             preempting: 0,
             running_tiers: BTreeMap::new(),
@@ -392,6 +396,7 @@
         };
         let position = position(&waiting);
         self.queue.remove(position, key);
+        self.awaiting.remove(key);
         self.wait_deadlines.remove(&(self.wait_deadline(&waiting), key));
         self.keys.remove(&waiting.ask.id);
         self.begun_waiting -= usize::from(waiting.ask.has_begun());
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -36,6 +36,7 @@
 impl Pool {
     /// Grants until no slot is free or no request may use it.
     pub(super) fn grant_free_slots(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        self.skip_awaiting(now);
         self.grant_probe(now, orders);
         while self.free(now) > 0 {
             let due = self.reserved_class_due();
@@ -53,15 +54,21 @@
     }
 
     /// Skips a request that has no slot because the free backend servers are in cooldown for its
-    /// entry instance, or in regions or of software versions in which it may not run. Returns whether that is the reason.
+    /// entry instance, or in regions or of software versions in which it may not run, or because it waits for a copy.
+    /// Returns whether that is the reason.
     fn skip(&mut self, now: Micros, key: Key) -> bool {
+        if self.awaiting.contains(key) {
+            return self.skipped.insert(key);
+        }
         let excluded = self.waiting_at(key).is_some_and(|waiting| {
             let ask = &waiting.ask;
             self.cooldowns.any_active(now, ask.entry)
                 || self.regions(ask) != region::Set::All
                 || ask.versions != version::Set::All
         });
-        excluded && self.skipped.len() < MAX_SKIPPED && self.skipped.insert(key)
+        excluded
+            && self.skipped.len() < MAX_SKIPPED + self.awaiting.len()
+            && self.skipped.insert(key)
     }
 
     /// The backend servers that are eligible for a request.
@@ -217,11 +224,14 @@
         };
         let ask = waiting.ask.clone();
         let scope = self.scope(&ask, availability);
-        let Some(Placement { server, prefill, source, expected }) =
-            self.choose_server(now, &ask, scope)
-        else {
+        let Some(placement) = self.choose_server(now, &ask, scope) else {
             return false;
         };
+        if availability == Availability::Free && self.awaits_copy(now, key, &ask, scope, &placement)
+        {
+            return false;
+        }
+        let Placement { server, prefill, source, expected } = placement;
         let Some(waiting) = self.remove_waiting(key) else {
             return false;
         };
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the scheduling decisions.
 
+mod await_copies;
 mod begun;
 mod brittle;
 mod cache;
