--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -8,10 +8,13 @@
 //! prefilling it again elsewhere is wasted work. Where the queue there is long, another engine
 //! transfers the cached part, which is much faster than prefilling it again.
 
+pub mod pace;
+
 use std::collections::HashMap;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::pace::Pace;
 use crate::{
     ask::{Id, Part},
     time::{MILLISECOND, Micros, SECOND},
@@ -141,6 +144,7 @@
     /// Recent prefill time of delay-tolerant prompts, decayed to `tolerant_at`.
     tolerant_load: f64,
     tolerant_at: Micros,
+    pace: Pace,
 }
 
 impl Prompt<'_> {
@@ -170,9 +174,20 @@
             running: 0,
             tolerant_load: 0.0,
             tolerant_at: 0,
+            pace: Pace::default(),
         }
     }
 
+    /// Time between the events of its streams.
+    pub fn pace(&self) -> &Pace {
+        &self.pace
+    }
+
+    /// Mutable access to [`Engine::pace`], to record reports.
+    pub fn pace_mut(&mut self) -> &mut Pace {
+        &mut self.pace
+    }
+
     /// Time to prefill a token, in microseconds.
     pub fn token_time(&self) -> f64 {
         self.token_time
--- a/crates/drumusher-schedule/src/length.rs
+++ b/crates/drumusher-schedule/src/length.rs
@@ -42,18 +42,26 @@
     /// Expected remaining tokens of a request that has produced `produced`: the median of the
     /// longer outputs.
     pub fn remaining(&self, class: ClassKey, workspace: WorkspaceKey, produced: u32) -> u32 {
+        self.known_remaining(class, workspace, produced).unwrap_or(DEFAULT_LENGTH)
+    }
+
+    /// Like [`Estimator::remaining`]; `None` without samples of longer outputs.
+    pub fn known_remaining(
+        &self,
+        class: ClassKey,
+        workspace: WorkspaceKey,
+        produced: u32,
+    ) -> Option<u32> {
         let own = self.by_workspace.get(&(class, workspace)).filter(|h| h.len() >= MIN_SAMPLES);
-        let Some(histogram) = own.or_else(|| self.by_class.get(&class)) else {
-            return DEFAULT_LENGTH;
-        };
+        let histogram = own.or_else(|| self.by_class.get(&class))?;
         let produced = u64::from(produced);
         let shorter = histogram.count_between(0, produced);
         let longer = histogram.len().saturating_sub(shorter);
         if longer == 0 {
-            return DEFAULT_LENGTH;
+            return None;
         }
         let quantile = (shorter as f64 + longer as f64 / 2.0) / histogram.len() as f64;
         let median = histogram.value_at_quantile(quantile.min(1.0));
-        median.saturating_sub(produced).max(1) as u32
+        Some(median.saturating_sub(produced).max(1) as u32)
     }
 }
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -4,6 +4,7 @@
 mod cooldown;
 mod grant;
 mod health;
+mod pace;
 mod placement;
 mod preempt;
 mod scope;
@@ -86,6 +87,8 @@
     demand: HashMap<ClassKey, sensitivity::Demand>,
     /// Median of the engines' shortest times to prefill a token, as of the last tick.
     typical_token_time: Option<f64>,
+    /// Median of the engines' mean times between events, as of the last tick.
+    typical_pace: Option<f64>,
     /// Partition of the engines between delay-tolerant and delay-sensitive requests.
     partition: Partition,
     /// Mean time that an attempt occupies its slot, in microseconds.
@@ -118,6 +121,7 @@
             grants: 0,
             demand: HashMap::new(),
             typical_token_time: None,
+            typical_pace: None,
             partition: Partition::new(),
             hold_time: DEFAULT_HOLD_TIME,
             last_tick: 0,
@@ -338,6 +342,7 @@
         }
         self.last_tick = now;
         self.update_token_time();
+        self.update_pace(now);
         self.drop_unreported(now);
         if self.policy.switches.learning {
             self.relieve_slow(now, orders);
--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -1,7 +1,8 @@
 //! Choice of the engine that prefills a prompt.
 //!
-//! The cost of an engine is the wait for its queue, what has to be prefilled or transferred, and
-//! the delay to the streams beside it. The engine with the lowest cost is chosen.
+//! The cost of an engine is the wait for its queue, what has to be prefilled or transferred, the
+//! delay to the streams beside it, and what its pace means for the rest of the answer. The engine
+//! with the lowest cost is chosen.
 
 use super::{Pool, scope::Scope};
 use crate::{
@@ -58,6 +59,7 @@
         let shared = prompt.shared().map_or(0.0, |part| f64::from(part.tokens));
         let is_uncached = cached_elsewhere == 0 && self.policy.switches.usual_engine;
         let home = if is_uncached { self.home_engine(&prompt, in_partition) } else { None };
+        let answer = self.answer(now, ask);
         let mut best: Option<(bool, bool, f64, server::Key, Prefill)> = None;
         for (key, server) in self.servers() {
             if !scope.includes(server, now) || self.cooldowns.is_active(now, ask.entry, key) {
@@ -67,7 +69,10 @@
             let (anti_affine, avoided) = (ask.anti_affinity.contains(&key), ask.avoid == Some(key));
             let is_away = home.is_some_and(|home| home != key);
             let away_cost = if is_away { shared * AWAY_FROM_HOME_COST } else { 0.0 };
-            let cost = server.engine().cost(now, &prompt, prefill, in_partition(key)) + away_cost;
+            let pace_cost = answer.map_or(0.0, |answer| answer.cost(now, server.engine(), prefill));
+            let cost = server.engine().cost(now, &prompt, prefill, in_partition(key))
+                + away_cost
+                + pace_cost;
             if best.is_none_or(|(b, a, c, ..)| (anti_affine, avoided, cost) < (b, a, c)) {
                 best = Some((anti_affine, avoided, cost, key, prefill));
             }
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -104,6 +104,7 @@
             if let Some(first) = progress.first_token {
                 server.engine_mut().first_event(progress.id, first);
             }
+            server.engine_mut().pace_mut().record(now, progress.gap, new);
             server.record_stream(now, sensitivity, progress.first_token, progress.gap, target);
         }
     }
