--- a/crates/drumusher-schedule/src/engine/pace.rs
+++ b/crates/drumusher-schedule/src/engine/pace.rs
@@ -18,9 +18,10 @@
 /// Bounds of the gap between events in a report, in microseconds. A gap beyond the upper one is a
 /// stall of one stream, which ends by a retry and says nothing about the pace of the others.
 const GAP_BOUNDS: (f64, f64) = (1.0, 2.0 * SECOND as f64);
-/// Most events that one report counts for. Reports come every 300 ms; one with more events is of a
-/// stream whose earlier reports went to another dispatcher.
-const MAX_REPORT_EVENTS: u32 = 64;
+/// Longest time that one report covers, in microseconds. Reports come every 300 ms or with the next
+/// event after that; one that covers more is of a stream whose earlier reports went to another
+/// dispatcher.
+const MAX_REPORT_TIME: f64 = SECOND as f64;
 /// Part of the time left, and of the target for pauses, that an answer may be expected to use. The
 /// rest is for the error of the expectation.
 const USABLE_FRACTION: f64 = 0.8;
@@ -88,7 +89,7 @@
             return;
         }
         let gap = (gap as f64).clamp(GAP_BOUNDS.0, GAP_BOUNDS.1);
-        let events = f64::from(events.min(MAX_REPORT_EVENTS));
+        let events = f64::from(events).min((MAX_REPORT_TIME / gap).max(1.0));
         self.recent.record(now, gap, events, RECENT_DECAY_TIME);
         self.slow.record(now, gap, events, SLOW_DECAY_TIME);
     }
@@ -109,8 +110,8 @@
 
 impl Answer {
     /// Expected time between the events of the answer on an engine, in microseconds: the present
-    /// one, and the delay of each event by the prompt. Each answer that an engine produces needs the
-    /// prefill of one prompt, so the time of the prompt is spread over the events of the answer.
+    /// one, and the delay of each event by the prompt. Each answer that an engine produces needs
+    /// the prefill of one prompt, so its time is spread over the events of the answer.
     pub fn pace(&self, now: Micros, engine: &Engine, prefill: Prefill) -> f64 {
         engine.pace().expected(now, self.typical) + engine.prefill_time(prefill) / self.events
     }
@@ -120,8 +121,9 @@
     pub fn cost(&self, now: Micros, engine: &Engine, prefill: Prefill) -> f64 {
         let pace = self.pace(now, engine, prefill);
         let late = self.left.map_or(0.0, |left| {
-            let start = engine.queue_time(now) as f64 + engine.prefill_time(prefill);
-            (start + self.events * pace - left * USABLE_FRACTION).max(0.0)
+            // The time to prefill a token is learned from first events, so this is the first one's.
+            let first = engine.queue_time(now) as f64 + engine.prefill_time(prefill);
+            (first + (self.events - 1.0) * pace - left * USABLE_FRACTION).max(0.0)
         });
         let pause = if self.pause_target > 0.0 {
             (pace - self.pause_target * USABLE_FRACTION).max(0.0) * self.events
