--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -9,6 +9,7 @@
 mod many_classes;
 mod outage;
 mod outlier;
+mod pace;
 mod partition;
 mod pool;
 mod rank;
