--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -5,6 +5,7 @@
 mod cooldown;
 mod grant;
 mod health;
+mod pace;
 mod placement;
 mod preempt;
 mod reuse;
@@ -90,6 +91,8 @@
     demand: HashMap<ClassKey, sensitivity::Demand>,
     /// Median of the engines' shortest times to prefill a token, as of the last tick.
     typical_token_time: Option<f64>,
+    /// Median of the engines' mean times between events, as of the last tick.
+    typical_pace: Option<f64>,
     /// Partition of the engines between delay-tolerant and delay-sensitive requests.
     partition: Partition,
     /// How prompts were obtained.
@@ -125,6 +128,7 @@
             grants: 0,
             demand: HashMap::new(),
             typical_token_time: None,
+            typical_pace: None,
             partition: Partition::new(),
             reuse: Reuse::default(),
             hold_time: DEFAULT_HOLD_TIME,
@@ -346,6 +350,7 @@
         }
         self.last_tick = now;
         self.update_token_time();
+        self.update_pace(now);
         self.drop_unreported(now);
         if self.policy.switches.learning {
             self.relieve_slow(now, orders);
