--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -8,10 +8,13 @@
 //! prefilling it again elsewhere is wasted work. Where the queue there is long, another engine
 //! transfers the cached part, which is much faster than prefilling it again.
 
+pub mod backlog;
+
 use std::collections::HashMap;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::backlog::Backlog;
 use crate::{
     ask::{Id, Part},
     time::{MILLISECOND, Micros, SECOND},
@@ -66,6 +69,9 @@
 /// to be produced, and reports of them come every 50 ms.
 const OVERDUE_GRACE: Micros = 150 * MILLISECOND;
 
+/// Mean time until the end of the current step. Long prompts make a step last some 40 ms.
+const HALF_STEP: Micros = 20 * MILLISECOND;
+
 /// What the configuration says of the engines of a service.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Profile {
@@ -131,6 +137,8 @@
 pub struct Engine {
     cache: HashMap<u64, CachedPart>,
     pending: HashMap<Id, Pending>,
+    /// Its pending prompts by urgency.
+    backlog: Backlog,
     token_time: f64,
     /// Time to transfer a token.
     transfer_time: f64,
@@ -163,6 +171,7 @@
         Engine {
             cache: HashMap::new(),
             pending: HashMap::new(),
+            backlog: Backlog::default(),
             token_time: DEFAULT_TOKEN_TIME,
             transfer_time: DEFAULT_TRANSFER_TIME,
             fastest_token_time: None,
@@ -257,6 +266,23 @@
         expected_done.saturating_sub(now).max(self.overdue(now))
     }
 
+    /// Its pending prompts by urgency.
+    pub fn backlog(&self) -> &Backlog {
+        &self.backlog
+    }
+
+    /// Mutable access to [`Engine::backlog`], to record grants, first events and ends.
+    pub fn backlog_mut(&mut self) -> &mut Backlog {
+        &mut self.backlog
+    }
+
+    /// Time until a prompt of this urgency begins to be prefilled: the backlog, and what is left of
+    /// the current step. An overdue first event counts as in [`Engine::queue_time`].
+    pub fn wait(&self, now: Micros, urgency: u8) -> Micros {
+        let overdue = self.backlog.overdue(now, urgency, OVERDUE_GRACE);
+        self.backlog.time_ahead(now, urgency).max(overdue) + HALF_STEP
+    }
+
     /// How long the first event of a request has been overdue.
     fn overdue(&self, now: Micros) -> Micros {
         let due = |pending: &Pending| {
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -6,6 +6,7 @@
 mod health;
 mod placement;
 mod preempt;
+mod room;
 mod scope;
 mod sensitivity;
 mod slack;
@@ -68,6 +69,8 @@
     /// Requests skipped in the current round of grants, because the free backend servers are in
     /// cooldown for their entry instance.
     skipped: BTreeSet<Key>,
+    /// Requests for which no engine has capacity in the current round of grants.
+    blocked: Vec<room::Blocked>,
     /// Running attempts that may be preempted, by tier and time of the grant.
     preemptible: BTreeMap<u8, BTreeSet<(Micros, Key)>>,
     /// Number of attempts whose preemption is under way.
@@ -109,6 +112,7 @@
             servers: Vec::new(),
             cooldowns: Cooldowns::default(),
             skipped: BTreeSet::new(),
+            blocked: Vec::new(),
             preemptible: BTreeMap::new(),
             preempting: 0,
             running_tiers: BTreeMap::new(),
@@ -126,6 +130,7 @@
 
     /// Handles an event and appends the resulting orders.
     pub fn handle(&mut self, now: Micros, event: Event, orders: &mut Vec<Order>) {
+        let frees_capacity = self.may_free_capacity(now, &event);
         match event {
             Event::Ask(ask) => self.admit(now, ask, orders),
             Event::Declare(ask, server) => self.restore(now, ask, server),
@@ -160,7 +165,9 @@
             Event::Policy(policy) => self.set_policy(policy),
             Event::Tick => self.tick(now, orders),
         }
-        self.grant_free_slots(now, orders);
+        if frees_capacity {
+            self.grant_free_slots(now, orders);
+        }
         self.preempt(now, orders);
     }
 
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -29,6 +29,10 @@
 /// Maximum requests skipped in one round of grants.
 const MAX_SKIPPED: usize = 64;
 
+/// Maximum kinds of requests found without capacity in one round of grants. They differ in urgency,
+/// memory, regions, software versions and entry instances with a cooldown.
+const MAX_BLOCKED: usize = 64;
+
 /// Relative cost added for a failure rate of 1: a failing backend server loses to one that is as
 /// busy, but not to one that is half as busy again.
 const FAILURE_WEIGHT: f64 = 1.0;
@@ -44,12 +48,19 @@
             let Some(key) = reserved_request.or_else(|| self.next_request(now)) else {
                 break;
             };
+            if self.note_blocked(now, key) {
+                if self.blocked.len() == MAX_BLOCKED {
+                    break;
+                }
+                continue;
+            }
             let granted = self.grant(now, key, Availability::Free, reserved, orders);
             if !granted && !self.skip(now, key) {
                 break;
             }
         }
         self.skipped.clear();
+        self.blocked.clear();
     }
 
     /// Skips a request that has no slot because the free backend servers are in cooldown for its
@@ -97,12 +108,15 @@
     }
 
     /// Expected remaining output tokens of a request.
-    fn remaining_tokens(&self, ask: &Ask) -> f64 {
+    pub(super) fn remaining_tokens(&self, ask: &Ask) -> f64 {
         f64::from(self.lengths.remaining(ask.class, ask.workspace, ask.produced))
     }
 
     fn next_of_class(&self, now: Micros, class: ClassKey) -> Option<Key> {
-        let key = self.queue.by_arrival(class).find(|key| !self.skipped.contains(key))?;
+        if self.is_tier_blocked(self.policy.tier(class)) {
+            return None;
+        }
+        let key = self.queue.by_arrival(class).find(|key| self.is_candidate(now, *key))?;
         let workspace = self.waiting_at(key)?.ask.workspace;
         self.share.is_within_limits(&self.policy, workspace, now).then_some(key)
     }
@@ -110,8 +124,8 @@
     /// The next request to grant: highest tier, least served workspace, earliest deadline that can
     /// still be met.
     fn next_request(&self, now: Micros) -> Option<Key> {
-        let tiers: Vec<u8> = self.queue.tiers().collect();
-        tiers.into_iter().find_map(|tier| self.next_in_tier(now, tier))
+        let mut tiers = self.queue.tiers().filter(|tier| !self.is_tier_blocked(*tier));
+        tiers.find_map(|tier| self.next_in_tier(now, tier))
     }
 
     fn next_in_tier(&self, now: Micros, tier: u8) -> Option<Key> {
@@ -142,8 +156,7 @@
             |workspace: &WorkspaceKey| self.share.is_within_limits(&self.policy, *workspace, now);
         let max_workspaces = if earliest > 0 { MAX_WORKSPACES } else { usize::MAX };
         let workspaces = self.share.active(tier).filter(within_limits).take(max_workspaces);
-        let mut keys =
-            workspaces.filter_map(|workspace| self.next_in_workspace(tier, workspace, earliest));
+        let mut keys = workspaces.filter_map(|w| self.next_in_workspace(now, tier, w, earliest));
         keys.next()
     }
 
@@ -153,19 +166,26 @@
         let within_limits =
             workspaces.filter(|w| self.share.is_within_limits(&self.policy, *w, now));
         let first = within_limits.min_by_key(|w| self.queue.first_deadline(tier, *w))?;
-        self.next_in_workspace(tier, first, 0)
+        self.next_in_workspace(now, tier, first, 0)
     }
 
-    /// The request of a workspace with the earliest deadline not before `earliest` that was not
-    /// skipped.
+    /// Whether a waiting request was neither skipped in this round of grants nor found without
+    /// capacity.
+    fn is_candidate(&self, now: Micros, key: Key) -> bool {
+        !self.skipped.contains(&key) && !self.is_blocked(now, key)
+    }
+
+    /// The request of a workspace with the earliest deadline not before `earliest` that is a
+    /// candidate.
     fn next_in_workspace(
         &self,
+        now: Micros,
         tier: u8,
         workspace: WorkspaceKey,
         earliest: Micros,
     ) -> Option<Key> {
         let mut keys = self.queue.by_deadline(tier, workspace, earliest);
-        keys.find(|key| !self.skipped.contains(key))
+        keys.find(|key| self.is_candidate(now, *key))
     }
 
     /// Sends a request as a probe to a backend server that needs one.
@@ -312,11 +332,15 @@
         }
         let prefix = if self.policy.switches.affinity { ask.prefix } else { 0 };
         let typical_gap = self.mean_gap();
+        let room = self.room_in(now, ask, scope);
         let mut best: Option<(bool, bool, f64, u64, server::Key)> = None;
         for (key, server) in self.servers() {
             if !scope.includes(server, now) || self.cooldowns.is_active(now, ask.entry, key) {
                 continue;
             }
+            if room.is_some_and(|room| !room.is_in(now, server)) {
+                continue;
+            }
             let (anti_affine, avoided) = (ask.anti_affinity.contains(&key), ask.avoid == Some(key));
             let failure_rate = server.failure_rate(now).unwrap_or(0.0);
             let cost = server.cost(ask.prompt, prefix, typical_gap)
@@ -361,10 +385,13 @@
         self.share.usage(ask.workspace).running += 1;
         let prompt = self.prompt(now, &ask);
         let tolerant = prompt.tolerant;
+        let (urgency, memory) = (self.engine_urgency(&ask), self.memory_need(&ask));
         if let Some(server) = self.server_mut(server) {
             server.start(now, ask.prefix);
             let time = f64::from(prefill.tokens) * server.engine().token_time();
+            let prefill_time = server.engine().prefill_time(prefill);
             server.engine_mut().start(now, ask.id, &prompt, prefill);
+            server.engine_mut().backlog_mut().add(now, ask.id, urgency, prefill_time, memory);
             self.partition.record(now, tolerant, time);
         }
         let is_preemptible = ask.repeatable && !reserved && ask.preemptions < policy.preemptions;
--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -58,8 +58,12 @@
         let shared = prompt.shared().map_or(0.0, |part| f64::from(part.tokens));
         let is_uncached = cached_elsewhere == 0 && self.policy.switches.usual_engine;
         let home = if is_uncached { self.home_engine(&prompt, in_partition) } else { None };
+        let room = self.room_in(now, ask, scope);
         let mut best: Option<(bool, bool, f64, server::Key, Prefill)> = None;
         for (key, server) in self.servers() {
+            if room.is_some_and(|room| !room.is_in(now, server)) {
+                continue;
+            }
             if !scope.includes(server, now) || self.cooldowns.is_active(now, ask.entry, key) {
                 continue;
             }
@@ -67,7 +71,9 @@
             let (anti_affine, avoided) = (ask.anti_affinity.contains(&key), ask.avoid == Some(key));
             let is_away = home.is_some_and(|home| home != key);
             let away_cost = if is_away { shared * AWAY_FROM_HOME_COST } else { 0.0 };
-            let cost = server.engine().cost(now, &prompt, prefill, in_partition(key)) + away_cost;
+            let cost = server.engine().cost(now, &prompt, prefill, in_partition(key))
+                + away_cost
+                + room.map_or(0.0, |room| room.wait_correction(now, server.engine()));
             if best.is_none_or(|(b, a, c, ..)| (anti_affine, avoided, cost) < (b, a, c)) {
                 best = Some((anti_affine, avoided, cost, key, prefill));
             }
@@ -75,7 +81,8 @@
         let (.., server, prefill) = best?;
         let source = source.filter(|_| prefill.transferred > 0).map(|(_, key)| key);
         let engine = self.servers[usize::from(server.0)].as_ref()?.engine();
-        let expected = engine.queue_time(now) + engine.prefill_time(prefill) as Micros;
+        let wait = room.map_or(engine.queue_time(now), |room| room.wait(now, engine));
+        let expected = wait + engine.prefill_time(prefill) as Micros;
         let expected = if self.policy.switches.expected { expected } else { 0 };
         Some(Placement { server, prefill, source, expected })
     }
--- a/crates/drumusher-schedule/src/pool/preempt.rs
+++ b/crates/drumusher-schedule/src/pool/preempt.rs
@@ -24,6 +24,10 @@
         {
             return;
         }
+        // Requests that wait for the prefill of others gain nothing by a further slot.
+        if self.read_ahead_limit(now).is_some() && self.free(now) > 0 {
+            return;
+        }
         let Some(tier) = self.queue.tiers().next() else {
             return;
         };
--- /dev/null
+++ b/crates/drumusher-schedule/src/pool/room.rs
@@ -0,0 +1,181 @@
+//! Capacity of engines: which of them get a further request, in a pool with slack.
+
+use super::{
+    Pool,
+    scope::{Availability, Scope},
+};
+use crate::{
+    ask::{Ask, Entry, Key},
+    engine::Engine,
+    event::Event,
+    region,
+    server::Server,
+    time::Micros,
+    version,
+};
+
+/// What a request needs of an engine.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Room {
+    /// An engine with a longer backlog gets no further request.
+    read_ahead: Micros,
+    urgency: u8,
+    /// Memory for the prompt and the expected output, in tokens.
+    tokens: u64,
+}
+
+impl Room {
+    /// Whether an engine has capacity for the request. One without a pending prompt always has, so
+    /// that no request waits for ever.
+    pub(super) fn is_in(self, now: Micros, server: &Server) -> bool {
+        let backlog = server.engine().backlog();
+        backlog.is_empty() || self.is_read_soon(now, server) && self.tokens <= free_memory(server)
+    }
+
+    /// Time until the prompt begins to be prefilled.
+    pub(super) fn wait(self, now: Micros, engine: &Engine) -> Micros {
+        engine.wait(now, self.urgency)
+    }
+
+    /// Difference of that time to [`Engine::queue_time`], which counts less urgent prompts too.
+    pub(super) fn wait_correction(self, now: Micros, engine: &Engine) -> f64 {
+        self.wait(now, engine) as f64 - engine.queue_time(now) as f64
+    }
+
+    fn is_read_soon(self, now: Micros, server: &Server) -> bool {
+        self.wait(now, server.engine()) <= self.read_ahead
+    }
+}
+
+/// Memory of an engine that its running requests do not need, in tokens.
+fn free_memory(server: &Server) -> u64 {
+    let memory = server.profile().map_or(u64::MAX, |profile| profile.tokens);
+    memory.saturating_sub(server.engine().backlog().memory())
+}
+
+/// Requests for which no engine has capacity in the current round of grants.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Blocked {
+    urgency: u8,
+    /// Those that need at least this memory, in tokens.
+    tokens: u64,
+    scope: Scope,
+    /// Those of this entry instance; `None` if no engine is in cooldown for the request that was
+    /// examined, so that its entry instance makes no difference.
+    entry: Option<Entry>,
+}
+
+impl Blocked {
+    /// Whether it includes a request.
+    fn includes(&self, room: Room, scope: Scope, entry: Entry) -> bool {
+        self.urgency <= room.urgency
+            && self.tokens <= room.tokens
+            && self.entry.is_none_or(|blocked| blocked == entry)
+            && self.scope.covers(scope)
+    }
+
+    /// Whether it includes all requests of its urgency.
+    fn is_unrestricted(&self) -> bool {
+        self.tokens == 0
+            && self.entry.is_none()
+            && self.scope.regions == region::Set::All
+            && self.scope.versions == version::Set::All
+    }
+}
+
+impl Pool {
+    /// What a request needs of an engine; `None` if engines may get any number of requests.
+    pub(super) fn room(&self, now: Micros, ask: &Ask) -> Option<Room> {
+        let read_ahead = self.read_ahead_limit(now)?;
+        let urgency = self.engine_urgency(ask);
+        Some(Room { read_ahead, urgency, tokens: self.memory_need(ask) })
+    }
+
+    /// What a request needs of an engine in a scope. Probes are sent whatever the engine's capacity.
+    pub(super) fn room_in(&self, now: Micros, ask: &Ask, scope: Scope) -> Option<Room> {
+        if scope.availability == Availability::Free { self.room(now, ask) } else { None }
+    }
+
+    /// The time of prompts that an engine is given ahead, if there is a limit.
+    pub(super) fn read_ahead_limit(&self, now: Micros) -> Option<Micros> {
+        if self.policy.switches.read_ahead { self.read_ahead(now) } else { None }
+    }
+
+    /// The urgency of a request inside an engine.
+    pub(super) fn engine_urgency(&self, ask: &Ask) -> u8 {
+        self.policy.tier(ask.class)
+    }
+
+    /// Memory that a request needs until its end, in tokens.
+    pub(super) fn memory_need(&self, ask: &Ask) -> u64 {
+        u64::from(ask.prompt) + self.expected_output(ask)
+    }
+
+    /// Expected output of a request in tokens: its caller's hint, or the median of its class.
+    fn expected_output(&self, ask: &Ask) -> u64 {
+        if ask.output > 0 {
+            return u64::from(ask.output);
+        }
+        let event_tokens = self.profile().map_or(1, |profile| profile.event_tokens);
+        self.remaining_tokens(ask) as u64 * u64::from(event_tokens)
+    }
+
+    /// Whether waiting requests may be granted after an event. Most events are reports of streams that
+    /// go on, after which a round of grants would examine all engines in vain.
+    pub(super) fn may_free_capacity(&self, now: Micros, event: &Event) -> bool {
+        let Event::Progress(progress) = event else { return true };
+        let is_first = self.running_request(progress.id).is_some_and(|run| !run.has_first_token);
+        is_first || self.read_ahead_limit(now).is_none()
+    }
+
+    /// Whether no engine has capacity for a request. The result is kept for the rest of the round, so
+    /// that requests which need as much or more are not examined one by one.
+    pub(super) fn note_blocked(&mut self, now: Micros, key: Key) -> bool {
+        let Some(ask) = self.waiting_at(key).map(|waiting| &waiting.ask) else {
+            return false;
+        };
+        let Some(room) = self.room(now, ask) else {
+            return false;
+        };
+        let scope = self.scope(ask, Availability::Free);
+        let entry = ask.entry;
+        let mut most_memory = None;
+        for (key, server) in self.servers() {
+            if !scope.includes(server, now) || self.cooldowns.is_active(now, entry, key) {
+                continue;
+            }
+            let is_read_soon = room.is_read_soon(now, server);
+            let free = free_memory(server);
+            if server.engine().backlog().is_empty() || is_read_soon && room.tokens <= free {
+                return false;
+            }
+            if is_read_soon {
+                most_memory = most_memory.max(Some(free));
+            }
+        }
+        let tokens = most_memory.map_or(0, |free| free + 1);
+        let entry = self.cooldowns.any_active(now, entry).then_some(entry);
+        self.blocked.push(Blocked { urgency: room.urgency, tokens, scope, entry });
+        true
+    }
+
+    /// Whether no engine had capacity for a request earlier in this round of grants.
+    pub(super) fn is_blocked(&self, now: Micros, key: Key) -> bool {
+        if self.blocked.is_empty() {
+            return false;
+        }
+        let Some(ask) = self.waiting_at(key).map(|waiting| &waiting.ask) else {
+            return false;
+        };
+        let Some(room) = self.room(now, ask) else {
+            return false;
+        };
+        let scope = self.scope(ask, Availability::Free);
+        self.blocked.iter().any(|blocked| blocked.includes(room, scope, ask.entry))
+    }
+
+    /// Whether no engine had capacity for any request of a tier earlier in this round of grants.
+    pub(super) fn is_tier_blocked(&self, tier: u8) -> bool {
+        self.blocked.iter().any(|blocked| blocked.urgency <= tier && blocked.is_unrestricted())
+    }
+}
--- a/crates/drumusher-schedule/src/pool/scope.rs
+++ b/crates/drumusher-schedule/src/pool/scope.rs
@@ -8,7 +8,7 @@
 };
 
 /// Which backend servers are eligible because of their state.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) enum Availability {
     /// Those with a free slot.
     Free,
@@ -17,7 +17,7 @@
 }
 
 /// Which backend servers are eligible for a grant.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Scope {
     pub(super) availability: Availability,
     /// The regions in which the request may run.
@@ -36,6 +36,11 @@
         available && self.allows(server)
     }
 
+    /// Whether it allows all backend servers that another one allows.
+    pub(super) fn covers(self, other: Scope) -> bool {
+        self.regions.covers(other.regions) && self.versions.covers(other.versions)
+    }
+
     /// Whether the request may run on a backend server at all.
     pub(super) fn allows(self, server: &Server) -> bool {
         self.regions.contains(server.region()) && self.versions.contains(server.version())
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -44,6 +44,7 @@
             && let Some(server) = self.server_mut(server)
         {
             server.engine_mut().mark_prefilled(id);
+            server.engine_mut().backlog_mut().complete(now, id);
         }
     }
 
@@ -89,12 +90,15 @@
         let beyond = (own - running.charged).max(0.0);
         running.charged += beyond;
         let (tier, workspace, server) = (running.tier, running.ask.workspace, running.server);
-        let class = running.ask.class;
+        let (class, has_first_token) = (running.ask.class, running.has_first_token);
         let policy = self.policy.clone();
         if beyond > 0.0 {
             self.share.charge(&policy, tier, workspace, beyond);
         }
         self.share.consume(&policy, workspace, f64::from(new), now);
+        if has_first_token && let Some(server) = self.server_mut(server) {
+            server.engine_mut().backlog_mut().complete(now, progress.id);
+        }
         if !policy.switches.learning {
             return;
         }
@@ -131,6 +135,7 @@
         if let Some(server) = self.server_mut(running.server) {
             server.end(now, running.granted, outcome);
             server.engine_mut().end(id, tolerant);
+            server.engine_mut().backlog_mut().end(now, id);
         }
         if let Some(attempts) = self.preemptible.get_mut(&running.tier) {
             attempts.remove(&(running.granted, key));
--- a/crates/drumusher-schedule/src/region.rs
+++ b/crates/drumusher-schedule/src/region.rs
@@ -41,6 +41,11 @@
         }
     }
 
+    /// Whether it contains all regions of another set.
+    pub fn covers(self, other: Set) -> bool {
+        self == Set::All || self.intersection(other) == other
+    }
+
     /// The regions that both allow.
     pub fn intersection(self, other: Set) -> Set {
         match (self, other) {
--- a/crates/drumusher-schedule/src/version.rs
+++ b/crates/drumusher-schedule/src/version.rs
@@ -22,4 +22,9 @@
             Set::Only(only) => only == version,
         }
     }
+
+    /// Whether it contains all versions of another set.
+    pub fn covers(self, other: Set) -> bool {
+        self == Set::All || self == other
+    }
 }
--- /dev/null
+++ b/crates/drumusher-schedule/tests/schedule/burst.rs
@@ -0,0 +1,96 @@
+//! A burst of 2.7 times the usual requests on engines that have nothing cached.
+
+use std::collections::BTreeMap;
+
+use drumusher_schedule::{
+    ask::{Ask, Part},
+    policy::{Class, ClassKey, Policy, Workspace, WorkspaceKey},
+    time::{MILLISECOND, Micros, SECOND},
+};
+
+use crate::{
+    play::{Call, Draw, Play, START},
+    support::ask,
+};
+
+const ENGINES: u16 = 20;
+/// Usual requests in a second on that many engines, by class.
+const USUAL: [f64; 3] = [25.0, 22.0, 22.0];
+const BURST: f64 = 2.7;
+const BURST_TIME: Micros = 6 * SECOND;
+/// Targets of the first event, and how long callers wait, by class. The key of a class is its tier.
+const TARGETS: [Micros; 3] = [1_200 * MILLISECOND, 1_200 * MILLISECOND, 2_000 * MILLISECOND];
+const DEADLINES: [Micros; 3] = [15 * SECOND, 6 * SECOND, 12 * SECOND];
+const EVENTS: [u32; 3] = [43, 13, 30];
+const WORKSPACES: u16 = 12;
+
+pub fn policy() -> Policy {
+    let class = |tier: usize| Class::new("class", tier as u8).with_first_token(TARGETS[tier]);
+    let workspaces = (0..WORKSPACES).map(|number| Workspace::new(number.to_string()));
+    let mut policy = Policy::new((0..3).map(class).collect(), workspaces.collect());
+    policy.settle = 0;
+    policy
+}
+
+/// A request of a class, with parts that others share and one of its own.
+pub fn call(draw: &mut Draw, id: u128, class: u16, arrived: Micros) -> Call {
+    let own = |tokens| Part { id: 1 << 40 | id as u64, tokens };
+    let parts = match class {
+        0 => vec![draw.part(1_000, 80, 210), draw.part(2_000, 722, 140), own(1_110)],
+        1 => vec![draw.part(3_000, 4, 2_520), draw.part(4_000, 242, 3_780), own(2_890)],
+        _ => vec![draw.part(5_000, 737, 13_300), own(3_720)],
+    };
+    let workspace = WorkspaceKey(draw.below(u64::from(WORKSPACES)) as u16);
+    let (prompt, events) = (parts.iter().map(|part| part.tokens).sum(), EVENTS[usize::from(class)]);
+    let deadline = Some(arrived + DEADLINES[usize::from(class)]);
+    let output = events * 4;
+    let class = ClassKey(class);
+    Call::new(
+        Ask { class, workspace, parts, prompt, output, deadline, ..ask(id, 0, arrived) },
+        events,
+    )
+}
+
+/// The requests of a burst, in the order of their arrival.
+fn burst(draw: &mut Draw) -> Vec<Call> {
+    let mut arrivals = BTreeMap::new();
+    for (class, usual) in USUAL.iter().enumerate() {
+        let number = (usual * BURST * BURST_TIME as f64 / SECOND as f64) as u64;
+        for _ in 0..number {
+            arrivals.insert((START + draw.below(BURST_TIME), class as u16), ());
+        }
+    }
+    let numbered = arrivals.into_keys().enumerate();
+    numbered.map(|(id, (at, class))| call(draw, id as u128 + 1, class, at)).collect()
+}
+
+fn played(switch_off: Option<&str>) -> Play {
+    let mut policy = policy();
+    if let Some(name) = switch_off {
+        policy.switches.turn_off(name).expect("there is such a switch");
+    }
+    let mut play = Play::new(policy, ENGINES);
+    let calls = burst(&mut Draw(1));
+    play.run(calls, START + 20 * SECOND);
+    play
+}
+
+/// The fraction of the calls of a class whose first event came within its target.
+fn in_time(play: &Play, class: u16) -> f64 {
+    let calls: Vec<&Call> = play.calls.values().filter(|c| c.ask.class.0 == class).collect();
+    let target = TARGETS[usize::from(class)];
+    calls.iter().filter(|call| call.is_in_time(target)).count() as f64 / calls.len() as f64
+}
+
+/// Guards against prompts that queue inside engines behind earlier ones of less urgent classes, and
+/// against a dispatcher that grants too little to keep the engines busy. The engines can prefill
+/// about half of the long prompts in time.
+#[test]
+fn first_events_of_a_burst_come_in_time() {
+    let play = played(None);
+    let [short, middle, long] = [0, 1, 2].map(|class| in_time(&play, class));
+    assert!(short >= 0.99 && middle >= 0.99, "{short} {middle}");
+    assert!(long >= 0.5, "{long}");
+    let without = in_time(&played(Some("read_ahead")), 2);
+    assert!(long > without, "{long}, and {without} without a limit");
+}
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -2,6 +2,7 @@
 
 mod begun;
 mod brittle;
+mod burst;
 mod cooldown;
 mod engine;
 mod invariants;
@@ -10,9 +11,11 @@
 mod outage;
 mod outlier;
 mod partition;
+mod play;
 mod pool;
 mod rank;
 mod rate_limit;
+mod read_ahead;
 mod region;
 mod retry;
 mod slack;
