--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -105,6 +105,8 @@
     pub since: Micros,
     /// Longest time in this queue, counted from `since`.
     pub wait: Micros,
+    /// Whether it continues after a failure and is before the other requests of its tier.
+    pub is_first: bool,
     /// Number of grants that the pool had given when the request was queued.
     pub grants_before: u64,
 }
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -417,5 +417,6 @@
         class: waiting.ask.class,
         deadline: waiting.deadline,
         arrived: waiting.ask.arrived,
+        is_first: waiting.is_first,
     }
 }
--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -94,6 +94,7 @@
             deadline,
             since: now,
             wait: class.wait,
+            is_first: self.resumes_first(now, &ask),
             grants_before: self.grants,
             ask,
         };
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -124,8 +124,24 @@
     /// The next request to grant: highest tier, least served workspace, earliest deadline that can
     /// still be met.
     fn next_request(&self, now: Micros) -> Option<Key> {
-        let mut tiers = self.queue.tiers().filter(|tier| !self.is_tier_blocked(*tier));
-        tiers.find_map(|tier| self.next_in_tier(now, tier))
+        let next = |tier| {
+            let first = self.first_in_tier(now, tier);
+            first.or_else(|| {
+                let open = !self.is_tier_blocked(tier);
+                open.then(|| self.next_in_tier(now, tier)).flatten()
+            })
+        };
+        self.queue.tiers().find_map(next)
+    }
+
+    /// The next request of a tier of those that continue after a failure.
+    fn first_in_tier(&self, now: Micros, tier: u8) -> Option<Key> {
+        let allowed = |key: &Key| {
+            let workspace = self.waiting_at(*key).map(|waiting| waiting.ask.workspace);
+            workspace.is_some_and(|w| self.share.is_within_limits(&self.policy, w, now))
+        };
+        let mut first = self.queue.first_of_tier(tier);
+        first.find(|key| allowed(key) && self.is_candidate(now, *key))
     }
 
     fn next_in_tier(&self, now: Micros, tier: u8) -> Option<Key> {
@@ -245,6 +261,7 @@
         let Some(waiting) = self.remove_waiting(key) else {
             return false;
         };
+        let urgency = self.urgency_order(now, &waiting.ask);
         let choice = self.choice(&waiting.ask, server, availability, reserved);
         orders.push(Order::Grant {
             id: waiting.ask.id,
@@ -252,7 +269,7 @@
             server,
             source,
             expected,
-            urgency: None,
+            urgency,
             choice,
             waited: now.saturating_sub(waiting.since),
             overtaken: self.grants - waiting.grants_before,
@@ -273,13 +290,18 @@
             return;
         };
         running.last_report = now;
+        let ask = running.ask.clone();
+        let urgency = self.urgency_order(now, &ask);
+        let Some((_, running)) = self.running_mut(id) else {
+            return;
+        };
         orders.push(Order::Grant {
             id,
             entry: running.ask.entry,
             server: running.server,
             source: None,
             expected: 0,
-            urgency: None,
+            urgency,
             choice: if running.reserved { Choice::Floor } else { Choice::LeastLoaded },
             waited: 0,
             overtaken: 0,
@@ -385,7 +407,7 @@
         self.share.usage(ask.workspace).running += 1;
         let prompt = self.prompt(now, &ask);
         let tolerant = prompt.tolerant;
-        let (urgency, memory) = (self.engine_urgency(&ask), self.memory_need(&ask));
+        let (urgency, memory) = (self.engine_urgency(now, &ask), self.memory_need(&ask));
         if let Some(server) = self.server_mut(server) {
             server.start(now, ask.prefix);
             let time = f64::from(prefill.tokens) * server.engine().token_time();
--- a/crates/drumusher-schedule/src/pool/room.rs
+++ b/crates/drumusher-schedule/src/pool/room.rs
@@ -14,6 +14,9 @@
     version,
 };
 
+/// The least urgency inside an engine.
+const LEAST_URGENCY: u8 = 9;
+
 /// What a request needs of an engine.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Room {
@@ -87,7 +90,7 @@
     /// What a request needs of an engine; `None` if engines may get any number of requests.
     pub(super) fn room(&self, now: Micros, ask: &Ask) -> Option<Room> {
         let read_ahead = self.read_ahead_limit(now)?;
-        let urgency = self.engine_urgency(ask);
+        let urgency = self.engine_urgency(now, ask);
         Some(Room { read_ahead, urgency, tokens: self.memory_need(ask) })
     }
 
@@ -102,8 +105,24 @@
     }
 
     /// The urgency of a request inside an engine.
-    pub(super) fn engine_urgency(&self, ask: &Ask) -> u8 {
-        self.policy.tier(ask.class)
+    pub(super) fn engine_urgency(&self, now: Micros, ask: &Ask) -> u8 {
+        if self.resumes_first(now, ask) {
+            return 0;
+        }
+        self.policy.tier(ask.class).min(LEAST_URGENCY)
+    }
+
+    /// The urgency that a grant carries; `None` for the priority of the route.
+    pub(super) fn urgency_order(&self, now: Micros, ask: &Ask) -> Option<u8> {
+        let decides = self.resumes_first(now, ask) || self.read_ahead_limit(now).is_some();
+        decides.then(|| self.engine_urgency(now, ask))
+    }
+
+    /// Whether a request goes before the others of its tier, because an engine failed while it ran:
+    /// its caller has less time left than the others.
+    pub(super) fn resumes_first(&self, now: Micros, ask: &Ask) -> bool {
+        let is_repeated = ask.has_begun() || ask.avoid.is_some();
+        is_repeated && self.policy.switches.resume_first && self.has_slack(now)
     }
 
     /// Memory that a request needs until its end, in tokens.
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -26,6 +26,7 @@
             deadline: ask.arrived,
             since: now,
             wait: 0,
+            is_first: false,
             grants_before: self.grants,
             ask,
         };
--- a/crates/drumusher-schedule/src/queue.rs
+++ b/crates/drumusher-schedule/src/queue.rs
@@ -1,6 +1,6 @@
 //! The queue of waiting requests: by tier, then workspace, then deadline.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     ask::Key,
@@ -21,6 +21,8 @@
     pub deadline: Micros,
     /// When the caller's request first arrived.
     pub arrived: Micros,
+    /// Whether it is before the other requests of its tier.
+    pub is_first: bool,
 }
 
 /// Requests of one workspace in one tier, by deadline.
@@ -32,6 +34,8 @@
     tiers: BTreeMap<u8, BTreeMap<WorkspaceKey, WorkspaceQueue>>,
     /// Requests by class and arrival; only classes with waiting requests.
     classes: BTreeMap<ClassKey, BTreeMap<(Micros, Key), Key>>,
+    /// Requests that are before the others of their tier, by arrival.
+    first: BTreeMap<u8, BTreeSet<(Micros, Key)>>,
     len: usize,
     tier_lens: BTreeMap<u8, usize>,
 }
@@ -69,6 +73,9 @@
         requests.insert((position.deadline, key), key);
         let class = self.classes.entry(position.class).or_default();
         class.insert((position.arrived, key), key);
+        if position.is_first {
+            self.first.entry(position.tier).or_default().insert((position.arrived, key));
+        }
         *self.tier_lens.entry(position.tier).or_default() += 1;
         self.len += 1;
     }
@@ -93,6 +100,9 @@
                 self.classes.remove(&position.class);
             }
         }
+        if let Some(first) = self.first.get_mut(&position.tier) {
+            first.remove(&(position.arrived, key));
+        }
         *self.tier_lens.entry(position.tier).or_default() -= 1;
         self.len -= 1;
     }
@@ -102,6 +112,11 @@
         self.tier_lens.iter().filter(|(_, len)| **len > 0).map(|(tier, _)| *tier)
     }
 
+    /// Requests that are before the others of their tier, in order of arrival.
+    pub fn first_of_tier(&self, tier: u8) -> impl Iterator<Item = Key> + '_ {
+        self.first.get(&tier).into_iter().flatten().map(|(_, key)| *key)
+    }
+
     /// Workspaces with waiting requests in a tier, with the number of requests of each.
     pub fn workspaces(&self, tier: u8) -> impl Iterator<Item = (WorkspaceKey, usize)> + '_ {
         let workspaces = self.tiers.get(&tier).into_iter().flatten();
--- a/crates/drumusher-schedule/tests/schedule/read_ahead.rs
+++ b/crates/drumusher-schedule/tests/schedule/read_ahead.rs
@@ -4,6 +4,7 @@
     ask::{Ask, Id, Outcome, Part},
     engine::Profile,
     event::{Event, Progress},
+    order::Order,
     policy::{Class, Policy, Workspace},
     region, server,
     time::{MILLISECOND, Micros},
@@ -127,6 +128,32 @@
     assert_eq!(place(&mut harness, 103, BULK, LONG), None);
 }
 
+/// Guards against streams that continue after a failure and wait behind new requests, at the
+/// dispatcher or inside an engine: their callers have less time left.
+#[rstest]
+#[case::begun(3, None)]
+#[case::second_attempt(0, Some(server::Key(1)))]
+fn streams_that_continue_are_before_new_requests(
+    #[case] produced: u32,
+    #[case] avoid: Option<server::Key>,
+) {
+    let mut harness = pool(Some(PROFILE));
+    (1..=4).for_each(|id| assert!(place(&mut harness, id, URGENT, LONG).is_some()));
+    for id in 5..=8 {
+        assert_eq!(place(&mut harness, id, BULK, LONG), None);
+    }
+    let parts = vec![Part { id: 9, tokens: LONG }];
+    let resumed = Ask { parts, prompt: LONG, produced, avoid, ..ask(9, BULK, harness.now) };
+    assert_eq!(granted(&harness.ask(resumed)), [], "it is as urgent as those that engines have");
+    let progress = Progress { id: 1, produced: 1, first_token: Some(MILLISECOND), gap: 0 };
+    let orders = harness.handle(Event::Progress(progress));
+    let urgencies = orders.iter().map(|order| match order {
+        Order::Grant { id, urgency, .. } => (*id, *urgency),
+        other => panic!("{other:?}"),
+    });
+    assert_eq!(urgencies.collect::<Vec<_>>(), [(9, Some(0))]);
+}
+
 /// Guards against an engine that is slower than expected and is given more and more: what it has not
 /// prefilled in the expected time still counts.
 #[test]
