--- a/crates/drumusher-schedule/src/ask.rs
+++ b/crates/drumusher-schedule/src/ask.rs
@@ -107,6 +107,10 @@
     pub wait: Micros,
     /// Whether it continues after a failure and is before the other requests of its tier.
     pub is_first: bool,
+    /// Tokens of its prompt that have to be prefilled; 0 in a pool without slack.
+    pub prefill: f64,
+    /// The last moment at which it may begin to be prefilled and end while its caller still waits.
+    pub latest_start: Option<Micros>,
     /// Number of grants that the pool had given when the request was queued.
     pub grants_before: u64,
 }
--- a/crates/drumusher-schedule/src/length.rs
+++ b/crates/drumusher-schedule/src/length.rs
@@ -39,6 +39,11 @@
         of_workspace.saturating_record(tokens);
     }
 
+    /// Mean output length of a class, once it has samples.
+    pub fn mean(&self, class: ClassKey) -> Option<f64> {
+        self.by_class.get(&class).map(Histogram::mean)
+    }
+
     /// Expected remaining tokens of a request that has produced `produced`: the median of the
     /// longer outputs.
     pub fn remaining(&self, class: ClassKey, workspace: WorkspaceKey, produced: u32) -> u32 {
--- a/crates/drumusher-schedule/src/order.rs
+++ b/crates/drumusher-schedule/src/order.rs
@@ -25,6 +25,8 @@
     Undecided,
     /// It goes on with a stream, and it is not known which software version began that.
     UnknownVersion,
+    /// It cannot end before its caller stops waiting.
+    Unmeetable,
 }
 
 /// Why a request was placed on its backend server.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -11,6 +11,7 @@
 mod sensitivity;
 mod slack;
 mod track;
+mod unmeetable;
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -27,7 +28,7 @@
     order::Order,
     partition::Partition,
     policy::{ClassKey, Policy, Tiers},
-    queue::{Position, Queue},
+    queue::{Position, Prefills, Queue},
     server::{self, Server},
     share::FairShare,
     time::{MILLISECOND, Micros, SECOND},
@@ -61,6 +62,8 @@
     requests: Slab<State>,
     keys: HashMap<Id, Key>,
     queue: Queue,
+    /// Tokens to prefill for the waiting requests, in a pool with slack.
+    prefills: Prefills,
     share: FairShare,
     lengths: Estimator,
     servers: Vec<Option<Server>>,
@@ -81,6 +84,8 @@
     begun_waiting: usize,
     /// When waiting requests reach the longest wait of their class.
     wait_deadlines: BTreeSet<(Micros, Key)>,
+    /// When waiting requests become unmeetable.
+    latest_starts: BTreeSet<(Micros, Key)>,
     /// Tokens that each class may use of its reserved capacity.
     reserved_credit: BTreeMap<ClassKey, f64>,
     /// Total number of grants.
@@ -107,6 +112,7 @@
             requests: Slab::new(),
             keys: HashMap::new(),
             queue: Queue::new(),
+            prefills: Prefills::default(),
             share: FairShare::new(),
             lengths: Estimator::new(),
             servers: Vec::new(),
@@ -118,6 +124,7 @@
             running_tiers: BTreeMap::new(),
             begun_waiting: 0,
             wait_deadlines: BTreeSet::new(),
+            latest_starts: BTreeSet::new(),
             reserved_credit: BTreeMap::new(),
             grants: 0,
             demand: HashMap::new(),
@@ -355,6 +362,7 @@
         self.refuse_in_cooldown(now, orders);
         self.refuse_bound(now, orders);
         self.refuse_expired(now, orders);
+        self.refuse_unmeetable(now, orders);
     }
 
     /// Requests that get a slot each second while all slots are taken: the number of slots over the
@@ -382,8 +390,18 @@
         self.hold_time += (time - self.hold_time) * HOLD_TIME_SMOOTHING;
     }
 
+    /// Expected wait of a request of a tier with `ahead` requests before it: in a pool with slack for
+    /// the prefill ahead of it, otherwise or if no slot is free for a slot.
+    fn predicted_wait(&self, now: Micros, tier: u8, ahead: usize) -> Micros {
+        match self.read_ahead_limit(now).and_then(|_| self.tier_wait(now, tier)) {
+            Some(wait) if self.free(now) > 0 => wait,
+            Some(wait) => wait.max(self.slot_wait(ahead)),
+            None => self.slot_wait(ahead),
+        }
+    }
+
     /// Expected wait until a slot is free for a request with `ahead` requests before it.
-    fn predicted_wait(&self, ahead: usize) -> Micros {
+    fn slot_wait(&self, ahead: usize) -> Micros {
         let wait = ahead as f64 / self.drain_rate() * SECOND as f64;
         wait.min(MAX_PREDICTED_WAIT) as Micros
     }
@@ -396,6 +414,11 @@
         let position = position(&waiting);
         self.queue.remove(position, key);
         self.wait_deadlines.remove(&(self.wait_deadline(&waiting), key));
+        if let Some(latest) = waiting.latest_start {
+            self.latest_starts.remove(&(latest, key));
+        }
+        let Waiting { tier, prefill, .. } = waiting;
+        self.prefills.remove(tier, waiting.ask.workspace, &waiting.ask.parts, prefill);
         self.keys.remove(&waiting.ask.id);
         self.begun_waiting -= usize::from(waiting.ask.has_begun());
         self.share.usage(position.workspace).waiting -= 1;
--- a/crates/drumusher-schedule/src/pool/admit.rs
+++ b/crates/drumusher-schedule/src/pool/admit.rs
@@ -5,13 +5,14 @@
     ask::{Ask, Key, Outcome, State, Waiting},
     order::{Order, Refusal},
     policy::WorkspaceKey,
+    queue::Position,
     server::Server,
     time::{MILLISECOND, Micros, SECOND},
     version,
 };
 
 /// Bounds of the time after which a refused caller is told to try again.
-const MIN_RETRY_AFTER: Micros = 200 * MILLISECOND;
+pub(super) const MIN_RETRY_AFTER: Micros = 200 * MILLISECOND;
 const MAX_RETRY_AFTER: Micros = 120 * SECOND;
 /// The queue may grow to this multiple of its limit while a lower tier runs.
 const HARD_LIMIT_FACTOR: usize = 2;
@@ -78,7 +79,10 @@
         let limit = self.policy.workspace(ask.workspace).map_or(0, |w| w.queue);
         let waiting = self.share.usage(ask.workspace).waiting;
         let limited = limit > 0 && waiting >= limit && !ask.has_begun();
-        limited.then_some(Refusal::WorkspaceLimit)
+        if limited {
+            return Some(Refusal::WorkspaceLimit);
+        }
+        self.is_unmeetable(now, ask).then_some(Refusal::Unmeetable)
     }
 
     fn enqueue(&mut self, now: Micros, ask: Ask) {
@@ -89,19 +93,26 @@
         } else {
             ask.arrived
         };
+        let prefill = if self.has_slack(now) { self.tokens_to_prefill(now, &ask) } else { 0.0 };
         let waiting = Waiting {
             tier: self.policy.tier(ask.class),
             deadline,
             since: now,
             wait: class.wait,
             is_first: self.resumes_first(now, &ask),
+            prefill,
+            latest_start: self.latest_start(now, &ask, prefill),
             grants_before: self.grants,
             ask,
         };
         let position = position(&waiting);
         let wait_deadline = self.wait_deadline(&waiting);
         let (id, begun) = (waiting.ask.id, waiting.ask.has_begun());
+        let latest_start = waiting.latest_start;
+        let Position { tier, workspace, .. } = position;
+        self.prefills.insert(tier, workspace, &waiting.ask.parts, prefill);
         let key = Key(self.requests.insert(State::Waiting(waiting)) as u32);
+        self.latest_starts.extend(latest_start.map(|latest| (latest, key)));
         self.keys.insert(id, key);
         self.queue.insert(position, key);
         self.wait_deadlines.insert((wait_deadline, key));
@@ -135,7 +146,7 @@
         let Some(longest) = self.tiers.longest_wait(tier) else {
             return;
         };
-        if self.predicted_wait(ahead) > longest {
+        if self.predicted_wait(now, tier, ahead) > longest {
             self.shed_from(now, tier, Refusal::WaitBound, orders);
         }
     }
@@ -289,7 +300,11 @@
 
     pub(super) fn refusal(&self, now: Micros, ask: &Ask, refusal: Refusal, ahead: usize) -> Order {
         let known = self.long_outage(now).or_else(|| self.cooldown_left(now, ask.entry));
-        let wait = known.unwrap_or_else(|| self.predicted_wait(ahead + 1));
+        if let (None, Some(retry_after)) = (known, self.retry_after(now, ask)) {
+            return Order::Refuse { id: ask.id, entry: ask.entry, refusal, retry_after };
+        }
+        let tier = self.policy.tier(ask.class);
+        let wait = known.unwrap_or_else(|| self.predicted_wait(now, tier, ahead + 1));
         Order::Refuse {
             id: ask.id,
             entry: ask.entry,
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -378,7 +378,7 @@
     }
 
     /// Mean time between tokens over the backend servers with samples.
-    fn mean_gap(&self) -> f64 {
+    pub(super) fn mean_gap(&self) -> f64 {
         let (mut sum, mut count) = (0.0, 0.0);
         for (_, server) in self.servers() {
             if let Some(gap) = server.estimated_gap() {
--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -155,7 +155,7 @@
     }
 
     /// The most tokens at the start of a prompt that any engine has cached.
-    fn max_cached(&self, prompt: &Prompt<'_>) -> u32 {
+    pub(super) fn max_cached(&self, prompt: &Prompt<'_>) -> u32 {
         let engines = self.servers().filter(|(_, server)| !server.leaving());
         let cached =
             engines.map(|(_, server)| prompt.tokens - server.engine().uncached_tokens(prompt));
--- a/crates/drumusher-schedule/src/pool/preempt.rs
+++ b/crates/drumusher-schedule/src/pool/preempt.rs
@@ -46,7 +46,7 @@
         let of_tier = self.queue.classes().filter(|class| self.policy.tier(*class) == tier);
         let waiting = of_tier.flat_map(|class| self.queue.by_arrival(class).take(MAX_CHECKED));
         let at_risk = waiting.enumerate().filter(|(ahead, key)| {
-            let wait = self.predicted_wait(ahead + 1);
+            let wait = self.predicted_wait(now, tier, ahead + 1);
             let waiting = self.waiting_at(*key);
             waiting.is_some_and(|waiting| {
                 let target = self.policy.class(waiting.ask.class).first_token;
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -27,6 +27,8 @@
             since: now,
             wait: 0,
             is_first: false,
+            prefill: 0.0,
+            latest_start: None,
             grants_before: self.grants,
             ask,
         };
@@ -54,9 +56,10 @@
     pub(super) fn rebind(&mut self, key: Key, ask: &Ask) {
         match self.requests.get_mut(key.0 as usize) {
             Some(State::Waiting(waiting)) => {
-                let Ask { class, workspace, arrived, .. } = waiting.ask;
+                let Ask { class, workspace, arrived, ref mut parts, .. } = waiting.ask;
+                let parts = std::mem::take(parts);
                 self.begun_waiting -= usize::from(waiting.ask.has_begun());
-                waiting.ask = Ask { class, workspace, arrived, ..ask.clone() };
+                waiting.ask = Ask { class, workspace, arrived, parts, ..ask.clone() };
                 self.begun_waiting += usize::from(waiting.ask.has_begun());
             }
             Some(State::Running(running)) => running.ask.entry = ask.entry,
--- a/crates/drumusher-schedule/src/queue.rs
+++ b/crates/drumusher-schedule/src/queue.rs
@@ -1,10 +1,10 @@
 //! The queue of waiting requests: by tier, then workspace, then deadline.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
-    ask::Key,
-    policy::{ClassKey, WorkspaceKey},
+    ask::{Key, Part},
+    policy::{ClassKey, Policy, WorkspaceKey},
     time::Micros,
 };
 
@@ -28,6 +28,78 @@
 /// Requests of one workspace in one tier, by deadline.
 type WorkspaceQueue = BTreeMap<(Micros, Key), Key>;
 
+/// Tokens to prefill for the waiting requests.
+#[derive(Debug, Default)]
+pub struct Prefills {
+    /// Tokens and number of requests, by tier and workspace.
+    tokens: BTreeMap<u8, BTreeMap<WorkspaceKey, (f64, usize)>>,
+    /// Number of waiting requests with each part.
+    parts: HashMap<u64, usize>,
+}
+
+impl Prefills {
+    /// Adds a request with a prompt of these parts, of which `tokens` have to be prefilled.
+    pub fn insert(&mut self, tier: u8, workspace: WorkspaceKey, parts: &[Part], tokens: f64) {
+        let workspaces = self.tokens.entry(tier).or_default();
+        let (sum, requests) = workspaces.entry(workspace).or_default();
+        *sum += tokens;
+        *requests += 1;
+        for part in parts {
+            *self.parts.entry(part.id).or_default() += 1;
+        }
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, tier: u8, workspace: WorkspaceKey, parts: &[Part], tokens: f64) {
+        let Some(workspaces) = self.tokens.get_mut(&tier) else {
+            return;
+        };
+        if let Some((sum, requests)) = workspaces.get_mut(&workspace) {
+            *sum -= tokens;
+            *requests -= 1;
+            if *requests == 0 {
+                workspaces.remove(&workspace);
+            }
+        }
+        for part in parts {
+            if let Some(requests) = self.parts.get_mut(&part.id) {
+                *requests -= 1;
+                if *requests == 0 {
+                    self.parts.remove(&part.id);
+                }
+            }
+        }
+    }
+
+    /// Whether a waiting request has this part, so that it will be cached before a later one runs.
+    pub fn includes(&self, part: u64) -> bool {
+        self.parts.contains_key(&part)
+    }
+
+    /// Tokens to prefill of a tier and all higher tiers.
+    pub fn through(&self, tier: u8) -> f64 {
+        let workspaces = self.tokens.range(..=tier).flat_map(|(_, workspaces)| workspaces.values());
+        workspaces.map(|(tokens, _)| tokens).sum()
+    }
+
+    /// Tokens to prefill before a further request with `tokens` tokens: all of more urgent tiers, and
+    /// in its own tier no more of another workspace than of its own, by their weights.
+    pub fn ahead(&self, policy: &Policy, tier: u8, workspace: WorkspaceKey, tokens: f64) -> f64 {
+        let more_urgent = self.tokens.range(..tier).flat_map(|(_, workspaces)| workspaces.values());
+        let more_urgent: f64 = more_urgent.map(|(tokens, _)| tokens).sum();
+        let Some(workspaces) = self.tokens.get(&tier) else {
+            return more_urgent;
+        };
+        let own = workspaces.get(&workspace).map_or(0.0, |(tokens, _)| *tokens);
+        let served = (own + tokens) / policy.weight(workspace);
+        let others = workspaces.iter().filter(|(other, _)| **other != workspace);
+        let before = |(other, (tokens, _)): (&WorkspaceKey, &(f64, usize))| {
+            tokens.min(served * policy.weight(*other))
+        };
+        more_urgent + own + others.map(before).sum::<f64>()
+    }
+}
+
 /// All waiting requests of a pool.
 #[derive(Debug, Default)]
 pub struct Queue {
--- a/crates/drumusher-schedule/tests/schedule/burst.rs
+++ b/crates/drumusher-schedule/tests/schedule/burst.rs
@@ -17,7 +17,6 @@
 /// Usual requests in a second on that many engines, by class.
 const USUAL: [f64; 3] = [25.0, 22.0, 22.0];
 const BURST: f64 = 2.7;
-const BURST_TIME: Micros = 6 * SECOND;
 /// Targets of the first event, and how long callers wait, by class. The key of a class is its tier.
 const TARGETS: [Micros; 3] = [1_200 * MILLISECOND, 1_200 * MILLISECOND, 2_000 * MILLISECOND];
 const DEADLINES: [Micros; 3] = [15 * SECOND, 6 * SECOND, 12 * SECOND];
@@ -52,26 +51,26 @@
 }
 
 /// The requests of a burst, in the order of their arrival.
-fn burst(draw: &mut Draw) -> Vec<Call> {
+fn burst(draw: &mut Draw, time: Micros) -> Vec<Call> {
     let mut arrivals = BTreeMap::new();
     for (class, usual) in USUAL.iter().enumerate() {
-        let number = (usual * BURST * BURST_TIME as f64 / SECOND as f64) as u64;
+        let number = (usual * BURST * time as f64 / SECOND as f64) as u64;
         for _ in 0..number {
-            arrivals.insert((START + draw.below(BURST_TIME), class as u16), ());
+            arrivals.insert((START + draw.below(time), class as u16), ());
         }
     }
     let numbered = arrivals.into_keys().enumerate();
     numbered.map(|(id, (at, class))| call(draw, id as u128 + 1, class, at)).collect()
 }
 
-fn played(switch_off: Option<&str>) -> Play {
+fn played(switch_off: Option<&str>, engines: u16, time: Micros) -> Play {
     let mut policy = policy();
     if let Some(name) = switch_off {
         policy.switches.turn_off(name).expect("there is such a switch");
     }
-    let mut play = Play::new(policy, ENGINES);
-    let calls = burst(&mut Draw(1));
-    play.run(calls, START + 20 * SECOND);
+    let mut play = Play::new(policy, engines);
+    let calls = burst(&mut Draw(1), time);
+    play.run(calls, START + time + 16 * SECOND);
     play
 }
 
@@ -87,10 +86,39 @@
 /// about half of the long prompts in time.
 #[test]
 fn first_events_of_a_burst_come_in_time() {
-    let play = played(None);
+    let play = played(None, ENGINES, 6 * SECOND);
     let [short, middle, long] = [0, 1, 2].map(|class| in_time(&play, class));
     assert!(short >= 0.99 && middle >= 0.99, "{short} {middle}");
     assert!(long >= 0.5, "{long}");
-    let without = in_time(&played(Some("read_ahead")), 2);
+    let without = in_time(&played(Some("read_ahead"), ENGINES, 6 * SECOND), 2);
     assert!(long > without, "{long}, and {without} without a limit");
 }
+
+/// The fraction of the long requests whose callers get neither an answer nor a refusal before they
+/// stop waiting.
+fn lost(play: &Play) -> f64 {
+    let calls: Vec<&Call> = play.calls.values().filter(|call| call.ask.class.0 == 2).collect();
+    let ends = |call: &&&Call| call.refused.map(|(at, _)| at).or(call.ended);
+    let lost = calls.iter().filter(|call| ends(call) > call.ask.deadline || ends(call).is_none());
+    lost.count() as f64 / calls.len() as f64
+}
+
+/// Guards against callers that wait for an answer which cannot come in time. Half of the engines are
+/// missing, so that the short and middle requests need most of what is left.
+#[test]
+fn callers_that_cannot_be_served_are_told() {
+    let (engines, time) = (ENGINES / 2, 14 * SECOND);
+    let play = played(None, engines, time);
+    let refused: Vec<(&Call, Micros, Micros)> =
+        play.calls.values().filter_map(|c| c.refused.map(|(at, again)| (c, at, again))).collect();
+    let early = refused.iter().filter(|(call, at, _)| *at < call.ask.arrived + TARGETS[2] / 4);
+    assert!(early.count() * 2 > refused.len(), "most of them at once");
+    for (call, at, retry_after) in refused {
+        assert_eq!(call.ask.class, ClassKey(2), "only the least urgent are refused");
+        let left = call.ask.deadline.expect("all have one") - at;
+        assert!(call.granted.is_none() && retry_after <= left / 3, "{retry_after} of {left}");
+    }
+    assert!(lost(&play) <= 0.02, "{}", lost(&play));
+    let without = lost(&played(Some("unmeetable"), engines, time));
+    assert!(without > 0.5, "the burst is too small: {without}");
+}
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -21,3 +21,4 @@
 mod slack;
 mod support;
 mod transfer;
+mod unmeetable;
--- a/crates/drumusher-schedule/tests/schedule/play.rs
+++ b/crates/drumusher-schedule/tests/schedule/play.rs
@@ -138,8 +138,8 @@
 
     fn progress(&mut self, id: Id, first_token: Option<Micros>) {
         let has_begun = self.calls.get(&id).is_some_and(|call| call.first_event.is_some());
-        let produced = u32::from(has_begun);
-        self.handle(Event::Progress(Progress { id, produced, first_token, gap: 0 }));
+        let (produced, gap) = if has_begun { (1, EVENT_GAP) } else { (0, 0) };
+        self.handle(Event::Progress(Progress { id, produced, first_token, gap }));
     }
 
     /// Prefills for a millisecond on one engine.
--- a/crates/drumusher-schedule/tests/schedule/read_ahead.rs
+++ b/crates/drumusher-schedule/tests/schedule/read_ahead.rs
@@ -14,16 +14,16 @@
 use crate::support::{Harness, ask, granted};
 
 const TARGET: Micros = 1_200 * MILLISECOND;
-const PROFILE: Profile =
+pub const PROFILE: Profile =
     Profile { tokens: 100_000, token_bytes: 100_000, link_mbps: 200_000.0, event_tokens: 4 };
 /// Takes 200 ms to prefill at the assumed 20 µs a token.
-const LONG: u32 = 10_000;
-const URGENT: u16 = 0;
-const BULK: u16 = 1;
+pub const LONG: u32 = 10_000;
+pub const URGENT: u16 = 0;
+pub const BULK: u16 = 1;
 const BOUND: u16 = 2;
 
 /// A pool with an engine in each of two regions. Requests of the class `BOUND` may run in the first.
-fn pool(profile: Option<Profile>) -> Harness {
+pub fn pool(profile: Option<Profile>) -> Harness {
     let mut classes = ["urgent", "bulk", "bound"].map(|name| {
         let tier = if name == "bulk" { 1 } else { 0 };
         Class::new(name, tier).with_first_token(TARGET).with_floor_every(0)
@@ -42,7 +42,7 @@
 }
 
 /// Asks for a request with a prompt that no other shares, and returns its engine if it is granted.
-fn place(harness: &mut Harness, id: Id, class: u16, tokens: u32) -> Option<u16> {
+pub fn place(harness: &mut Harness, id: Id, class: u16, tokens: u32) -> Option<u16> {
     let parts = vec![Part { id: id as u64, tokens }];
     let request = Ask { parts, prompt: tokens, output: 40, ..ask(id, class, harness.now) };
     granted(&harness.ask(request)).first().map(|(_, server)| *server)
--- a/crates/drumusher/src/request/grant.rs
+++ b/crates/drumusher/src/request/grant.rs
@@ -264,6 +264,9 @@
         r if r == Refusal::WaitBound as i16 => {
             (Kind::WaitBound, "the request would wait longer than its class allows")
         }
+        r if r == Refusal::Unmeetable as i16 => {
+            (Kind::WaitBound, "the answer would end after the caller stops waiting")
+        }
         r if r == Refusal::WorkspaceLimit as i16 => {
             (Kind::WorkspaceLimit, "the workspace has reached its limit")
         }
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -170,6 +170,9 @@
             r if r == Refusal::WaitBound as i16 => {
                 (Kind::WaitBound, "the request would wait longer than its class allows")
             }
+            r if r == Refusal::Unmeetable as i16 => {
+                (Kind::WaitBound, "the answer would end after the caller stops waiting")
+            }
             _ => (Kind::NoServer, "no backend server is usable"),
         };
         self.not_run_error(kind, message, retry_after_ms)
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -85,6 +85,11 @@
                     if retry_budget_exhausted {
                         self.worker.shared.telemetry.count("drumusher.budget.spent", &[]);
                     }
+                    if refusal == Refusal::Unmeetable as i16 {
+                        let class = &self.request.route_match.class;
+                        let telemetry = &self.worker.shared.telemetry;
+                        telemetry.count("drumusher.requests.unmeetable", &[("class", class)]);
+                    }
                     let error = self.refusal_error(refusal, retry_after / MILLISECOND);
                     return Err(Refused { error, retry_budget_exhausted });
                 }
@@ -103,8 +108,13 @@
     /// Turns to the next pool of the service if this one refused the request for lack of capacity. Returns whether there
     /// is one.
     fn turn_to_next_pool(&mut self, refusal: i16) -> bool {
-        let reasons =
-            [Refusal::NoServer, Refusal::QueueFull, Refusal::WaitBound, Refusal::UnknownVersion];
+        let reasons = [
+            Refusal::NoServer,
+            Refusal::QueueFull,
+            Refusal::WaitBound,
+            Refusal::UnknownVersion,
+            Refusal::Unmeetable,
+        ];
         if !reasons.iter().any(|reason| *reason as i16 == refusal) {
             return false;
         }
