--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -60,8 +60,12 @@
         let is_uncached = cached_elsewhere == 0 && self.policy.switches.usual_engine;
         let home = if is_uncached { self.home_engine(&prompt, in_partition) } else { None };
         let answer = self.answer(now, ask);
+        let room = self.room_in(now, ask, scope);
         let mut best: Option<(bool, bool, f64, server::Key, Prefill)> = None;
         for (key, server) in self.servers() {
+            if room.is_some_and(|room| !room.is_in(now, server)) {
+                continue;
+            }
             if !scope.includes(server, now) || self.cooldowns.is_active(now, ask.entry, key) {
                 continue;
             }
@@ -72,7 +76,8 @@
             let pace_cost = answer.map_or(0.0, |answer| answer.cost(now, server.engine(), prefill));
             let cost = server.engine().cost(now, &prompt, prefill, in_partition(key))
                 + away_cost
-                + pace_cost;
+                + pace_cost
+                + room.map_or(0.0, |room| room.wait_correction(now, server.engine()));
             if best.is_none_or(|(b, a, c, ..)| (anti_affine, avoided, cost) < (b, a, c)) {
                 best = Some((anti_affine, avoided, cost, key, prefill));
             }
@@ -80,7 +85,8 @@
         let (.., server, prefill) = best?;
         let source = source.filter(|_| prefill.transferred > 0).map(|(_, key)| key);
         let engine = self.servers[usize::from(server.0)].as_ref()?.engine();
-        let expected = engine.queue_time(now) + engine.prefill_time(prefill) as Micros;
+        let wait = room.map_or(engine.queue_time(now), |room| room.wait(now, engine));
+        let expected = wait + engine.prefill_time(prefill) as Micros;
         let expected = if self.policy.switches.expected { expected } else { 0 };
         Some(Placement { server, prefill, source, expected })
     }
@@ -163,7 +169,7 @@
     }
 
     /// The most tokens at the start of a prompt that any engine has cached.
-    fn max_cached(&self, prompt: &Prompt<'_>) -> u32 {
+    pub(super) fn max_cached(&self, prompt: &Prompt<'_>) -> u32 {
         let engines = self.servers().filter(|(_, server)| !server.leaving());
         let cached =
             engines.map(|(_, server)| prompt.tokens - server.engine().uncached_tokens(prompt));
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -26,6 +26,9 @@
             deadline: ask.arrived,
             since: now,
             wait: 0,
+            is_first: false,
+            prefill: 0.0,
+            latest_start: None,
             grants_before: self.grants,
             ask,
         };
@@ -44,6 +47,7 @@
             && let Some(server) = self.server_mut(server)
         {
             server.engine_mut().mark_prefilled(id);
+            server.engine_mut().backlog_mut().complete(now, id);
         }
     }
 
@@ -52,9 +56,10 @@
     pub(super) fn rebind(&mut self, key: Key, ask: &Ask) {
         match self.requests.get_mut(key.0 as usize) {
             Some(State::Waiting(waiting)) => {
-                let Ask { class, workspace, arrived, .. } = waiting.ask;
+                let Ask { class, workspace, arrived, ref mut parts, .. } = waiting.ask;
+                let parts = std::mem::take(parts);
                 self.begun_waiting -= usize::from(waiting.ask.has_begun());
-                waiting.ask = Ask { class, workspace, arrived, ..ask.clone() };
+                waiting.ask = Ask { class, workspace, arrived, parts, ..ask.clone() };
                 self.begun_waiting += usize::from(waiting.ask.has_begun());
             }
             Some(State::Running(running)) => running.ask.entry = ask.entry,
@@ -90,6 +95,7 @@
         running.charged += beyond;
         let (tier, workspace, server) = (running.tier, running.ask.workspace, running.server);
         let (class, produced) = (running.ask.class, running.produced);
+        let has_first_token = running.has_first_token;
         let policy = self.policy.clone();
         if beyond > 0.0 {
             self.share.charge(&policy, tier, workspace, beyond);
@@ -97,6 +103,9 @@
         self.share.consume(&policy, workspace, f64::from(new), now);
         if let Some(server) = self.server_mut(server) {
             server.engine_mut().record_output(progress.id, produced);
+            if has_first_token {
+                server.engine_mut().backlog_mut().complete(now, progress.id);
+            }
         }
         if !policy.switches.learning {
             return;
@@ -141,6 +150,7 @@
             engine.set_profile(profile);
             engine.release(now, id, outcome);
             engine.end(id, tolerant);
+            engine.backlog_mut().end(now, id);
             if is_lost && profile.is_some() {
                 self.clear_cache(now, running.server);
             }
--- a/crates/drumusher-schedule/src/queue.rs
+++ b/crates/drumusher-schedule/src/queue.rs
@@ -1,10 +1,10 @@
 //! The queue of waiting requests: by tier, then workspace, then deadline.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use crate::{
-    ask::Key,
-    policy::{ClassKey, WorkspaceKey},
+    ask::{Key, Part},
+    policy::{ClassKey, Policy, WorkspaceKey},
     time::Micros,
 };
 
@@ -21,17 +21,93 @@
     pub deadline: Micros,
     /// When the caller's request first arrived.
     pub arrived: Micros,
+    /// Whether it is before the other requests of its tier.
+    pub is_first: bool,
 }
 
 /// Requests of one workspace in one tier, by deadline.
 type WorkspaceQueue = BTreeMap<(Micros, Key), Key>;
 
+/// Tokens to prefill for the waiting requests.
+#[derive(Debug, Default)]
+pub struct Prefills {
+    /// Tokens and number of requests, by tier and workspace.
+    tokens: BTreeMap<u8, BTreeMap<WorkspaceKey, (f64, usize)>>,
+    /// Number of waiting requests with each part.
+    parts: HashMap<u64, usize>,
+}
+
+impl Prefills {
+    /// Adds a request with a prompt of these parts, of which `tokens` have to be prefilled.
+    pub fn insert(&mut self, tier: u8, workspace: WorkspaceKey, parts: &[Part], tokens: f64) {
+        let workspaces = self.tokens.entry(tier).or_default();
+        let (sum, requests) = workspaces.entry(workspace).or_default();
+        *sum += tokens;
+        *requests += 1;
+        for part in parts {
+            *self.parts.entry(part.id).or_default() += 1;
+        }
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, tier: u8, workspace: WorkspaceKey, parts: &[Part], tokens: f64) {
+        let Some(workspaces) = self.tokens.get_mut(&tier) else {
+            return;
+        };
+        if let Some((sum, requests)) = workspaces.get_mut(&workspace) {
+            *sum -= tokens;
+            *requests -= 1;
+            if *requests == 0 {
+                workspaces.remove(&workspace);
+            }
+        }
+        for part in parts {
+            if let Some(requests) = self.parts.get_mut(&part.id) {
+                *requests -= 1;
+                if *requests == 0 {
+                    self.parts.remove(&part.id);
+                }
+            }
+        }
+    }
+
+    /// Whether a waiting request has this part, so that it will be cached before a later one runs.
+    pub fn includes(&self, part: u64) -> bool {
+        self.parts.contains_key(&part)
+    }
+
+    /// Tokens to prefill of a tier and all higher tiers.
+    pub fn through(&self, tier: u8) -> f64 {
+        let workspaces = self.tokens.range(..=tier).flat_map(|(_, workspaces)| workspaces.values());
+        workspaces.map(|(tokens, _)| tokens).sum()
+    }
+
+    /// Tokens to prefill before a further request with `tokens` tokens: all of more urgent tiers, and
+    /// in its own tier no more of another workspace than of its own, by their weights.
+    pub fn ahead(&self, policy: &Policy, tier: u8, workspace: WorkspaceKey, tokens: f64) -> f64 {
+        let more_urgent = self.tokens.range(..tier).flat_map(|(_, workspaces)| workspaces.values());
+        let more_urgent: f64 = more_urgent.map(|(tokens, _)| tokens).sum();
+        let Some(workspaces) = self.tokens.get(&tier) else {
+            return more_urgent;
+        };
+        let own = workspaces.get(&workspace).map_or(0.0, |(tokens, _)| *tokens);
+        let served = (own + tokens) / policy.weight(workspace);
+        let others = workspaces.iter().filter(|(other, _)| **other != workspace);
+        let before = |(other, (tokens, _)): (&WorkspaceKey, &(f64, usize))| {
+            tokens.min(served * policy.weight(*other))
+        };
+        more_urgent + own + others.map(before).sum::<f64>()
+    }
+}
+
 /// All waiting requests of a pool.
 #[derive(Debug, Default)]
 pub struct Queue {
     tiers: BTreeMap<u8, BTreeMap<WorkspaceKey, WorkspaceQueue>>,
     /// Requests by class and arrival; only classes with waiting requests.
     classes: BTreeMap<ClassKey, BTreeMap<(Micros, Key), Key>>,
+    /// Requests that are before the others of their tier, by arrival.
+    first: BTreeMap<u8, BTreeSet<(Micros, Key)>>,
     len: usize,
     tier_lens: BTreeMap<u8, usize>,
 }
@@ -69,6 +145,9 @@
         requests.insert((position.deadline, key), key);
         let class = self.classes.entry(position.class).or_default();
         class.insert((position.arrived, key), key);
+        if position.is_first {
+            self.first.entry(position.tier).or_default().insert((position.arrived, key));
+        }
         *self.tier_lens.entry(position.tier).or_default() += 1;
         self.len += 1;
     }
@@ -93,6 +172,9 @@
                 self.classes.remove(&position.class);
             }
         }
+        if let Some(first) = self.first.get_mut(&position.tier) {
+            first.remove(&(position.arrived, key));
+        }
         *self.tier_lens.entry(position.tier).or_default() -= 1;
         self.len -= 1;
     }
@@ -102,6 +184,11 @@
         self.tier_lens.iter().filter(|(_, len)| **len > 0).map(|(tier, _)| *tier)
     }
 
+    /// Requests that are before the others of their tier, in order of arrival.
+    pub fn first_of_tier(&self, tier: u8) -> impl Iterator<Item = Key> + '_ {
+        self.first.get(&tier).into_iter().flatten().map(|(_, key)| *key)
+    }
+
     /// Workspaces with waiting requests in a tier, with the number of requests of each.
     pub fn workspaces(&self, tier: u8) -> impl Iterator<Item = (WorkspaceKey, usize)> + '_ {
         let workspaces = self.tiers.get(&tier).into_iter().flatten();
