--- a/crates/drumusher-platform/src/http.rs
+++ b/crates/drumusher-platform/src/http.rs
@@ -78,7 +78,25 @@
         begin: Millis,
         pause: Millis,
     ) -> Result<Response, Error> {
-        let response_result = timeout(begin, self.client.get(url).send()).await;
+        self.get_with_headers(url, &[], begin, pause).await
+    }
+
+    /// Like [`Http::get_with_idle_timeout`] with additional headers.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Unreachable`] or [`Error::NoAnswer`].
+    pub async fn get_with_headers(
+        &self,
+        url: &str,
+        headers: &[(&str, &str)],
+        begin: Millis,
+        pause: Millis,
+    ) -> Result<Response, Error> {
+        let request = self.client.get(url);
+        let request =
+            headers.iter().fold(request, |request, (name, value)| request.header(*name, *value));
+        let response_result = timeout(begin, request.send()).await;
         let mut response =
             response_result.map_err(|()| Error::NoAnswer)?.map_err(|e| send_error(&e))?;
         let mut body = Vec::new();
--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -8,12 +8,13 @@
 //! prefilling it again elsewhere is wasted work. Where the queue there is long, another engine
 //! transfers the cached part, which is much faster than prefilling it again.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     ask::{Id, Part},
+    event::Changes,
     time::{MILLISECOND, Micros, SECOND},
 };
 
@@ -131,6 +132,8 @@
 pub struct Engine {
     cache: HashMap<u64, CachedPart>,
     pending: HashMap<Id, Pending>,
+    /// Parts of the prompts of the requests that have had their first event.
+    started: HashMap<Id, Vec<u64>>,
     token_time: f64,
     /// Time to transfer a token.
     transfer_time: f64,
@@ -163,6 +166,7 @@
         Engine {
             cache: HashMap::new(),
             pending: HashMap::new(),
+            started: HashMap::new(),
             token_time: DEFAULT_TOKEN_TIME,
             transfer_time: DEFAULT_TRANSFER_TIME,
             fastest_token_time: None,
@@ -196,6 +200,26 @@
         self.evict_oldest();
     }
 
+    /// Applies reported changes of the cache. They arrive with a lag, so a part in use by a request
+    /// here may have been removed before that request was placed: its removal is ignored.
+    pub fn apply_changes(&mut self, now: Micros, changes: &Changes) {
+        let pending = self.pending.values().flat_map(|pending| &pending.parts);
+        let in_use: HashSet<u64> =
+            pending.chain(self.started.values().flatten()).copied().collect();
+        if changes.complete {
+            let listed: HashSet<u64> = changes.added.iter().map(|part| part.id).collect();
+            self.cache.retain(|part, _| listed.contains(part) || in_use.contains(part));
+        }
+        for part in changes.removed.iter().filter(|part| !in_use.contains(part)) {
+            self.cache.remove(part);
+        }
+        for part in &changes.added {
+            let added = CachedPart { last_used: now, complete: true };
+            self.cache.entry(part.id).or_insert(added).complete = true;
+        }
+        self.evict_oldest();
+    }
+
     /// Tokens of a prompt from the first part on that it has not cached.
     pub fn uncached_tokens(&self, prompt: &Prompt<'_>) -> u32 {
         let cached = prompt.parts.iter().take_while(|part| self.has_cached(part.id));
@@ -366,10 +390,11 @@
 
     /// Records that the prompt of a request is prefilled.
     fn complete_prefill(&mut self, id: Id) -> Option<Pending> {
-        let pending = self.pending.remove(&id)?;
+        let mut pending = self.pending.remove(&id)?;
         for part in &pending.parts {
             self.cache.insert(*part, CachedPart { last_used: pending.granted, complete: true });
         }
+        self.started.insert(id, std::mem::take(&mut pending.parts));
         Some(pending)
     }
 
@@ -381,6 +406,7 @@
     /// Records the end of a request. Parts that were not completely prefilled by then may be
     /// missing.
     pub fn end(&mut self, id: Id, tolerant: bool) {
+        self.started.remove(&id);
         if let Some(pending) = self.pending.remove(&id) {
             for part in &pending.parts {
                 if self.cache.get(part).is_some_and(|cached| !cached.complete) {
--- a/crates/drumusher-schedule/src/event.rs
+++ b/crates/drumusher-schedule/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::{
-    ask::{Ask, Entry, Id, Outcome},
+    ask::{Ask, Entry, Id, Outcome, Part},
     policy::Policy,
     server,
     time::Micros,
@@ -37,6 +37,17 @@
     pub full: Option<Micros>,
 }
 
+/// Reported changes of an engine's cache, which arrive with a lag.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Whether `added` is the whole content of the cache.
+    pub complete: bool,
+    /// Parts that are cached now.
+    pub added: Vec<Part>,
+    /// IDs of parts that are not cached any more.
+    pub removed: Vec<u64>,
+}
+
 /// Input that may lead to decisions.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -56,6 +67,8 @@
     Unreachable(server::Key),
     /// An engine reported which prompt parts it has cached.
     CachedParts(server::Key, Vec<u64>),
+    /// An engine reported changes of its cache.
+    CacheChanges(server::Key, Changes),
     /// A backend server joined or its options changed.
     Server(server::Key, server::Options),
     /// A backend server is leaving or gone: it gets no new work.
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -143,6 +143,11 @@
                     server.engine_mut().add_cached(now, &parts);
                 }
             }
+            Event::CacheChanges(key, changes) => {
+                if let Some(server) = self.server_mut(key) {
+                    server.engine_mut().apply_changes(now, &changes);
+                }
+            }
             Event::Server(key, options) => self.add_server(key, options),
             Event::Leave(key) => self.mark_leaving(key),
             Event::RateLimit(key, per_second) => {
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -2,6 +2,7 @@
 
 mod begun;
 mod brittle;
+mod cache_changes;
 mod cooldown;
 mod engine;
 mod invariants;
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -139,6 +139,7 @@
     rt::spawn(start_polling(catalog.clone(), spread_ms));
     rt::spawn(complete_removals(catalog.clone()));
     rt::spawn(engine_cache::query_new_pools(catalog.clone()));
+    rt::spawn(engine_cache::follow_engines(catalog.clone()));
     rt::spawn(quarantine::remove_expired(catalog.clone()));
     while let Ok(input) = receiver.recv().await {
         match input {
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -61,7 +61,7 @@
 use drumusher_schedule::{
     ask::{Entry, Outcome},
     engine,
-    event::{Event, Load},
+    event::{Changes, Event, Load},
     order::Order,
     pool,
     time::MILLISECOND,
@@ -122,6 +122,15 @@
         /// Identifiers of the prompt parts.
         parts: Vec<u64>,
     },
+    /// Changes of the cache of an engine.
+    CacheChanged {
+        /// The pool.
+        pool: Pool,
+        /// The engine.
+        server: Arc<str>,
+        /// The changes.
+        changes: Changes,
+    },
     /// Sets the divisor of the concurrency windows.
     SetDivisor(Divisor),
     /// Requests the rows of a table for an operator's query.
@@ -210,6 +219,9 @@
             Input::Load { pool, server, report } => self.load_report(&pool, &server, report),
             Input::Unreachable { pool, server } => self.unreachable(&pool, &server),
             Input::CachedParts { pool, server, parts } => self.cached_parts(&pool, &server, parts),
+            Input::CacheChanged { pool, server, changes } => {
+                self.cache_changed(&pool, &server, changes)
+            }
             Input::SetDivisor(divisor) => {
                 self.divisor = divisor.max(1);
                 self.configuration_changed();
@@ -354,7 +366,8 @@
         self.shared.hosted.store(Arc::new(self.pools.keys().cloned().collect()));
     }
 
-    /// Publishes which pools are dispatched for other instances, if that changed.
+    /// Publishes which pools are dispatched for other instances and of which of them the caches are followed, if that
+    /// changed. The latter come first: the caches of the other pools are queried once.
     fn publish_led(&self) {
         let directory = self.shared.directory.load();
         let led = self
@@ -362,6 +375,15 @@
             .iter()
             .filter(|(pool, hosted)| hosted.requesters.serves_others(directory.requesters(pool)));
         let led: BTreeSet<Pool> = led.map(|(pool, _)| pool.clone()).collect();
+        let (now, follows) = (clock::now(), self.shared.version.load().policy.switches.memory);
+        let has_slack = |pool: &&Pool| {
+            self.pools.get(*pool).is_some_and(|hosted| hosted.scheduler.has_slack(now))
+        };
+        let followed: BTreeSet<Pool> =
+            led.iter().filter(|_| follows).filter(has_slack).cloned().collect();
+        if **self.shared.followed.load() != followed {
+            self.shared.followed.store(Arc::new(followed));
+        }
         if **self.shared.led.load() != led {
             self.shared.led.store(Arc::new(led));
         }
@@ -477,6 +499,13 @@
         }
     }
 
+    fn cache_changed(&mut self, pool: &Pool, server: &str, changes: Changes) {
+        let key = self.pools.get(pool).and_then(|hosted| hosted.keys.get(server).copied());
+        if let Some(key) = key {
+            self.handle(pool, Event::CacheChanges(key, changes));
+        }
+    }
+
     fn rows(&self, source: rows::Source) -> Vec<Row> {
         let version = self.shared.version.load();
         let mut rows = Vec::new();
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -97,6 +97,8 @@
     /// Pools among [`Self::hosted`] that this instance dispatches for other instances, or as the only
     /// instance.
     pub led: ArcSwap<BTreeSet<Pool>>,
+    /// Pools among [`Self::led`] of whose engines this instance follows the caches.
+    pub followed: ArcSwap<BTreeSet<Pool>>,
     /// Whether a configuration has been read.
     pub configured: AtomicBool,
     /// Whether the instance is stopping.
@@ -169,6 +171,7 @@
             lost: ArcSwap::default(),
             hosted: ArcSwap::default(),
             led: ArcSwap::default(),
+            followed: ArcSwap::default(),
             configured: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
--- a/crates/drumusher/src/process/telemetry.rs
+++ b/crates/drumusher/src/process/telemetry.rs
@@ -134,11 +134,16 @@
 
     /// Adds one to a counter. Looks it up under a lock, so this is not for the path of every request.
     pub fn count(&self, name: &'static str, attributes: &[(&'static str, &str)]) {
+        self.count_many(name, attributes, 1);
+    }
+
+    /// Like [`Self::count`], adding `number`.
+    pub fn count_many(&self, name: &'static str, attributes: &[(&'static str, &str)], number: u64) {
         let attributes: Vec<KeyValue> =
             attributes.iter().map(|(key, value)| KeyValue::new(*key, value.to_string())).collect();
         let mut counters = self.counters.lock().expect("no holder panics");
         let make = || self.meter.u64_counter(name).build();
-        counters.entry(name).or_insert_with(make).add(1, &attributes);
+        counters.entry(name).or_insert_with(make).add(number, &attributes);
     }
 
     /// Sets a gauge.
