--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -21,6 +21,7 @@
 use self::pace::Pace;
 use crate::{
     ask::{Id, Outcome, Part},
+    event::Changes,
     time::{MILLISECOND, Micros, SECOND},
 };
 
@@ -247,6 +248,21 @@
         self.cache.clear();
     }
 
+    /// Applies reported changes of the cache. They arrive with a lag, so a part in use by a request
+    /// here may have been removed before that request was placed: its removal is ignored.
+    pub fn apply_changes(&mut self, now: Micros, changes: &Changes) {
+        if changes.complete {
+            self.cache.replace_reported(now, &changes.added);
+            return;
+        }
+        for part in &changes.removed {
+            self.cache.remove_reported(*part);
+        }
+        for part in &changes.added {
+            self.cache.add_reported(now, *part);
+        }
+    }
+
     /// Tokens of a prompt from the first part on that it has not cached.
     pub fn uncached_tokens(&self, prompt: &Prompt<'_>) -> u32 {
         let cached = prompt.parts.iter().take_while(|part| self.has_cached(part.id));
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -5,6 +5,7 @@
 mod brittle;
 mod burst;
 mod cache;
+mod cache_changes;
 mod cooldown;
 mod engine;
 mod invariants;
