--- a/crates/drumusher-duty/tests/duty/usage.rs
+++ b/crates/drumusher-duty/tests/duty/usage.rs
@@ -1,10 +1,13 @@
 //! Usage counts of workspaces, and their reports.
 
-use drumusher_duty::usage::{Aggregate, Counts, Options, Progress, ReadSpan, Tally};
+use drumusher_duty::usage::{
+    Aggregate, Counts, Instances, Options, Progress, ReadSpan, Tally, Update,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 
-const OPTIONS: Options = Options { window_ms: 5_000, due_ms: 10_000, settle_ms: 2_000 };
+const OPTIONS: Options =
+    Options { window_ms: 5_000, due_ms: 10_000, settle_ms: 2_000, send_ms: 800 };
 
 fn counts(of: &[(&str, u64)]) -> Counts {
     of.iter().map(|(name, count)| (name.to_string(), *count)).collect()
@@ -57,7 +60,7 @@
     aggregate.add(&tally.take_update("i1", 1).expect("counts changed"));
     let progress = Progress { reported, ..Progress::default() };
     let read = ReadSpan { since_ms: 0, until_ms: unix_ms };
-    assert_eq!(aggregate.due(&progress, &OPTIONS, read), due);
+    assert_eq!(aggregate.due(&progress, &OPTIONS, read, &Instances::new()), due);
 }
 
 /// Guards against a report that is fixed before the dispatchers have published again after an outage of the store: two
@@ -78,7 +81,8 @@
     aggregate.add(&tally.take_update("i1", 1).expect("counts changed"));
     let progress = Progress { reported: Some(6), ..Progress::default() };
     let read = ReadSpan { since_ms, until_ms };
-    assert_eq!(aggregate.due(&progress, &OPTIONS, read).is_some(), due);
+    let instances = Instances::new();
+    assert_eq!(aggregate.due(&progress, &OPTIONS, read, &instances).is_some(), due);
 }
 
 #[test]
@@ -149,3 +153,90 @@
     let resumed = progress.resume_after(latest);
     assert_eq!((resumed.reported, resumed.lost), (Some(latest), false));
 }
+
+/// The published counts of a writer that counted one request in a window.
+fn update(writer: &str, window: u64, through_ms: u64) -> Update {
+    let mut tally = Tally::new();
+    tally.count_started(window, "a");
+    let update = tally.take_update(writer, 1).expect("counts changed");
+    Update { through_ms, ..update }
+}
+
+/// Guards against a report without the counts of unreachable instances: a third of the instances was partitioned for
+/// 12 s, and 941 of 2,451 requests of a window were not reported.
+#[rstest]
+#[case::unreachable(36_000, None, 45_000, false)]
+#[case::unreachable_until_the_report_has_to_be_sent(36_000, None, 49_200, true)]
+#[case::may_not_have_published_yet(36_000, Some(47_000), 48_500, false)]
+#[case::has_had_time_to_publish(36_000, Some(47_000), 49_000, true)]
+#[case::was_unreachable_before_the_window(26_000, Some(34_000), 45_000, true)]
+#[case::unreachable_for_so_long_that_it_has_ended(10_000, None, 45_000, true)]
+fn reports_wait_for_unreachable_instances(
+    #[case] since_ms: u64,
+    #[case] returned_ms: Option<u64>,
+    #[case] now_ms: u64,
+    #[case] due: bool,
+) {
+    let mut aggregate = Aggregate::new();
+    aggregate.add(&update("i1", 7, now_ms));
+    let mut instances = Instances::new();
+    let mut record =
+        |at, reachable| instances.record(at, [("i1", true), ("i2", reachable)].into_iter());
+    record(since_ms, false);
+    returned_ms.into_iter().for_each(|at| record(at, true));
+    let progress = Progress { reported: Some(6), ..Progress::default() };
+    let read = ReadSpan { since_ms: 0, until_ms: now_ms };
+    assert_eq!(aggregate.due(&progress, &OPTIONS, read, &instances).is_some(), due);
+}
+
+/// Guards against a report without the counts of an instance that was removed as lost while it was partitioned.
+#[test]
+fn reports_wait_for_instances_that_were_removed_while_unreachable() {
+    let mut aggregate = Aggregate::new();
+    aggregate.add(&update("i1", 7, 45_000));
+    let mut instances = Instances::new();
+    instances.record(36_000, [("i1", true), ("i2", false), ("i3", true)].into_iter());
+    instances.record(44_000, [("i1", true)].into_iter());
+    let missing = aggregate.missing(7, &OPTIONS, 45_000, &instances);
+    assert_eq!(missing.into_iter().collect::<Vec<&str>>(), ["i2"], "i3 left while reachable");
+}
+
+/// Guards against a report without the counts of a writer that reaches the other instances but not the store.
+#[rstest]
+#[case::silent_writer(6, 36_000, true, 45_000, false)]
+#[case::silent_until_the_report_has_to_be_sent(6, 36_000, true, 49_200, true)]
+#[case::published_after_the_window(6, 40_000, true, 45_000, true)]
+#[case::no_counts_for_long(5, 36_000, true, 45_000, true)]
+#[case::removed_instance(6, 36_000, false, 45_000, true)]
+#[case::software_that_sends_no_time(6, 0, true, 45_000, true)]
+fn reports_wait_for_recent_writers(
+    #[case] counted: u64,
+    #[case] through_ms: u64,
+    #[case] listed: bool,
+    #[case] now_ms: u64,
+    #[case] due: bool,
+) {
+    let mut aggregate = Aggregate::new();
+    aggregate.add(&update("i1", 7, now_ms));
+    aggregate.add(&update("i2", counted, through_ms));
+    let mut instances = Instances::new();
+    let names = if listed { vec![("i1", true), ("i2", true)] } else { vec![("i1", true)] };
+    instances.record(36_000, names.into_iter());
+    let progress = Progress { reported: Some(6), ..Progress::default() };
+    let read = ReadSpan { since_ms: 0, until_ms: now_ms };
+    assert_eq!(aggregate.due(&progress, &OPTIONS, read, &instances).is_some(), due);
+}
+
+/// A writer that counts nothing more publishes once more, so that no report waits for it.
+#[test]
+fn a_writer_that_has_become_idle_closes_its_windows() {
+    let mut tally = Tally::new();
+    tally.count_started(7, "a");
+    assert!(tally.take_update("i1", 1).is_some());
+    tally.close_ended(8);
+    assert_eq!(tally.take_update("i1", 1), None, "window 8 has not ended");
+    tally.close_ended(9);
+    assert!(tally.take_update("i1", 1).is_some_and(|update| update.windows.contains_key(&7)));
+    tally.close_ended(10);
+    assert_eq!(tally.take_update("i1", 1), None, "it is closed");
+}
--- a/crates/drumusher/src/process/broker/view.rs
+++ b/crates/drumusher/src/process/broker/view.rs
@@ -134,6 +134,11 @@
         due
     }
 
+    /// The unreachable instances.
+    pub fn unreachable(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.unreachable.keys()
+    }
+
     /// The instances that have been unreachable for longer than `time`.
     pub fn unreachable_for(&self, now: Micros, time: Micros) -> Vec<Arc<str>> {
         let lost = self.unreachable.iter().filter(|(_, outage)| now > outage.since + time);
--- a/crates/drumusher/src/process/duties.rs
+++ b/crates/drumusher/src/process/duties.rs
@@ -49,8 +49,19 @@
     if dispatches { PUBLISH_MS } else { settings.due_ms / PUBLISH_DIVISOR }
 }
 
+/// Time for the last read of the counts, for writing a report to the register and for sending it, in milliseconds. A
+/// first attempt at one of these calls may fail at once.
+const SEND_MS: u64 = 800;
+
+/// Interval between two calls to the platform, in milliseconds: for half of its rate, since another instance may have
+/// had the duties a moment ago.
+fn call_spacing_ms(settings: &settings::Duties) -> u64 {
+    (2_000.0 / settings.calls_per_second) as u64
+}
+
 /// When windows of usage are reported, by the settings.
 fn usage_options(settings: &settings::Duties) -> usage::Options {
     let settings::Duties { window_ms, due_ms, .. } = *settings;
-    usage::Options { window_ms, due_ms, settle_ms: publish_ms(settings, false) + CALL_MS }
+    let settle_ms = publish_ms(settings, false) + CALL_MS;
+    usage::Options { window_ms, due_ms, settle_ms, send_ms: SEND_MS + call_spacing_ms(settings) }
 }
--- a/crates/drumusher/src/process/duties/runner.rs
+++ b/crates/drumusher/src/process/duties/runner.rs
@@ -11,7 +11,7 @@
 use drumusher_duty::{
     lease::{self, Holder, Lease, Permit, Replaced, State, Step, Version},
     sizing::{Kind, Outcome},
-    usage::{Aggregate, Progress, ReadSpan, Update},
+    usage::{self, Aggregate, Instances, Progress, ReadSpan, Update},
 };
 use drumusher_log::position::Position;
 use drumusher_platform::{
@@ -35,6 +35,13 @@
 const CALL_TIME: Micros = 800 * MILLISECOND;
 /// Interval between two reads of the published updates, within which a burst becomes visible.
 const READ_INTERVAL: Micros = SECOND;
+/// Interval between two reads while a report waits for counts and is due soon.
+const URGENT_READ_INTERVAL: Micros = 250 * MILLISECOND;
+/// Interval at which the reachable instances are recorded.
+const RECORD_INTERVAL: Micros = 250 * MILLISECOND;
+/// After a failed call, reports do not wait for missing counts until shortly before they are due for this time, since
+/// the next calls may fail too.
+const FAILURE_MEMORY: Micros = 10 * SECOND;
 /// First pause after a failed call, doubled with each further one up to [`MAX_RETRY_PAUSE`].
 const MIN_RETRY_PAUSE: Micros = 300 * MILLISECOND;
 /// Longest pause after a failed call: a report is due some seconds after its first attempt.
@@ -51,6 +58,7 @@
     loop {
         let is_standby = shared.reader.load(Ordering::Acquire) && shared.ready();
         if is_standby || runner.lease.token().is_some() {
+            runner.record_instances();
             runner.step().await;
         } else {
             sleep(INACTIVE_POLL).await;
@@ -58,6 +66,24 @@
     }
 }
 
+/// The pause after failed calls of one duty, so that a failed order does not delay a report.
+#[derive(Clone, Copy, Debug, Default)]
+struct Retry {
+    until: Micros,
+    pause: Micros,
+}
+
+impl Retry {
+    /// Records the end of a call. The pause grows with each one that failed.
+    fn ended(&mut self, now: Micros, failed: bool) {
+        self.pause = match failed {
+            true => (self.pause * 2).clamp(MIN_RETRY_PAUSE, MAX_RETRY_PAUSE),
+            false => 0,
+        };
+        self.until = now + self.pause;
+    }
+}
+
 /// The state of the duties in this instance.
 struct Runner<S> {
     shared: Arc<Shared>,
@@ -67,6 +93,9 @@
     /// Progress that is to be written to the register.
     pending_progress: Option<Progress>,
     counts: Aggregate,
+    instances: Instances,
+    /// When the reachable instances were last recorded.
+    recorded_at: Micros,
     autoscaler: Autoscaler,
     /// Position from which the next updates are read.
     read_from: Position,
@@ -75,9 +104,13 @@
     read: Option<ReadSpan>,
     /// When the updates were last read; 0 to read them at once.
     read_at: Micros,
-    /// No call of a duty is made before this time.
+    /// No call of a duty is made before this time, by the platform's rate.
     paused_until: Micros,
-    pause: Micros,
+    /// The pauses after failed calls.
+    report_retry: Retry,
+    order_retry: Retry,
+    /// When a call last failed; `None` if none did.
+    failed_at: Option<Micros>,
     /// The token of the term that was last logged.
     logged_token: Option<u64>,
 }
@@ -94,16 +127,52 @@
             lease,
             pending_progress: None,
             counts: Aggregate::new(),
+            instances: Instances::new(),
+            recorded_at: 0,
             autoscaler: Autoscaler::new(),
             read_from: Position::default(),
             read: None,
             read_at: 0,
             paused_until: 0,
-            pause: 0,
+            report_retry: Retry::default(),
+            order_retry: Retry::default(),
+            failed_at: None,
             logged_token: None,
         }
     }
 
+    /// Records which instances are reachable. A standby does so too, since it may soon have the duties.
+    fn record_instances(&mut self) {
+        let now = clock::now();
+        if now < self.recorded_at + RECORD_INTERVAL {
+            return;
+        }
+        self.recorded_at = now;
+        let directory = self.shared.directory.load();
+        let unreachable = self.shared.unreachable.load();
+        let staying = directory.instances.values().filter(|instance| !instance.leaving);
+        let listed = staying.map(|instance| {
+            let reachable = !unreachable.contains(&instance.name);
+            (&*instance.name, reachable)
+        });
+        self.instances.record(clock::steady_unix_ms(), listed);
+    }
+
+    /// When windows are reported. After a failed call a report waits less long for missing counts.
+    fn usage_options(&self, now: Micros) -> usage::Options {
+        let options = super::usage_options(&self.settings);
+        let failed = self.failed_at.is_some_and(|at| now < at + FAILURE_MEMORY);
+        if failed { usage::Options { send_ms: options.due_ms, ..options } } else { options }
+    }
+
+    /// Whether a report waits for counts and has to be fixed soon.
+    fn is_report_urgent(&self, now: Micros) -> bool {
+        let usage = self.lease.usage().filter(|usage| usage.fixed.is_none() && !usage.lost);
+        let unix_ms = clock::steady_unix_ms();
+        self.settings.usage_report
+            && usage.is_some_and(|u| self.counts.is_urgent(u, &self.usage_options(now), unix_ms))
+    }
+
     /// Takes one step of the lease, or makes one call if no step is due.
     async fn step(&mut self) {
         let now = clock::now();
@@ -177,7 +246,9 @@
             return false;
         }
         let now = clock::now();
-        if now >= self.read_at + READ_INTERVAL {
+        let urgent = self.is_report_urgent(now);
+        let interval = if urgent { URGENT_READ_INTERVAL } else { READ_INTERVAL };
+        if now >= self.read_at + interval {
             self.read_at = now;
             self.read().await;
             return true;
@@ -189,7 +260,9 @@
             return false;
         }
         let usage = self.settings.usage_report && self.report(permit, read).await;
-        usage || (self.settings.autoscale && self.order(permit).await)
+        // An order would delay a report that is due soon.
+        let may_order = self.settings.autoscale && !urgent && now >= self.order_retry.until;
+        usage || (may_order && self.order(permit).await)
     }
 
     /// Reads the updates that instances published.
@@ -247,13 +320,18 @@
             return true;
         }
         let Some(fixed) = &usage.fixed else {
-            let due = self.counts.due(&usage, &super::usage_options(&self.settings), read);
+            let options = self.usage_options(clock::now());
+            let due = self.counts.due(&usage, &options, read, &self.instances);
             self.pending_progress = due.map(|window| usage.with_fixed(self.counts.report(window)));
             return due.is_some();
         };
+        if clock::now() < self.report_retry.until {
+            return false;
+        }
         let caller = self.caller(permit);
         let answer = self.platform.report(caller, fixed.window, &fixed.counts).await;
-        self.call_ended(&answer);
+        let failed = self.call_ended(&answer);
+        self.report_retry.ended(clock::now(), failed);
         log::info!(
             window = fixed.window, token = permit.token,
             requests = fixed.counts.values().sum::<u64>(), workspaces = fixed.counts.len();
@@ -298,7 +376,8 @@
             Ok(Verdict::Conflict) => Outcome::Unavailable,
             Ok(Verdict::Retry(_) | Verdict::Rejected(_)) | Err(_) => Outcome::Unknown,
         };
-        self.call_ended(&answer);
+        let failed = self.call_ended(&answer);
+        self.order_retry.ended(clock::now(), failed);
         self.autoscaler.ended(clock::now(), &service, &order, outcome);
         true
     }
@@ -307,19 +386,17 @@
         Caller { holder: &self.shared.name, token: permit.token, until: permit.until }
     }
 
-    /// Records the end of a call. The next one keeps to the platform's rate, and waits longer after a failure.
-    fn call_ended(&mut self, answer: &Result<Verdict, Error>) {
+    /// Records the end of a call. The next one keeps to the platform's rate. Returns whether the call failed.
+    fn call_ended(&mut self, answer: &Result<Verdict, Error>) -> bool {
         let now = clock::now();
         self.lease.call_ended(now);
         self.shared.telemetry.count("drumusher.duty.calls", &[("answer", word(answer))]);
         let failed = matches!(answer, Err(_) | Ok(Verdict::Retry(_)));
-        self.pause = match failed {
-            true => (self.pause * 2).clamp(MIN_RETRY_PAUSE, MAX_RETRY_PAUSE),
-            false => 0,
-        };
-        // Half of the rate, since another instance may have had the duties a moment ago.
-        let spacing = 2.0 * SECOND as f64 / self.settings.calls_per_second;
-        self.paused_until = now + self.pause.max(spacing as Micros);
+        if failed {
+            self.failed_at = Some(now);
+        }
+        self.paused_until = now + super::call_spacing_ms(&self.settings) * MILLISECOND;
+        failed
     }
 }
 
--- a/crates/drumusher/src/process/peers/heartbeat.rs
+++ b/crates/drumusher/src/process/peers/heartbeat.rs
@@ -114,10 +114,15 @@
         }
     }
 
-    /// Publishes which instances have been unreachable for so long that they count as lost.
+    /// Publishes which instances are unreachable, and which for so long that they count as lost.
     fn publish_lost(&self, now: u64) {
         let after = self.shared.settings.forget_ms * MILLISECOND;
-        let lost = self.inner.borrow().table.view().unreachable_for(now, after);
+        let inner = self.inner.borrow();
+        let view = inner.table.view();
+        if !view.unreachable().eq(self.shared.unreachable.load().iter()) {
+            self.shared.unreachable.store(Arc::new(view.unreachable().cloned().collect()));
+        }
+        let lost = view.unreachable_for(now, after);
         if **self.shared.lost.load() != lost {
             self.shared.lost.store(Arc::new(lost));
         }
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -90,6 +90,8 @@
     confirmed: Mutex<Position>,
     /// Known instances and backend servers.
     pub directory: ArcSwap<Directory>,
+    /// Instances that are unreachable.
+    pub unreachable: ArcSwap<BTreeSet<Arc<str>>>,
     /// Instances that have been unreachable for so long that they count as gone.
     pub lost: ArcSwap<Vec<Arc<str>>>,
     /// Pools dispatched by this instance.
@@ -166,6 +168,7 @@
             store_era: AtomicU64::new(0),
             confirmed: Mutex::default(),
             directory: ArcSwap::from_pointee(Directory::default()),
+            unreachable: ArcSwap::default(),
             lost: ArcSwap::default(),
             hosted: ArcSwap::default(),
             led: ArcSwap::default(),
--- a/crates/drumusher/tests/routes/duties.rs
+++ b/crates/drumusher/tests/routes/duties.rs
@@ -1,13 +1,13 @@
 //! Duties that one instance at a time holds: usage is reported completely and once, and servers are scaled,
 //! although instances are killed, paused or cut off and the platform fails.
 
-use std::time::Duration;
+use std::{thread, time::Duration};
 
 use drumusher_adapter_stand_in::{Outage, duty::Duties};
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
-use crate::support::{Deployment, Request, configuration};
+use crate::support::{DESK, Deployment, MODEL, Request, configuration};
 
 /// Length of the lease of the duties, in milliseconds.
 const LEASE_MS: u64 = 1_500;
@@ -212,3 +212,53 @@
     }
     assert_eq!(duties.violation(MIN_TENURE_GAP, &[]), None);
 }
+
+/// Time after the end of a window by which its report is due, in the deployment of the partition, in seconds. Reports
+/// are usually fixed after half of it.
+const PARTITION_DUE_S: u64 = 24;
+/// Duration of the partition: beyond the usual time of the report, with nine seconds left until it is due.
+const PARTITION: Duration = Duration::from_millis(13_500);
+
+/// Two configured instances whose connections can be cut.
+fn deploy_with_relays() -> (Deployment, Duties) {
+    let duties = Duties::start().expect("the platform starts");
+    let due = format!("due_seconds = {PARTITION_DUE_S}.0");
+    let settings = settings(&duties).replace("due_seconds = 6.0", &due);
+    let mut deployment = Deployment::empty(true);
+    deployment.store.put("keyed.op", "config", &scaling_configuration(1, ""));
+    for (id, service) in [("d1", DESK), ("d2", DESK), ("m1", MODEL), ("m2", MODEL)] {
+        deployment.add_server(id, service);
+    }
+    for number in 0..2 {
+        let store_endpoint = deployment.store.endpoint().expect("the store endpoint starts");
+        deployment.add_instance_with(&format!("i{number}"), store_endpoint, &settings);
+    }
+    deployment.wait_serving();
+    (deployment, duties)
+}
+
+/// Guards against a report without the requests that partitioned instances counted: their counts came 2.5 s after the
+/// end of the partition and later, and reports were fixed at half of their time although instances were unreachable.
+#[rstest]
+#[case::holder(true)]
+#[case::other_instance(false)]
+fn usage_reports_include_the_requests_of_partitioned_instances(#[case] holder_partitioned: bool) {
+    let (deployment, duties) = deploy_with_relays();
+    wait_for("an instance has the duties", || holder(&duties).is_some());
+    let first = holder(&duties).expect("an instance holds the duties");
+    let at = (0..2).find(|at| (first == format!("i{at}")) == holder_partitioned);
+    let at = at.expect("two instances");
+    let set_partition = |cut: bool| {
+        let relays = |at: usize| deployment.instances[at].relays.as_ref().expect("relays");
+        relays(at).store.cut(cut);
+        (0..2).for_each(|of| relays(of).peers.cut(cut));
+    };
+    set_partition(true);
+    for instance in 0..2 {
+        send_requests(&deployment, instance, 5);
+    }
+    thread::sleep(PARTITION);
+    set_partition(false);
+    wait_usage_reported(&deployment, &duties);
+    assert_eq!(duties.violation(MIN_TENURE_GAP, &[]), None);
+}
