--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -389,6 +389,16 @@
         if count == 0.0 { MILLISECOND as f64 } else { sum / count }
     }
 
+    /// Tokens for which a workspace is charged for a prompt: in a pool with slack, the time that an
+    /// engine is busy with it, in tokens to prefill; otherwise all of it.
+    fn prompt_work(&self, now: Micros, ask: &Ask, server: server::Key, prefill: Prefill) -> f64 {
+        let engine = self.server_at(server).map(Server::engine);
+        match engine.filter(|_| !ask.parts.is_empty() && self.has_slack(now)) {
+            Some(engine) => engine.prefill_time(prefill) / engine.token_time(),
+            None => f64::from(ask.prompt),
+        }
+    }
+
     /// Adds a granted request to the running ones.
     pub(super) fn start_running(
         &mut self,
@@ -402,7 +412,8 @@
         let charged = self.remaining_tokens(&ask);
         let policy = self.policy.clone();
         let prompt_tokens = f64::from(ask.prompt);
-        self.share.charge(&policy, tier, ask.workspace, prompt_tokens + charged);
+        let prompt_work = self.prompt_work(now, &ask, server, prefill);
+        self.share.charge(&policy, tier, ask.workspace, prompt_work + charged);
         self.share.consume(&policy, ask.workspace, prompt_tokens, now);
         self.share.usage(ask.workspace).running += 1;
         let prompt = self.prompt(now, &ask);
--- a/crates/drumusher-schedule/tests/schedule/burst.rs
+++ b/crates/drumusher-schedule/tests/schedule/burst.rs
@@ -18,10 +18,10 @@
 const USUAL: [f64; 3] = [25.0, 22.0, 22.0];
 const BURST: f64 = 2.7;
 /// Targets of the first event, and how long callers wait, by class. The key of a class is its tier.
-const TARGETS: [Micros; 3] = [1_200 * MILLISECOND, 1_200 * MILLISECOND, 2_000 * MILLISECOND];
+pub const TARGETS: [Micros; 3] = [1_200 * MILLISECOND, 1_200 * MILLISECOND, 2_000 * MILLISECOND];
 const DEADLINES: [Micros; 3] = [15 * SECOND, 6 * SECOND, 12 * SECOND];
 const EVENTS: [u32; 3] = [43, 13, 30];
-const WORKSPACES: u16 = 12;
+pub const WORKSPACES: u16 = 12;
 
 pub fn policy() -> Policy {
     let class = |tier: usize| Class::new("class", tier as u8).with_first_token(TARGETS[tier]);
--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -18,6 +18,7 @@
 mod read_ahead;
 mod region;
 mod retry;
+mod shares;
 mod slack;
 mod support;
 mod transfer;
