--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -183,6 +183,11 @@
         self.queue.len()
     }
 
+    /// Number of waiting requests by tier, including tiers whose requests have all left the queue.
+    pub fn waiting_by_tier(&self) -> impl Iterator<Item = (u8, usize)> {
+        self.queue.tier_lens()
+    }
+
     /// Whether a request is waiting.
     pub fn is_waiting(&self, id: Id) -> bool {
         self.keys.get(&id).is_some_and(|key| self.waiting_at(*key).is_some())
--- a/crates/drumusher-schedule/src/queue.rs
+++ b/crates/drumusher-schedule/src/queue.rs
@@ -138,6 +138,11 @@
         self.tier_lens.range(..=tier).map(|(_, len)| len).sum()
     }
 
+    /// Number of waiting requests by tier, including tiers without any that had some before.
+    pub fn tier_lens(&self) -> impl Iterator<Item = (u8, usize)> + '_ {
+        self.tier_lens.iter().map(|(tier, len)| (*tier, *len))
+    }
+
     /// Adds a request.
     pub fn insert(&mut self, position: Position, key: Key) {
         let tier = self.tiers.entry(position.tier).or_default();
--- a/crates/drumusher-schedule/tests/schedule/read_ahead.rs
+++ b/crates/drumusher-schedule/tests/schedule/read_ahead.rs
@@ -76,6 +76,7 @@
     let mut harness = pool(Some(PROFILE));
     (1..=4).for_each(|id| assert!(place(&mut harness, id, BULK, LONG).is_some()));
     assert_eq!(place(&mut harness, 5, BULK, LONG), None);
+    assert!(harness.pool.waiting_by_tier().eq([(1, 1)]));
     harness.now += MILLISECOND;
     let after = if ends {
         let orders = harness.finish(1, Outcome::Failed);
@@ -84,6 +85,7 @@
         first_event(&mut harness, 1, MILLISECOND)
     };
     assert_eq!(after, [5]);
+    assert!(harness.pool.waiting_by_tier().eq([(1, 0)]), "the metric falls to 0");
 }
 
 /// Guards against urgent requests that wait at the dispatcher for prompts which engines prefill
--- a/crates/drumusher/src/operator/rows.rs
+++ b/crates/drumusher/src/operator/rows.rs
@@ -88,6 +88,7 @@
 }
 
 fn server_row(name: &str, server: &Server, pool: &Pool, now: u64) -> Row {
+    let backlog = server.engine().backlog();
     row(json!({
         "server": name,
         "pool": pool.to_string(),
@@ -98,6 +99,8 @@
         "window": server.window(),
         "free": server.free(now),
         "token_gap_us": server.measured_gap().map(|gap| gap as u64),
+        "backlog_ms": server.profile().map(|_| backlog.time_ahead(now, u8::MAX) / MILLISECOND),
+        "memory": server.profile().map(|_| backlog.memory()),
     }))
 }
 
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -326,6 +326,7 @@
         self.expire_streams();
         self.handle_all(|_| Event::Tick);
         self.record_load();
+        self.record_waiting();
         let now = clock::now();
         for (pool, hosted) in &mut self.pools {
             hosted.log_health(pool, now);
@@ -349,6 +350,19 @@
         self.publish_led();
     }
 
+    /// Updates the numbers of requests that wait here.
+    fn record_waiting(&self) {
+        let mut waiting: BTreeMap<u8, usize> = BTreeMap::new();
+        for (tier, requests) in
+            self.pools.values().flat_map(|hosted| hosted.scheduler.waiting_by_tier())
+        {
+            *waiting.entry(tier).or_default() += requests;
+        }
+        for (tier, requests) in waiting {
+            self.shared.telemetry.set_waiting(tier, requests as u64);
+        }
+    }
+
     /// Publishes the dispatched pools; the platform thread polls the load of their backend servers.
     fn publish_hosted(&self) {
         self.shared.hosted.store(Arc::new(self.pools.keys().cloned().collect()));
--- a/crates/drumusher/src/process/telemetry.rs
+++ b/crates/drumusher/src/process/telemetry.rs
@@ -42,6 +42,10 @@
     tokens: Counter<u64>,
     /// Time to the first token, in seconds.
     first_token: Histogram<f64>,
+    /// Actual over expected time of the first event.
+    first_event_error: Histogram<f64>,
+    /// Requests that wait at this dispatcher, by tier.
+    waiting: Gauge<u64>,
     orders: Counter<u64>,
     tracer: SdkTracer,
     spans: Recent,
@@ -123,6 +127,11 @@
                 .with_unit("s")
                 .with_boundaries(vec![0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 5.0, 10.0, 30.0])
                 .build(),
+            first_event_error: meter
+                .f64_histogram("drumusher.first_event.error")
+                .with_boundaries(vec![0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0])
+                .build(),
+            waiting: meter.u64_gauge("drumusher.waiting").build(),
             orders: meter.u64_counter("drumusher.dispatch.orders").build(),
             meter,
             tracer: traces.tracer("drumusher"),
@@ -170,6 +179,16 @@
         self.first_token.record(seconds, &[KeyValue::new("class", class.to_string())]);
     }
 
+    /// Records the actual time of a first event as a multiple of the expected one.
+    pub fn record_first_event_error(&self, ratio: f64) {
+        self.first_event_error.record(ratio, &[]);
+    }
+
+    /// Sets the number of requests of a tier that wait at this dispatcher.
+    pub fn set_waiting(&self, tier: u8, requests: u64) {
+        self.waiting.record(requests, &[KeyValue::new("tier", i64::from(tier))]);
+    }
+
     /// The tracer that creates spans.
     pub fn tracer(&self) -> &SdkTracer {
         &self.tracer
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -1,7 +1,11 @@
 //! Retry decision after a failed attempt, and the final response of a request.
 
 use drumusher_platform::dialect::Dialect;
-use drumusher_schedule::{ask::Outcome, order::Refusal, time::MILLISECOND};
+use drumusher_schedule::{
+    ask::Outcome,
+    order::Refusal,
+    time::{MILLISECOND, Micros},
+};
 use ntex::http::{Response, ResponseBuilder, StatusCode, body};
 
 use super::{BufferedResponse, Exchange, Failure, RETRY_AFTER_MS};
@@ -122,6 +126,15 @@
         error_response::build(&error, self.worker.shared.stopping())
     }
 
+    /// Records how long the first event took after the request was handed over, compared with what its dispatcher
+    /// expected.
+    pub fn record_first_event_error(&self, elapsed: Micros) {
+        if self.expected_first_event > 0 {
+            let ratio = elapsed as f64 / self.expected_first_event as f64;
+            self.worker.shared.telemetry.record_first_event_error(ratio);
+        }
+    }
+
     /// Milliseconds since the request arrived.
     pub fn age_ms(&self) -> u64 {
         clock::now().saturating_sub(self.request.arrived) / MILLISECOND
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -110,6 +110,7 @@
         }
         let elapsed = clock::now() - self.started;
         exchange.timing.backend_first_event = Some(elapsed);
+        exchange.record_first_event_error(elapsed);
         exchange.first_event_at = Some(clock::now());
         exchange.bind_stream();
         exchange.ticket.report_progress(self.events, Some(elapsed), 0);
