--- a/crates/drumusher-schedule/tests/schedule/main.rs
+++ b/crates/drumusher-schedule/tests/schedule/main.rs
@@ -24,6 +24,7 @@
 mod region;
 mod retry;
 mod reuse;
+mod shares;
 mod slack;
 mod support;
 mod transfer;
