--- a/crates/drumusher/src/operator/rows.rs
+++ b/crates/drumusher/src/operator/rows.rs
@@ -66,7 +66,13 @@
             if wanted {
                 let servers = state.servers();
                 rows.extend(servers.map(|(key, server)| {
-                    server_row(&names[usize::from(key.0)], server, pool, now)
+                    let mut row = server_row(&names[usize::from(key.0)], server, pool, now);
+                    if source == Source::Engines {
+                        // In steps of 0.1 ms.
+                        let pace = state.pace(now, key).map(|pace| (pace / 100.0).round() / 10.0);
+                        row.insert("pace_ms".into(), json!(pace));
+                    }
+                    row
                 }));
             }
         }
--- a/crates/drumusher/tests/fleet/tiers.rs
+++ b/crates/drumusher/tests/fleet/tiers.rs
@@ -50,6 +50,10 @@
         let rows = fleet.ask(0, "show engines").expect("a response").lines();
         rows.iter().any(|row| row["window"].as_u64() >= Some(20))
     });
+    wait_for("the pace is shown", || {
+        let rows = fleet.ask(0, "show engines").expect("a response").lines();
+        rows.iter().any(|row| row["pace_ms"].as_f64() > Some(0.0))
+    });
     let http = fleet.instances[1].http.clone();
     let urgent = spawn_each(4, move |number| {
         let tag = format!("urgent{number}");
