--- a/crates/drumusher-schedule/tests/schedule/invariants.rs
+++ b/crates/drumusher-schedule/tests/schedule/invariants.rs
@@ -3,16 +3,19 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use drumusher_schedule::{
-    ask::{Ask, Entry, Id, Outcome},
+    ask::{Ask, Entry, Id, Outcome, Part},
     event::{Event, Load},
     order::{Order, Refusal},
     policy::{ClassKey, WorkspaceKey},
-    server::Key,
+    server::{self, Key},
     time::{MILLISECOND, Micros, SECOND},
 };
 use proptest::prelude::*;
 
-use crate::support::{Harness, ask, policy};
+use crate::{
+    read_ahead::PROFILE,
+    support::{Harness, ask, policy},
+};
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -106,7 +109,10 @@
                 Order::Refuse { id, refusal, .. } => {
                     assert!(self.waiting.remove(&id), "{id} was refused and did not wait");
                     let tier = requests[&id].class.0 as u8;
-                    let own = matches!(refusal, Refusal::WorkspaceLimit | Refusal::NoServer);
+                    let own = matches!(
+                        refusal,
+                        Refusal::WorkspaceLimit | Refusal::NoServer | Refusal::Unmeetable
+                    );
                     // Beyond twice its limit the queue does not grow, whatever runs.
                     let hard =
                         refusal == Refusal::QueueFull && harness.pool.waiting() >= 2 * MAX_QUEUE;
@@ -136,15 +142,41 @@
     }
 }
 
+/// Three servers; engines with a profile in a pool with slack.
+fn harness(slack: bool) -> Harness {
+    let mut policy = policy();
+    policy.queue = MAX_QUEUE;
+    let mut harness = Harness::new(policy, 3, 3);
+    for key in 0..3 {
+        let profile = slack.then_some(PROFILE);
+        let options =
+            server::Options { slots: 3, first_slots: 3, profile, ..server::Options::default() };
+        harness.handle(Event::Server(Key(key), options));
+    }
+    harness
+}
+
+/// A request with a prompt of two parts, whose caller waits for some seconds.
+fn with_prompt(ask: Ask, now: Micros) -> Ask {
+    let shared = Part { id: u64::from(ask.class.0), tokens: 3_000 };
+    let own = Part { id: 100 + ask.id as u64, tokens: 5_000 };
+    let deadline = Some(now + (1 + ask.id as u64 % 4) * SECOND);
+    Ask { parts: vec![shared, own], prompt: 8_000, deadline, ..ask }
+}
+
 fn event(step: &Step, id: Id, harness: &Harness, model: &Model) -> Option<Event> {
     Some(match step {
-        Step::Ask { class, workspace, entry, age, repeatable } => Event::Ask(Ask {
-            class: ClassKey(*class),
-            workspace: WorkspaceKey(*workspace),
-            entry: Entry(*entry),
-            repeatable: *repeatable,
-            ..ask(id, *class, harness.now.saturating_sub(age * MILLISECOND))
-        }),
+        Step::Ask { class, workspace, entry, age, repeatable } => {
+            let ask = Ask {
+                class: ClassKey(*class),
+                workspace: WorkspaceKey(*workspace),
+                entry: Entry(*entry),
+                repeatable: *repeatable,
+                ..ask(id, *class, harness.now.saturating_sub(age * MILLISECOND))
+            };
+            let has_profile = harness.pool.servers().any(|(_, server)| server.profile().is_some());
+            Event::Ask(if has_profile { with_prompt(ask, harness.now) } else { ask })
+        }
         Step::Progress { nth, gap } => {
             let id = model.nth(*nth)?;
             Event::Progress(drumusher_schedule::event::Progress {
@@ -184,10 +216,8 @@
     #![proptest_config(ProptestConfig { cases: 192, ..ProptestConfig::default() })]
 
     #[test]
-    fn counts_match_the_model_after_any_events(steps in steps()) {
-        let mut policy = policy();
-        policy.queue = MAX_QUEUE;
-        let mut harness = Harness::new(policy, 3, 3);
+    fn counts_match_the_model_after_any_events(steps in steps(), slack in any::<bool>()) {
+        let mut harness = harness(slack);
         let (mut model, mut requests) = (Model::default(), BTreeMap::new());
         for (at, step) in steps.iter().enumerate() {
             let id = at as Id + 1;
@@ -241,10 +271,8 @@
     /// Once no more requests arrive and every attempt ends, all waiting requests are granted or
     /// refused.
     #[test]
-    fn all_waiting_requests_are_answered_eventually(steps in steps()) {
-        let mut policy = policy();
-        policy.queue = MAX_QUEUE;
-        let mut harness = Harness::new(policy, 3, 3);
+    fn all_waiting_requests_are_answered_eventually(steps in steps(), slack in any::<bool>()) {
+        let mut harness = harness(slack);
         for (at, step) in steps.iter().enumerate() {
             if let Step::Ask { .. } | Step::RateLimit { .. } | Step::Cooldown { .. } = step {
                 let event = event(step, at as Id + 1, &harness, &Model::default());
