--- a/crates/drumusher-schedule/src/engine.rs
+++ b/crates/drumusher-schedule/src/engine.rs
@@ -373,15 +373,34 @@
             self.record_transfer(elapsed as f64 - f64::from(tokens) * self.token_time, transferred);
             return;
         }
-        if tokens < MIN_SAMPLE_TOKENS {
+        let Some(seen) = self.record_token_time(elapsed, tokens) else {
+            return;
+        };
+        self.fastest_token_time = Some(
+            self.fastest_token_time.map_or(seen, |shortest| seen.min(shortest * FASTEST_DRIFT)),
+        );
+    }
+
+    /// Records that the first event of a request arrived whose prompt was prefilled in `time`, which is
+    /// `None` if it waited for others meanwhile.
+    pub fn first_event_after(&mut self, id: Id, time: Option<Micros>) {
+        let Some(Pending { prefill, .. }) = self.complete_prefill(id) else {
             return;
+        };
+        if let Some(time) = time.filter(|_| prefill.transferred == 0) {
+            self.record_token_time(time, prefill.tokens);
+        }
+    }
+
+    /// Records that prefilling `tokens` tokens took `elapsed`, and returns the time of a token.
+    fn record_token_time(&mut self, elapsed: Micros, tokens: u32) -> Option<f64> {
+        if tokens < MIN_SAMPLE_TOKENS {
+            return None;
         }
         let seen = elapsed as f64 / f64::from(tokens);
         let seen = seen.clamp(TOKEN_TIME_BOUNDS.0, TOKEN_TIME_BOUNDS.1);
         self.token_time += (seen - self.token_time) * SMOOTHING;
-        self.fastest_token_time = Some(
-            self.fastest_token_time.map_or(seen, |shortest| seen.min(shortest * FASTEST_DRIFT)),
-        );
+        Some(seen)
     }
 
     /// Records that transferring `tokens` tokens took `time` microseconds.
--- a/crates/drumusher-schedule/src/engine/backlog.rs
+++ b/crates/drumusher-schedule/src/engine/backlog.rs
@@ -8,7 +8,8 @@
     time::{MILLISECOND, Micros},
 };
 
-/// Age of a first event when it is reported. Entry instances report progress every 50 ms.
+/// Longest usual age of a first event when it is reported: a step of 20 to 40 ms and the way over the
+/// entry instance.
 const REPORT_AGE: f64 = 50.0 * MILLISECOND as f64;
 
 /// A prompt that is being prefilled or waits for it.
@@ -23,6 +24,18 @@
     time: f64,
     /// Time of it that was left at [`Backlog::at`], in microseconds.
     left: f64,
+    state: State,
+}
+
+/// How far a prompt is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// Other prompts are before it.
+    Waiting,
+    /// The engine began to prefill it at this time.
+    Began(Micros),
+    /// More urgent prompts came after it had begun.
+    Interrupted,
 }
 
 /// What is pending of an urgency and of more urgent ones.
@@ -58,29 +71,44 @@
         let place = self.pending.partition_point(|pending| pending.urgency <= urgency);
         for overtaken in &mut self.pending[place..] {
             overtaken.expected_done += time as Micros;
+            if overtaken.state != State::Waiting {
+                overtaken.state = State::Interrupted;
+            }
         }
-        let pending = Pending { urgency, id, granted: now, expected_done, time, left: time };
+        let pending = Pending {
+            urgency,
+            id,
+            granted: now,
+            expected_done,
+            time,
+            left: time,
+            state: if place == 0 { State::Began(now) } else { State::Waiting },
+        };
         self.pending.insert(place, pending);
         let before = self.memory.insert(id, tokens).unwrap_or(0);
         self.total_memory = self.total_memory - before + tokens;
         self.sum_up();
     }
 
-    /// Records that a prompt is prefilled. Those after it cannot have been prefilled for longer than
-    /// the age of the report, so that an engine that is slower than expected is not given too much.
-    pub fn complete(&mut self, now: Micros, id: Id) {
-        let Some(place) = self.pending.iter().position(|pending| pending.id == id) else {
-            return;
-        };
+    /// Records that a prompt is prefilled, and returns how long that took if it is known. Those after it
+    /// cannot have been prefilled for longer than the age of the report, so that an engine that is
+    /// slower than expected is not given too much.
+    pub fn complete(&mut self, now: Micros, id: Id) -> Option<Micros> {
+        let place = self.pending.iter().position(|pending| pending.id == id)?;
         self.drain(now);
-        self.pending.remove(place);
+        let completed = self.pending.remove(place);
         let mut done = REPORT_AGE;
-        for later in &mut self.pending[place..] {
+        for later in self.pending[place..].iter_mut().filter(|p| p.state == State::Waiting) {
             let of_later = done.min(later.time);
             later.left = later.left.max(later.time - of_later);
             done -= of_later;
         }
+        self.begin_first(now);
         self.sum_up();
+        match completed.state {
+            State::Began(at) => Some(now.saturating_sub(at)),
+            State::Waiting | State::Interrupted => None,
+        }
     }
 
     /// Records the end of a request.
@@ -88,9 +116,17 @@
         self.drain(now);
         self.pending.retain(|pending| pending.id != id);
         self.total_memory -= self.memory.remove(&id).unwrap_or(0);
+        self.begin_first(now);
         self.sum_up();
     }
 
+    /// Records that the engine goes on with the first prompt.
+    fn begin_first(&mut self, now: Micros) {
+        if let Some(first) = self.pending.first_mut().filter(|p| p.state == State::Waiting) {
+            first.state = State::Began(now);
+        }
+    }
+
     /// Whether no prompt is pending.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -72,6 +72,8 @@
     /// Requests skipped in the current round of grants, because the free backend servers are in
     /// cooldown for their entry instance.
     skipped: BTreeSet<Key>,
+    /// Recent prefill by urgency.
+    prefilled: room::Prefilled,
     /// Requests for which no engine has capacity in the current round of grants.
     blocked: Vec<room::Blocked>,
     /// Running attempts that may be preempted, by tier and time of the grant.
@@ -118,6 +120,7 @@
             servers: Vec::new(),
             cooldowns: Cooldowns::default(),
             skipped: BTreeSet::new(),
+            prefilled: room::Prefilled::default(),
             blocked: Vec::new(),
             preemptible: BTreeMap::new(),
             preempting: 0,
@@ -357,6 +360,7 @@
         }
         self.last_tick = now;
         self.update_token_time();
+        self.update_prefilled(now);
         self.drop_unreported(now);
         if self.policy.switches.learning {
             self.relieve_slow(now, orders);
--- a/crates/drumusher-schedule/src/pool/grant.rs
+++ b/crates/drumusher-schedule/src/pool/grant.rs
@@ -425,6 +425,7 @@
             let prefill_time = server.engine().prefill_time(prefill);
             server.engine_mut().start(now, ask.id, &prompt, prefill);
             server.engine_mut().backlog_mut().add(now, ask.id, urgency, prefill_time, memory);
+            self.prefilled.record(urgency, prefill_time);
             self.partition.record(now, tolerant, time);
         }
         let is_preemptible = ask.repeatable && !reserved && ask.preemptions < policy.preemptions;
--- a/crates/drumusher-schedule/src/pool/room.rs
+++ b/crates/drumusher-schedule/src/pool/room.rs
@@ -1,5 +1,7 @@
 //! Capacity of engines: which of them get a further request, in a pool with slack.
 
+use std::collections::BTreeMap;
+
 use super::{
     Pool,
     scope::{Availability, Scope},
@@ -10,19 +12,26 @@
     event::Event,
     region,
     server::Server,
-    time::Micros,
+    time::{Micros, SECOND},
     version,
 };
 
 /// The least urgency inside an engine.
 const LEAST_URGENCY: u8 = 9;
 
+/// Time constant of the mean of the prefill by urgency, in microseconds. Bursts last some ten seconds.
+const PREFILLED_TIME: f64 = 2.0 * SECOND as f64;
+/// Least part of the engines' time that is expected to be left for less urgent requests.
+const MIN_FREE_PART: f64 = 0.1;
+
 /// What a request needs of an engine.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Room {
     /// An engine with a longer backlog gets no further request.
     read_ahead: Micros,
     urgency: u8,
+    /// Part of the engines' time that is left by more urgent requests.
+    free_part: f64,
     /// Memory for the prompt and the expected output, in tokens.
     tokens: u64,
 }
@@ -35,9 +44,9 @@
         backlog.is_empty() || self.is_read_soon(now, server) && self.tokens <= free_memory(server)
     }
 
-    /// Time until the prompt begins to be prefilled.
+    /// Time until the prompt begins to be prefilled, with the more urgent ones that come meanwhile.
     pub(super) fn wait(self, now: Micros, engine: &Engine) -> Micros {
-        engine.wait(now, self.urgency)
+        (engine.wait(now, self.urgency) as f64 / self.free_part) as Micros
     }
 
     /// Difference of that time to [`Engine::queue_time`], which counts less urgent prompts too.
@@ -56,6 +65,50 @@
     memory.saturating_sub(server.engine().backlog().memory())
 }
 
+/// Recent prefill by urgency, as a part of the engines' time.
+#[derive(Debug, Default)]
+pub(super) struct Prefilled {
+    /// Time of prompts granted in the current interval, in microseconds, by urgency.
+    granted: BTreeMap<u8, f64>,
+    /// Part of the engines' time, by urgency.
+    parts: BTreeMap<u8, f64>,
+    /// Part of their time that the requests of an urgency and less urgent ones have, by urgency.
+    free_parts: BTreeMap<u8, f64>,
+    since: Micros,
+}
+
+impl Prefilled {
+    /// Records the grant of a prompt whose prefill takes `time` microseconds.
+    pub(super) fn record(&mut self, urgency: u8, time: f64) {
+        *self.granted.entry(urgency).or_default() += time;
+    }
+
+    /// Ends an interval, in which there were `engines` usable engines.
+    pub(super) fn end_interval(&mut self, now: Micros, engines: usize) {
+        let elapsed = now.saturating_sub(std::mem::replace(&mut self.since, now)) as f64;
+        if elapsed == 0.0 {
+            return;
+        }
+        let weight = 1.0 - (-elapsed / PREFILLED_TIME).exp();
+        for urgency in self.granted.keys() {
+            self.parts.entry(*urgency).or_default();
+        }
+        let mut free: f64 = 1.0;
+        for (urgency, part) in &mut self.parts {
+            self.free_parts.insert(*urgency, free.max(MIN_FREE_PART));
+            let granted = self.granted.remove(urgency).unwrap_or(0.0);
+            *part += (granted / elapsed / engines.max(1) as f64 - *part) * weight;
+            free -= *part;
+        }
+        self.free_parts.insert(u8::MAX, free.max(MIN_FREE_PART));
+    }
+
+    /// Part of the engines' time that more urgent requests leave.
+    pub(super) fn free_part(&self, urgency: u8) -> f64 {
+        self.free_parts.range(urgency..).next().map_or(1.0, |(_, part)| *part)
+    }
+}
+
 /// Requests for which no engine has capacity in the current round of grants.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Blocked {
@@ -91,7 +144,15 @@
     pub(super) fn room(&self, now: Micros, ask: &Ask) -> Option<Room> {
         let read_ahead = self.read_ahead_limit(now)?;
         let urgency = self.engine_urgency(now, ask);
-        Some(Room { read_ahead, urgency, tokens: self.memory_need(ask) })
+        let free_part = self.prefilled.free_part(urgency);
+        Some(Room { read_ahead, urgency, free_part, tokens: self.memory_need(ask) })
+    }
+
+    /// Updates the recent prefill by urgency.
+    pub(super) fn update_prefilled(&mut self, now: Micros) {
+        let usable = |server: &Server| !server.leaving() && server.next_probe().is_none();
+        let engines = self.servers().filter(|(_, server)| usable(server)).count();
+        self.prefilled.end_interval(now, engines);
     }
 
     /// What a request needs of an engine in a scope. Probes are sent whatever the engine's capacity.
--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -100,8 +100,10 @@
             self.share.charge(&policy, tier, workspace, beyond);
         }
         self.share.consume(&policy, workspace, f64::from(new), now);
+        let limited = self.read_ahead_limit(now).is_some();
+        let mut prefilled_in = None;
         if has_first_token && let Some(server) = self.server_mut(server) {
-            server.engine_mut().backlog_mut().complete(now, progress.id);
+            prefilled_in = server.engine_mut().backlog_mut().complete(now, progress.id);
         }
         if !policy.switches.learning {
             return;
@@ -110,7 +112,14 @@
         let sensitivity = self.sensitivity(now, class);
         if let Some(server) = self.server_mut(server) {
             if let Some(first) = progress.first_token {
-                server.engine_mut().first_event(progress.id, first);
+                let engine = server.engine_mut();
+                match prefilled_in {
+                    // The time since the grant includes more urgent prompts that came later.
+                    time if limited && time.is_none_or(|time| time < first) => {
+                        engine.first_event_after(progress.id, time);
+                    }
+                    _ => engine.first_event(progress.id, first),
+                }
             }
             server.record_stream(now, sensitivity, progress.first_token, progress.gap, target);
         }
--- a/crates/drumusher-schedule/src/pool/unmeetable.rs
+++ b/crates/drumusher-schedule/src/pool/unmeetable.rs
@@ -26,6 +26,16 @@
     /// Mean time to prefill a token, in microseconds.
     token_time: f64,
     engines: f64,
+    /// Part of the engines' time that more urgent requests leave.
+    free_part: f64,
+}
+
+impl Capacity {
+    /// Expected wait behind `tokens` tokens, with the more urgent requests that come meanwhile.
+    fn wait(&self, tokens: f64) -> Micros {
+        let prefill = self.backlog + tokens * self.token_time / self.engines;
+        (prefill / self.free_part) as Micros
+    }
 }
 
 impl Pool {
@@ -61,6 +71,7 @@
             backlog: backlog / engines,
             token_time: engines / speed,
             engines,
+            free_part: self.prefilled.free_part(tier),
         })
     }
 
@@ -69,15 +80,14 @@
         let tier = self.policy.tier(ask.class);
         let capacity = self.capacity(now, tier)?;
         let ahead = self.prefills.ahead(&self.policy, tier, ask.workspace, tokens);
-        let wait = capacity.backlog + ahead * capacity.token_time / capacity.engines;
-        Some(wait as Micros)
+        Some(capacity.wait(ahead))
     }
 
     /// Expected wait of a request that is served after all others of its tier.
     pub(super) fn tier_wait(&self, now: Micros, tier: u8) -> Option<Micros> {
         let capacity = self.capacity(now, tier)?;
         let ahead = self.prefills.through(tier);
-        Some((capacity.backlog + ahead * capacity.token_time / capacity.engines) as Micros)
+        Some(capacity.wait(ahead))
     }
 
     /// Time from the begin of its prefill to the end of a request with `tokens` tokens to prefill.
--- a/crates/drumusher-schedule/tests/schedule/read_ahead.rs
+++ b/crates/drumusher-schedule/tests/schedule/read_ahead.rs
@@ -105,6 +105,7 @@
     let mut harness = pool(Some(PROFILE));
     for id in 1..=2 {
         assert!(place(&mut harness, id, URGENT, 95_000).is_some());
+        harness.now += 1_900 * MILLISECOND;
         assert_eq!(first_event(&mut harness, id, 1_900 * MILLISECOND), []);
     }
     for id in 3..=4 {
