--- a/crates/drumusher-schedule/tests/schedule/burst.rs
+++ b/crates/drumusher-schedule/tests/schedule/burst.rs
@@ -7,6 +7,7 @@
     policy::{Class, ClassKey, Policy, Workspace, WorkspaceKey},
     time::{MILLISECOND, Micros, SECOND},
 };
+use rstest::rstest;
 
 use crate::{
     play::{Call, Draw, Play, START},
@@ -122,3 +123,23 @@
     let without = lost(&played(Some("unmeetable"), engines, time));
     assert!(without > 0.5, "the burst is too small: {without}");
 }
+
+/// Guards against grants that promise first events much sooner or later than they come, by which entry
+/// instances would give up an attempt too early or too late.
+#[rstest]
+#[case::more_than_they_prefill(ENGINES, 14 * SECOND)]
+#[case::enough(3 * ENGINES, 8 * SECOND)]
+fn first_events_come_when_expected(#[case] engines: u16, #[case] time: Micros) {
+    let play = played(None, engines, time);
+    for class in 0..3 {
+        let of_class = play.calls.values().filter(|call| call.ask.class == ClassKey(class));
+        let ratio = |call: &Call| {
+            let actual = call.first_event? - call.granted?;
+            Some(actual as f64 / call.expected as f64)
+        };
+        let mut ratios: Vec<f64> = of_class.filter_map(ratio).collect();
+        ratios.sort_by(f64::total_cmp);
+        let median = ratios[ratios.len() / 2];
+        assert!((0.75..=1.25).contains(&median), "{median} for class {class}");
+    }
+}
--- a/crates/drumusher-schedule/tests/schedule/play.rs
+++ b/crates/drumusher-schedule/tests/schedule/play.rs
@@ -22,6 +22,8 @@
 const COPY_FRACTION: f64 = 0.24;
 /// Time between two events of a stream.
 const EVENT_GAP: Micros = 30 * MILLISECOND;
+/// Time from the end of a prefill to the first event.
+const STEP: Micros = 20 * MILLISECOND;
 /// Entry instances report the first event at most this long after it came.
 const REPORT_AGE: Micros = 50 * MILLISECOND;
 /// Entry instances report running attempts this often.
@@ -37,6 +39,8 @@
     /// Events of the answer.
     pub events: u32,
     pub granted: Option<Micros>,
+    /// Expected time from the grant to the first event.
+    pub expected: Micros,
     pub first_event: Option<Micros>,
     pub ended: Option<Micros>,
     /// When it was refused, and after which time it may be sent again.
@@ -45,7 +49,15 @@
 
 impl Call {
     pub fn new(ask: Ask, events: u32) -> Self {
-        Call { ask, events, granted: None, first_event: None, ended: None, refused: None }
+        Call {
+            ask,
+            events,
+            granted: None,
+            expected: 0,
+            first_event: None,
+            ended: None,
+            refused: None,
+        }
     }
 
     /// Whether the first event came within `target` after the request.
@@ -116,9 +128,9 @@
         let now = self.harness.now;
         for order in self.harness.handle(event) {
             match order {
-                Order::Grant { id, server, source, urgency, .. } => {
+                Order::Grant { id, server, source, urgency, expected, .. } => {
                     let Some(call) = self.calls.get_mut(&id) else { continue };
-                    call.granted = Some(now);
+                    (call.granted, call.expected) = (Some(now), expected);
                     let tier = self.harness.pool.running_request(id).map_or(0, |r| r.tier);
                     let place = (urgency.unwrap_or(tier), self.grants, id);
                     self.grants += 1;
@@ -137,7 +149,10 @@
     }
 
     fn progress(&mut self, id: Id, first_token: Option<Micros>) {
-        let has_begun = self.calls.get(&id).is_some_and(|call| call.first_event.is_some());
+        let has_begun = self
+            .calls
+            .get(&id)
+            .is_some_and(|call| call.first_event.is_some_and(|at| at <= self.harness.now));
         let (produced, gap) = if has_begun { (1, EVENT_GAP) } else { (0, 0) };
         self.handle(Event::Progress(Progress { id, produced, first_token, gap }));
     }
@@ -158,11 +173,12 @@
             budget -= left;
             self.engines[number].cached.extend(ask.parts.iter().map(|part| part.id));
             let call = self.calls.get_mut(&id).expect("it was asked for");
-            let end = now + EVENT_GAP * Micros::from(events);
-            (call.first_event, call.ended) = (Some(now), Some(end));
-            let elapsed = now - call.granted.expect("it was granted");
+            let first = now + STEP;
+            let end = first + EVENT_GAP * Micros::from(events);
+            (call.first_event, call.ended) = (Some(first), Some(end));
+            let elapsed = first - call.granted.expect("it was granted");
             let report = Progress { id, produced: 1, first_token: Some(elapsed), gap: 0 };
-            let reported = now + (id as u64 * 7 * MILLISECOND) % REPORT_AGE;
+            let reported = first + (id as u64 * 7 * MILLISECOND) % REPORT_AGE;
             self.reports.insert((reported, id as u64), Event::Progress(report));
             let finish = Event::Finish(id, Outcome::Done, events);
             self.reports.insert((end.max(reported + 1), id as u64), finish);
