--- a/crates/drumusher-schedule/src/engine/backlog.rs
+++ b/crates/drumusher-schedule/src/engine/backlog.rs
@@ -8,8 +8,8 @@
     time::{MILLISECOND, Micros},
 };
 
-/// Longest usual age of a first event when it is reported: a step of 20 to 40 ms and the way over the
-/// entry instance.
+/// Longest usual age of a first event when it is reported: a step of 20 to 40 ms and the way over
+/// the entry instance.
 const REPORT_AGE: f64 = 50.0 * MILLISECOND as f64;
 
 /// A prompt that is being prefilled or waits for it.
@@ -90,9 +90,9 @@
         self.sum_up();
     }
 
-    /// Records that a prompt is prefilled, and returns how long that took if it is known. Those after it
-    /// cannot have been prefilled for longer than the age of the report, so that an engine that is
-    /// slower than expected is not given too much.
+    /// Records that a prompt is prefilled, and returns how long that took if it is known. Those
+    /// after it cannot have been prefilled for longer than the age of the report, so that an
+    /// engine that is slower than expected is not given too much.
     pub fn complete(&mut self, now: Micros, id: Id) -> Option<Micros> {
         let place = self.pending.iter().position(|pending| pending.id == id)?;
         self.drain(now);
@@ -143,8 +143,8 @@
         (left as Micros).saturating_sub(now.saturating_sub(self.at))
     }
 
-    /// How long the first event of a prompt of this urgency or of a more urgent one is overdue. It is
-    /// overdue when its prefill has taken twice as long as expected, and `grace`.
+    /// How long the first event of a prompt of this urgency or of a more urgent one is overdue. It
+    /// is overdue when its prefill has taken twice as long as expected, and `grace`.
     pub fn overdue(&self, now: Micros, urgency: u8, grace: Micros) -> Micros {
         self.level(urgency).map_or(0, |level| now.saturating_sub(level.due + grace))
     }
--- a/crates/drumusher-schedule/src/pool/room.rs
+++ b/crates/drumusher-schedule/src/pool/room.rs
@@ -19,7 +19,8 @@
 /// The least urgency inside an engine.
 const LEAST_URGENCY: u8 = 9;
 
-/// Time constant of the mean of the prefill by urgency, in microseconds. Bursts last some ten seconds.
+/// Time constant of the mean of the prefill by urgency, in microseconds. Bursts last some ten
+/// seconds.
 const PREFILLED_TIME: f64 = 2.0 * SECOND as f64;
 /// Least part of the engines' time that is expected to be left for less urgent requests.
 const MIN_FREE_PART: f64 = 0.1;
@@ -155,7 +156,8 @@
         self.prefilled.end_interval(now, engines);
     }
 
-    /// What a request needs of an engine in a scope. Probes are sent whatever the engine's capacity.
+    /// What a request needs of an engine in a scope. Probes are sent whatever the engine's
+    /// capacity.
     pub(super) fn room_in(&self, now: Micros, ask: &Ask, scope: Scope) -> Option<Room> {
         if scope.availability == Availability::Free { self.room(now, ask) } else { None }
     }
@@ -200,16 +202,16 @@
         self.remaining_tokens(ask) as u64 * u64::from(event_tokens)
     }
 
-    /// Whether waiting requests may be granted after an event. Most events are reports of streams that
-    /// go on, after which a round of grants would examine all engines in vain.
+    /// Whether waiting requests may be granted after an event. Most events are reports of streams
+    /// that go on, after which a round of grants would examine all engines in vain.
     pub(super) fn may_free_capacity(&self, now: Micros, event: &Event) -> bool {
         let Event::Progress(progress) = event else { return true };
         let is_first = self.running_request(progress.id).is_some_and(|run| !run.has_first_token);
         is_first || self.read_ahead_limit(now).is_none()
     }
 
-    /// Whether no engine has capacity for a request. The result is kept for the rest of the round, so
-    /// that requests which need as much or more are not examined one by one.
+    /// Whether no engine has capacity for a request. The result is kept for the rest of the round,
+    /// so that requests which need as much or more are not examined one by one.
     pub(super) fn note_blocked(&mut self, now: Micros, key: Key) -> bool {
         let Some(ask) = self.waiting_at(key).map(|waiting| &waiting.ask) else {
             return false;
--- a/crates/drumusher-schedule/src/pool/unmeetable.rs
+++ b/crates/drumusher-schedule/src/pool/unmeetable.rs
@@ -39,8 +39,8 @@
 }
 
 impl Pool {
-    /// Tokens of a prompt that have to be prefilled: neither cached by an engine nor of a part that a
-    /// waiting request has too.
+    /// Tokens of a prompt that have to be prefilled: neither cached by an engine nor of a part
+    /// that a waiting request has too.
     pub(super) fn tokens_to_prefill(&self, now: Micros, ask: &Ask) -> f64 {
         let cached = self.max_cached(&self.prompt(now, ask));
         let mut tokens = ask.prompt.saturating_sub(cached);
@@ -111,8 +111,8 @@
         Some(ask.deadline?.saturating_sub(self.run_time(now, ask, tokens)?))
     }
 
-    /// Whether a new request is expected to end after its caller stops waiting. None is while a slot
-    /// is free and nothing waits.
+    /// Whether a new request is expected to end after its caller stops waiting. None is while a
+    /// slot is free and nothing waits.
     pub(super) fn is_unmeetable(&self, now: Micros, ask: &Ask) -> bool {
         if self.settling(now) || self.queue.is_empty() && self.free(now) > 0 {
             return false;
--- a/crates/drumusher-schedule/src/queue.rs
+++ b/crates/drumusher-schedule/src/queue.rs
@@ -82,8 +82,8 @@
         workspaces.map(|(tokens, _)| tokens).sum()
     }
 
-    /// Tokens to prefill before a further request with `tokens` tokens: all of more urgent tiers, and
-    /// in its own tier no more of another workspace than of its own, by their weights.
+    /// Tokens to prefill before a further request with `tokens` tokens: all of more urgent tiers,
+    /// and in its own tier no more of another workspace than of its own, by their weights.
     pub fn ahead(&self, policy: &Policy, tier: u8, workspace: WorkspaceKey, tokens: f64) -> f64 {
         let more_urgent = self.tokens.range(..tier).flat_map(|(_, workspaces)| workspaces.values());
         let more_urgent: f64 = more_urgent.map(|(tokens, _)| tokens).sum();
--- a/crates/drumusher-schedule/tests/schedule/burst.rs
+++ b/crates/drumusher-schedule/tests/schedule/burst.rs
@@ -104,8 +104,8 @@
     lost.count() as f64 / calls.len() as f64
 }
 
-/// Guards against callers that wait for an answer which cannot come in time. Half of the engines are
-/// missing, so that the short and middle requests need most of what is left.
+/// Guards against callers that wait for an answer which cannot come in time. Half of the engines
+/// are missing, so that the short and middle requests need most of what is left.
 #[test]
 fn callers_that_cannot_be_served_are_told() {
     let (engines, time) = (ENGINES / 2, 14 * SECOND);
@@ -124,8 +124,8 @@
     assert!(without > 0.5, "the burst is too small: {without}");
 }
 
-/// Guards against grants that promise first events much sooner or later than they come, by which entry
-/// instances would give up an attempt too early or too late.
+/// Guards against grants that promise first events much sooner or later than they come, by which
+/// entry instances would give up an attempt too early or too late.
 #[rstest]
 #[case::more_than_they_prefill(ENGINES, 14 * SECOND)]
 #[case::enough(3 * ENGINES, 8 * SECOND)]
--- a/crates/drumusher-schedule/tests/schedule/read_ahead.rs
+++ b/crates/drumusher-schedule/tests/schedule/read_ahead.rs
@@ -22,7 +22,8 @@
 pub const BULK: u16 = 1;
 const BOUND: u16 = 2;
 
-/// A pool with an engine in each of two regions. Requests of the class `BOUND` may run in the first.
+/// A pool with an engine in each of two regions. Requests of the class `BOUND` may run in the
+/// first.
 pub fn pool(profile: Option<Profile>) -> Harness {
     let mut classes = ["urgent", "bulk", "bound"].map(|name| {
         let tier = if name == "bulk" { 1 } else { 0 };
@@ -157,8 +158,8 @@
     assert_eq!(urgencies.collect::<Vec<_>>(), [(9, Some(0))]);
 }
 
-/// Guards against an engine that is slower than expected and is given more and more: what it has not
-/// prefilled in the expected time still counts.
+/// Guards against an engine that is slower than expected and is given more and more: what it has
+/// not prefilled in the expected time still counts.
 #[test]
 fn a_slow_engine_gets_no_more_than_it_prefills() {
     let mut harness = pool(Some(PROFILE));
--- a/crates/drumusher-schedule/tests/schedule/shares.rs
+++ b/crates/drumusher-schedule/tests/schedule/shares.rs
@@ -29,8 +29,8 @@
     sum * sum / (shares.len() as f64 * shares.iter().map(|share| share * share).sum::<f64>())
 }
 
-/// Plays requests of all classes, and returns the tokens of the prompts that each workspace sent, and
-/// of those with a first event in time.
+/// Plays requests of all classes, and returns the tokens of the prompts that each workspace sent,
+/// and of those with a first event in time.
 fn tokens(heavy: u16, engines: u16, fairness: bool) -> Vec<(f64, f64)> {
     let mut draw = Draw(7);
     let mut calls = Vec::new();
@@ -60,8 +60,8 @@
     tokens
 }
 
-/// Jain's index of what workspaces are served of what they may have: what they want, but no more than
-/// the heavy ones have.
+/// Jain's index of what workspaces are served of what they may have: what they want, but no more
+/// than the heavy ones have.
 fn shares_index(heavy: u16, engines: u16, fairness: bool) -> f64 {
     let tokens = tokens(heavy, engines, fairness);
     let served = tokens.iter().take(usize::from(heavy)).map(|(_, served)| *served);
@@ -70,9 +70,9 @@
     index(&shares.collect::<Vec<_>>())
 }
 
-/// Guards against workspaces that are served less because others send ten times their usual load, and
-/// against one of those that is served more than another. The engines are enough for the short and
-/// middle requests of all, and for some of the long ones.
+/// Guards against workspaces that are served less because others send ten times their usual load,
+/// and against one of those that is served more than another. The engines are enough for the short
+/// and middle requests of all, and for some of the long ones.
 #[rstest]
 #[case::one(1, 14)]
 #[case::three(3, 20)]
