--- a/crates/drumusher-schedule/src/pool.rs
+++ b/crates/drumusher-schedule/src/pool.rs
@@ -77,6 +77,8 @@
     skipped: BTreeSet<Key>,
     /// Waiting requests that wait for copies of prompt parts.
     awaiting: Awaiting,
+    /// Recent prefill by urgency.
+    prefilled: room::Prefilled,
     /// Requests for which no engine has capacity in the current round of grants.
     blocked: Vec<room::Blocked>,
     /// Running attempts that may be preempted, by tier and time of the grant.
@@ -128,6 +130,7 @@
             cooldowns: Cooldowns::default(),
             skipped: BTreeSet::new(),
             awaiting: Awaiting::default(),
+            prefilled: room::Prefilled::default(),
             blocked: Vec::new(),
             preemptible: BTreeMap::new(),
             preempting: 0,
@@ -375,6 +378,7 @@
         self.last_tick = now;
         self.update_token_time();
         self.update_pace(now);
+        self.update_prefilled(now);
         self.drop_unreported(now);
         if self.policy.switches.learning {
             self.relieve_slow(now, orders);
--- a/crates/drumusher-schedule/src/pool/unmeetable.rs
+++ b/crates/drumusher-schedule/src/pool/unmeetable.rs
@@ -26,11 +26,21 @@
     /// Mean time to prefill a token, in microseconds.
     token_time: f64,
     engines: f64,
+    /// Part of the engines' time that more urgent requests leave.
+    free_part: f64,
+}
+
+impl Capacity {
+    /// Expected wait behind `tokens` tokens, with the more urgent requests that come meanwhile.
+    fn wait(&self, tokens: f64) -> Micros {
+        let prefill = self.backlog + tokens * self.token_time / self.engines;
+        (prefill / self.free_part) as Micros
+    }
 }
 
 impl Pool {
-    /// Tokens of a prompt that have to be prefilled: neither cached by an engine nor of a part that a
-    /// waiting request has too.
+    /// Tokens of a prompt that have to be prefilled: neither cached by an engine nor of a part
+    /// that a waiting request has too.
     pub(super) fn tokens_to_prefill(&self, now: Micros, ask: &Ask) -> f64 {
         let cached = self.max_cached(&self.prompt(now, ask));
         let mut tokens = ask.prompt.saturating_sub(cached);
@@ -61,6 +71,7 @@
             backlog: backlog / engines,
             token_time: engines / speed,
             engines,
+            free_part: self.prefilled.free_part(tier),
         })
     }
 
@@ -69,15 +80,14 @@
         let tier = self.policy.tier(ask.class);
         let capacity = self.capacity(now, tier)?;
         let ahead = self.prefills.ahead(&self.policy, tier, ask.workspace, tokens);
-        let wait = capacity.backlog + ahead * capacity.token_time / capacity.engines;
-        Some(wait as Micros)
+        Some(capacity.wait(ahead))
     }
 
     /// Expected wait of a request that is served after all others of its tier.
     pub(super) fn tier_wait(&self, now: Micros, tier: u8) -> Option<Micros> {
         let capacity = self.capacity(now, tier)?;
         let ahead = self.prefills.through(tier);
-        Some((capacity.backlog + ahead * capacity.token_time / capacity.engines) as Micros)
+        Some(capacity.wait(ahead))
     }
 
     /// Time from the begin of its prefill to the end of a request with `tokens` tokens to prefill.
@@ -101,8 +111,8 @@
         Some(ask.deadline?.saturating_sub(self.run_time(now, ask, tokens)?))
     }
 
-    /// Whether a new request is expected to end after its caller stops waiting. None is while a slot
-    /// is free and nothing waits.
+    /// Whether a new request is expected to end after its caller stops waiting. None is while a
+    /// slot is free and nothing waits.
     pub(super) fn is_unmeetable(&self, now: Micros, ask: &Ask) -> bool {
         if self.settling(now) || self.queue.is_empty() && self.free(now) > 0 {
             return false;
