--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -8,6 +8,7 @@
 mod crash_endings;
 mod crashing_part;
 mod duties;
+mod engine_caches;
 mod evacuation;
 mod forwarding;
 mod lost_paths;
