--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -15,7 +15,7 @@
 mod apply;
 mod backoff;
 mod contacts;
-mod engine_cache;
+pub mod engine_cache;
 mod entries;
 mod health;
 mod membership;
--- a/crates/drumusher/src/process/catalog/engine_cache.rs
+++ b/crates/drumusher/src/process/catalog/engine_cache.rs
@@ -7,7 +7,7 @@
 //! An instance that decides only for itself, because its dispatcher is silent, queries nothing: each of 295
 //! instances would query each of 160 engines.
 
-mod follower;
+pub mod follower;
 
 use std::{
     cell::RefCell,
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -9,6 +9,7 @@
 mod catalog;
 mod digest;
 mod directory;
+mod engine_cache;
 mod excused;
 mod explain;
 mod failures;
