--- a/crates/drumusher/tests/routes/engine_caches.rs
+++ b/crates/drumusher/tests/routes/engine_caches.rs
@@ -180,6 +180,21 @@
     assert_placed_at(&deployment, remaining, 3, "m2");
 }
 
+/// Guards against a switch without effect: a pool that is followed is not queried by the earlier path.
+#[test]
+fn switched_off_following_queries_each_engine_once() {
+    let mut deployment = Deployment::unconfigured(0);
+    let store = deployment.store.endpoint().expect("the store endpoint starts");
+    deployment.add_instance_with("i0", store, "[decisions]\noff = [\"memory\"]\n");
+    deployment.store.put("keyed.op", "config", &followed_configuration());
+    deployment.wait_serving();
+    wait_for_with_load(&deployment, "both engines listed their parts", || {
+        deployment.instances[0].log().matches("an engine told what it keeps").count() == 2
+    });
+    assert_eq!(changes(&deployment, 0, "list"), 0.0);
+    assert!(["m1", "m2"].iter().all(|id| change_calls(deployment.server(id)) == 0));
+}
+
 /// Guards against calls to engines that have left.
 #[test]
 fn engine_that_leaves_is_not_followed() {
