--- a/crates/drumusher/src/process/telemetry.rs
+++ b/crates/drumusher/src/process/telemetry.rs
@@ -42,6 +42,7 @@
     tokens: Counter<u64>,
     /// Time to the first token, in seconds.
     first_token: Histogram<f64>,
+    first_event_error: Histogram<f64>,
     orders: Counter<u64>,
     tracer: SdkTracer,
     spans: Recent,
@@ -123,6 +124,10 @@
                 .with_unit("s")
                 .with_boundaries(vec![0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 5.0, 10.0, 30.0])
                 .build(),
+            first_event_error: meter
+                .f64_histogram("drumusher.first_event_error")
+                .with_boundaries(vec![0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0, 8.0])
+                .build(),
             orders: meter.u64_counter("drumusher.dispatch.orders").build(),
             meter,
             tracer: traces.tracer("drumusher"),
@@ -170,6 +175,11 @@
         self.first_token.record(seconds, &[KeyValue::new("class", class.to_string())]);
     }
 
+    /// Records the actual time to the first event of an attempt, as a multiple of the time that the dispatcher expected.
+    pub fn record_first_event_error(&self, class: &str, ratio: f64) {
+        self.first_event_error.record(ratio, &[KeyValue::new("class", class.to_string())]);
+    }
+
     /// The tracer that creates spans.
     pub fn tracer(&self) -> &SdkTracer {
         &self.tracer
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -148,7 +148,14 @@
             lasted_ms = self.age_ms();
             "request ended: {outcome}"
         );
-        self.worker.shared.telemetry.count_request(&route_match.class, outcome, 0);
+        let telemetry = &self.worker.shared.telemetry;
+        telemetry.count_request(&route_match.class, outcome, 0);
+        // Of a request that was not delivered, the times may be of different attempts.
+        let actual = self.timing.backend_first_event.filter(|_| outcome == "delivered");
+        if let (Some(actual), 1..) = (actual, self.expected_first_event) {
+            let ratio = actual as f64 / self.expected_first_event as f64;
+            telemetry.record_first_event_error(&route_match.class, ratio);
+        }
     }
 
     /// Maps a refusal by the dispatcher, given by its code on the wire, to an error.
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -95,6 +95,9 @@
         .without("Drumusher-Prompt-Prefix")
         .with("Drumusher-Token-Usage", "200000,60")
         .with("Drumusher-Prompt-Prefix", "a7:200000");
+    let recorded = || deployment.instances[0].metric(&["drumusher_first_event_error_count"]);
+    // Requests that wait for the deployment to serve are recorded too.
+    let before = recorded();
     let response = deployment.send(0, &request).expect("a response");
     assert_eq!((response.status, response.text()), (200, events(&request.id)));
     assert_eq!(
@@ -102,6 +105,7 @@
         1,
         "twice the target passed, but not the expected time"
     );
+    wait_for("the error of the expected time is recorded", || recorded() == before + 1.0);
 }
 
 /// A caller that resumes a stream with `Last-Event-Id` gets only the remaining events.
