--- a/crates/drumusher-schedule/src/pool/placement.rs
+++ b/crates/drumusher-schedule/src/pool/placement.rs
@@ -69,11 +69,17 @@
             let (anti_affine, avoided) = (ask.anti_affinity.contains(&key), ask.avoid == Some(key));
             let is_away = home.is_some_and(|home| home != key);
             let away_cost = if is_away { shared * AWAY_FROM_HOME_COST } else { 0.0 };
+            let is_better = |cost: f64| {
+                best.is_none_or(|(b, a, c, ..)| (anti_affine, avoided, cost) < (b, a, c))
+            };
+            let cost = server.engine().cost(now, &prompt, prefill, in_partition(key)) + away_cost;
+            // The cost of the pace is never negative, so it cannot make a worse engine the best.
+            if !is_better(cost) {
+                continue;
+            }
             let pace_cost = answer.map_or(0.0, |answer| answer.cost(now, server.engine(), prefill));
-            let cost = server.engine().cost(now, &prompt, prefill, in_partition(key))
-                + away_cost
-                + pace_cost;
-            if best.is_none_or(|(b, a, c, ..)| (anti_affine, avoided, cost) < (b, a, c)) {
+            let cost = cost + pace_cost;
+            if is_better(cost) {
                 best = Some((anti_affine, avoided, cost, key, prefill));
             }
         }
