--- a/crates/drumusher/src/process/telemetry.rs
+++ b/crates/drumusher/src/process/telemetry.rs
@@ -131,8 +131,8 @@
                 .with_boundaries(vec![0.05, 0.1, 0.2, 0.5, 1.0, 1.5, 2.0, 5.0, 10.0, 30.0])
                 .build(),
             first_event_error: meter
-                .f64_histogram("drumusher.first_event.error")
-                .with_boundaries(vec![0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0])
+                .f64_histogram("drumusher.first_event_error")
+                .with_boundaries(vec![0.25, 0.5, 0.75, 0.9, 1.1, 1.25, 1.5, 2.0, 4.0, 8.0])
                 .build(),
             waiting: meter.u64_gauge("drumusher.waiting").build(),
             orders: meter.u64_counter("drumusher.dispatch.orders").build(),
@@ -194,16 +194,16 @@
         self.first_token.record(seconds, &[KeyValue::new("class", class.to_string())]);
     }
 
-    /// Records the actual time of a first event as a multiple of the expected one.
-    pub fn record_first_event_error(&self, ratio: f64) {
-        self.first_event_error.record(ratio, &[]);
-    }
-
     /// Sets the number of requests of a tier that wait at this dispatcher.
     pub fn set_waiting(&self, tier: u8, requests: u64) {
         self.waiting.record(requests, &[KeyValue::new("tier", i64::from(tier))]);
     }
 
+    /// Records the actual time to the first event of an attempt, as a multiple of the time that the dispatcher expected.
+    pub fn record_first_event_error(&self, class: &str, ratio: f64) {
+        self.first_event_error.record(ratio, &[KeyValue::new("class", class.to_string())]);
+    }
+
     /// The tracer that creates spans.
     pub fn tracer(&self) -> &SdkTracer {
         &self.tracer
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -126,15 +126,6 @@
         error_response::build(&error, self.worker.shared.stopping())
     }
 
-    /// Records how long the first event took after the request was handed over, compared with what its dispatcher
-    /// expected.
-    pub fn record_first_event_error(&self, elapsed: Micros) {
-        if self.expected_first_event > 0 {
-            let ratio = elapsed as f64 / self.expected_first_event as f64;
-            self.worker.shared.telemetry.record_first_event_error(ratio);
-        }
-    }
-
     /// Milliseconds since the request arrived.
     pub fn age_ms(&self) -> u64 {
         clock::now().saturating_sub(self.request.arrived) / MILLISECOND
@@ -161,7 +152,14 @@
             lasted_ms = self.age_ms();
             "request ended: {outcome}"
         );
-        self.worker.shared.telemetry.count_request(&route_match.class, outcome, 0);
+        let telemetry = &self.worker.shared.telemetry;
+        telemetry.count_request(&route_match.class, outcome, 0);
+        // Of a request that was not delivered, the times may be of different attempts.
+        let actual = self.timing.backend_first_event.filter(|_| outcome == "delivered");
+        if let (Some(actual), 1..) = (actual, self.expected_first_event) {
+            let ratio = actual as f64 / self.expected_first_event as f64;
+            telemetry.record_first_event_error(&route_match.class, ratio);
+        }
     }
 
     /// Maps a refusal by the dispatcher, given by its code on the wire, to an error.
