--- a/crates/drumusher-duty/src/sizing.rs
+++ b/crates/drumusher-duty/src/sizing.rs
@@ -6,6 +6,10 @@
 //! zones so that the rest carries the load when one zone loses its spot servers. While spot servers are unavailable,
 //! on-demand ones replace them.
 //!
+//! Servers are spread evenly, unless prices differ by zone. Then further servers are ordered in the cheapest zones, as
+//! many as leave the loss of one zone's spot servers bearable, and fewer ones where they are most expensive. Spot servers
+//! that run stay where they are.
+//!
 //! The target follows from the number of requests that run or wait: its mean with headroom for a burst, and its recent
 //! peak. A server takes seconds to start, within which a burst of two to three times the mean is over or has done its
 //! damage. So there is headroom beforehand, as much as the price of the servers justifies.
@@ -27,6 +31,9 @@
 const PEAK_TIME_CONSTANT: f64 = 30.0 * SECOND as f64;
 /// Minimum growth of the target, as a fraction: each order is a call, and the load always varies a little.
 const MIN_GROWTH: f64 = 0.1;
+/// Slots for each request of the mean load that the other zones have when one with many cheap servers loses its spot
+/// servers. The recent peak is carried too.
+const HEADROOM_AFTER_LOSS: f64 = HEADROOM_ON_DEMAND;
 /// The target shrinks only after a lower load has lasted for this time. Servers that were scaled down nine seconds
 /// into a run were missing in a burst three seconds later: 425 of 6,566 requests of the most urgent class were late,
 /// against 150 with those servers.
@@ -64,6 +71,25 @@
     pub startup: Micros,
     /// The price of a spot server as a fraction of an on-demand one's; 1 if there are no spot servers.
     pub spot_price: f64,
+    /// The price of a server by zone, relative to one in a zone that is not listed. Servers are spread evenly if the
+    /// prices of all zones are the same. A price that is not a positive number counts as 1.
+    pub zone_prices: BTreeMap<String, f64>,
+}
+
+impl Bounds {
+    /// The price of a server in a zone.
+    fn price(&self, zone: &str) -> f64 {
+        let price = self.zone_prices.get(zone).copied();
+        price.filter(|price| price.is_finite() && *price > 0.0).unwrap_or(1.0)
+    }
+
+    /// The zones by price, cheapest first; `None` if all prices are the same.
+    fn by_price<'a>(&self, zones: &'a Zones) -> Option<Vec<&'a String>> {
+        let mut names: Vec<&String> = zones.keys().collect();
+        names.sort_by(|a, b| self.price(a).total_cmp(&self.price(b)));
+        let (first, last) = (names.first()?, names.last()?);
+        (self.price(first) < self.price(last)).then_some(names)
+    }
 }
 
 /// The number of servers in a zone that accept requests.
@@ -169,6 +195,8 @@
     /// No order is given before this time.
     paused_until: Micros,
     pause: Micros,
+    /// Whether the latest order failed since no such servers are available.
+    sold_out: bool,
 }
 
 /// The autoscaler of one service.
@@ -290,8 +318,10 @@
                 last.count = Some(order.count);
                 last.at = now;
                 last.pause = 0;
+                last.sold_out = false;
             }
             Outcome::Unavailable | Outcome::Unknown => {
+                last.sold_out = outcome == Outcome::Unavailable;
                 last.pause = (last.pause * 2).clamp(MIN_ORDER_PAUSE, MAX_ORDER_PAUSE);
                 last.paused_until = now + last.pause;
             }
@@ -302,24 +332,87 @@
     fn targets(&mut self, now: Micros, bounds: &Bounds, zones: &Zones, slots: u32) -> Zones {
         let layout = Layout::new(bounds, zones.len() as u32);
         let each = self.update_target(now, bounds, layout, slots);
-        let (base, needed) = (layout.min_on_demand(each, bounds), layout.without_spare(each));
         let present: u32 = zones.values().map(|count| count.all()).sum();
         let extra = self.missing_per_zone(present, layout.zones, slots);
-        let zone = |(zone, present): (&String, &Count)| {
-            // On-demand servers are scaled down once spot servers replace them, and up while spot servers are
-            // unavailable.
-            let gap = needed.saturating_sub(present.spot);
-            let added = if self.is_spot_unavailable(now, zone) { extra } else { 0 };
-            let on_demand = gap.min(present.on_demand + added).max(base);
-            // The maximum holds for both kinds together, also between two orders.
+        // On-demand servers are scaled down once spot servers replace them, and up while spot servers are unavailable.
+        let added = |zone: &str| if self.is_spot_unavailable(now, zone) { extra } else { 0 };
+        let wanted = match bounds.by_price(zones) {
+            Some(by_price) => {
+                let shares = self.shares(now, bounds, layout, zones, &by_price, (each, slots));
+                spread_by_price(bounds, layout, zones, &by_price, &shares, added)
+            }
+            None => spread_evenly(bounds, layout, zones, each, added),
+        };
+        // The maximum holds for both kinds together, also between two orders.
+        let limit = |(zone, wanted): (String, Count)| {
+            let present = zones.get(&zone).copied().unwrap_or_default();
             let room = |kind| {
-                bounds.max_servers.saturating_sub(self.ordered_or_present(zone, kind, *present))
+                bounds.max_servers.saturating_sub(self.ordered_or_present(&zone, kind, present))
+            };
+            let spot = wanted.spot.min(room(Kind::OnDemand));
+            let on_demand = wanted.on_demand.min(room(Kind::Spot));
+            (zone, Count { on_demand, spot })
+        };
+        wanted.into_iter().map(limit).collect()
+    }
+
+    /// The target number of servers of both kinds in each zone where prices differ, `each` per zone on average. Servers
+    /// that run stay; further ones are added in the cheapest zones first, and surplus ones removed from the most
+    /// expensive ones first. What is not available in a zone is added in the next one.
+    fn shares(
+        &self,
+        now: Micros,
+        bounds: &Bounds,
+        layout: Layout,
+        zones: &Zones,
+        by_price: &[&String],
+        (each, slots): (u32, u32),
+    ) -> BTreeMap<String, u32> {
+        let floor = bounds.min_servers.min(each);
+        let kind = if layout.spot { Kind::Spot } else { Kind::OnDemand };
+        let base = if layout.spot { floor } else { 0 };
+        let is_sold_out = |zone: &str| layout.spot && self.is_sold_out(now, zone);
+        let kept = |zone: &str, present: Count| {
+            let running = match is_sold_out(zone) {
+                true => present.of(kind),
+                false => self.ordered_or_present(zone, kind, present),
             };
-            let spot = (each - base).min(room(Kind::OnDemand));
-            let on_demand = on_demand.min(room(Kind::Spot));
-            (zone.clone(), Count { on_demand, spot })
+            (base + running).clamp(floor, bounds.max_servers)
         };
-        zones.iter().map(zone).collect()
+        let kept = zones.iter().map(|(zone, present)| (zone.clone(), kept(zone, *present)));
+        let mut shares: BTreeMap<String, u32> = kept.collect();
+        let total = each * layout.zones;
+        let bearable = self.max_share(layout, total, slots).max(each).min(bounds.max_servers);
+        let mut surplus = shares.values().sum::<u32>().saturating_sub(total);
+        // What is more than bearable goes first, so that the rest does not depend on one zone.
+        for least in [bearable, floor] {
+            for zone in by_price.iter().rev() {
+                let Some(share) = shares.get_mut(*zone) else { continue };
+                let removed = surplus.min(share.saturating_sub(least));
+                (*share, surplus) = (*share - removed, surplus - removed);
+            }
+        }
+        let mut missing = total.saturating_sub(shares.values().sum());
+        // The load is served first, even if one zone then has more than what its loss leaves bearable.
+        for max in [bearable, bounds.max_servers] {
+            let available = by_price.iter().filter(|zone| !is_sold_out(zone));
+            for zone in available {
+                let Some(share) = shares.get_mut(*zone) else { continue };
+                let added = missing.min(max.saturating_sub(*share));
+                (*share, missing) = (*share + added, missing - added);
+            }
+        }
+        shares
+    }
+
+    /// The maximum number of servers in one zone, of a `total`: half of them, and of spot servers no more than leave
+    /// enough in the others for the mean load with some headroom and for the recent peak.
+    fn max_share(&self, layout: Layout, total: u32, slots: u32) -> u32 {
+        if !layout.spot {
+            return total / 2;
+        }
+        let carried = (self.mean * HEADROOM_AFTER_LOSS).max(self.peak) / f64::from(slots);
+        total.saturating_sub(carried.ceil() as u32).min(total / 2)
     }
 
     /// The number of servers that each zone lacks for the present load.
@@ -365,6 +458,12 @@
         last.is_some_and(|last| now < last.paused_until + MAX_ORDER_PAUSE && last.pause > 0)
     }
 
+    /// Whether no spot servers were available in a zone recently.
+    fn is_sold_out(&self, now: Micros, zone: &str) -> bool {
+        let last = self.orders.get(&(zone.to_string(), Kind::Spot));
+        self.is_spot_unavailable(now, zone) && last.is_some_and(|last| last.sold_out)
+    }
+
     /// Whether an order for `wanted` servers is due.
     fn is_due(
         &self,
@@ -385,3 +484,47 @@
         }
     }
 }
+
+/// The target of each zone with `each` servers in all of them, and up to `added` on-demand ones in place of missing spot
+/// servers.
+fn spread_evenly(
+    bounds: &Bounds,
+    layout: Layout,
+    zones: &Zones,
+    each: u32,
+    added: impl Fn(&str) -> u32,
+) -> Zones {
+    let (base, needed) = (layout.min_on_demand(each, bounds), layout.without_spare(each));
+    let target = |(zone, present): (&String, &Count)| {
+        let gap = needed.saturating_sub(present.spot);
+        let on_demand = gap.min(present.on_demand + added(zone)).max(base);
+        (zone.clone(), Count { on_demand, spot: each - base })
+    };
+    zones.iter().map(target).collect()
+}
+
+/// The target of each zone with this share of the servers. On-demand servers replace spot servers that are missing in
+/// any zone. Those in the most expensive zones are kept the longest, since the maximum of a cheap zone would leave no
+/// room for its spot servers.
+fn spread_by_price(
+    bounds: &Bounds,
+    layout: Layout,
+    zones: &Zones,
+    by_price: &[&String],
+    shares: &BTreeMap<String, u32>,
+    added: impl Fn(&str) -> u32,
+) -> Zones {
+    let share = |zone: &str| shares.get(zone).copied().unwrap_or(0);
+    let base = |zone: &str| layout.min_on_demand(share(zone), bounds);
+    let total: u32 = zones.keys().map(|zone| share(zone)).sum();
+    let there: u32 = zones.iter().map(|(zone, present)| present.spot + base(zone)).sum();
+    let mut gap = layout.without_spare(total).saturating_sub(there);
+    let targets = by_price.iter().rev().map(|zone| {
+        let present = zones.get(*zone).copied().unwrap_or_default();
+        let base = base(zone);
+        let kept = (present.on_demand + added(zone)).saturating_sub(base).min(gap);
+        gap -= kept;
+        (zone.to_string(), Count { on_demand: base + kept, spot: share(zone) - base })
+    });
+    targets.collect()
+}
--- a/crates/drumusher/src/process/duties/autoscale.rs
+++ b/crates/drumusher/src/process/duties/autoscale.rs
@@ -40,12 +40,14 @@
     pub(super) fn next(&mut self, now: Micros, shared: &Shared) -> Option<(String, Order)> {
         let routing = shared.routing.load_full()?;
         let directory = shared.directory.load_full();
+        let duties = shared.settings.duties.as_ref();
+        let by_zone_price = duties.is_some_and(|duties| duties.by_zone_price);
         let services = routing.configuration.services.iter();
         services.filter_map(scalable).find_map(|(service, scaling)| {
             let (zones, slots) = servers(&directory, &service.name, &shared.area);
             let sizer = self.sizers.entry(service.name.clone()).or_default();
             sizer.set_closed(evacuated_zones(&directory, &service.name, &shared.area));
-            let order = sizer.next(now, &bounds(scaling), &zones, slots)?;
+            let order = sizer.next(now, &bounds(scaling, by_zone_price), &zones, slots)?;
             Some((service.name.clone(), order))
         })
     }
@@ -62,12 +64,13 @@
     Some((service, service.scaling.as_ref()?))
 }
 
-fn bounds(scaling: &Scaling) -> Bounds {
+fn bounds(scaling: &Scaling, by_zone_price: bool) -> Bounds {
     Bounds {
         min_servers: scaling.least,
         max_servers: scaling.most,
         startup: scaling.boot_ms * MILLISECOND,
         spot_price: scaling.spot_price,
+        zone_prices: if by_zone_price { scaling.zone_prices.clone() } else { BTreeMap::new() },
     }
 }
 
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -144,6 +144,8 @@
     pub due_ms: u64,
     /// Rate limit of the platform for calls from all instances, per second.
     pub calls_per_second: f64,
+    /// Whether backend servers are ordered in cheap zones first; otherwise evenly.
+    pub by_zone_price: bool,
 }
 
 impl Duties {
@@ -333,6 +335,7 @@
         window_ms: seconds_as_ms(reader.number("duties.window_seconds", 60.0, 0.1, 86_400.0)),
         due_ms: seconds_as_ms(reader.number("duties.due_seconds", 10.0, 0.1, 86_400.0)),
         calls_per_second: reader.number("duties.calls_per_second", 10.0, 0.01, 1e6),
+        by_zone_price: reader.flag("duties.by_zone_price", true),
     };
     address.map(|_| duties)
 }
--- a/crates/drumusher/tests/unit/settings.rs
+++ b/crates/drumusher/tests/unit/settings.rs
@@ -35,6 +35,7 @@
     shown.regions = Regions::default();
     shown.telemetry.otlp = None;
     assert_eq!(shown.duties.as_ref().map(|duties| duties.lease_ms), Some(3_000));
+    assert_eq!(shown.duties.as_ref().map(|duties| duties.by_zone_price), Some(true));
     (shown.status, shown.metrics, shown.store) = (None, None, None);
     shown.duties = None;
     assert_eq!(shown, plain);
