--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -1,11 +1,7 @@
 //! Retry decision after a failed attempt, and the final response of a request.
 
 use drumusher_platform::dialect::Dialect;
-use drumusher_schedule::{
-    ask::Outcome,
-    order::Refusal,
-    time::{MILLISECOND, Micros},
-};
+use drumusher_schedule::{ask::Outcome, order::Refusal, time::MILLISECOND};
 use ntex::http::{Response, ResponseBuilder, StatusCode, body};
 
 use super::{BufferedResponse, Exchange, Failure, RETRY_AFTER_MS};
