--- a/crates/drumusher-schedule/src/policy.rs
+++ b/crates/drumusher-schedule/src/policy.rs
@@ -25,6 +25,12 @@
 }
 
 impl Tiers {
+    /// The number of tiers above this one. Tiers are not consecutive: each priority of a workspace
+    /// has its own range.
+    pub fn rank(&self, tier: u8) -> u8 {
+        self.waits.range(..tier).count().min(usize::from(u8::MAX)) as u8
+    }
+
     /// The longest wait that any class of a tier allows.
     pub fn longest_wait(&self, tier: u8) -> Option<Micros> {
         self.waits.get(&tier).copied()
--- a/crates/drumusher-schedule/src/pool/room.rs
+++ b/crates/drumusher-schedule/src/pool/room.rs
@@ -172,7 +172,7 @@
         if self.resumes_first(now, ask) {
             return 0;
         }
-        self.policy.tier(ask.class).min(LEAST_URGENCY)
+        self.tiers.rank(self.policy.tier(ask.class)).min(LEAST_URGENCY)
     }
 
     /// The urgency that a grant carries; `None` for the priority of the route.
--- a/crates/drumusher-schedule/tests/schedule/read_ahead.rs
+++ b/crates/drumusher-schedule/tests/schedule/read_ahead.rs
@@ -170,3 +170,12 @@
     let wait = harness.pool.servers().map(|(_, server)| server.engine().wait(harness.now, 1));
     assert!(wait.max() >= Some(150 * MILLISECOND));
 }
+
+/// Guards against equal urgencies in engines for all routes, where the priorities of workspaces make
+/// the numbers of the tiers large.
+#[test]
+fn the_urgency_in_an_engine_is_the_rank_of_the_tier() {
+    let classes = [16, 17, 34].map(|tier| Class::new("class", tier));
+    let tiers = Policy::new(classes.to_vec(), Vec::new()).tiers();
+    assert_eq!([16, 17, 34].map(|tier| tiers.rank(tier)), [0, 1, 2]);
+}
