--- a/crates/drumusher-schedule/src/pool/room.rs
+++ b/crates/drumusher-schedule/src/pool/room.rs
@@ -55,15 +55,21 @@
         self.wait(now, engine) as f64 - engine.queue_time(now) as f64
     }
 
+    /// Whether the engine is expected to reach the prompt within the time of prompts given ahead. An
+    /// overdue first event does not count: an engine that is slower than expected would get nothing
+    /// until it ends, and with all engines in a burst overdue, the most urgent requests would wait
+    /// at the dispatcher for no other. The cost of the engine counts it.
     fn is_read_soon(self, now: Micros, server: &Server) -> bool {
-        self.wait(now, server.engine()) <= self.read_ahead
+        let ahead = server.engine().backlog().time_ahead(now, self.urgency) as f64;
+        ahead / self.free_part <= self.read_ahead as f64
     }
 }
 
-/// Memory of an engine that its running requests do not need, in tokens.
+/// Memory of an engine that its running requests do not hold, in tokens. Parts that they share
+/// count once.
 fn free_memory(server: &Server) -> u64 {
     let memory = server.profile().map_or(u64::MAX, |profile| profile.tokens);
-    memory.saturating_sub(server.engine().backlog().memory())
+    memory.saturating_sub(server.engine().cache().held_tokens())
 }
 
 /// Recent prefill by urgency, as a part of the engines' time.
--- a/crates/drumusher-schedule/tests/schedule/read_ahead.rs
+++ b/crates/drumusher-schedule/tests/schedule/read_ahead.rs
@@ -171,6 +171,18 @@
     assert!(wait.max() >= Some(150 * MILLISECOND));
 }
 
+/// Guards against urgent requests that wait at the dispatcher because first events on all engines
+/// are overdue, as in a burst on engines that are slower than expected.
+#[test]
+fn overdue_first_events_do_not_hold_urgent_requests_back() {
+    let mut harness = pool(Some(PROFILE));
+    for id in 1..=2 {
+        assert!(place(&mut harness, id, URGENT, 1_000).is_some());
+    }
+    harness.now += 800 * MILLISECOND;
+    assert!(place(&mut harness, 3, URGENT, 1_000).is_some());
+}
+
 /// Guards against equal urgencies in engines for all routes, where the priorities of workspaces make
 /// the numbers of the tiers large.
 #[test]
