--- a/crates/drumusher-schedule/src/pool/unmeetable.rs
+++ b/crates/drumusher-schedule/src/pool/unmeetable.rs
@@ -116,9 +116,10 @@
     }
 
     /// Whether a new request is expected to end after its caller stops waiting. None is while a
-    /// slot is free and nothing waits.
+    /// slot is free and nothing waits, or while a lower tier could yield.
     pub(super) fn is_unmeetable(&self, now: Micros, ask: &Ask) -> bool {
-        if self.settling(now) || self.queue.is_empty() && self.free(now) > 0 {
+        let idle = self.queue.is_empty() && self.free(now) > 0;
+        if self.settling(now) || idle || self.lower_may_yield(self.policy.tier(ask.class)) {
             return false;
         }
         let tokens = self.tokens_to_prefill(now, ask);
@@ -127,7 +128,8 @@
         latest.zip(wait).is_some_and(|(latest, wait)| now + wait > latest)
     }
 
-    /// Refuses the waiting requests that would end too late even if they began now.
+    /// Refuses the waiting requests that would end too late even if they began now, unless a lower
+    /// tier could yield.
     pub(super) fn refuse_unmeetable(&mut self, now: Micros, orders: &mut Vec<Order>) {
         if self.settling(now) || !self.policy.switches.unmeetable {
             return;
@@ -135,8 +137,9 @@
         let late: Vec<Key> =
             self.latest_starts.range(..(now, Key(0))).map(|(_, key)| *key).collect();
         for key in late {
+            let Some(waiting) = self.waiting_at(key) else { continue };
             // Its answer may have begun at another dispatcher since it was queued.
-            if self.waiting_at(key).is_some_and(|waiting| waiting.ask.has_begun()) {
+            if waiting.ask.has_begun() || self.lower_may_yield(waiting.tier) {
                 continue;
             }
             if let Some(waiting) = self.remove_waiting(key) {
--- a/crates/drumusher-schedule/tests/schedule/invariants.rs
+++ b/crates/drumusher-schedule/tests/schedule/invariants.rs
@@ -109,10 +109,7 @@
                 Order::Refuse { id, refusal, .. } => {
                     assert!(self.waiting.remove(&id), "{id} was refused and did not wait");
                     let tier = requests[&id].class.0 as u8;
-                    let own = matches!(
-                        refusal,
-                        Refusal::WorkspaceLimit | Refusal::NoServer | Refusal::Unmeetable
-                    );
+                    let own = matches!(refusal, Refusal::WorkspaceLimit | Refusal::NoServer);
                     // Beyond twice its limit the queue does not grow, whatever runs.
                     let hard =
                         refusal == Refusal::QueueFull && harness.pool.waiting() >= 2 * MAX_QUEUE;
