--- a/crates/drumusher-duty/tests/duty/usage.rs
+++ b/crates/drumusher-duty/tests/duty/usage.rs
@@ -162,6 +162,13 @@
     Update { through_ms, ..update }
 }
 
+/// Whether window 7 is due after the report of window 6.
+fn is_seventh_due(aggregate: &Aggregate, now_ms: u64, instances: &Instances) -> bool {
+    let progress = Progress { reported: Some(6), ..Progress::default() };
+    let read = ReadSpan { since_ms: 0, until_ms: now_ms };
+    aggregate.due(&progress, &OPTIONS, read, instances).is_some()
+}
+
 /// Guards against a report without the counts of unreachable instances: a third of the instances was partitioned for
 /// 12 s, and 941 of 2,451 requests of a window were not reported.
 #[rstest]
@@ -184,9 +191,7 @@
         |at, reachable| instances.record(at, [("i1", true), ("i2", reachable)].into_iter());
     record(since_ms, false);
     returned_ms.into_iter().for_each(|at| record(at, true));
-    let progress = Progress { reported: Some(6), ..Progress::default() };
-    let read = ReadSpan { since_ms: 0, until_ms: now_ms };
-    assert_eq!(aggregate.due(&progress, &OPTIONS, read, &instances).is_some(), due);
+    assert_eq!(is_seventh_due(&aggregate, now_ms, &instances), due);
 }
 
 /// Guards against a report without the counts of an instance that was removed as lost while it was partitioned.
@@ -222,9 +227,7 @@
     let mut instances = Instances::new();
     let names = if listed { vec![("i1", true), ("i2", true)] } else { vec![("i1", true)] };
     instances.record(36_000, names.into_iter());
-    let progress = Progress { reported: Some(6), ..Progress::default() };
-    let read = ReadSpan { since_ms: 0, until_ms: now_ms };
-    assert_eq!(aggregate.due(&progress, &OPTIONS, read, &instances).is_some(), due);
+    assert_eq!(is_seventh_due(&aggregate, now_ms, &instances), due);
 }
 
 /// A writer that counts nothing more publishes once more, so that no report waits for it.
--- a/crates/drumusher-schedule/src/policy.rs
+++ b/crates/drumusher-schedule/src/policy.rs
@@ -160,7 +160,8 @@
     pub slow: bool,
     /// Backend servers that fail far more often than the others are relieved of requests.
     pub outliers: bool,
-    /// What an engine keeps is believed by its memory in tokens; otherwise by the number of parts.
+    /// The model of an engine's cache is bounded by its memory and follows what the engine reports;
+    /// otherwise it is bounded by the number of parts.
     pub memory: bool,
     /// Requests wait for a prompt part that an engine is prefilling, to be copied to another one.
     pub await_copies: bool,
--- a/crates/drumusher-schedule/tests/schedule/await_copies.rs
+++ b/crates/drumusher-schedule/tests/schedule/await_copies.rs
@@ -5,14 +5,13 @@
     engine::Profile,
     event::Event,
     order::Order,
-    policy::{Class, Policy, Workspace},
-    server::{Key, Options},
+    server::Key,
     time::{MILLISECOND, SECOND},
 };
 use proptest::prelude::*;
 use rstest::rstest;
 
-use crate::support::{Harness, ask};
+use crate::support::{Harness, ask, engine_pool};
 
 const PROFILE: Profile =
     Profile { tokens: 500_000, token_bytes: 100_000, link_mbps: 200_000.0, event_tokens: 4 };
@@ -25,17 +24,7 @@
 }
 
 fn pool(engines: u16, off: &[&str]) -> Harness {
-    let class = Class::new("long", 0).with_first_token(2 * SECOND);
-    let mut policy = Policy::new(vec![class], vec![Workspace::new("a")]);
-    for name in [off, &["read_ahead", "pace"]].concat() {
-        policy.switches.turn_off(name).expect("there is such a switch");
-    }
-    let mut harness = Harness::new(policy, 0, 0);
-    for key in 0..engines {
-        let options = Options { profile: Some(PROFILE), ..Options::default() };
-        harness.handle(Event::Server(Key(key), options));
-    }
-    harness
+    engine_pool(PROFILE, engines, off)
 }
 
 fn placement(orders: &[Order]) -> Option<(Id, Key, Option<Key>)> {
--- a/crates/drumusher-schedule/tests/schedule/cache.rs
+++ b/crates/drumusher-schedule/tests/schedule/cache.rs
@@ -5,14 +5,13 @@
     engine::{Profile, cache::Cache},
     event::Event,
     order::Order,
-    policy::{Class, Policy, Workspace},
-    server::{Key, Options},
-    time::{Micros, SECOND},
+    server::Key,
+    time::Micros,
 };
 use proptest::prelude::*;
 use rstest::rstest;
 
-use crate::support::{Harness, ask};
+use crate::support::{Harness, ask, engine_pool};
 
 const PROFILE: Profile =
     Profile { tokens: 100_000, token_bytes: 100_000, link_mbps: 200_000.0, event_tokens: 4 };
@@ -120,17 +119,7 @@
 
 /// A pool with slack of two engines, without the mechanisms of other parts.
 fn pool(off: &[&str]) -> Harness {
-    let class = Class::new("long", 0).with_first_token(2 * SECOND);
-    let mut policy = Policy::new(vec![class], vec![Workspace::new("a")]);
-    for name in [off, &["read_ahead", "pace"]].concat() {
-        policy.switches.turn_off(name).expect("there is such a switch");
-    }
-    let mut harness = Harness::new(policy, 0, 0);
-    for key in 0..2 {
-        let options = Options { profile: Some(PROFILE), ..Options::default() };
-        harness.handle(Event::Server(Key(key), options));
-    }
-    harness
+    engine_pool(PROFILE, 2, off)
 }
 
 fn placement(orders: &[Order]) -> Option<(Key, Option<Key>)> {
--- a/crates/drumusher-schedule/tests/schedule/reuse.rs
+++ b/crates/drumusher-schedule/tests/schedule/reuse.rs
@@ -6,12 +6,12 @@
     event::Event,
     policy::{Class, Policy, Workspace},
     reuse::How,
-    server::{Key, Options},
+    server::Key,
     time::SECOND,
 };
 use rstest::rstest;
 
-use crate::support::{Harness, ask, granted};
+use crate::support::{Harness, ask, engine_pool, granted};
 
 const PROFILE: Profile =
     Profile { tokens: 500_000, token_bytes: 100_000, link_mbps: 200_000.0, event_tokens: 4 };
@@ -48,16 +48,7 @@
     #[case] off: &[&str],
     #[case] expected: How,
 ) {
-    let class = Class::new("long", 0).with_first_token(2 * SECOND);
-    let mut policy = Policy::new(vec![class], vec![Workspace::new("a")]);
-    for name in [off, &["read_ahead", "pace"]].concat() {
-        policy.switches.turn_off(name).expect("there is such a switch");
-    }
-    let mut harness = Harness::new(policy, 0, 0);
-    for key in 0..2 {
-        let options = Options { profile: Some(PROFILE), ..Options::default() };
-        harness.handle(Event::Server(Key(key), options));
-    }
+    let mut harness = engine_pool(PROFILE, 2, off);
     let mut holder = None;
     if before != Before::Nothing {
         let orders = harness.ask(request(1, shared, &harness));
--- a/crates/drumusher-schedule/tests/schedule/support.rs
+++ b/crates/drumusher-schedule/tests/schedule/support.rs
@@ -4,6 +4,7 @@
 
 use drumusher_schedule::{
     ask::{Ask, Entry, Id, Outcome},
+    engine::Profile,
     event::{Event, Progress},
     order::Order,
     policy::{Class, ClassKey, Policy, Workspace, WorkspaceKey},
@@ -62,6 +63,22 @@
     Ask { workspace: WorkspaceKey(workspace), ..ask(id, class, arrived) }
 }
 
+/// A pool with slack of some engines and one class of long prompts. Limits on prompts ahead and the
+/// choice by pace are off, and so are the given mechanisms.
+pub fn engine_pool(profile: Profile, engines: u16, off: &[&str]) -> Harness {
+    let class = Class::new("long", 0).with_first_token(2 * SECOND);
+    let mut policy = Policy::new(vec![class], vec![Workspace::new("a")]);
+    for name in [off, &["read_ahead", "pace"]].concat() {
+        policy.switches.turn_off(name).expect("there is such a switch");
+    }
+    let mut harness = Harness::new(policy, 0, 0);
+    for key in 0..engines {
+        let options = server::Options { profile: Some(profile), ..server::Options::default() };
+        harness.handle(Event::Server(server::Key(key), options));
+    }
+    harness
+}
+
 impl Harness {
     /// A pool with backend servers of `slots` slots each.
     pub fn new(policy: Policy, servers: u16, slots: u32) -> Self {
