--- a/review/stand-ins/src/surplus.rs
+++ b/review/stand-ins/src/surplus.rs
@@ -71,6 +71,9 @@
         context.line(format!(
             "its extra answer to {what} comes late, in the place of the answer due next"
         ));
+        if id.is_empty() {
+            return worker::shed_health(context, stream).map(drop);
+        }
         worker::shed(stream, &id).map(drop)
     }
 }
@@ -162,7 +165,7 @@
                     if is_garbling {
                         extras.note(stream.peer_addr()?, "");
                     }
-                    return worker::shed(stream, "");
+                    return worker::shed_health(context, stream);
                 };
                 return worker::healthy(context, stream);
             }
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -108,6 +108,13 @@
     Ok(ConnectionAction::Keep)
 }
 
+/// Turns a health check away, as a worker does that is full. It has no attempt id to give back.
+pub fn shed_health(context: &Context, stream: &mut TcpStream) -> io::Result<ConnectionAction> {
+    let headers = [("Drumusher-Not-Executed", "1"), ("Drumusher-Instance-Id", context.id.as_str())];
+    http::respond(stream, 503, &headers, b"full")?;
+    Ok(ConnectionAction::Keep)
+}
+
 /// Answers a request that has run.
 pub fn answer(stream: &mut TcpStream, id: &str, more: &[(&str, &str)]) -> io::Result<()> {
     let seal = format!("seal-{id}");
