relay: a resumed stream is judged by the framing of the attempt that ends it

Cause: a relay carried the head of the first attempt over to the next one, and with it whether the body ends with its connection. A resumed body without a length that closed inside an event so counted as whole if the first attempt had sent chunks.

A relay is now the state of one attempt. What passes from one to the next is the progress of the stream (its last event and their count), and the status for the log stays with the response. This also mends counts that were mixed over two attempts: progress reported to the dispatcher fell at a resumption, the first gap after it was reported too small, and a resumed stream was counted twice among the times to the first event. The end of a request now logs the number of its events.

--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -51,7 +51,7 @@
 use self::cells::Pools;
 use super::{
     Handle, digest,
-    relay::Relay,
+    relay::{Progress, Relay},
     ticket::{Spec, Ticket},
 };
 use crate::{
@@ -212,7 +212,7 @@
                     };
                 }
             };
-            match self.attempt(&backend, None).await {
+            match self.attempt(&backend, Progress::default()).await {
                 Ok((BackendResponse::Buffered(response), conn)) => {
                     self.return_conn(&backend, conn);
                     return self.respond_with(&backend, response);
@@ -232,7 +232,7 @@
     }
 
     /// Sends the request to a backend server and waits for its response, or for the first events of a stream.
-    /// `last_event` is the number of the last event delivered, if the stream is to be resumed after it.
+    /// A stream is resumed after `progress`.
     ///
     /// # Errors
     ///
@@ -240,7 +240,7 @@
     pub async fn attempt(
         &mut self,
         backend: &Backend,
-        last_event: Option<u64>,
+        progress: Progress,
     ) -> Result<(BackendResponse<D>, Conn), Failure> {
         let mut conn = self.connect(backend).await?;
         // A notice may have arrived from another response while connecting.
@@ -262,7 +262,7 @@
             server: &backend.name,
             source,
             remaining_ms,
-            last_event,
+            last_event: progress.last_event,
             urgency: self.urgency,
         };
         let headers = self.request.attempt_headers(dialect, &terms);
@@ -283,7 +283,7 @@
             return Err(Failure::Broken(upstream::Error::Malformed));
         }
         if is_success && self.request.route_match.kind.streams() {
-            let mut relay = Relay::new(head, began, last_event);
+            let mut relay = Relay::new(head, began, progress);
             relay.wait_first_event(self, &mut conn, until).await.map_err(Failure::Broken)?;
             return Ok((BackendResponse::Stream(Box::new(relay)), conn));
         }
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -145,6 +145,7 @@
             status = status,
             first_ms = self.timing.client_first_event.unwrap_or(0) / MILLISECOND,
             gap_ms = self.timing.longest_gap / MILLISECOND,
+            events = self.timing.events,
             lasted_ms = self.age_ms();
             "request ended: {outcome}"
         );
--- a/crates/drumusher/src/routed/exchange/timing.rs
+++ b/crates/drumusher/src/routed/exchange/timing.rs
@@ -11,12 +11,15 @@
     pub client_first_event: Option<Micros>,
     /// The longest gap between two events sent to the client.
     pub longest_gap: Micros,
+    /// Number of events sent to the client.
+    pub events: u32,
     latest_event: Micros,
 }
 
 impl StreamTiming {
-    /// Records that events were sent to the client at `now`.
-    pub fn record_event(&mut self, now: Micros, arrived: Micros) {
+    /// Records that events were sent to the client at `now`, the last of which is number `events` of the stream.
+    pub fn record_events(&mut self, now: Micros, arrived: Micros, events: u32) {
+        self.events = events;
         match self.client_first_event {
             None => self.client_first_event = Some(now.saturating_sub(arrived)),
             Some(_) => {
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -49,7 +49,17 @@
 
 impl std::error::Error for StreamAborted {}
 
-/// An event stream, across the attempts that produce it.
+/// How much of a stream has been received, over all of its attempts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Progress {
+    /// Number of the last complete event.
+    pub last_event: Option<u64>,
+    /// Count of complete events.
+    pub events: u32,
+}
+
+/// An event stream as one attempt produces it. A resumed stream gets a new relay, which takes over nothing but the
+/// [`Progress`]: backend servers frame their responses differently.
 pub struct Relay<D> {
     head: Head,
     started: Micros,
@@ -57,9 +67,7 @@
     buffer: BytesMut,
     /// Complete events that are ready for the client.
     ready: BytesMut,
-    /// Number of the last complete event.
-    last_event: Option<u64>,
-    events: u32,
+    progress: Progress,
     reported_at: Micros,
     reported_events: u32,
     complete: bool,
@@ -68,6 +76,8 @@
 
 /// A stream that is being sent to its client.
 struct ActiveStream<D: Dialect> {
+    /// Status of the response to the client.
+    status: u16,
     relay: Relay<D>,
     exchange: Exchange<D>,
     backend: Backend,
@@ -77,17 +87,17 @@
 }
 
 impl<D: Dialect> Relay<D> {
-    /// Creates a relay for a stream whose head was received.
-    pub fn new(head: Head, started: Micros, last_event: Option<u64>) -> Self {
+    /// Creates a relay for an attempt that was sent at `started` and whose head was received. The stream goes on after
+    /// `progress`.
+    pub fn new(head: Head, started: Micros, progress: Progress) -> Self {
         Relay {
             head,
             started,
             buffer: BytesMut::new(),
             ready: BytesMut::new(),
-            last_event,
-            events: 0,
+            progress,
             reported_at: started,
-            reported_events: 0,
+            reported_events: progress.events,
             complete: false,
             dialect: std::marker::PhantomData,
         }
@@ -108,16 +118,19 @@
             let part = exchange.next_part(conn, until).await?;
             self.push(exchange, part)?;
         }
+        let begins = exchange.timing.client_first_event.is_none();
         let elapsed = clock::now() - self.started;
         exchange.timing.backend_first_event = Some(elapsed);
         exchange.first_event_at = Some(clock::now());
         exchange.bind_stream();
-        exchange.ticket.report_progress(self.events, Some(elapsed), 0);
+        exchange.ticket.report_progress(self.progress.events, Some(elapsed), 0);
         self.reported_at = clock::now();
-        self.reported_events = self.events;
-        let class = &exchange.request.route_match.class;
-        let seconds = exchange.age_ms() as f64 / 1_000.0;
-        exchange.worker.shared.telemetry.record_first_token(class, seconds);
+        self.reported_events = self.progress.events;
+        if begins {
+            let class = &exchange.request.route_match.class;
+            let seconds = exchange.age_ms() as f64 / 1_000.0;
+            exchange.worker.shared.telemetry.record_first_token(class, seconds);
+        }
         Ok(())
     }
 
@@ -144,11 +157,12 @@
         while let Some(end) = memmem::find(&self.buffer, EVENT_DELIMITER) {
             let event = self.buffer.split_to(end + EVENT_DELIMITER.len());
             let number = exchange.worker.dialect.event_number(&event);
-            if number.is_some() && number <= self.last_event && exchange.attempts_sent > 1 {
+            if number.is_some() && number <= self.progress.last_event && exchange.attempts_sent > 1
+            {
                 continue;
             }
-            self.last_event = number.or(self.last_event);
-            self.events += 1;
+            self.progress.last_event = number.or(self.progress.last_event);
+            self.progress.events += 1;
             self.ready.extend_from_slice(&event);
         }
         if self.buffer.len() > MAX_EVENT_BYTES {
@@ -160,13 +174,13 @@
 
     fn report(&mut self, exchange: &mut Exchange<D>) {
         let now = clock::now();
-        let new = u64::from(self.events - self.reported_events);
+        let new = u64::from(self.progress.events - self.reported_events);
         if new == 0 || now < self.reported_at + REPORT_INTERVAL {
             return;
         }
-        exchange.ticket.report_progress(self.events, None, (now - self.reported_at) / new);
+        exchange.ticket.report_progress(self.progress.events, None, (now - self.reported_at) / new);
         self.reported_at = now;
-        self.reported_events = self.events;
+        self.reported_events = self.progress.events;
     }
 
     /// Builds the response to the client, with the stream as its body.
@@ -174,6 +188,7 @@
         let mut builder = exchange.response_builder(&self.head);
         let client = exchange.request.client.clone();
         let active = ActiveStream {
+            status: self.head.status,
             relay: self,
             exchange,
             backend,
@@ -194,7 +209,8 @@
     async fn next(&mut self) -> Option<Result<Bytes, StreamAborted>> {
         loop {
             if !self.relay.ready.is_empty() {
-                self.exchange.timing.record_event(clock::now(), self.exchange.request.arrived);
+                let (arrived, events) = (self.exchange.request.arrived, self.relay.progress.events);
+                self.exchange.timing.record_events(clock::now(), arrived, events);
                 return Some(Ok(self.relay.ready.take()));
             }
             if self.relay.complete {
@@ -231,7 +247,7 @@
 
     fn finish(&mut self) {
         self.exchange.ticket.finish(Outcome::Done);
-        self.exchange.log_end(&self.backend.name, "delivered", self.relay.head.status);
+        self.exchange.log_end(&self.backend.name, "delivered", self.status);
         if let Some(conn) = self.conn.take() {
             self.exchange.return_conn(&self.backend, conn);
         }
@@ -265,13 +281,11 @@
     async fn resume(&mut self) -> Result<(), Option<Failure>> {
         let backend = self.exchange.acquire_backend().await.map_err(|_| None)?;
         self.backend = backend.clone();
-        let last_event = self.relay.last_event;
-        let (received, conn) = self.exchange.attempt(&backend, last_event).await.map_err(Some)?;
-        let BackendResponse::Stream(mut next) = received else {
+        let progress = self.relay.progress;
+        let (received, conn) = self.exchange.attempt(&backend, progress).await.map_err(Some)?;
+        let BackendResponse::Stream(next) = received else {
             return Err(None);
         };
-        std::mem::swap(&mut next.head, &mut self.relay.head);
-        next.events += self.relay.events;
         self.relay = *next;
         self.conn = Some(conn);
         Ok(())
@@ -280,7 +294,7 @@
     /// Closes the client's connection in the middle of the response.
     fn abort(&mut self) {
         self.aborted = true;
-        self.exchange.log_end(&self.backend.name, "broken off", self.relay.head.status);
+        self.exchange.log_end(&self.backend.name, "broken off", self.status);
         if let Some(client) = &self.client {
             client.terminate();
         }
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -32,6 +32,49 @@
     assert!(resumed > 0, "some streams began at the failing server");
 }
 
+/// A stream that is cut in the middle of an event never ends as complete, whichever framing the earlier attempt had.
+#[test]
+fn resumed_stream_that_is_cut_again_does_not_end_as_complete() {
+    let deployment = Deployment::new(1);
+    deployment.server("m1").set(Fault::CutStream);
+    deployment.server("m2").set(Fault::UnframedStreamCut);
+    let mut resumed_unframed = 0;
+    for _ in 0..12 {
+        let request = Request::post("/talk/", "x").without("Drumusher-Prompt-Prefix");
+        let response = deployment.send(0, &request).expect("a response");
+        if response.status != 200 {
+            continue;
+        }
+        assert!(!response.complete, "{}", response.text());
+        assert!(events(&request.id).starts_with(&response.text()), "{}", response.text());
+        let run_at = |server: &str| {
+            let runs = deployment.server(server).runs();
+            runs.into_iter().find(|run| run.id == request.id).map(|run| run.at)
+        };
+        let (framed, unframed) = (run_at("m1"), run_at("m2"));
+        resumed_unframed += usize::from(framed.zip(unframed).is_some_and(|(m1, m2)| m1 < m2));
+    }
+    assert!(resumed_unframed > 0, "some streams were resumed at the server without framing");
+}
+
+/// A resumed stream counts once among the times to the first event.
+#[test]
+fn first_event_of_a_resumed_stream_is_measured_once() {
+    let deployment = Deployment::new(1);
+    let measured = || deployment.instances[0].metric(&["time_to_first_token", "_count"]);
+    let before = measured();
+    deployment.server("m1").set(Fault::CutStream);
+    let mut attempts = 0;
+    for _ in 0..8 {
+        let request = Request::post("/talk/", "x");
+        let response = deployment.send(0, &request).expect("a response");
+        assert_eq!((response.status, response.text()), (200, events(&request.id)));
+        attempts += deployment.runs(&request.id);
+    }
+    assert!(attempts > 8, "some streams were resumed");
+    assert_eq!(measured(), before + 8.0);
+}
+
 /// A non-resumable stream is cut after a complete event, without an end of the body, and is not run again.
 #[test]
 fn non_resumable_stream_is_cut_without_an_end() {
