upstream: a response to HEAD has no body, also after one to another request

Cause: when a response to an earlier request is skipped, the decoder forgot that the request was a HEAD, and would wait for a body that never comes. Found by reading, as state of one response that the next one needs; no caller was seen to meet it. Test: response::responses_to_a_head_request_have_no_body, for a decoder that expects the next response; the method is new, so that the test did not exist before.

--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -241,7 +241,7 @@
     /// Expects another response, after one that belonged to an earlier request.
     pub fn expect_next_response(&mut self) {
         self.reusable = false;
-        self.codec.response.expect(false);
+        self.codec.response.expect_next();
     }
 
     /// Ends a request whose response is complete. Returns whether the connection can be kept for another request.
--- a/crates/drumusher/src/upstream/response.rs
+++ b/crates/drumusher/src/upstream/response.rs
@@ -89,6 +89,11 @@
         self.skipped.set(0);
     }
 
+    /// Expects another response to the request that was sent last.
+    pub fn expect_next(&self) {
+        self.expect(self.is_head.get());
+    }
+
     /// Returns whether no response is in progress.
     pub fn is_idle(&self) -> bool {
         self.state.get() == State::Idle
--- a/crates/drumusher/tests/unit/response.rs
+++ b/crates/drumusher/tests/unit/response.rs
@@ -66,6 +66,20 @@
     assert_eq!(decode(bytes, size), Some((status, body.to_vec(), complete, left)));
 }
 
+/// A response to a HEAD request has no body, also if that to another request came first.
+#[test]
+fn responses_to_a_head_request_have_no_body() {
+    let codec = Codec::new();
+    codec.expect(true);
+    let mut source = BytesMut::new();
+    for _ in 0..2 {
+        source.extend_from_slice(b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n");
+        assert!(matches!(codec.decode(&mut source), Ok(Some(Part::Head(_)))));
+        assert!(matches!(codec.decode(&mut source), Ok(Some(Part::End))));
+        codec.expect_next();
+    }
+}
+
 #[rstest]
 #[case(b"\x00\x01 this is no answer\r\n\r\n")]
 #[case(b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n")]
