stop: requests that wait for a backend server are refused before the process ends

A closed connection promises nothing, so a request that may not be repeated was lost though it had not run.

Cause: a request waits for a grant until its own deadline, whether the instance stops or not, and the process ends after 0.85 of the time for a stop. Now such a request waits for half of that time, in which it may still be granted, run and answered. Then it is refused: 503, not run, and a time to come back. One whose deadline comes before the cut waits on, since it loses nothing by it. A stream that has begun may still be resumed until the cut. The same holds for the product's own interface, and a request no longer waits for the first configuration of an instance that stops.

A cut now logs how many of the requests still waited, which tells requests that were never sent from those at work.

--- a/crates/drumusher/src/process/broker.rs
+++ b/crates/drumusher/src/process/broker.rs
@@ -98,6 +98,8 @@
     Refused(i16, u64),
     /// No decision arrived in time.
     Expired,
+    /// This instance stops before a decision arrived.
+    Stopping,
 }
 
 impl Reply {
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -25,6 +25,7 @@
 //! | [`explain`] | explanations of recent requests' outcomes |
 //! | [`telemetry`] | metrics and trace spans |
 //! | [`logs`] | logging |
+//! | [`stop`] | times of a planned stop |
 //! | [`clock`] | the process's clock |
 //! | [`counts`] | requests and retries by the time at which they were sent |
 //! | [`notices`] | limits, back-off periods and departures announced by backend servers |
@@ -47,6 +48,7 @@
 pub mod routes;
 pub mod serve;
 pub mod shared;
+pub mod stop;
 pub mod streams;
 pub mod telemetry;
 
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -23,6 +23,7 @@
     peers::{self, Peers, Rings},
     platform,
     shared::Receivers,
+    stop::Schedule,
     telemetry::Telemetry,
 };
 use crate::{
@@ -32,9 +33,6 @@
 
 /// Timeout of the HTTP server's graceful shutdown once no request is in flight.
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(2);
-/// Share of the time allowed for a stop after which requests still in flight are cut, so that the process
-/// exits before it is killed.
-const STOP_TIME_SHARE: f64 = 0.85;
 /// Interval at which shutdown checks for requests in flight.
 const POLL_INTERVAL: Millis = Millis(20);
 
@@ -224,12 +222,16 @@
         sleep(POLL_INTERVAL).await;
     }
     let accept_for = shared.settings.stop_accept_ms * MILLISECOND;
-    let time_limit = (shared.settings.stop_longest_ms * MILLISECOND) as f64 * STOP_TIME_SHARE;
     let stop_began = clock::now();
+    let cut_at = Schedule::new(stop_began, shared.settings.stop_longest_ms).cut_at;
     loop {
         let in_flight = shared.requests.load(Ordering::Acquire);
         let elapsed = clock::now() - stop_began;
-        if forced.load(Ordering::Acquire) || elapsed as f64 >= time_limit {
+        if forced.load(Ordering::Acquire) || clock::now() >= cut_at {
+            if in_flight > 0 {
+                let waiting = shared.waiting.load(Ordering::Acquire);
+                log::warn!(in_flight = in_flight, waiting = waiting; "stopping: requests in flight are cut");
+            }
             return in_flight;
         }
         if in_flight == 0 && elapsed >= accept_for {
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -24,7 +24,7 @@
     clock, dispatch,
     explain::Explanations,
     notices::Notices,
-    peers, platform,
+    peers, platform, stop,
     streams::Streams,
     telemetry::Telemetry,
 };
@@ -109,6 +109,8 @@
     pub stopping_since: AtomicU64,
     /// Number of requests in flight.
     pub requests: AtomicUsize,
+    /// Number of these that wait for a grant.
+    pub waiting: AtomicUsize,
     /// Sender to the broker, which holds the asks owned by this instance.
     pub broker: broker::Sender,
     /// Sender to the dispatcher.
@@ -179,6 +181,7 @@
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
             requests: AtomicUsize::new(0),
+            waiting: AtomicUsize::new(0),
             broker,
             dispatch,
             peers,
@@ -228,6 +231,19 @@
         (since > 0).then(|| clock::now().saturating_sub(since))
     }
 
+    /// The schedule of the planned stop; `None` if it has not started.
+    pub fn stop_schedule(&self) -> Option<stop::Schedule> {
+        let since = self.stopping_since.load(Ordering::Acquire);
+        (since > 0).then(|| stop::Schedule::new(since, self.settings.stop_longest_ms))
+    }
+
+    /// Whether the planned stop has reached the point at which requests that wait for a backend server are refused.
+    /// `deadline` is the time until which the caller waits, if known.
+    pub fn stop_refuses_waiting(&self, deadline: Option<Micros>) -> bool {
+        let schedule = self.stop_schedule();
+        schedule.is_some_and(|schedule| schedule.refuses_waiting(clock::now(), deadline))
+    }
+
     /// Puts a configuration state into force if it is newer than the current one.
     pub fn publish(&self, state: State) {
         let current = self.version.load_full();
--- a/crates/drumusher/src/request/grant.rs
+++ b/crates/drumusher/src/request/grant.rs
@@ -31,6 +31,8 @@
 const MAX_WATCHED: usize = 4;
 /// Number of other availability zones that are tried after a refusal.
 const MAX_OVERFLOW_ZONES: usize = 2;
+/// Interval at which a waiting request checks whether this instance is stopping.
+const STOP_CHECK: Millis = Millis(250);
 /// Time that a dispatcher may take in addition to the class's wait bound, in milliseconds.
 const DISPATCHER_GRACE_MS: u64 = 10_000;
 
@@ -148,6 +150,12 @@
                         self.outlast_refusal(reason(refusal), retry_after / 1_000).await?;
                     }
                 }
+                Decision::Stopping => {
+                    span.fail("stopping");
+                    self.finish_attempt(Outcome::Cancelled);
+                    let message = "this instance is stopping";
+                    return Err(self.refusal_error(Kind::NotReady, message, 1_000));
+                }
                 Decision::Expired => {
                     span.fail("no answer");
                     self.finish_attempt(Outcome::Cancelled);
@@ -210,10 +218,16 @@
     /// Waits for the dispatcher's decision. A new request is given up if none arrives in time. One whose answer has
     /// begun is submitted again instead, since its dispatcher may let it wait for longer.
     async fn await_decision(&self, zone: &Arc<str>) -> Decision {
-        let longest = Millis((self.head.settings.wait_ms + DISPATCHER_GRACE_MS) as u32);
+        let longest = (self.head.settings.wait_ms + DISPATCHER_GRACE_MS) * MILLISECOND;
         loop {
-            if let Ok(decision) = timeout(longest, self.next_decision()).await {
-                return decision;
+            let until = clock::now() + longest;
+            while clock::now() < until {
+                if let Ok(decision) = timeout(STOP_CHECK, self.next_decision()).await {
+                    return decision;
+                }
+                if self.produced == 0 && self.shared.stop_refuses_waiting(None) {
+                    return Decision::Stopping;
+                }
             }
             if self.produced == 0 {
                 return Decision::Expired;
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -14,7 +14,10 @@
         clock,
         notices::Withheld,
     },
-    routed::digest,
+    routed::{
+        digest,
+        handler::{STOPPING, STOPPING_RETRY_MS},
+    },
     version::Backend,
 };
 
@@ -98,6 +101,11 @@
                     let error = self.not_run_error(ErrorKind::WaitBound, message, RETRY_AFTER_MS);
                     return Err(Refused { error, retry_budget_exhausted: false });
                 }
+                Decision::Stopping => {
+                    let error =
+                        self.not_run_error(ErrorKind::NotReady, STOPPING, STOPPING_RETRY_MS);
+                    return Err(Refused { error, retry_budget_exhausted: false });
+                }
             }
         }
         let message = "no backend server is usable";
--- a/crates/drumusher/src/routed/handler.rs
+++ b/crates/drumusher/src/routed/handler.rs
@@ -31,7 +31,9 @@
 /// An instance refuses new requests this long after it began to stop: later ones could not be finished.
 const REFUSE_AFTER_STOP: Micros = 2_800 * MILLISECOND;
 /// `Retry-After` in milliseconds after that; on a new connection the client reaches another instance.
-const STOPPING_RETRY_MS: u64 = 50;
+pub const STOPPING_RETRY_MS: u64 = 50;
+/// Message of a refusal by an instance that is stopping.
+pub const STOPPING: &str = "this instance is stopping";
 /// Headers that concern a single connection and are not forwarded: hop-by-hop headers, `expect` and `content-length`.
 const HOP_BY_HOP: [&str; 11] = [
     "connection",
@@ -133,22 +135,19 @@
         Some(ms) => started.min(clock::now() + ms * MILLISECOND / STARTUP_WAIT_DIVISOR),
         None => started,
     };
-    while shared.routing.load().is_none() && clock::now() < until {
+    while shared.routing.load().is_none() && clock::now() < until && !shared.stopping() {
         sleep(STARTUP_POLL).await;
     }
 }
 
 /// Returns the active routes, or an error if the instance has no configuration yet or is about to stop.
 fn routing(shared: &Shared) -> Result<Arc<Routing>, Error> {
-    let Some(routing) = shared.routing.load_full() else {
-        let message = "this instance has no configuration yet";
-        return Err(Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_RETRY_MS));
-    };
-    if shared.stopping_for().is_some_and(|time| time > REFUSE_AFTER_STOP) {
-        let message = "this instance is stopping";
-        return Err(Error::new(Kind::NotReady, message).with_retry_after(STOPPING_RETRY_MS));
+    let routing = shared.routing.load_full();
+    if shared.stopping_for().is_some_and(|time| routing.is_none() || time > REFUSE_AFTER_STOP) {
+        return Err(Error::new(Kind::NotReady, STOPPING).with_retry_after(STOPPING_RETRY_MS));
     }
-    Ok(routing)
+    let message = "this instance has no configuration yet";
+    routing.ok_or_else(|| Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_RETRY_MS))
 }
 
 fn denial_error(denial: Denial) -> Error {
--- a/crates/drumusher/src/routed/ticket.rs
+++ b/crates/drumusher/src/routed/ticket.rs
@@ -1,6 +1,6 @@
 //! A request's registration with the dispatcher.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use drumusher_log::quarantine::Digest;
 use drumusher_schedule::{
@@ -109,14 +109,22 @@
         until: Micros,
     ) -> Decision {
         while self.replies.try_recv().is_ok() {}
+        if self.is_refused_by_stop() {
+            return Decision::Stopping;
+        }
         self.outstanding = true;
         self.shared.broker.send(Input::Open(Box::new(self.build_request(avoid, attempt))));
+        let _waiting = Waiting::new(self.shared.clone());
         loop {
             // Timers stop while the machine is suspended, but the request's deadline does not.
             let left = until.saturating_sub(clock::now()) / MILLISECOND;
             let slice = left.clamp(1, u64::from(CLOCK_CHECK.0)) as u32;
             let reply = timeout(Millis(slice), self.replies.recv()).await;
             match reply.map(|reply| reply.map(Reply::into_decision)) {
+                Err(()) if self.is_refused_by_stop() => {
+                    self.finish(Outcome::Cancelled);
+                    return Decision::Stopping;
+                }
                 Err(()) if clock::now() + MILLISECOND <= until => {}
                 Ok(Ok(Some(decision))) => {
                     if let Decision::Refused(..) = decision {
@@ -134,6 +142,11 @@
         }
     }
 
+    /// Whether the request is refused because this instance stops. A stream that has begun may still be resumed in time.
+    fn is_refused_by_stop(&self) -> bool {
+        self.produced == 0 && self.shared.stop_refuses_waiting(Some(self.spec.deadline))
+    }
+
     fn build_request(&self, avoid: Option<Arc<str>>, attempt: Attempt) -> DispatchRequest {
         let spec = &self.spec;
         DispatchRequest {
@@ -177,6 +190,22 @@
     }
 }
 
+/// Guard that counts a request as waiting for a grant until it is dropped.
+struct Waiting(Arc<Shared>);
+
+impl Waiting {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.waiting.fetch_add(1, Ordering::AcqRel);
+        Waiting(shared)
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 impl Drop for Ticket {
     fn drop(&mut self) {
         if self.outstanding {
--- a/crates/drumusher/tests/routes/planned_stop.rs
+++ b/crates/drumusher/tests/routes/planned_stop.rs
@@ -1,14 +1,23 @@
 //! Planned stops: requests in flight are completed as far as time allows.
 
-use std::io::{Read, Write};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    thread,
+    time::Duration,
+};
 
 use drumusher_adapter_stand_in::{
     Fault,
-    server::{body, events},
+    server::{Notice, body, events},
 };
 use drumusher_bench::fleet::wait_for;
+use rstest::rstest;
+
+use crate::support::{Deployment, Request, configuration, read_response};
 
-use crate::support::{Deployment, Request, read_response};
+/// Time in which a request that was sent has been read.
+const SETTLE: Duration = Duration::from_millis(300);
 
 /// Requests in flight are completed, and the process exits with success.
 #[test]
@@ -64,6 +73,69 @@
     wait_for("the process ends", || deployment.instances[0].ended().is_some());
 }
 
+/// Two instances whose backend servers accept so few requests per second that further ones wait.
+fn limited_deployment(path: &str, limit: &str) -> Deployment {
+    let deployment = Deployment::new(2);
+    let routes = configuration(2, "next").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":15000");
+    deployment.store.put("keyed.op", "config", &routes);
+    for at in 0..2 {
+        wait_for("the configuration is in force", || {
+            let response = deployment.send(at, &Request::get("/next/")).expect("a response");
+            response.status != 404
+        });
+    }
+    deployment.servers.iter().for_each(|server| server.announce(Notice::limit(limit)));
+    wait_for("a request waits until its deadline", || {
+        let request = Request::post(path, "x").with("Drumusher-Deadline-Ms", "300");
+        deployment.send(0, &request).expect("a response").status == 503
+    });
+    deployment
+}
+
+/// Sends a request on a new connection.
+fn begin(deployment: &Deployment, instance: usize, request: &Request) -> TcpStream {
+    let mut conn = deployment.connect(instance).expect("a connection");
+    conn.write_all(&request.bytes()).expect("the request is sent");
+    conn
+}
+
+/// A request that waits for a backend server when its instance stops is refused before the process ends: it did not run,
+/// and its caller hears when to come back.
+#[rstest]
+#[case::stream("/draft/")]
+#[case::resumable_stream("/talk/")]
+#[case::booking("/book/")]
+#[case::repeatable("/read/")]
+fn waiting_requests_are_refused_before_a_stop_ends(#[case] path: &str) {
+    let mut deployment = limited_deployment(path, "0.001");
+    let waiting: Vec<Request> = (0..6).map(|_| Request::post(path, "x")).collect();
+    let conns: Vec<TcpStream> = waiting.iter().map(|r| begin(&deployment, 0, r)).collect();
+    thread::sleep(SETTLE);
+    deployment.instances[0].signal("TERM");
+    for (request, mut conn) in waiting.iter().zip(conns) {
+        let response = read_response(&mut conn).expect("a response");
+        assert_eq!((response.status, response.complete), (503, true), "{}", response.text());
+        assert!(response.text().contains(r#""ran":"no""#), "{}", response.text());
+        assert!(response.header("retry-after").is_some());
+        assert_eq!(deployment.runs(&request.id), 0);
+    }
+    wait_for("the process ends", || deployment.instances[0].ended().is_some());
+    assert!(deployment.instances[0].ended().expect("the process has ended").success());
+}
+
+/// A request that waits when its instance stops is served if a backend server accepts it in time.
+#[test]
+fn waiting_requests_are_served_during_a_stop() {
+    let deployment = limited_deployment("/draft/", "0.5");
+    let request = Request::post("/draft/", "x");
+    let mut conn = begin(&deployment, 0, &request);
+    thread::sleep(SETTLE);
+    deployment.instances[0].signal("TERM");
+    let response = read_response(&mut conn).expect("a response");
+    assert_eq!((response.status, response.complete), (200, true), "{}", response.text());
+    assert_eq!(response.text(), events(&request.id));
+}
+
 /// A request that is not finished in time, here by a second signal, is cut: the process ends and logs it.
 #[test]
 fn unfinished_requests_are_cut_and_logged() {
