memory: bodies of requests and responses are reserved before they are read

Cause: requests were admitted by their number alone, whatever their size, and a body was held up to three times (as it grew, as it was kept for another attempt, and as it was written). Buffered responses had the same lack of a bound.

With limits.memory_mb set, half of it is for bodies. A request whose declared length does not fit is refused before its body is read: 503, not run, with times to come back that differ. Large ones leave a quarter to small ones and to responses. A response that does not fit stays at its backend server until there is room, and is passed on in pieces as its caller reads, so that its memory is held until then. A body of unknown length reserves the maximum once it is large; bodies that grow together would wait for each other. A large body is written without a copy, and dropped once it cannot be sent again. Incomplete events of more than 64 KiB are reserved, too.

--- /dev/null
+++ b/crates/drumusher/src/process/memory.rs
@@ -0,0 +1,112 @@
+//! Memory for the bodies of requests and responses that an instance holds.
+//!
+//! An instance whose memory exceeds its limit is killed with all requests that it holds. So bodies are reserved before
+//! they are read: a request that does not fit is refused, and a response waits at its backend server.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+const MEGABYTE: usize = 1024 * 1024;
+/// Bodies get the memory limit divided by this. The rest is for tables, connections and their buffers.
+const LIMIT_DIVISOR: usize = 2;
+/// A body of up to this many bytes is small.
+pub const SMALL_BYTES: usize = 64 * 1024;
+/// Share of the budget that large request bodies leave to small ones and to responses, as a divisor.
+const SPARE_DIVISOR: usize = 4;
+
+/// What a reservation is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// The body of a request.
+    Request,
+    /// The body of a response.
+    Response,
+}
+
+/// Bounds the bytes of all bodies that the process holds.
+#[derive(Debug)]
+pub struct Budget {
+    limit: usize,
+    reserved: AtomicUsize,
+}
+
+impl Budget {
+    /// Creates a budget for a process with this memory limit; unlimited if there is none.
+    pub fn new(memory_mb: Option<u64>) -> Self {
+        let limit = memory_mb.map(|mb| mb as usize * MEGABYTE / LIMIT_DIVISOR);
+        Budget { limit: limit.unwrap_or(usize::MAX), reserved: AtomicUsize::new(0) }
+    }
+
+    /// Bytes of all reservations.
+    pub fn reserved(&self) -> usize {
+        self.reserved.load(Ordering::Acquire)
+    }
+
+    /// Number of bytes up to which all reservations may grow for a body of `bytes`. Small responses are always taken:
+    /// their requests have run, and the limit on requests in flight bounds them.
+    fn ceiling(&self, purpose: Use, bytes: usize) -> usize {
+        match purpose {
+            Use::Response if bytes <= SMALL_BYTES => usize::MAX,
+            Use::Request if bytes > SMALL_BYTES => self.limit - self.limit / SPARE_DIVISOR,
+            Use::Request | Use::Response => self.limit,
+        }
+    }
+}
+
+/// Bytes of a budget, which are released when it is dropped.
+#[derive(Debug)]
+pub struct Reservation {
+    budget: Arc<Budget>,
+    purpose: Use,
+    bytes: usize,
+}
+
+impl Reservation {
+    /// Creates a reservation of no bytes.
+    pub fn new(budget: Arc<Budget>, purpose: Use) -> Self {
+        Reservation { budget, purpose, bytes: 0 }
+    }
+
+    /// The bytes that are reserved.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Extends the reservation to `bytes` in all. Returns whether the budget allows it; otherwise nothing changes.
+    pub fn extend_to(&mut self, bytes: usize) -> bool {
+        let Some(more) = bytes.checked_sub(self.bytes).filter(|more| *more > 0) else {
+            return true;
+        };
+        let ceiling = self.budget.ceiling(self.purpose, bytes);
+        let grow =
+            |reserved: usize| reserved.checked_add(more).filter(|reserved| *reserved <= ceiling);
+        let reserved = &self.budget.reserved;
+        let extended = reserved.fetch_update(Ordering::AcqRel, Ordering::Acquire, grow).is_ok();
+        if extended {
+            self.bytes = bytes;
+        }
+        extended
+    }
+
+    /// Extends the reservation for a body of which `received` bytes have arrived, and which has at most `max_bytes`. If
+    /// it turns out to be large, all of these are reserved at once: bodies that grow together would wait for each other.
+    pub fn grow_to(&mut self, received: usize, max_bytes: usize) -> bool {
+        received <= self.bytes
+            || self.extend_to(if received <= SMALL_BYTES { received } else { max_bytes })
+    }
+
+    /// Releases all but `bytes`.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let surplus = self.bytes.saturating_sub(bytes);
+        self.bytes -= surplus;
+        self.budget.reserved.fetch_sub(surplus, Ordering::AcqRel);
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.shrink_to(0);
+    }
+}
--- a/crates/drumusher/src/process/mod.rs
+++ b/crates/drumusher/src/process/mod.rs
@@ -26,6 +26,7 @@
 //! | [`telemetry`] | metrics and trace spans |
 //! | [`logs`] | logging |
 //! | [`stop`] | times of a planned stop |
+//! | [`memory`] | memory for the bodies of requests and responses |
 //! | [`clock`] | the process's clock |
 //! | [`counts`] | requests and retries by the time at which they were sent |
 //! | [`notices`] | limits, back-off periods and departures announced by backend servers |
@@ -41,6 +42,7 @@
 mod duties;
 pub mod explain;
 pub mod logs;
+pub mod memory;
 pub mod notices;
 pub mod peers;
 pub mod platform;
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -23,6 +23,7 @@
     catalog::{self, Form},
     clock, dispatch,
     explain::Explanations,
+    memory,
     notices::Notices,
     peers, platform, stop,
     streams::Streams,
@@ -107,6 +108,8 @@
     pub stopping: AtomicBool,
     /// Start of the planned stop on the process's clock; 0 before.
     pub stopping_since: AtomicU64,
+    /// Memory for the bodies of requests and responses.
+    pub memory: Arc<memory::Budget>,
     /// Number of requests in flight.
     pub requests: AtomicUsize,
     /// Number of these that wait for a grant.
@@ -180,6 +183,7 @@
             configured: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
+            memory: Arc::new(memory::Budget::new(settings.limits.memory_mb)),
             requests: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             broker,
--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -75,7 +75,7 @@
     worker: &Worker,
 ) -> HttpResponse {
     let shared = &worker.shared;
-    let (in_flight, body) = match accept(shared, payload).await {
+    let (in_flight, body) = match accept(shared, request.headers(), payload).await {
         Ok(accepted) => accepted,
         Err(error) => return error.response(),
     };
@@ -89,7 +89,7 @@
     worker: types::State<Worker>,
 ) -> HttpResponse {
     let shared = &worker.shared;
-    let (in_flight, body) = match accept(shared, payload).await {
+    let (in_flight, body) = match accept(shared, request.headers(), payload).await {
         Ok(accepted) => accepted,
         Err(error) => return error.response(),
     };
@@ -104,20 +104,33 @@
 }
 
 /// Admits a request and reads its body.
-async fn accept(shared: &Arc<Shared>, payload: types::Payload) -> Result<(InFlight, Bytes), Error> {
+async fn accept(
+    shared: &Arc<Shared>,
+    headers: &HeaderMap,
+    payload: types::Payload,
+) -> Result<(InFlight, Bytes), Error> {
     let in_flight = InFlight::new(shared.clone())?;
-    let body = read_body(shared, payload).await?;
+    let mut in_flight = in_flight.with_body(headers, shared.settings.limits.body_bytes)?;
+    let body = read_body(shared, payload, |received| in_flight.receive(received)).await?;
+    in_flight.hold_body(body.len());
     Ok((in_flight, body))
 }
 
-/// Reads a body within the size limit and the time limit.
-async fn read_body(shared: &Shared, mut payload: types::Payload) -> Result<Bytes, Error> {
+/// Reads a body within the size limit and the time limit. `receive` gets the number of bytes that have arrived, and may
+/// refuse them.
+async fn read_body(
+    shared: &Shared,
+    mut payload: types::Payload,
+    mut receive: impl FnMut(usize) -> Result<(), Error>,
+) -> Result<Bytes, Error> {
     let limits = &shared.settings.limits;
     let read = timeout(Millis(limits.body_ms as u32), async {
         let mut body = BytesMut::new();
         while let Some(chunk) = payload.recv().await {
             let broken = |_| Error::new(Kind::BadRequest, "the request body ended prematurely");
-            body.extend_from_slice(&chunk.map_err(broken)?);
+            let chunk = chunk.map_err(broken)?;
+            receive(body.len() + chunk.len())?;
+            body.extend_from_slice(&chunk);
             if body.len() > limits.body_bytes {
                 let message = format!("the request body exceeds {} bytes", limits.body_bytes);
                 return Err(Error::new(Kind::TooLarge, message));
@@ -154,7 +167,7 @@
         Ok(author) => author,
         Err(error) => return error.response(),
     };
-    let statement = match read_body(&shared, payload).await {
+    let statement = match read_body(&shared, payload, |_| Ok(())).await {
         Ok(body) => String::from_utf8_lossy(&body).into_owned(),
         Err(error) => return error.response(),
     };
--- a/crates/drumusher/src/request/in_flight.rs
+++ b/crates/drumusher/src/request/in_flight.rs
@@ -1,17 +1,31 @@
-//! Limits the number of requests in flight at an instance.
+//! Limits the requests in flight at an instance: their number, and the memory for their bodies.
 
 use std::sync::{Arc, atomic::Ordering};
 
+use ntex::http::HeaderMap;
+
 use crate::{
     error::{Error, Kind},
-    process::Shared,
+    process::{
+        Shared,
+        memory::{Reservation, Use},
+    },
 };
 
 /// `Retry-After` of an instance that has reached its limit, in milliseconds.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// The same where memory is short. Callers that were refused together return at different times, most of them at other
+/// instances.
+const MEMORY_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_000;
 
 /// Guard that counts a request as in flight until it is dropped.
-pub struct InFlight(Arc<Shared>);
+pub struct InFlight {
+    shared: Arc<Shared>,
+    /// Memory for the body of the request.
+    memory: Reservation,
+    /// Maximum size of the body, in bytes.
+    max_bytes: usize,
+}
 
 impl InFlight {
     /// Admits a request.
@@ -22,7 +36,8 @@
     pub fn new(shared: Arc<Shared>) -> Result<InFlight, Error> {
         let max = shared.settings.limits.requests;
         let before = shared.requests.fetch_add(1, Ordering::AcqRel);
-        let in_flight = InFlight(shared);
+        let memory = Reservation::new(shared.memory.clone(), Use::Request);
+        let in_flight = InFlight { shared, memory, max_bytes: 0 };
         if before < max {
             return Ok(in_flight);
         }
@@ -30,14 +45,52 @@
         Err(Error::new(Kind::Overloaded, message).with_retry_after(RETRY_AFTER_MS))
     }
 
+    /// Reserves memory for the body of a request with these headers, of which at most `max_bytes` are read.
+    ///
+    /// # Errors
+    ///
+    /// [`Kind::Overloaded`] if the memory for bodies is taken.
+    pub fn with_body(mut self, headers: &HeaderMap, max_bytes: usize) -> Result<Self, Error> {
+        let length = headers.get("content-length").and_then(|value| value.to_str().ok());
+        let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+        self.max_bytes = max_bytes;
+        if self.memory.extend_to(max_bytes.min(length)) { Ok(self) } else { Err(memory_error()) }
+    }
+
+    /// Number of bytes of the body that are reserved.
+    pub fn body_bytes(&self) -> usize {
+        self.memory.bytes()
+    }
+
+    /// Reserves memory for a body of which `received` bytes have arrived.
+    ///
+    /// # Errors
+    ///
+    /// See [`InFlight::with_body`].
+    pub fn receive(&mut self, received: usize) -> Result<(), Error> {
+        let reserved = self.memory.grow_to(received, self.max_bytes);
+        if reserved { Ok(()) } else { Err(memory_error()) }
+    }
+
+    /// Releases the memory beyond `bytes`, the length of the body that is held.
+    pub fn hold_body(&mut self, bytes: usize) {
+        self.memory.shrink_to(bytes);
+    }
+
     /// Returns the state shared by the process.
     pub fn shared(&self) -> Arc<Shared> {
-        self.0.clone()
+        self.shared.clone()
     }
 }
 
+fn memory_error() -> Error {
+    let message = "the memory of this instance for request bodies is taken";
+    let retry_after_ms = rand::random_range(MEMORY_RETRY_AFTER_MS);
+    Error::new(Kind::Overloaded, message).with_retry_after(retry_after_ms)
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.requests.fetch_sub(1, Ordering::AcqRel);
+        self.shared.requests.fetch_sub(1, Ordering::AcqRel);
     }
 }
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -46,7 +46,10 @@
     ask,
     time::{MILLISECOND, Micros},
 };
-use ntex::http::{Method, Response};
+use ntex::{
+    http::{Method, Response},
+    util::Bytes,
+};
 
 use self::cells::Pools;
 use super::{
@@ -134,7 +137,7 @@
     may_have_run: bool,
     /// Whether the end of the request was logged.
     end_logged: Cell<bool>,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 impl<D: Dialect> Exchange<D> {
@@ -195,7 +198,7 @@
             grant_requested_at: 0,
             may_have_run: false,
             end_logged: Cell::new(false),
-            _in_flight: in_flight,
+            in_flight,
         }
     }
 
@@ -283,12 +286,11 @@
             return Err(Failure::Broken(upstream::Error::Malformed));
         }
         if is_success && self.request.route_match.kind.streams() {
-            let mut relay = Relay::new(head, began, progress);
+            let mut relay = Relay::new(head, began, progress, &self.worker.shared.memory);
             relay.wait_first_event(self, &mut conn, until).await.map_err(Failure::Broken)?;
             return Ok((BackendResponse::Stream(Box::new(relay)), conn));
         }
-        let body = self.read_body(&mut conn).await.map_err(Failure::Broken)?;
-        let response = BufferedResponse { head, body };
+        let response = self.read_body(&mut conn, head).await.map_err(Failure::Broken)?;
         if response.head.status >= 500 && self.request.route_match.kind == Kind::Repeatable {
             self.return_conn(backend, conn);
             return Err(Failure::Failed(Box::new(response)));
@@ -296,6 +298,12 @@
         Ok((BackendResponse::Buffered(response), conn))
     }
 
+    /// Drops the body of the request, which is not sent again.
+    pub fn release_body(&mut self) {
+        self.request.body = Bytes::new();
+        self.in_flight.hold_body(0);
+    }
+
     /// Logs every attempt after the first, with the time since its grant was requested. The retry budget bounds what
     /// is sent, so the log lines of all instances together show whether it holds.
     fn log_retry(&self, backend: &Backend) {
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -2,13 +2,13 @@
 
 use drumusher_platform::dialect::Dialect;
 use drumusher_schedule::{ask::Outcome, order::Refusal, time::MILLISECOND};
-use ntex::http::{Response, ResponseBuilder, StatusCode, body};
+use ntex::http::{Response, ResponseBuilder, StatusCode};
 
 use super::{BufferedResponse, Exchange, Failure, RETRY_AFTER_MS};
 use crate::{
     error::{Error, Kind, Ran},
     process::clock,
-    routed::{error_response, handler},
+    routed::{delivery::Delivery, error_response, handler},
     upstream::{self, response},
     version::Backend,
 };
@@ -98,7 +98,8 @@
         self.log_end(&backend.name, "delivered", buffered.head.status);
         let mut response = self.response_builder(&buffered.head).finish();
         response.head_mut().no_chunking(false);
-        response.set_body(body::Body::from(buffered.body))
+        let BufferedResponse { body, memory, .. } = buffered;
+        response.set_body(Delivery::new(body, memory).into())
     }
 
     /// Starts a response to the client from the head of a backend server's response.
--- a/crates/drumusher/src/routed/exchange/response.rs
+++ b/crates/drumusher/src/routed/exchange/response.rs
@@ -2,10 +2,17 @@
 
 use drumusher_platform::dialect::{Answer, Dialect};
 use drumusher_schedule::time::Micros;
-use ntex::util::{Bytes, BytesMut};
+use ntex::{
+    time::{Millis, sleep},
+    util::{Bytes, BytesMut},
+};
 
 use super::{Exchange, Failure};
 use crate::{
+    process::{
+        clock,
+        memory::{Reservation, Use},
+    },
     routed::relay::Relay,
     upstream::{
         self, Conn,
@@ -19,11 +26,15 @@
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
+/// Interval at which a response that waits for memory checks whether there is some.
+const MEMORY_POLL: Millis = Millis(16);
+
 /// A response with its complete body.
 #[derive(Debug)]
 pub struct BufferedResponse {
     pub(super) head: response::Head,
     pub(super) body: Bytes,
+    pub(super) memory: Reservation,
 }
 
 /// Result of a successful attempt.
@@ -72,25 +83,61 @@
         Err(Failure::Broken(upstream::Error::Malformed))
     }
 
-    /// Reads a complete body.
-    pub(super) async fn read_body(&mut self, conn: &mut Conn) -> Result<Bytes, upstream::Error> {
-        let mut body = BytesMut::new();
+    /// Reads a complete body. It is left at the backend server for as long as the memory for bodies is taken.
+    pub(super) async fn read_body(
+        &mut self,
+        conn: &mut Conn,
+        head: response::Head,
+    ) -> Result<BufferedResponse, upstream::Error> {
+        let budget = self.worker.shared.memory.clone();
+        let mut memory = Reservation::new(budget, Use::Response);
+        let length = head.content_length().unwrap_or(0).min(MAX_BODY_BYTES);
+        while !memory.extend_to(length) {
+            self.await_memory().await?;
+        }
+        let mut body = BytesMut::with_capacity(length);
         loop {
             match self.next_part(conn, self.deadline).await? {
-                Part::Data(bytes) => body.extend_from_slice(&bytes),
-                Part::End => return Ok(body.freeze()),
+                Part::Data(bytes) => {
+                    let received = body.len() + bytes.len();
+                    if received > MAX_BODY_BYTES {
+                        return Err(upstream::Error::Malformed);
+                    }
+                    while !memory.grow_to(received, MAX_BODY_BYTES) {
+                        self.await_memory().await?;
+                    }
+                    body.extend_from_slice(&bytes);
+                }
+                Part::End => {
+                    memory.shrink_to(body.len());
+                    return Ok(BufferedResponse { head, body: body.freeze(), memory });
+                }
                 Part::Head(_) => return Err(upstream::Error::Malformed),
             }
-            if body.len() > MAX_BODY_BYTES {
-                return Err(upstream::Error::Malformed);
-            }
         }
     }
 
-    /// Reads the body of a refusal, so that the connection can be reused.
+    /// Waits for memory to be released, for a moment.
+    async fn await_memory(&self) -> Result<(), upstream::Error> {
+        if clock::now() >= self.deadline {
+            return Err(upstream::Error::TimedOut);
+        }
+        self.worker.shared.telemetry.count("drumusher.responses.held", &[]);
+        sleep(MEMORY_POLL).await;
+        Ok(())
+    }
+
+    /// Skips the body of a refusal, so that the connection can be reused.
     pub(super) async fn drain_refusal(&mut self, backend: &Backend, mut conn: Conn) {
-        if self.read_body(&mut conn).await.is_ok() {
-            self.return_conn(backend, conn);
+        let mut skipped = 0;
+        loop {
+            match self.next_part(&mut conn, self.deadline).await {
+                Ok(Part::Data(bytes)) if skipped + bytes.len() <= MAX_BODY_BYTES => {
+                    skipped += bytes.len();
+                }
+                Ok(Part::End) => return self.return_conn(backend, conn),
+                Ok(_) | Err(_) => return,
+            }
         }
     }
 }
--- a/crates/drumusher/src/routed/handler.rs
+++ b/crates/drumusher/src/routed/handler.rs
@@ -117,9 +117,10 @@
     let route_match = routing.find(host(&request), &path, head.key.as_deref(), &head.id);
     let route_match = route_match.map_err(denial_error)?;
     let in_flight = InFlight::new(shared.clone())?;
+    let mut in_flight = in_flight.with_body(request.headers(), limits.body_bytes)?;
     let client = request.io().cloned();
     let in_use = client.as_ref().map(|io| worker.client_connections.begin_request(io));
-    let body = read_body(&mut request, limits, shared.settings.limits.body_ms).await?;
+    let body = read_body(&mut request, &mut in_flight, limits).await?;
     let headers = forwarded_headers(&worker.dialect, request.headers());
     let method = request.method().clone();
     Ok((
@@ -144,12 +145,16 @@
 fn routing(shared: &Shared) -> Result<Arc<Routing>, Error> {
     let routing = shared.routing.load_full();
     if shared.stopping_for().is_some_and(|time| routing.is_none() || time > REFUSE_AFTER_STOP) {
-        return Err(Error::new(Kind::NotReady, STOPPING).with_retry_after(STOPPING_RETRY_MS));
+        return Err(stopping_error());
     }
     let message = "this instance has no configuration yet";
     routing.ok_or_else(|| Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_RETRY_MS))
 }
 
+fn stopping_error() -> Error {
+    Error::new(Kind::NotReady, STOPPING).with_retry_after(STOPPING_RETRY_MS)
+}
+
 fn denial_error(denial: Denial) -> Error {
     match denial {
         Denial::NoRoute => Error::new(Kind::UnknownPath, "no route matches this host and path"),
@@ -179,12 +184,14 @@
 /// Reads the full request body within the size limit and the time limit.
 async fn read_body(
     request: &mut http::Request,
+    in_flight: &mut InFlight,
     limits: Limits,
-    timeout_ms: u64,
 ) -> Result<Bytes, Error> {
+    let shared = in_flight.shared();
+    let body_ms = shared.settings.limits.body_ms;
     let mut payload = request.take_payload();
     let reading = async move {
-        let mut body = BytesMut::new();
+        let mut body = BytesMut::with_capacity(in_flight.body_bytes());
         while let Some(chunk) = stream_recv(&mut payload).await {
             let chunk: Result<Bytes, PayloadError> = chunk;
             let chunk = chunk
@@ -192,12 +199,17 @@
             if body.len() + chunk.len() > limits.body_bytes {
                 return Err(Error::new(Kind::TooLarge, "the request body exceeds the size limit"));
             }
+            in_flight.receive(body.len() + chunk.len())?;
+            if shared.stop_refuses_waiting(None) {
+                return Err(stopping_error());
+            }
             body.extend_from_slice(&chunk);
         }
+        in_flight.hold_body(body.len());
         Ok(body.freeze())
     };
     let late = |()| Error::new(Kind::BadRequest, "the request body was not received in time");
-    timeout(Millis(timeout_ms as u32), reading).await.map_err(late)?
+    timeout(Millis(body_ms as u32), reading).await.map_err(late)?
 }
 
 /// Returns the client headers to forward to a backend server: all but hop-by-hop headers, headers named in
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -1,7 +1,7 @@
 //! Relays an event stream: forwards only complete events, each exactly once, and resumes the stream on another backend
 //! server if the route allows it.
 
-use std::fmt;
+use std::{fmt, sync::Arc};
 
 use drumusher_platform::{dialect::Dialect, routing::Kind};
 use drumusher_schedule::{
@@ -18,7 +18,10 @@
 
 use super::exchange::{BackendResponse, Exchange, Failure};
 use crate::{
-    process::clock,
+    process::{
+        clock,
+        memory::{Budget, Reservation, SMALL_BYTES, Use},
+    },
     upstream::{
         Conn, Error,
         response::{Head, Part},
@@ -71,6 +74,8 @@
     reported_at: Micros,
     reported_events: u32,
     complete: bool,
+    /// Memory for the buffer while it holds a large event.
+    memory: Reservation,
     dialect: std::marker::PhantomData<D>,
 }
 
@@ -89,7 +94,7 @@
 impl<D: Dialect> Relay<D> {
     /// Creates a relay for an attempt that was sent at `started` and whose head was received. The stream goes on after
     /// `progress`.
-    pub fn new(head: Head, started: Micros, progress: Progress) -> Self {
+    pub fn new(head: Head, started: Micros, progress: Progress, budget: &Arc<Budget>) -> Self {
         Relay {
             head,
             started,
@@ -99,6 +104,7 @@
             reported_at: started,
             reported_events: progress.events,
             complete: false,
+            memory: Reservation::new(budget.clone(), Use::Response),
             dialect: std::marker::PhantomData,
         }
     }
@@ -140,7 +146,8 @@
             Part::Head(_) => Err(Error::Malformed),
             Part::Data(bytes) => {
                 self.buffer.extend_from_slice(&bytes);
-                self.split_events(exchange)
+                self.split_events(exchange)?;
+                self.reserve_buffer()
             }
             Part::End if self.head.until_close && !self.buffer.is_empty() => Err(Error::Closed),
             Part::End => {
@@ -172,6 +179,17 @@
         Ok(())
     }
 
+    /// Reserves memory for an incomplete event if it is large.
+    fn reserve_buffer(&mut self) -> Result<(), Error> {
+        let bytes = self.buffer.len();
+        if bytes <= SMALL_BYTES {
+            self.memory.shrink_to(0);
+            return Ok(());
+        }
+        let reserved = self.memory.grow_to(bytes, MAX_EVENT_BYTES);
+        if reserved { Ok(()) } else { Err(Error::NoMemory) }
+    }
+
     fn report(&mut self, exchange: &mut Exchange<D>) {
         let now = clock::now();
         let new = u64::from(self.progress.events - self.reported_events);
@@ -184,8 +202,12 @@
     }
 
     /// Builds the response to the client, with the stream as its body.
-    pub fn respond(self, exchange: Exchange<D>, backend: Backend, conn: Conn) -> Response {
+    pub fn respond(self, mut exchange: Exchange<D>, backend: Backend, conn: Conn) -> Response {
         let mut builder = exchange.response_builder(&self.head);
+        let route_match = &exchange.request.route_match;
+        if route_match.kind != Kind::Resumable || exchange.attempts_sent >= route_match.attempts {
+            exchange.release_body();
+        }
         let client = exchange.request.client.clone();
         let active = ActiveStream {
             status: self.head.status,
--- a/crates/drumusher/src/settings.rs
+++ b/crates/drumusher/src/settings.rs
@@ -175,6 +175,9 @@
     pub body_ms: u64,
     /// Maximum number of requests in flight.
     pub requests: usize,
+    /// Memory in megabytes beyond which the process is killed, if there is a limit. Half of it is for the bodies of
+    /// requests and responses.
+    pub memory_mb: Option<u64>,
     /// Maximum length of the queue of a pool that this instance dispatches.
     pub queue: usize,
 }
@@ -290,6 +293,8 @@
             header_seconds: reader.count("limits.header_seconds", 10, 1, 600) as u16,
             body_ms: reader.count("limits.body_ms", 10_000, 100, 600_000),
             requests: reader.count("limits.requests", 8_192, 1, 1_000_000) as usize,
+            memory_mb: Some(reader.number("limits.memory_mb", 0.0, 0.0, 1e6) as u64)
+                .filter(|mb| *mb > 0),
             queue: reader.count("limits.queue", 10_000, 1, 1_000_000) as usize,
         },
         backend: Backend {
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -33,6 +33,9 @@
 /// connection would reset it, and then it would be unknown whether the request ran.
 const MAX_IDLE_AT_MOST_ONCE: Micros = SECOND;
 
+/// A request body of at least this many bytes is written without a copy.
+const SHARED_BODY_BYTES: usize = 16 * 1024;
+
 /// Interval at which a waiting request checks whether a silent backend server is gone; shorter than the tightest
 /// latency target.
 const POLL_INTERVAL: Millis = Millis(100);
@@ -146,20 +149,29 @@
     pub fn send(&self, head: &[u8], body: &Bytes, is_head: bool) -> Result<(), Error> {
         self.codec.response.expect(is_head);
         self.write(head)?;
-        if !body.is_empty() {
-            self.write(body)?;
+        if body.len() < SHARED_BODY_BYTES {
+            self.write(body)
+        } else if self.is_tunnel() {
+            self.write_frame(body.clone())
+        } else {
+            self.io.encode_bytes(body.clone()).map_err(|_| Error::Closed)
         }
-        Ok(())
     }
 
     fn write(&self, bytes: &[u8]) -> Result<(), Error> {
+        if bytes.is_empty() {
+            return Ok(());
+        }
         if self.is_tunnel() {
-            let frame = Frame::Data(Bytes::copy_from_slice(bytes));
-            return self.io.encode(frame, &tunnel::Codec).map_err(|_| Error::Closed);
+            return self.write_frame(Bytes::copy_from_slice(bytes));
         }
         self.io.encode_slice(bytes).map(drop).map_err(|_| Error::Closed)
     }
 
+    fn write_frame(&self, bytes: Bytes) -> Result<(), Error> {
+        self.io.encode(Frame::Data(bytes), &tunnel::Codec).map_err(|_| Error::Closed)
+    }
+
     fn has_no_unread_data(&self) -> bool {
         self.io.with_read_buf(|buffer| buffer.is_empty()) && self.codec.is_empty()
     }
--- a/crates/drumusher/src/upstream/mod.rs
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -39,6 +39,8 @@
     Malformed,
     /// Nothing was received in time.
     TimedOut,
+    /// The response takes more memory than this instance has left.
+    NoMemory,
     /// The backend server restarted, or its host is unreachable: the connection is dead although neither side closed
     /// it.
     Lost,
@@ -52,6 +54,7 @@
             Error::Closed => "closed",
             Error::Malformed => "malformed",
             Error::TimedOut => "silent",
+            Error::NoMemory => "no memory",
             Error::Lost => "lost",
         }
     }
--- a/crates/drumusher/src/upstream/response.rs
+++ b/crates/drumusher/src/upstream/response.rs
@@ -46,6 +46,13 @@
     pub keep_alive: bool,
 }
 
+impl Head {
+    /// The length of the body in bytes, if it is declared.
+    pub fn content_length(&self) -> Option<usize> {
+        self.headers.get("content-length")?.to_str().ok()?.trim().parse().ok()
+    }
+}
+
 /// Decoder state: what the next byte belongs to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -11,6 +11,7 @@
 mod engine_caches;
 mod evacuation;
 mod forwarding;
+mod large_bodies;
 mod lost_paths;
 mod mass_restart;
 mod membership;
--- a/crates/drumusher/tests/unit/main.rs
+++ b/crates/drumusher/tests/unit/main.rs
@@ -4,6 +4,7 @@
 mod arrival_token;
 mod attempt;
 mod backoff;
+mod body_memory;
 mod broker;
 mod budget;
 mod catalog;
