stop: a response on its way to its caller counts as in flight until it is written

Cause: a request ended when its response was handed to the HTTP library, and the process with it.

The body of a buffered response now holds the request in flight, and so does a stream: until the client has taken all pieces, and, while the instance stops, until the operating system has the last of them. The cut of a stop still bounds clients that never read. Test: large_bodies::responses_are_delivered_before_a_stop_ends, whose two cases fail on the code of before (the body is cut). Not covered: the product's own interface, whose handlers return whole bodies.

--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -18,7 +18,7 @@
 
 impl<D: Dialect> Exchange<D> {
     /// Returns the final response after a failed attempt that is not retried.
-    pub(super) fn respond_to_failure(&mut self, backend: &Backend, failure: Failure) -> Response {
+    pub(super) fn respond_to_failure(mut self, backend: &Backend, failure: Failure) -> Response {
         if let Failure::Failed(response) = failure {
             return self.respond_with(backend, *response);
         }
@@ -89,7 +89,7 @@
 
     /// Passes the response of a backend server on to the client, which ends the request.
     pub(super) fn respond_with(
-        &mut self,
+        mut self,
         backend: &Backend,
         buffered: BufferedResponse,
     ) -> Response {
@@ -99,7 +99,8 @@
         let mut response = self.response_builder(&buffered.head).finish();
         response.head_mut().no_chunking(false);
         let BufferedResponse { body, memory, .. } = buffered;
-        response.set_body(Delivery::new(body, memory).into())
+        self.release_body();
+        response.set_body(Delivery::new(self, body, memory).into())
     }
 
     /// Starts a response to the client from the head of a backend server's response.
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -237,6 +237,7 @@
             }
             if self.relay.complete {
                 self.finish();
+                self.exchange.await_delivery().await;
                 return None;
             }
             if self.aborted {
--- a/crates/drumusher/tests/routes/large_bodies.rs
+++ b/crates/drumusher/tests/routes/large_bodies.rs
@@ -1,7 +1,7 @@
 //! Memory for bodies: what does not fit is refused or left at its backend server, so that the process stays within its
 //! limit.
 
-use std::{io::Write, net::TcpStream, thread};
+use std::{io::Write, net::TcpStream, thread, time::Duration};
 
 use drumusher_adapter_stand_in::{
     Fault,
@@ -157,3 +157,23 @@
     });
     wait_for("the memory is free again", || reserved(&deployment) == 0.0);
 }
+
+/// A planned stop waits until a caller has read a large response.
+#[rstest]
+#[case::buffered("/book/")]
+#[case::repeatable("/read/")]
+fn responses_are_delivered_before_a_stop_ends(#[case] path: &str) {
+    let mut deployment = deploy();
+    deployment.servers.iter().for_each(|server| server.set_body_bytes(RESPONSE_BYTES));
+    let request = Request::post(path, "x");
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&request.bytes()).expect("the request is sent");
+    wait_for("the request runs", || deployment.runs(&request.id) == 1);
+    deployment.instances[0].signal("TERM");
+    // Longer than a stop takes that waits for nothing.
+    thread::sleep(Duration::from_millis(2_500));
+    let response = read_response(&mut conn).expect("a response");
+    assert_eq!((response.status, response.complete), (200, true));
+    assert!(response.text() == large_body(&request.id), "the body is whole");
+    wait_for("the process ends", || deployment.instances[0].ended().is_some());
+}
