streams: the versions in service outlive all instances

Reported from a system like ours: after all instances were killed while two software versions were in service, or just after one had left, streams that their callers took up were joined from both.

Cause: which version began a stream is known to instances alone. After the loss of all, a service counted as having had a single version as soon as one was listed, since only callers that named an attempt were held to be older than the instance; the servers of the other version may have left meanwhile.

The first reader now keeps the versions of each service in the store, for a minute longer than they are listed. A starting instance reads them with its contacts, without a call of its own, and takes a service for one of a single version only if no other one is among them. If the store has not told yet, nothing is taken up that is not known. A stream of a single version now goes on after the loss of all instances, also if its caller names the attempt, which was refused for a minute.

New log lines: a stream that is taken up, with its version; the versions read and written; whether those from before the start were known where a stream is refused.

--- a/crates/drumusher-platform/src/catalog.rs
+++ b/crates/drumusher-platform/src/catalog.rs
@@ -93,19 +93,19 @@
     /// Any [`Error`]; after [`Error::NoAnswer`] the records may have been written.
     fn put(&self, table: Table, records: &[Record]) -> impl Future<Output = Result<(), Error>>;
 
-    /// Reads the entries of the few instances that a starting instance turns to.
+    /// Reads the few records that an instance reads first when it starts.
     ///
     /// # Errors
     ///
     /// Any [`Error`].
-    fn contacts(&self) -> impl Future<Output = Result<Vec<Record>, Error>>;
+    fn start_records(&self) -> impl Future<Output = Result<Vec<Record>, Error>>;
 
-    /// Writes such entries in one call, all or none of them.
+    /// Writes such records in one call, all or none of them.
     ///
     /// # Errors
     ///
     /// Any [`Error`]; after [`Error::NoAnswer`] they may have been written.
-    fn put_contacts(&self, records: &[Record]) -> impl Future<Output = Result<(), Error>>;
+    fn put_start_records(&self, records: &[Record]) -> impl Future<Output = Result<(), Error>>;
 
     /// Parses a value of [`Table::Configuration`].
     ///
--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -25,6 +25,7 @@
 mod records;
 mod restore;
 mod skipped;
+mod versions;
 
 pub use backoff::Backoff;
 pub use entries::Entries;
@@ -141,6 +142,7 @@
     rt::spawn(engine_cache::query_new_pools(catalog.clone()));
     rt::spawn(engine_cache::follow_engines(catalog.clone()));
     rt::spawn(quarantine::remove_expired(catalog.clone()));
+    rt::spawn(versions::keep_written(catalog.clone()));
     while let Ok(input) = receiver.recv().await {
         match input {
             platform::Input::State(source, snapshot) => {
@@ -160,6 +162,10 @@
 async fn start_polling<S: Store + 'static>(catalog: Rc<Catalog<S>>, spread_ms: u64) {
     sleep(Millis(rand::random_range(0..=spread_ms) as u32)).await;
     let mut contacts = Vec::new();
+    if spread_ms > 0 {
+        // The first start of a deployment.
+        versions::restore(&catalog.shared, &[]);
+    }
     let seeks = spread_ms == 0 && catalog.starts_with_contacts(&mut contacts).await;
     if !seeks {
         let began = clock::now();
--- a/crates/drumusher/src/process/catalog/contacts.rs
+++ b/crates/drumusher/src/process/catalog/contacts.rs
@@ -17,7 +17,7 @@
 use drumusher_schedule::time::{Micros, SECOND};
 use ntex::time::{Millis, sleep};
 
-use super::{Backoff, Catalog, membership::Instance};
+use super::{Backoff, Catalog, membership::Instance, versions};
 use crate::process::clock;
 
 /// The list is kept where at least this many instances are listed. A shorter table of instances is one short page.
@@ -126,7 +126,13 @@
     /// Any [`Error`] of the store.
     pub(super) async fn find_contacts(&self, tried: &mut Vec<Record>) -> Result<Contacts, Error> {
         let mut contacts = BTreeMap::new();
-        for record in self.store.contacts().await? {
+        let records = self.store.start_records().await?;
+        let (versions, records): (Vec<Record>, Vec<Record>) =
+            records.into_iter().partition(versions::is_version_record);
+        if !self.shared.streams().knows_history() {
+            versions::restore(&self.shared, &versions);
+        }
+        for record in records {
             let Some(value) = &record.value else { continue };
             match Instance::parse(&record.key, value) {
                 Ok(_) if tried.contains(&record) => {}
@@ -168,7 +174,7 @@
 
     /// Adds this instance to the list, which has no other one that answers.
     async fn become_contact(&self) {
-        match self.store.put_contacts(&[self.own_contact()]).await {
+        match self.store.put_start_records(&[self.own_contact()]).await {
             Ok(()) => log::info!("no contact answers; this instance reads the store"),
             Err(error) => log::warn!("cannot add this instance to the contacts: the store {error}"),
         }
@@ -176,7 +182,8 @@
 
     /// Adds this instance to the list, and removes those that are gone and those beyond the maximum.
     async fn add_contact(&self) -> Result<(), Error> {
-        let known = self.store.contacts().await?;
+        let mut known = self.store.start_records().await?;
+        known.retain(|record| !versions::is_version_record(record));
         let own = self.own_contact();
         let is_listed = known.contains(&own);
         let mut records = {
@@ -193,7 +200,7 @@
             return Ok(());
         }
         records.push(own);
-        self.store.put_contacts(&records).await?;
+        self.store.put_start_records(&records).await?;
         log::info!(removed = removed; "added this instance to the contacts");
         Ok(())
     }
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -134,7 +134,12 @@
             streams::Refused::NoServer => Refusal::NoServer,
             streams::Refused::UnknownVersion => Refusal::UnknownVersion,
         };
-        log::info!(pool = pool.to_string().as_str(); "a stream is not taken up: {refused:?}");
+        let knows_history = self.shared.streams().knows_history();
+        log::info!(
+            pool = pool.to_string().as_str(), stream = message.stream.unwrap_or(0),
+            named = message.resumed == Some(true), knows_history = knows_history;
+            "a stream is not taken up: {refused:?}"
+        );
         let refuse = peer::Refuse::new(message.id.clone(), refusal as i16, STREAM_RETRY as i64);
         self.unsent.push_back((entry, Message::Refuse(refuse)));
         self.flush();
--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -64,7 +64,9 @@
     ///
     /// The refusal, if it goes on with a stream whose version is not known or has no backend server.
     pub(super) fn versions(&self, ask: &peer::Ask, pool: &Pool) -> Result<version::Set, Refused> {
-        let Some(named) = ask.resumed else { return Ok(version::Set::All) };
+        if ask.resumed.is_none() {
+            return Ok(version::Set::All);
+        }
         let (now, streams) = (clock::now(), self.shared.streams());
         let known = ask.version.as_deref().map(Arc::from);
         let known = known.or_else(|| streams.version(now, Key(ask.stream? as u64)));
@@ -73,7 +75,7 @@
                 let hosted = self.pools.get(pool).ok_or(Refused::NoServer)?;
                 hosted.version_key(&version).map(version::Set::Only).ok_or(Refused::NoServer)
             }
-            None if streams.has_single_version(now, pool, named) => Ok(version::Set::All),
+            None if streams.has_single_version(now, pool) => Ok(version::Set::All),
             None => Err(Refused::UnknownVersion),
         }
     }
--- a/crates/drumusher/src/process/streams.rs
+++ b/crates/drumusher/src/process/streams.rs
@@ -15,7 +15,7 @@
 
 use crate::version::{Directory, Pool};
 
-/// A service has had one software version if no other one was listed for this long, which outlives its streams.
+/// How long a software version counts after its last server was listed; streams don't live as long.
 const MEMORY: Micros = 60 * SECOND;
 /// Longest time for which a stream may be taken up.
 const MAX_PATIENCE: Micros = 600 * SECOND;
@@ -41,12 +41,28 @@
     pub until: Micros,
 }
 
+/// The software versions at which streams may have begun, by service.
+pub type InService = BTreeMap<Pool, BTreeSet<Arc<str>>>;
+
 /// The software versions of a service.
 #[derive(Debug, Default)]
 struct Versions {
     listed: BTreeSet<Arc<str>>,
-    /// When there was more than one, or another one, for the last time.
-    mixed_at: Option<Micros>,
+    /// Those that are no longer listed, and until when their streams may be taken up.
+    former: BTreeMap<Arc<str>, Micros>,
+}
+
+impl Versions {
+    /// The versions at which streams may have begun that are not over.
+    fn in_service(&self, now: Micros) -> BTreeSet<Arc<str>> {
+        let former = self.former.iter().filter(|(_, until)| now < **until);
+        self.listed.iter().chain(former.map(|(version, _)| version)).cloned().collect()
+    }
+
+    fn retire(&mut self, now: Micros, versions: impl IntoIterator<Item = Arc<str>>) {
+        self.former.retain(|_, until| now < *until);
+        self.former.extend(versions.into_iter().map(|version| (version, now + MEMORY)));
+    }
 }
 
 /// The streams that an instance knows.
@@ -56,6 +72,8 @@
     services: BTreeMap<Pool, Versions>,
     /// Since when the listed versions are followed.
     since: Option<Micros>,
+    /// Whether the versions from before that time are known.
+    knows_history: bool,
 }
 
 impl Streams {
@@ -109,22 +127,39 @@
             let is_same = versions.listed.len() == backends.versions().len()
                 && backends.versions().all(|version| versions.listed.contains(version));
             if !is_same {
-                if !versions.listed.is_empty() {
-                    versions.mixed_at = Some(now);
-                }
-                versions.listed = backends.versions().cloned().collect();
+                let listed = backends.versions().cloned().collect();
+                let before = std::mem::replace(&mut versions.listed, listed);
+                versions.retire(now, before);
             }
         }
     }
 
+    /// Sets the versions in service before this instance began to follow them.
+    pub fn set_history(&mut self, now: Micros, earlier: &InService) {
+        for (pool, versions) in earlier {
+            self.services.entry(pool.clone()).or_default().retire(now, versions.iter().cloned());
+        }
+        self.knows_history = true;
+    }
+
+    /// Whether the versions from before this instance began to follow them are known.
+    pub fn knows_history(&self) -> bool {
+        self.knows_history
+    }
+
+    /// The software versions at which streams may have begun, by service.
+    pub fn in_service(&self, now: Micros) -> InService {
+        let services = self.services.iter();
+        services.map(|(pool, versions)| (pool.clone(), versions.in_service(now))).collect()
+    }
+
     /// Whether the backend servers of a service have had the same software version for longer than a stream may be taken
-    /// up, as far as this instance can tell. One that was `named` by its caller has begun, perhaps before this instance
-    /// did.
-    pub fn has_single_version(&self, now: Micros, pool: &Pool, named: bool) -> bool {
+    /// up. A stream may have begun before this instance started.
+    pub fn has_single_version(&self, now: Micros, pool: &Pool) -> bool {
         let Some(versions) = self.services.get(&pool.whole()) else { return false };
-        let is_past = |at: Option<Micros>| at.is_none_or(|at| now >= at + MEMORY);
-        let followed = !named || self.since.is_some_and(|since| now >= since + MEMORY);
-        versions.listed.len() == 1 && is_past(versions.mixed_at) && followed
+        let is_followed = self.since.is_some_and(|since| now >= since + MEMORY);
+        let is_single = !versions.listed.is_empty() && versions.in_service(now).len() == 1;
+        is_single && (self.knows_history || is_followed)
     }
 
     /// Encodes the streams of a pool for another instance.
--- a/crates/drumusher/src/routed/exchange/stream.rs
+++ b/crates/drumusher/src/routed/exchange/stream.rs
@@ -42,11 +42,23 @@
             Some(version) => *version == backend.version,
             None => {
                 let streams = self.worker.shared.streams();
-                streams.has_single_version(clock::now(), self.ticket.pool(), stream.named)
+                streams.has_single_version(clock::now(), self.ticket.pool())
             }
         }
     }
 
+    /// Logs that the caller takes a stream up at a granted backend server.
+    pub(super) fn log_taken_up(&self, backend: &Backend) {
+        let Some(stream) = self.ticket.stream().filter(|stream| stream.resumed) else { return };
+        let head = &self.request.head;
+        log::info!(
+            request = head.id.as_str(), began = head.resumes.as_deref().unwrap_or(""),
+            last_event = head.last_event.unwrap_or(0), server = &*backend.name, version = &*backend.version,
+            known = stream.version.is_some();
+            "a stream is taken up"
+        );
+    }
+
     /// Binds the stream to the software version of the backend server that sent its first event.
     pub fn bind_stream(&mut self) {
         let Some(backend) = &self.backend else { return };
--- a/crates/drumusher/tests/routes/software_versions.rs
+++ b/crates/drumusher/tests/routes/software_versions.rs
@@ -48,6 +48,9 @@
     CutOffAndKill,
     /// Three instances are killed and started again, one after the other.
     RestartsInSeries,
+    /// All instances are killed and started again at once, after the last engine of the first version left the list, if
+    /// there is another one.
+    AllInstances,
 }
 
 fn deploy(instances: usize, versions: &[&str]) -> Deployment {
@@ -112,8 +115,14 @@
     read_response(&mut conn).ok()
 }
 
-/// Receives a stream, and takes it up at the instance `next` when it is cut off.
-fn receive(addresses: &[SocketAddr], number: usize, next: impl Fn(usize) -> usize) -> Received {
+/// Receives a stream, and takes it up at the instance `next` when it is cut off. The caller may name the attempt that
+/// began it.
+fn receive(
+    addresses: &[SocketAddr],
+    number: usize,
+    names_attempt: bool,
+    next: impl Fn(usize) -> usize,
+) -> Received {
     // Without the parts of its prompt a request may run on any engine.
     let first = Request::get(&format!("/talk/{number}")).without("Drumusher-Prompt-Prefix");
     let (began, mut at) = (Instant::now(), number % addresses.len());
@@ -128,7 +137,10 @@
         let Some(last) = received.numbers.last() else { continue };
         received.taken_up |= !received.is_whole();
         let request_again = first.with_new_id().with("Last-Event-Id", &last.to_string());
-        request = request_again.with("Resumes", &first.id);
+        request = request_again;
+        if names_attempt {
+            request = request.with("Resumes", &first.id);
+        }
         thread::sleep(CALLER_PAUSE);
     }
     received
@@ -167,6 +179,16 @@
             relays(&deployment.instances[0]).store.set(Mode::Stalled);
             deployment.instances[2].kill();
         }
+        Trouble::AllInstances => {
+            let versions = || deployment.store.newest("keyed.contacts", "versions/service:model");
+            wait_for("the versions are in the store", || versions().is_some());
+            if versions().is_some_and(|versions| versions.contains(VERSIONS[1])) {
+                let first = deployment.servers.iter().filter(|server| server.id.starts_with("m0"));
+                first.for_each(|server| deployment.store.remove("keyed.servers", &server.id));
+            }
+            deployment.instances.iter_mut().for_each(Instance::kill);
+            deployment.instances.iter_mut().for_each(Instance::restart);
+        }
         Trouble::RestartsInSeries => {
             for instance in &mut deployment.instances[1..] {
                 instance.kill();
@@ -178,7 +200,7 @@
 }
 
 /// Runs streams through a trouble. Returns what their callers got.
-fn run(deployment: &mut Deployment, trouble: Trouble) -> Vec<Received> {
+fn run(deployment: &mut Deployment, trouble: Trouble, names_attempt: bool) -> Vec<Received> {
     let addresses: Vec<SocketAddr> =
         deployment.instances.iter().map(|instance| instance.http_address).collect();
     // The caller of an instance that was killed turns to the one that is left or cut off, or to the next one.
@@ -196,7 +218,7 @@
     thread::scope(|scope| {
         let (addresses, next) = (&addresses, &next);
         let callers: Vec<_> = (0..STREAMS)
-            .map(|number| scope.spawn(move || receive(addresses, number, next)))
+            .map(|number| scope.spawn(move || receive(addresses, number, names_attempt, next)))
             .collect();
         thread::sleep(TROUBLE_AT);
         befall(deployment, trouble);
@@ -214,13 +236,15 @@
         Trouble::OneInstance,
         Trouble::ThreeInstances,
         Trouble::CutOffAndKill,
-        Trouble::RestartsInSeries
+        Trouble::RestartsInSeries,
+        Trouble::AllInstances
     )]
     trouble: Trouble,
+    #[values(true, false)] names_attempt: bool,
 ) {
     let instances = if trouble == Trouble::OneEngineOfEach { 3 } else { 4 };
     let mut deployment = deploy(instances, &VERSIONS);
-    let received = run(&mut deployment, trouble);
+    let received = run(&mut deployment, trouble, names_attempt);
     let mixed = received.iter().filter(|stream| stream.versions.len() > 1).count();
     let taken_up: Vec<&Received> = received.iter().filter(|stream| stream.taken_up).collect();
     let went_on = taken_up.iter().filter(|stream| stream.is_whole()).count();
@@ -234,7 +258,8 @@
         let in_order = (1..).zip(&stream.numbers).all(|(due, number)| due == *number);
         assert!(in_order, "events are missing or come twice: {stream:?}");
     }
-    if trouble != Trouble::AllEnginesOfOne {
+    let is_known = names_attempt && trouble != Trouble::AllInstances;
+    if is_known && trouble != Trouble::AllEnginesOfOne {
         assert!(went_on * 2 >= taken_up.len(), "{went_on} of {} went on", taken_up.len());
     }
 }
@@ -243,9 +268,13 @@
 #[rstest]
 #[case(Trouble::OneEngineOfEach)]
 #[case(Trouble::OneInstance)]
-fn all_streams_of_a_single_version_go_on(#[case] trouble: Trouble) {
+#[case(Trouble::AllInstances)]
+fn all_streams_of_a_single_version_go_on(
+    #[case] trouble: Trouble,
+    #[values(true, false)] names_attempt: bool,
+) {
     let mut deployment = deploy(4, &VERSIONS[..1]);
-    let received = run(&mut deployment, trouble);
+    let received = run(&mut deployment, trouble, names_attempt);
     let whole = received.iter().filter(|stream| stream.is_whole()).count();
     assert_eq!(whole, STREAMS, "{trouble:?}");
 }
--- a/crates/drumusher/tests/unit/stream_records.rs
+++ b/crates/drumusher/tests/unit/stream_records.rs
@@ -1,6 +1,6 @@
 //! Which software version began a stream.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use drumusher::{
     process::streams::{Key, Record, Streams},
@@ -8,6 +8,7 @@
 };
 use drumusher_platform::routing::Server;
 use drumusher_schedule::time::SECOND;
+use rstest::rstest;
 
 fn pool() -> Pool {
     Pool::Service("model".into())
@@ -67,12 +68,51 @@
 fn a_replaced_version_is_remembered() {
     let mut streams = Streams::default();
     streams.set_directory(0, &directory(&["v1", "v1"]));
-    assert!(streams.has_single_version(SECOND, &pool(), false));
-    assert!(!streams.has_single_version(SECOND, &pool(), true), "it may have begun before");
-    assert!(streams.has_single_version(61 * SECOND, &pool(), true));
+    assert!(!streams.has_single_version(SECOND, &pool()), "a stream may have begun before");
+    assert!(streams.has_single_version(61 * SECOND, &pool()));
     streams.set_directory(100 * SECOND, &directory(&["v1", "v2"]));
-    assert!(!streams.has_single_version(100 * SECOND, &pool(), false));
+    assert!(!streams.has_single_version(100 * SECOND, &pool()));
     streams.set_directory(101 * SECOND, &directory(&["v2"]));
-    assert!(!streams.has_single_version(160 * SECOND, &pool(), false));
-    assert!(streams.has_single_version(162 * SECOND, &pool(), false));
+    assert!(!streams.has_single_version(160 * SECOND, &pool()));
+    assert!(streams.has_single_version(162 * SECOND, &pool()));
+}
+
+/// A starting instance takes over the versions in service before it, and knows a single one at once.
+#[rstest]
+#[case::none(&[], true)]
+#[case::the_same(&["v2"], true)]
+#[case::another(&["v1"], false)]
+#[case::two(&["v1", "v2"], false)]
+fn versions_from_before_the_start_count(
+    #[case] earlier: &[&str],
+    #[case] single: bool,
+    #[values(false, true)] history_first: bool,
+) {
+    let mut streams = Streams::default();
+    let earlier = earlier.iter().map(|version| Arc::from(*version)).collect();
+    let earlier = BTreeMap::from([(pool(), earlier)]);
+    if history_first {
+        streams.set_history(0, &earlier);
+    }
+    streams.set_directory(0, &directory(&["v2"]));
+    if !history_first {
+        assert!(!streams.has_single_version(0, &pool()));
+        streams.set_history(0, &earlier);
+    }
+    assert_eq!(streams.has_single_version(SECOND, &pool()), single);
+    assert!(streams.has_single_version(61 * SECOND, &pool()));
+}
+
+/// What a later instance has to know: the listed versions, and the former ones for as long as their streams live.
+#[test]
+fn versions_are_in_service_until_their_streams_are_over() {
+    let mut streams = Streams::default();
+    let in_service = |streams: &Streams, now| {
+        let versions = streams.in_service(now).remove(&pool()).unwrap_or_default();
+        versions.iter().map(|version| version.to_string()).collect::<Vec<_>>()
+    };
+    streams.set_directory(0, &directory(&["v1", "v2"]));
+    streams.set_directory(SECOND, &directory(&["v2"]));
+    assert_eq!(in_service(&streams, 2 * SECOND), ["v1", "v2"]);
+    assert_eq!(in_service(&streams, 62 * SECOND), ["v2"]);
 }
