upstream: two attempts of a request never follow each other on a connection

PROTOCOL.md allows a server one surplus answer in the place of the next one, and has the ID tell which it is. But all attempts of a request have its ID, so a late copy of the first rejection counted as the answer to the second attempt on the same connection.

A connection now knows the latest request that it carried, and is not used for it again; another one is taken or made. That holds for connections through other instances as well, which are kept in the same pool; a stream that is resumed leaves its broken connection anyway. A surplus answer can only come in place of the next one, so that the latest request is enough.

--- a/crates/drumusher/src/request/watch.rs
+++ b/crates/drumusher/src/request/watch.rs
@@ -97,7 +97,7 @@
 async fn query(engine: SocketAddr, conn: &mut Conn) -> Result<u16, Error> {
     let until = clock::now() + ANSWER_TIMEOUT;
     let head = format!("GET {} HTTP/1.1\r\nhost: {engine}\r\n\r\n", load::PATH);
-    conn.send(head.as_bytes(), &Bytes::new(), false)?;
+    conn.send(None, head.as_bytes(), &Bytes::new(), false)?;
     let mut status = 0;
     loop {
         match conn.next_part(until, || false).await? {
--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -60,7 +60,7 @@
 use crate::{
     process::{clock, notices::KnownLimit},
     request::{id, in_flight::InFlight},
-    upstream::{self, Conn, response::Part},
+    upstream::{self, Conn, Key, response::Part},
     version::Backend,
 };
 
@@ -274,7 +274,8 @@
         self.attempts_sent += 1;
         self.sent_at = clock::now();
         self.log_retry(backend);
-        conn.send(&head, &self.request.body, is_head).map_err(Failure::Broken)?;
+        let request = Key::new(&self.request.head.id);
+        conn.send(Some(request), &head, &self.request.body, is_head).map_err(Failure::Broken)?;
         let until = self.first_event_deadline(began);
         let (head, answer) = self.read_head(&mut conn, until).await?;
         if answer.not_run {
--- a/crates/drumusher/src/routed/exchange/path.rs
+++ b/crates/drumusher/src/routed/exchange/path.rs
@@ -12,7 +12,7 @@
 use crate::{
     process::clock,
     routed::Handle,
-    upstream::{self, Conn, response::Part, tunnel},
+    upstream::{self, Conn, Key, Need, response::Part, tunnel},
     version::{Backend, Pool},
 };
 
@@ -40,13 +40,16 @@
     /// [`Failure::NotConnected`].
     pub(super) async fn connect(&mut self, backend: &Backend) -> Result<Conn, Failure> {
         let address = backend.address.parse().map_err(|_| Failure::NotConnected)?;
-        let at_most_once = !self.request.route_match.kind.repeatable();
+        let need = Need {
+            request: Key::new(&self.request.head.id),
+            at_most_once: !self.request.route_match.kind.repeatable(),
+        };
         let limit = Millis(self.remaining_ms().clamp(1, u64::from(CONNECT_TIMEOUT.0)) as u32);
         let (worker, paths) = (self.worker.clone(), &self.worker.shared.paths);
         let is_lost = paths.is_lost(backend);
         (self.path_blamed, self.tunnelled) = (false, false);
         if !is_lost {
-            let taken = worker.conns.take(backend, address, at_most_once, limit).await;
+            let taken = worker.conns.take(backend, address, need, limit).await;
             if let Ok(conn) = taken {
                 return Ok(conn);
             }
@@ -59,7 +62,7 @@
                 return Err(Failure::NotConnected);
             }
         }
-        if let Some(conn) = worker.conns.take_tunnel(backend, at_most_once) {
+        if let Some(conn) = worker.conns.take_tunnel(backend, need) {
             return Ok(conn);
         }
         let limit = Millis(self.remaining_ms().max(1).min(u64::from(u32::MAX)) as u32);
@@ -232,7 +235,7 @@
     let path = pool.service().zip(routing.as_ref());
     let path = path.and_then(|(service, routing)| routing.health_path(service)).unwrap_or("/");
     let head = format!("GET {path} HTTP/1.1\r\nhost: {}\r\n\r\n", backend.address);
-    conn.send(head.as_bytes(), &Bytes::new(), false).ok()?;
+    conn.send(None, head.as_bytes(), &Bytes::new(), false).ok()?;
     let mut is_other = false;
     loop {
         match conn.next_part(until, || false).await.ok()? {
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -16,7 +16,7 @@
 };
 
 use super::{
-    Error,
+    Error, Key,
     response::{self, Head, Part},
 };
 use crate::{
@@ -86,6 +86,8 @@
     /// How long it may stay idle.
     idle_timeout: Micros,
     idle_since: Micros,
+    /// The request that was sent last, unless it had no ID. A surplus response to it may come in place of the next one.
+    latest: Option<Key>,
 }
 
 impl Conn {
@@ -107,7 +109,15 @@
     /// Wraps an established connection.
     fn from_socket(io: Io, socket: TcpStream) -> Conn {
         let (codec, idle_since) = (Codec::default(), clock::now());
-        Conn { io, socket, codec, reusable: true, idle_timeout: DEFAULT_IDLE_TIMEOUT, idle_since }
+        Conn {
+            io,
+            socket,
+            codec,
+            reusable: true,
+            idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            idle_since,
+            latest: None,
+        }
     }
 
     /// Wraps an open tunnel to a backend server.
@@ -141,12 +151,25 @@
         matches!(received, Ok(Ok(None) | Err(Either::Right(_))))
     }
 
-    /// Sends the head and body of a request.
+    /// Whether `request` is the one that was sent last. A surplus response to its earlier attempt could not be told from
+    /// that to the next one.
+    pub fn has_carried(&self, request: Key) -> bool {
+        self.latest == Some(request)
+    }
+
+    /// Sends the head and body of a request; `request` is `None` if it has no ID.
     ///
     /// # Errors
     ///
     /// [`Error::Closed`]; part of the request may have been sent.
-    pub fn send(&self, head: &[u8], body: &Bytes, is_head: bool) -> Result<(), Error> {
+    pub fn send(
+        &mut self,
+        request: Option<Key>,
+        head: &[u8],
+        body: &Bytes,
+        is_head: bool,
+    ) -> Result<(), Error> {
+        self.latest = request;
         self.codec.response.expect(is_head);
         self.write(head)?;
         if body.len() < SHARED_BODY_BYTES {
--- a/crates/drumusher/src/upstream/mod.rs
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -14,12 +14,25 @@
 
 pub use conn::{Conn, Probe, probe};
 pub use paths::Paths;
-pub use pool::Pool;
+pub use pool::{Need, Pool};
 
 use std::{fmt, sync::Arc};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::version::Backend;
 
+/// Tells a request from others on the same connection: a hash of its ID, which all of its attempts have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key(u64);
+
+impl Key {
+    /// The key of a request with this ID.
+    pub fn new(id: &str) -> Self {
+        Key(xxh3_64(id.as_bytes()))
+    }
+}
+
 /// One run of a backend server: its name, and its start time if known.
 pub type Incarnation = (Arc<str>, Option<u64>);
 
--- a/crates/drumusher/src/upstream/pool.rs
+++ b/crates/drumusher/src/upstream/pool.rs
@@ -4,12 +4,21 @@
 
 use ntex::time::Millis;
 
-use super::{Conn, Error, Incarnation, incarnation};
+use super::{Conn, Error, Incarnation, Key, incarnation};
 use crate::version::Backend;
 
 /// Maximum number of idle connections to one backend server.
 const MAX_IDLE: usize = 32;
 
+/// What a request needs of a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Need {
+    /// The request.
+    pub request: Key,
+    /// Whether it runs at most once, see [`Conn::is_usable`].
+    pub at_most_once: bool,
+}
+
 /// Idle connections of one HTTP worker, by backend server and its start, so that a connection is never used for
 /// another server that took over the address.
 #[derive(Clone, Debug, Default)]
@@ -23,8 +32,8 @@
         Pool::default()
     }
 
-    /// Returns a connection to a backend server: the most recently used idle one, or a new one. `at_most_once` asks
-    /// for one that has not been idle for long, see [`Conn::is_usable`].
+    /// Returns a connection to a backend server: the most recently used idle one that has not just carried an attempt of
+    /// the request, or a new one.
     ///
     /// # Errors
     ///
@@ -33,36 +42,33 @@
         &self,
         server: &Backend,
         address: SocketAddr,
-        at_most_once: bool,
+        need: Need,
         timeout: Millis,
     ) -> Result<Conn, Error> {
         if let Some(conns) = self.idle.borrow_mut().get_mut(&incarnation(server)) {
             conns.retain(|conn| !conn.is_tunnel());
         }
-        if let Some(conn) = self.take_idle(server, at_most_once) {
+        if let Some(conn) = self.take_idle(server, need) {
             return Ok(conn);
         }
         Conn::connect(address, timeout).await
     }
 
     /// Returns an idle tunnel to a backend server. The idle connections over its path, which is lost, are closed.
-    pub fn take_tunnel(&self, server: &Backend, at_most_once: bool) -> Option<Conn> {
+    pub fn take_tunnel(&self, server: &Backend, need: Need) -> Option<Conn> {
         if let Some(conns) = self.idle.borrow_mut().get_mut(&incarnation(server)) {
             conns.retain(Conn::is_tunnel);
         }
-        self.take_idle(server, at_most_once)
+        self.take_idle(server, need)
     }
 
-    fn take_idle(&self, server: &Backend, at_most_once: bool) -> Option<Conn> {
+    fn take_idle(&self, server: &Backend, need: Need) -> Option<Conn> {
         let mut idle = self.idle.borrow_mut();
         let conns = idle.get_mut(&incarnation(server))?;
         conns.retain(|conn| conn.is_usable(false));
-        let last = conns.pop()?;
-        if last.is_usable(at_most_once) {
-            return Some(last);
-        }
-        conns.push(last);
-        None
+        let last = conns.iter().rposition(|conn| !conn.has_carried(need.request))?;
+        let usable = conns[last].is_usable(need.at_most_once);
+        usable.then(|| conns.remove(last))
     }
 
     /// Returns a connection to the pool after a complete response; it is closed if it can't be reused or the pool is
--- a/crates/drumusher/tests/routes/backend_faults.rs
+++ b/crates/drumusher/tests/routes/backend_faults.rs
@@ -7,7 +7,7 @@
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
-use crate::support::{Deployment, Request, read_response};
+use crate::support::{Deployment, Request, configuration, read_response};
 
 /// Sets a fault on both backend servers of the plain service.
 fn set_desk_fault(deployment: &Deployment, fault: Fault) {
@@ -105,6 +105,30 @@
     }
 }
 
+/// A deployment with one server of the plain service, which has this fault.
+fn deploy_one(fault: Fault) -> Deployment {
+    let mut deployment = Deployment::empty(false);
+    deployment.add_server("d1", "desk");
+    deployment.add_server("m1", "model");
+    deployment.add_instance("i0");
+    deployment.store.put("keyed.op", "config", &configuration(1, ""));
+    deployment.wait_serving();
+    deployment.server("d1").set(fault);
+    deployment
+}
+
+/// A late copy of a rejection is not taken for the response to another attempt of the same request.
+#[test]
+fn rejection_that_comes_again_rejects_no_later_attempt() {
+    let deployment = deploy_one(Fault::RejectedAgain);
+    for _ in 0..6 {
+        let request = Request::post("/book/", "x");
+        let response = deployment.send(0, &request).expect("a response");
+        assert_eq!((response.status, response.text()), (200, body(&request.id)));
+        assert_eq!(deployment.runs(&request.id), 1);
+    }
+}
+
 /// A backend server that refuses connections makes no request fail.
 #[test]
 fn unreachable_server_fails_no_request() {
