upstream: a response without an ID may be that to a health check

A rejection without an ID was taken for the answer to whatever was sent last, also on a connection that a health check had used before, which has no ID itself: a late copy of its rejection then rejected the booking that followed.

Such a response is now accepted only where no request without an ID may still owe one. Otherwise it is skipped like a surplus response with another ID. Health checks still leave their connections to requests, so that none is made for it.

--- a/crates/drumusher/src/routed/exchange/response.rs
+++ b/crates/drumusher/src/routed/exchange/response.rs
@@ -46,7 +46,9 @@
 }
 
 impl<D: Dialect> Exchange<D> {
-    /// Reads the head of the response to this request. Responses to earlier requests are skipped.
+    /// Reads the head of the response to this request. Responses to earlier requests are skipped. One without an ID may
+    /// be that of a server that says that it did not run the request, unless it may belong to an earlier request that had
+    /// none.
     pub(super) async fn read_head(
         &mut self,
         conn: &mut Conn,
@@ -62,7 +64,9 @@
             let answer = self.worker.dialect.read_answer(head.status, &head.headers);
             let matches_request = answer.id.as_deref() == Some(self.request.head.id.as_str());
             self.record_notice(&answer, matches_request);
-            if matches_request || (answer.id.is_none() && answer.not_run) {
+            let may_be_surplus = answer.id.is_none() && conn.may_owe_unnamed();
+            if matches_request || answer.id.is_none() && answer.not_run && !may_be_surplus {
+                conn.settle();
                 return Ok((head, answer));
             }
             log::warn!(
@@ -70,7 +74,7 @@
                 answered = answer.id.as_deref().unwrap_or("none");
                 "skipped a response to another request"
             );
-            if answer.id.is_none() {
+            if answer.id.is_none() && !may_be_surplus {
                 return Err(Failure::Broken(upstream::Error::Malformed));
             }
             loop {
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -88,6 +88,8 @@
     idle_since: Micros,
     /// The request that was sent last, unless it had no ID. A surplus response to it may come in place of the next one.
     latest: Option<Key>,
+    /// Whether such a response may have no ID.
+    may_owe_unnamed: bool,
 }
 
 impl Conn {
@@ -117,6 +119,7 @@
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
             idle_since,
             latest: None,
+            may_owe_unnamed: false,
         }
     }
 
@@ -157,6 +160,17 @@
         self.latest == Some(request)
     }
 
+    /// Whether a surplus response without an ID may come.
+    pub fn may_owe_unnamed(&self) -> bool {
+        self.may_owe_unnamed
+    }
+
+    /// Records that the response to the latest request has come: a surplus response to an earlier one would have come
+    /// before it.
+    pub fn settle(&mut self) {
+        self.may_owe_unnamed = self.latest.is_none();
+    }
+
     /// Sends the head and body of a request; `request` is `None` if it has no ID.
     ///
     /// # Errors
@@ -170,6 +184,7 @@
         is_head: bool,
     ) -> Result<(), Error> {
         self.latest = request;
+        self.may_owe_unnamed |= request.is_none();
         self.codec.response.expect(is_head);
         self.write(head)?;
         if body.len() < SHARED_BODY_BYTES {
--- a/crates/drumusher/tests/routes/backend_faults.rs
+++ b/crates/drumusher/tests/routes/backend_faults.rs
@@ -129,6 +129,21 @@
     }
 }
 
+/// A late copy of a rejected health check, which has no ID, is not taken for the response to a request.
+#[test]
+fn rejection_of_a_health_check_rejects_no_request() {
+    let deployment = deploy_one(Fault::HealthRejectedAgain);
+    for _ in 0..3 {
+        // The first one is so slow that the server is checked.
+        for _ in 0..2 {
+            let request = Request::post("/book/", "x");
+            let response = deployment.send(0, &request).expect("a response");
+            assert_eq!((response.status, response.text()), (200, body(&request.id)));
+            assert_eq!(deployment.runs(&request.id), 1);
+        }
+    }
+}
+
 /// A backend server that refuses connections makes no request fail.
 #[test]
 fn unreachable_server_fails_no_request() {
