delivery: responses of the product's own interface are delivered before a stop ends, too

The same fault as of routed responses: a caller that read a response of 7 MiB slowly got 2.8 MB of it when the instance stopped. Cause: a request ended when its response was handed to the HTTP library.

The guard for it is now one for both interfaces, and for streams: a body, what is held until it is delivered, and the wait for the last bytes while the instance stops. A stop waits for responses that are not delivered as it does for requests in flight, until its cut.

--- a/crates/drumusher-bench/src/stand_in/service.rs
+++ b/crates/drumusher-bench/src/stand_in/service.rs
@@ -17,6 +17,8 @@
 pub struct Switches {
     /// Duration of a call, in milliseconds.
     pub delay_ms: u64,
+    /// Number of bytes with which each response is padded.
+    pub pad_bytes: usize,
     /// Executes each call and then closes the connection before the response is complete.
     pub lose_answers: bool,
 }
@@ -86,7 +88,8 @@
     }
     let mut response = HttpResponse::Ok();
     response.set_header("X-Request-Id", call.request.as_str());
-    response.json(&json!({"ran": number, "path": call.path, "body": call.body}))
+    let padding = ".".repeat(switches.pad_bytes);
+    response.json(&json!({"ran": number, "path": call.path, "body": call.body, "pad": padding}))
 }
 
 /// A response whose body is aborted before its end.
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -225,7 +225,8 @@
     let stop_began = clock::now();
     let cut_at = Schedule::new(stop_began, shared.settings.stop_longest_ms).cut_at;
     loop {
-        let in_flight = shared.requests.load(Ordering::Acquire);
+        let undelivered = shared.undelivered.load(Ordering::Acquire);
+        let in_flight = shared.requests.load(Ordering::Acquire).max(undelivered);
         let elapsed = clock::now() - stop_began;
         if forced.load(Ordering::Acquire) || clock::now() >= cut_at {
             if in_flight > 0 {
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -114,6 +114,8 @@
     pub requests: AtomicUsize,
     /// Number of these that wait for a grant.
     pub waiting: AtomicUsize,
+    /// Number of responses that are still to be delivered, besides those of requests in flight.
+    pub undelivered: AtomicUsize,
     /// Sender to the broker, which holds the asks owned by this instance.
     pub broker: broker::Sender,
     /// Sender to the dispatcher.
@@ -186,6 +188,7 @@
             memory: Arc::new(memory::Budget::new(settings.limits.memory_mb)),
             requests: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
+            undelivered: AtomicUsize::new(0),
             broker,
             dispatch,
             peers,
--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -18,6 +18,7 @@
     service::{self, Call},
 };
 use crate::{
+    delivery::{Delivery, Undelivered},
     error::{Error, Kind},
     operator,
     process::Shared,
@@ -75,12 +76,28 @@
     worker: &Worker,
 ) -> HttpResponse {
     let shared = &worker.shared;
+    let undelivered = Undelivered::new(shared.clone());
     let (in_flight, body) = match accept(shared, request.headers(), payload).await {
         Ok(accepted) => accepted,
         Err(error) => return error.response(),
     };
-    let (shared, client) = (shared.clone(), worker.client.clone());
-    completion::serve(shared, client, kind, request.headers(), body, in_flight).await
+    let client = worker.client.clone();
+    let served =
+        completion::serve(shared.clone(), client, kind, request.headers(), body, in_flight);
+    deliver(shared, request, served.await, undelivered)
+}
+
+/// Holds the guard until a response is delivered.
+fn deliver(
+    shared: &Arc<Shared>,
+    request: &HttpRequest,
+    response: HttpResponse,
+    undelivered: Undelivered,
+) -> HttpResponse {
+    response.map_body(|_, body| {
+        let client = request.io().cloned();
+        Delivery::new(shared.clone(), client, body, undelivered).into_body().into()
+    })
 }
 
 async fn call_service(
@@ -89,6 +106,7 @@
     worker: types::State<Worker>,
 ) -> HttpResponse {
     let shared = &worker.shared;
+    let undelivered = Undelivered::new(shared.clone());
     let (in_flight, body) = match accept(shared, request.headers(), payload).await {
         Ok(accepted) => accepted,
         Err(error) => return error.response(),
@@ -100,7 +118,8 @@
     let path = if tail.starts_with('/') { tail.to_string() } else { format!("/{tail}") };
     let method: Method = request.method().clone();
     let call = Call { service, path: &path, method, headers: request.headers(), body };
-    service::serve(shared.clone(), worker.client.clone(), call, in_flight).await
+    let served = service::serve(shared.clone(), worker.client.clone(), call, in_flight).await;
+    deliver(shared, &request, served, undelivered)
 }
 
 /// Admits a request and reads its body.
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -6,9 +6,10 @@
 
 use super::{BufferedResponse, Exchange, Failure, RETRY_AFTER_MS};
 use crate::{
+    delivery::{Delivery, Pieces},
     error::{Error, Kind, Ran},
     process::clock,
-    routed::{delivery::Delivery, error_response, handler},
+    routed::{error_response, handler},
     upstream::{self, response},
     version::Backend,
 };
@@ -100,7 +101,9 @@
         response.head_mut().no_chunking(false);
         let BufferedResponse { body, memory, .. } = buffered;
         self.release_body();
-        response.set_body(Delivery::new(self, body, memory).into())
+        let (shared, client) = (self.worker.shared.clone(), self.request.client.clone());
+        response
+            .set_body(Delivery::new(shared, client, Pieces::new(body), (self, memory)).into_body())
     }
 
     /// Starts a response to the client from the head of a backend server's response.
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -11,13 +11,14 @@
 use futures_util::stream;
 use memchr::memmem;
 use ntex::{
-    http::Response,
+    http::{Response, body::BodyStream},
     io::IoRef,
     util::{Bytes, BytesMut},
 };
 
 use super::exchange::{BackendResponse, Exchange, Failure};
 use crate::{
+    delivery::{Delivery, Undelivered},
     process::{
         clock,
         memory::{Budget, Reservation, SMALL_BYTES, Use},
@@ -208,6 +209,7 @@
         if route_match.kind != Kind::Resumable || exchange.attempts_sent >= route_match.attempts {
             exchange.release_body();
         }
+        let shared = exchange.worker.shared.clone();
         let client = exchange.request.client.clone();
         let active = ActiveStream {
             status: self.head.status,
@@ -215,14 +217,17 @@
             exchange,
             backend,
             conn: Some(conn),
-            client,
+            client: client.clone(),
             aborted: false,
         };
         let body = stream::unfold(active, |mut active| async move {
             let next = active.next().await?;
             Some((next, active))
         });
-        builder.streaming(Box::pin(body))
+        let body = BodyStream::new(Box::pin(body));
+        // The exchange ends with the last event.
+        let undelivered = Undelivered::new(shared.clone());
+        builder.body(Delivery::new(shared, client, body, undelivered).into_body())
     }
 }
 
@@ -237,7 +242,6 @@
             }
             if self.relay.complete {
                 self.finish();
-                self.exchange.await_delivery().await;
                 return None;
             }
             if self.aborted {
--- a/crates/drumusher/tests/fleet/shutdown.rs
+++ b/crates/drumusher/tests/fleet/shutdown.rs
@@ -1,11 +1,19 @@
 //! A graceful shutdown breaks off no request in flight.
 
-use drumusher_bench::fleet::wait_for;
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::Duration,
+};
+
+use drumusher_bench::fleet::{key, wait_for};
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 
 use crate::support::{
-    address_of, another_instance, assert_whole, dispatcher, engine_stat, fleet, join_all,
-    spawn_each, stream, switch,
+    SERVICE, address_of, another_instance, assert_whole, calls, dispatcher, engine_stat, fleet,
+    join_all, spawn_each, stream, switch,
 };
 
 /// An instance gets SIGTERM while it relays streams, as the dispatcher or as an instance that only received them.
@@ -82,3 +90,35 @@
     assert!(fleet.instances[0].lines().contains("requests cut: 1"));
     join_all(held);
 }
+
+/// Length of a large response. The buffers of the operating system don't hold it where the caller's is small.
+const RESPONSE_BYTES: usize = 7 * 1024 * 1024;
+const SMALL_BUFFER: usize = 4 * 1024;
+
+/// A shutdown waits until a caller that reads slowly has the whole response.
+#[test]
+fn a_large_response_is_delivered_before_a_shutdown_ends() {
+    let mut fleet = fleet(&["suva"], 1, 1, "");
+    let desk = address_of(&fleet, "suva-desk");
+    switch(&desk, &format!(r#"{{"pad_bytes": {RESPONSE_BYTES}}}"#));
+    let address: SocketAddr = fleet.instances[0].http.parse().expect("an address");
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("a small buffer");
+    socket.connect(&address.into()).expect("a connection");
+    let mut conn = TcpStream::from(socket);
+    let head = format!(
+        "GET /services/{SERVICE}/bookings HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\n\
+         drumusher-class: booking\r\nconnection: close\r\n\r\n",
+        key("vanua")
+    );
+    conn.write_all(head.as_bytes()).expect("the request is sent");
+    wait_for("the call has run", || !calls(&fleet, "suva").is_empty());
+    fleet.instances[0].signal("TERM");
+    // Longer than a shutdown takes that waits for nothing.
+    thread::sleep(Duration::from_millis(3_000));
+    let mut response = Vec::new();
+    conn.read_to_end(&mut response).expect("a response");
+    assert!(response.starts_with(b"HTTP/1.1 200"));
+    assert!(response.ends_with(b"}"), "the body of {} bytes is whole", response.len());
+    wait_for("the instance ends", || fleet.instances[0].ended().is_some());
+}
