--- a/crates/drumusher/src/process/catalog/versions.rs
+++ b/crates/drumusher/src/process/catalog/versions.rs
@@ -22,8 +22,10 @@
 
 /// Start of the keys of these records; the rest is the pool of the service.
 const KEY_PREFIX: &str = "versions/";
-/// Interval between checks for versions that have to be written.
+/// Interval at which the first reader checks for versions that have to be written.
 const CHECK_INTERVAL: Millis = Millis(100);
+/// Interval at which another instance checks whether it has become the first reader.
+const IDLE_INTERVAL: Millis = Millis(500);
 
 /// Whether a record that a starting instance reads is of this kind.
 pub(super) fn is_version_record(record: &Record) -> bool {
@@ -55,7 +57,8 @@
     let mut written: (Era, InService) = (0, BTreeMap::new());
     let mut backoff = Backoff::new();
     loop {
-        sleep(CHECK_INTERVAL).await;
+        let writes = shared.first_reader.load(Ordering::Acquire);
+        sleep(if writes { CHECK_INTERVAL } else { IDLE_INTERVAL }).await;
         if shared.store_unavailable.load(Ordering::Acquire) {
             continue;
         }
@@ -67,11 +70,11 @@
             continue;
         }
         let era = shared.store_era();
-        if !shared.first_reader.load(Ordering::Acquire) || written.0 != era {
+        if !writes || written.0 != era {
             // Another instance may write others meanwhile, and a restored store may lack them.
             written = (era, BTreeMap::new());
         }
-        if !shared.first_reader.load(Ordering::Acquire) {
+        if !writes {
             continue;
         }
         let current = shared.streams().in_service(clock::now());
--- a/crates/drumusher/src/routed/exchange/response.rs
+++ b/crates/drumusher/src/routed/exchange/response.rs
@@ -3,6 +3,7 @@
 use drumusher_platform::dialect::{Answer, Dialect};
 use drumusher_schedule::time::Micros;
 use ntex::{
+    http::Method,
     time::{Millis, sleep},
     util::{Bytes, BytesMut},
 };
@@ -95,7 +96,8 @@
     ) -> Result<BufferedResponse, upstream::Error> {
         let budget = self.worker.shared.memory.clone();
         let mut memory = Reservation::new(budget, Use::Response);
-        let length = head.content_length().unwrap_or(0).min(MAX_BODY_BYTES);
+        let has_body = self.request.method != Method::HEAD;
+        let length = head.content_length().filter(|_| has_body).unwrap_or(0).min(MAX_BODY_BYTES);
         while !memory.extend_to(length) {
             self.await_memory().await?;
         }
