stop: a stream's connection stays in use until the end of its body is sent

Cause: since a stop waits for what is left in a connection's buffer, the end of a stream is sent some milliseconds after its last event, and its connection counted as idle in between.

The guard for a connection in use now goes with the delivery of the body.

--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -210,6 +210,8 @@
             exchange.release_body();
         }
         let shared = exchange.worker.shared.clone();
+        // The exchange ends with the last event, before the end of the body is sent.
+        let in_use = exchange.request.in_use.take();
         let client = exchange.request.client.clone();
         let active = ActiveStream {
             status: self.head.status,
@@ -225,9 +227,8 @@
             Some((next, active))
         });
         let body = BodyStream::new(Box::pin(body));
-        // The exchange ends with the last event.
-        let undelivered = Undelivered::new(shared.clone());
-        builder.body(Delivery::new(shared, client, body, undelivered).into_body())
+        let held = (Undelivered::new(shared.clone()), in_use);
+        builder.body(Delivery::new(shared, client, body, held).into_body())
     }
 }
 
--- a/crates/drumusher/tests/routes/planned_stop.rs
+++ b/crates/drumusher/tests/routes/planned_stop.rs
@@ -9,13 +9,19 @@
 
 use drumusher_adapter_stand_in::{
     Fault,
-    server::{Notice, body, events},
+    server::{Notice, body, event, events},
 };
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
 use crate::support::{Deployment, Request, configuration, read_response};
 
+/// Number of streams that end late in a stop, and the pause between two of them.
+const LATE_STREAMS: usize = 32;
+const LATE_SPREAD: Duration = Duration::from_millis(13);
+/// Number of their events, and the time between two.
+const LATE_EVENTS: u64 = 320;
+const LATE_INTERVAL: Duration = Duration::from_millis(12);
 /// Time in which a request that was sent has been read.
 const SETTLE: Duration = Duration::from_millis(300);
 
@@ -73,17 +79,23 @@
     wait_for("the process ends", || deployment.instances[0].ended().is_some());
 }
 
-/// Two instances whose backend servers accept so few requests per second that further ones wait.
-fn limited_deployment(path: &str, limit: &str) -> Deployment {
-    let deployment = Deployment::new(2);
+/// A deployment whose requests may outlast a stop.
+fn deploy_with_long_timeouts(instances: usize) -> Deployment {
+    let deployment = Deployment::new(instances);
     let routes = configuration(2, "next").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":15000");
     deployment.store.put("keyed.op", "config", &routes);
-    for at in 0..2 {
+    for at in 0..instances {
         wait_for("the configuration is in force", || {
             let response = deployment.send(at, &Request::get("/next/")).expect("a response");
             response.status != 404
         });
     }
+    deployment
+}
+
+/// Two instances whose backend servers accept so few requests per second that further ones wait.
+fn limited_deployment(path: &str, limit: &str) -> Deployment {
+    let deployment = deploy_with_long_timeouts(2);
     deployment.servers.iter().for_each(|server| server.announce(Notice::limit(limit)));
     wait_for("a request waits until its deadline", || {
         let request = Request::post(path, "x").with("Drumusher-Deadline-Ms", "300");
@@ -136,6 +148,29 @@
     assert_eq!(response.text(), events(&request.id));
 }
 
+/// Streams that end after idle connections are closed arrive with their ends.
+#[test]
+fn streams_that_end_late_in_a_stop_are_whole() {
+    let deployment = deploy_with_long_timeouts(1);
+    for id in ["m1", "m2"] {
+        deployment.server(id).set_pace(LATE_EVENTS, LATE_INTERVAL);
+    }
+    let requests: Vec<Request> = (0..LATE_STREAMS).map(|_| Request::post("/draft/", "x")).collect();
+    let send = |request: &Request| {
+        thread::sleep(LATE_SPREAD);
+        begin(&deployment, 0, request)
+    };
+    let conns: Vec<TcpStream> = requests.iter().map(send).collect();
+    wait_for("all run", || requests.iter().all(|request| deployment.runs(&request.id) == 1));
+    deployment.instances[0].signal("TERM");
+    for (request, mut conn) in requests.iter().zip(conns) {
+        let response = read_response(&mut conn).expect("a response");
+        let whole: String = (1..=LATE_EVENTS).map(|number| event(&request.id, number)).collect();
+        assert!(response.text() == whole, "{}", response.text());
+        assert_eq!((response.status, response.complete), (200, true));
+    }
+}
+
 /// A request that is not finished in time, here by a second signal, is cut: the process ends and logs it.
 #[test]
 fn unfinished_requests_are_cut_and_logged() {
