memory: what can never fit is refused as too large, and a lack of memory is no failure of a server

A response that waited for memory until its deadline ended as a silence of its backend server: callers saw 504, and the server was suspected of a crash that its request had caused. A request body longer than the memory for bodies was told to come back, though it never fits, and a response like it waited for its whole deadline.

The wait for memory now has an error of its own, which is neither reported as a failure of the server nor taken for a crash. A request body that can never fit gets 413, which callers do not repeat; a response that can never fit fails at once with 502.

--- a/crates/drumusher/src/delivery.rs
+++ b/crates/drumusher/src/delivery.rs
@@ -29,23 +29,31 @@
 type Chunk = Option<Result<Bytes, Rc<dyn error::Error>>>;
 type Written = Pin<Box<dyn Future<Output = ()>>>;
 
-/// A whole body that is passed on in pieces, as the client reads them.
-pub struct Pieces(Bytes);
+/// A whole body that is passed on in pieces, as the client reads them, and what is held until the last one is taken.
+pub struct Pieces<G> {
+    rest: Bytes,
+    _held: G,
+}
 
-impl Pieces {
+impl<G: 'static> Pieces<G> {
     /// Creates the pieces of a body.
-    pub fn new(body: Bytes) -> Self {
-        Pieces(body)
+    pub fn new(body: Bytes, held: G) -> Self {
+        Pieces { rest: body, _held: held }
+    }
+
+    /// The pieces as the body of a response.
+    pub fn into_body(self) -> Body {
+        Body::from_message(self)
     }
 }
 
-impl MessageBody for Pieces {
+impl<G: 'static> MessageBody for Pieces<G> {
     fn size(&self) -> BodySize {
-        BodySize::Sized(self.0.len() as u64)
+        BodySize::Sized(self.rest.len() as u64)
     }
 
     fn poll_next_chunk(&mut self, _: &mut Context<'_>) -> Poll<Chunk> {
-        let piece = self.0.split_to(self.0.len().min(PIECE_BYTES));
+        let piece = self.rest.split_to(self.rest.len().min(PIECE_BYTES));
         Poll::Ready((!piece.is_empty()).then_some(Ok(piece)))
     }
 }
--- a/crates/drumusher/src/process/memory.rs
+++ b/crates/drumusher/src/process/memory.rs
@@ -8,6 +8,11 @@
     atomic::{AtomicUsize, Ordering},
 };
 
+use drumusher_schedule::time::Micros;
+use ntex::time::{Millis, sleep};
+
+use super::{Shared, clock};
+
 const MEGABYTE: usize = 1024 * 1024;
 /// Bodies get the memory limit divided by this. The rest is for tables, connections and their buffers.
 const LIMIT_DIVISOR: usize = 2;
@@ -15,6 +20,8 @@
 pub const SMALL_BYTES: usize = 64 * 1024;
 /// Share of the budget that large request bodies leave to small ones and to responses, as a divisor.
 const SPARE_DIVISOR: usize = 4;
+/// Interval at which a response that waits for memory checks whether there is some.
+const POLL_INTERVAL: Millis = Millis(16);
 
 /// What a reservation is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,6 +51,11 @@
         self.reserved.load(Ordering::Acquire)
     }
 
+    /// The size of the largest body that can be reserved when nothing else is.
+    pub fn largest(&self, purpose: Use) -> usize {
+        self.ceiling(purpose, self.limit)
+    }
+
     /// Number of bytes up to which all reservations may grow for a body of `bytes`. Small responses are always taken:
     /// their requests have run, and the limit on requests in flight bounds them.
     fn ceiling(&self, purpose: Use, bytes: usize) -> usize {
@@ -97,6 +109,16 @@
             || self.extend_to(if received <= SMALL_BYTES { received } else { max_bytes })
     }
 
+    /// Adjusts the reservation to an incomplete event of `bytes`, of which small ones are not reserved. Returns whether
+    /// the budget allows it.
+    pub fn hold_event(&mut self, bytes: usize, max_bytes: usize) -> bool {
+        if bytes <= SMALL_BYTES {
+            self.shrink_to(0);
+            return true;
+        }
+        self.grow_to(bytes, max_bytes)
+    }
+
     /// Releases all but `bytes`.
     pub fn shrink_to(&mut self, bytes: usize) {
         let surplus = self.bytes.saturating_sub(bytes);
@@ -110,3 +132,62 @@
         self.shrink_to(0);
     }
 }
+
+/// Error of a response that takes more memory than there is, or than is released in time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Exhausted;
+
+/// Memory for the body of a response as it is received. What does not fit stays at its backend server until there is room.
+pub struct Intake<'a> {
+    shared: &'a Shared,
+    memory: Reservation,
+    max_bytes: usize,
+    deadline: Micros,
+}
+
+impl<'a> Intake<'a> {
+    /// Creates the intake of a body of at most `max_bytes`, which waits for memory until `deadline`.
+    pub fn new(shared: &'a Shared, max_bytes: usize, deadline: Micros) -> Self {
+        let memory = Reservation::new(shared.memory.clone(), Use::Response);
+        let max_bytes = shared.memory.largest(Use::Response).min(max_bytes);
+        Intake { shared, memory, max_bytes, deadline }
+    }
+
+    /// Reserves memory for a body of this declared length.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`].
+    pub async fn expect(&mut self, length: usize) -> Result<(), Exhausted> {
+        self.grow(length, length).await
+    }
+
+    /// Reserves memory for a body of which `received` bytes have arrived.
+    ///
+    /// # Errors
+    ///
+    /// [`Exhausted`].
+    pub async fn receive(&mut self, received: usize) -> Result<(), Exhausted> {
+        self.grow(received, self.max_bytes).await
+    }
+
+    async fn grow(&mut self, bytes: usize, expected: usize) -> Result<(), Exhausted> {
+        if bytes > self.max_bytes {
+            return Err(Exhausted);
+        }
+        while !self.memory.grow_to(bytes, expected) {
+            if clock::now() >= self.deadline {
+                return Err(Exhausted);
+            }
+            self.shared.telemetry.count("drumusher.responses.held", &[]);
+            sleep(POLL_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    /// The reservation for a whole body of `bytes`.
+    pub fn finish(mut self, bytes: usize) -> Reservation {
+        self.memory.shrink_to(bytes);
+        self.memory
+    }
+}
--- a/crates/drumusher/src/request/in_flight.rs
+++ b/crates/drumusher/src/request/in_flight.rs
@@ -49,12 +49,23 @@
     ///
     /// # Errors
     ///
-    /// [`Kind::Overloaded`] if the memory for bodies is taken.
+    /// [`Kind::Overloaded`] if the memory for bodies is taken, [`Kind::TooLarge`] if the body would never fit.
     pub fn with_body(mut self, headers: &HeaderMap, max_bytes: usize) -> Result<Self, Error> {
         let length = headers.get("content-length").and_then(|value| value.to_str().ok());
         let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
-        self.max_bytes = max_bytes;
-        if self.memory.extend_to(max_bytes.min(length)) { Ok(self) } else { Err(memory_error()) }
+        self.max_bytes = max_bytes.min(self.shared.memory.largest(Use::Request));
+        self.extend_to(max_bytes.min(length))?;
+        Ok(self)
+    }
+
+    /// Extends the reservation for the body to `bytes` in all.
+    ///
+    /// # Errors
+    ///
+    /// See [`InFlight::with_body`].
+    pub fn extend_to(&mut self, bytes: usize) -> Result<(), Error> {
+        self.check_size(bytes)?;
+        if self.memory.extend_to(bytes) { Ok(()) } else { Err(memory_error()) }
     }
 
     /// Number of bytes of the body that are reserved.
@@ -68,10 +79,19 @@
     ///
     /// See [`InFlight::with_body`].
     pub fn receive(&mut self, received: usize) -> Result<(), Error> {
+        self.check_size(received)?;
         let reserved = self.memory.grow_to(received, self.max_bytes);
         if reserved { Ok(()) } else { Err(memory_error()) }
     }
 
+    fn check_size(&self, bytes: usize) -> Result<(), Error> {
+        if bytes <= self.shared.memory.largest(Use::Request) {
+            return Ok(());
+        }
+        let message = "the request body exceeds the memory of this instance for bodies";
+        Err(Error::new(Kind::TooLarge, message))
+    }
+
     /// Releases the memory beyond `bytes`, the length of the body that is held.
     pub fn hold_body(&mut self, bytes: usize) {
         self.memory.shrink_to(bytes);
--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -65,6 +65,7 @@
         let Failure::Broken(error) = failure else { return };
         let now = clock::now();
         match error {
+            upstream::Error::NoMemory => {}
             upstream::Error::TimedOut => self.watch(backend, now + GIVEN_UP_TIME, now, true),
             upstream::Error::Lost => self.watch(backend, now + LISTING_TIME, now, true),
             _ => self.watch(backend, now + LISTING_TIME, now, false),
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -31,6 +31,10 @@
             Failure::Broken(upstream::Error::TimedOut) => {
                 Error::new(Kind::TimedOut, "the backend server did not respond in time")
             }
+            Failure::Broken(upstream::Error::NoMemory) => {
+                let message = "this instance has no memory for the response; the request has run";
+                Error::new(Kind::BackendFailed, message)
+            }
             _ => {
                 let message = "the backend server failed; the request may have run";
                 Error::new(Kind::BackendFailed, message)
@@ -102,8 +106,9 @@
         let BufferedResponse { body, memory, .. } = buffered;
         self.release_body();
         let (shared, client) = (self.worker.shared.clone(), self.request.client.clone());
-        response
-            .set_body(Delivery::new(shared, client, Pieces::new(body), (self, memory)).into_body())
+        response.set_body(
+            Delivery::new(shared, client, Pieces::new(body, ()), (self, memory)).into_body(),
+        )
     }
 
     /// Starts a response to the client from the head of a backend server's response.
--- a/crates/drumusher/src/routed/exchange/failure.rs
+++ b/crates/drumusher/src/routed/exchange/failure.rs
@@ -48,7 +48,8 @@
             Failure::NotRun(429 | 503) => Outcome::Overloaded,
             Failure::Failed(_) => Outcome::ErrorResponse,
             Failure::NotConnected => Outcome::ConnectFailed,
-            Failure::Withheld => Outcome::Cancelled,
+            // Neither is the backend server's fault.
+            Failure::Withheld | Failure::Broken(upstream::Error::NoMemory) => Outcome::Cancelled,
             _ => Outcome::Failed,
         }
     }
--- a/crates/drumusher/src/routed/exchange/path.rs
+++ b/crates/drumusher/src/routed/exchange/path.rs
@@ -100,7 +100,7 @@
         match failure {
             // An instance in between that forwarded nothing says nothing about the server.
             Failure::NotConnected => self.path_blamed || self.tunnelled,
-            Failure::Broken(upstream::Error::Malformed) => false,
+            Failure::Broken(upstream::Error::Malformed | upstream::Error::NoMemory) => false,
             Failure::Broken(_) => !self.tunnelled && self.worker.shared.paths.is_lost(backend),
             Failure::Withheld | Failure::NotRun(_) | Failure::Failed(_) => false,
         }
--- a/crates/drumusher/src/routed/exchange/response.rs
+++ b/crates/drumusher/src/routed/exchange/response.rs
@@ -4,16 +4,12 @@
 use drumusher_schedule::time::Micros;
 use ntex::{
     http::Method,
-    time::{Millis, sleep},
     util::{Bytes, BytesMut},
 };
 
 use super::{Exchange, Failure};
 use crate::{
-    process::{
-        clock,
-        memory::{Reservation, Use},
-    },
+    process::memory::{Intake, Reservation},
     routed::relay::Relay,
     upstream::{
         self, Conn,
@@ -27,9 +23,6 @@
 /// Maximum size of a buffered response body, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Interval at which a response that waits for memory checks whether there is some.
-const MEMORY_POLL: Millis = Millis(16);
-
 /// A response with its complete body.
 #[derive(Debug)]
 pub struct BufferedResponse {
@@ -94,28 +87,20 @@
         conn: &mut Conn,
         head: response::Head,
     ) -> Result<BufferedResponse, upstream::Error> {
-        let budget = self.worker.shared.memory.clone();
-        let mut memory = Reservation::new(budget, Use::Response);
+        let shared = self.worker.shared.clone();
+        let mut intake = Intake::new(&shared, MAX_BODY_BYTES, self.deadline);
         let has_body = self.request.method != Method::HEAD;
-        let length = head.content_length().filter(|_| has_body).unwrap_or(0).min(MAX_BODY_BYTES);
-        while !memory.extend_to(length) {
-            self.await_memory().await?;
-        }
+        let length = head.content_length().filter(|_| has_body).unwrap_or(0);
+        intake.expect(length).await?;
         let mut body = BytesMut::with_capacity(length);
         loop {
             match self.next_part(conn, self.deadline).await? {
                 Part::Data(bytes) => {
-                    let received = body.len() + bytes.len();
-                    if received > MAX_BODY_BYTES {
-                        return Err(upstream::Error::Malformed);
-                    }
-                    while !memory.grow_to(received, MAX_BODY_BYTES) {
-                        self.await_memory().await?;
-                    }
+                    intake.receive(body.len() + bytes.len()).await?;
                     body.extend_from_slice(&bytes);
                 }
                 Part::End => {
-                    memory.shrink_to(body.len());
+                    let memory = intake.finish(body.len());
                     return Ok(BufferedResponse { head, body: body.freeze(), memory });
                 }
                 Part::Head(_) => return Err(upstream::Error::Malformed),
@@ -123,16 +108,6 @@
         }
     }
 
-    /// Waits for memory to be released, for a moment.
-    async fn await_memory(&self) -> Result<(), upstream::Error> {
-        if clock::now() >= self.deadline {
-            return Err(upstream::Error::TimedOut);
-        }
-        self.worker.shared.telemetry.count("drumusher.responses.held", &[]);
-        sleep(MEMORY_POLL).await;
-        Ok(())
-    }
-
     /// Skips the body of a refusal, so that the connection can be reused.
     pub(super) async fn drain_refusal(&mut self, backend: &Backend, mut conn: Conn) {
         let mut skipped = 0;
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -21,7 +21,7 @@
     delivery::{Delivery, Undelivered},
     process::{
         clock,
-        memory::{Budget, Reservation, SMALL_BYTES, Use},
+        memory::{Budget, Reservation, Use},
     },
     upstream::{
         Conn, Error,
@@ -182,12 +182,7 @@
 
     /// Reserves memory for an incomplete event if it is large.
     fn reserve_buffer(&mut self) -> Result<(), Error> {
-        let bytes = self.buffer.len();
-        if bytes <= SMALL_BYTES {
-            self.memory.shrink_to(0);
-            return Ok(());
-        }
-        let reserved = self.memory.grow_to(bytes, MAX_EVENT_BYTES);
+        let reserved = self.memory.hold_event(self.buffer.len(), MAX_EVENT_BYTES);
         if reserved { Ok(()) } else { Err(Error::NoMemory) }
     }
 
--- a/crates/drumusher/src/upstream/mod.rs
+++ b/crates/drumusher/src/upstream/mod.rs
@@ -20,7 +20,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::version::Backend;
+use crate::{process::memory::Exhausted, version::Backend};
 
 /// Tells a request from others on the same connection: a hash of its ID, which all of its attempts have.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -59,6 +59,12 @@
     Lost,
 }
 
+impl From<Exhausted> for Error {
+    fn from(_: Exhausted) -> Self {
+        Error::NoMemory
+    }
+}
+
 impl Error {
     /// Label used in logs and metrics.
     pub fn as_str(self) -> &'static str {
--- a/crates/drumusher/tests/routes/large_bodies.rs
+++ b/crates/drumusher/tests/routes/large_bodies.rs
@@ -19,12 +19,16 @@
 const FITTING: usize = 6;
 
 fn deploy() -> Deployment {
+    deploy_with(MEMORY)
+}
+
+fn deploy_with(settings: &str) -> Deployment {
     let mut deployment = Deployment::empty(false);
     for (id, service) in [("d1", "desk"), ("d2", "desk"), ("m1", "model")] {
         deployment.add_server(id, service);
     }
     let store_endpoint = deployment.store.endpoint().expect("the store endpoint starts");
-    deployment.add_instance_with("i0", store_endpoint, MEMORY);
+    deployment.add_instance_with("i0", store_endpoint, settings);
     let routes = configuration(1, "").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":15000");
     let limit = format!("\"MaxBodyBytes\":{BODY_BYTES}");
     deployment.store.put("keyed.op", "config", &routes.replace("\"MaxBodyBytes\":5000", &limit));
@@ -103,6 +107,40 @@
     assert_eq!(response.status, 200, "{}", response.text());
 }
 
+/// The limit of a process in which neither such a body nor a large response ever fits.
+const LITTLE_MEMORY: &str = "[limits]\nmemory_mb = 8\n";
+
+/// A body that can never fit is too large, so that its caller does not come back with it.
+#[rstest]
+#[case::of_known_length(false)]
+#[case::in_chunks(true)]
+fn body_that_never_fits_is_too_large(#[case] chunked: bool) {
+    let deployment = deploy_with(LITTLE_MEMORY);
+    let response = Upload::begin(&deployment, chunked).finish();
+    assert_eq!((response.status, response.complete), (413, true), "{}", response.text());
+    assert!(response.header("retry-after").is_none());
+}
+
+/// A response that can never fit fails at once, and is not counted against the backend server that sent it.
+#[rstest]
+#[case::of_known_length(Fault::None)]
+#[case::that_ends_with_its_connection(Fault::Unframed)]
+fn response_that_never_fits_is_no_failure_of_its_server(#[case] fault: Fault) {
+    let deployment = deploy_with(LITTLE_MEMORY);
+    for server in &deployment.servers {
+        server.set_body_bytes(RESPONSE_BYTES);
+        server.set(fault);
+    }
+    let request = Request::post("/book/", "x");
+    let response = deployment.send(0, &request).expect("a response");
+    assert_eq!((response.status, response.complete), (502, true), "{}", response.text());
+    assert!(response.text().contains("has run"), "{}", response.text());
+    assert_eq!(deployment.runs(&request.id), 1);
+    let log = || deployment.instances[0].log();
+    wait_for("the attempt is logged", || log().contains("attempt ended: no memory"));
+    assert!(!log().contains("crash"), "no crash is suspected");
+}
+
 /// Memory is released when callers leave in the middle of their requests.
 #[test]
 fn memory_is_released_when_callers_leave() {
--- a/crates/drumusher/tests/unit/body_memory.rs
+++ b/crates/drumusher/tests/unit/body_memory.rs
@@ -49,6 +49,28 @@
     assert_eq!(budget.reserved(), 0);
 }
 
+#[test]
+fn largest_body_fits_when_nothing_else_is_held() {
+    for purpose in [Use::Request, Use::Response] {
+        let budget = Arc::new(Budget::new(Some(64)));
+        let largest = budget.largest(purpose);
+        assert!(!reservation(&budget, purpose).extend_to(largest + 1));
+        assert!(reservation(&budget, purpose).extend_to(largest));
+    }
+}
+
+#[test]
+fn only_large_events_are_reserved() {
+    let budget = Arc::new(Budget::new(Some(64)));
+    let mut event = reservation(&budget, Use::Response);
+    assert!(event.hold_event(SMALL_BYTES, MEGABYTE));
+    assert_eq!(budget.reserved(), 0);
+    assert!(event.hold_event(SMALL_BYTES + 1, MEGABYTE));
+    assert_eq!(budget.reserved(), MEGABYTE);
+    assert!(event.hold_event(0, MEGABYTE));
+    assert_eq!(budget.reserved(), 0);
+}
+
 #[test]
 fn without_a_limit_all_bodies_fit() {
     let budget = Arc::new(Budget::new(None));
