memory: responses of the product's own interface are reserved, too

A service response is now read as there is memory for it and passed on in pieces, and holds its memory until its caller has read it. Large incomplete events are reserved as in routed streams. A completion reserves its body twice, and drops the bytes it received once they are parsed. The gauge of reserved bytes is in the metrics of both interfaces.

Test: fleet large_responses::responses_beyond_the_memory_wait, which failed before (no response waited) and passes now; shutdown:: passes, whose slow caller is shared.

--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -212,10 +212,7 @@
 fn status(shared: &Shared, request: &http::Request) -> Response {
     if request.path() == METRICS_PATH {
         shared.update_notice_gauges();
-        shared.telemetry.gauge("drumusher.bodies.reserved", shared.memory.reserved() as u64);
-        return Response::Ok()
-            .content_type("text/plain; version=0.0.4")
-            .body(shared.telemetry.text());
+        return Response::Ok().content_type("text/plain; version=0.0.4").body(shared.metrics());
     }
     let ready = shared.ready();
     Response::new(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -238,6 +238,12 @@
         (since > 0).then(|| clock::now().saturating_sub(since))
     }
 
+    /// The metrics as text.
+    pub fn metrics(&self) -> String {
+        self.telemetry.gauge("drumusher.bodies.reserved", self.memory.reserved() as u64);
+        self.telemetry.text()
+    }
+
     /// The schedule of the planned stop; `None` if it has not started.
     pub fn stop_schedule(&self) -> Option<stop::Schedule> {
         let since = self.stopping_since.load(Ordering::Acquire);
--- a/crates/drumusher/src/request/attempt.rs
+++ b/crates/drumusher/src/request/attempt.rs
@@ -13,7 +13,7 @@
     id,
     trace::TRACEPARENT,
 };
-use crate::settings::Backend as Settings;
+use crate::{process::memory::Exhausted, settings::Backend as Settings};
 
 /// Maximum number of connections from one HTTP worker to one backend server.
 const MAX_CONNECTIONS: usize = 4_096;
@@ -41,6 +41,14 @@
     Failed(u16),
     /// The response belongs to another request.
     Mismatched,
+    /// The response takes more memory than this instance has left.
+    NoMemory,
+}
+
+impl From<Exhausted> for Error {
+    fn from(_: Exhausted) -> Self {
+        Error::NoMemory
+    }
 }
 
 impl Error {
@@ -54,7 +62,11 @@
     pub fn is_rejection(self) -> bool {
         match self {
             Error::NotSent | Error::Full | Error::NoResponse | Error::Failed(_) => true,
-            Error::Closed | Error::Broken | Error::Stalled | Error::Mismatched => false,
+            Error::Closed
+            | Error::Broken
+            | Error::Stalled
+            | Error::Mismatched
+            | Error::NoMemory => false,
         }
     }
 
@@ -68,6 +80,7 @@
             Error::Stalled | Error::NoResponse => "stalled",
             Error::Failed(_) => "failed",
             Error::Mismatched => "answered another request",
+            Error::NoMemory => "got no memory",
         }
     }
 }
--- a/crates/drumusher/src/request/completion.rs
+++ b/crates/drumusher/src/request/completion.rs
@@ -20,6 +20,8 @@
 
 /// Approximate number of prompt characters per token.
 const CHARACTERS_PER_TOKEN: usize = 4;
+/// A body is held twice while it is sent: parsed, and as it is sent.
+const BODY_COPIES: usize = 2;
 /// Length of the prompt prefix that is hashed for cache affinity, in bytes.
 const AFFINITY_PREFIX_BYTES: usize = 512;
 
@@ -77,12 +79,14 @@
     kind: CompletionKind,
     headers: &HeaderMap,
     body: Bytes,
-    in_flight: InFlight,
+    mut in_flight: InFlight,
     (request_id, span): (u128, &Span),
 ) -> Result<HttpResponse, Error> {
     let head = Head::read(&shared, headers)?;
     let fingerprint = xxh3_64_with_seed(&body, 0);
+    in_flight.extend_to(body.len() * BODY_COPIES)?;
     let request = parse_request(&shared, &head, kind, &body)?;
+    drop(body);
     let pool = Pool::Model(request.model.clone());
     if !shared.directory.load().pools.contains_key(&pool) {
         let message = format!("there is no model {:?}", request.model);
--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -194,9 +194,7 @@
 }
 
 async fn metrics(worker: types::State<Worker>) -> HttpResponse {
-    HttpResponse::Ok()
-        .content_type("text/plain; version=0.0.4")
-        .body(worker.shared.telemetry.text())
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(worker.shared.metrics())
 }
 
 async fn live() -> HttpResponse {
--- a/crates/drumusher/src/request/service.rs
+++ b/crates/drumusher/src/request/service.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use drumusher_log::config;
-use drumusher_schedule::ask::Outcome;
+use drumusher_schedule::{ask::Outcome, time::MILLISECOND};
 use ntex::{
     client::ClientResponse,
     http::{HeaderMap, Method},
@@ -23,8 +23,12 @@
     trace::Span,
 };
 use crate::{
+    delivery::Pieces,
     error::{Error, Kind, Ran},
-    process::Shared,
+    process::{
+        Shared, clock,
+        memory::{Intake, Reservation},
+    },
     version::{Backend, Pool},
 };
 
@@ -50,6 +54,7 @@
     status: u16,
     content_type: String,
     body: Bytes,
+    memory: Reservation,
 }
 
 /// Handles a service call.
@@ -141,8 +146,14 @@
         };
         span.fail(error.as_str());
         span.end();
-        lifecycle.finish_attempt(Outcome::Failed);
+        let has_run = error == attempt::Error::NoMemory;
+        lifecycle.finish_attempt(if has_run { Outcome::Cancelled } else { Outcome::Failed });
         lifecycle.log_failure(&backend.name, error.as_str());
+        if has_run {
+            lifecycle.set_outcome(Kind::BackendFailed.code());
+            let message = "this instance has no memory for the response; the call has run";
+            return Err(Error::new(Kind::BackendFailed, message));
+        }
         let not_run = error.not_run();
         if not_run && let Some(claim) = &mut claim {
             claim.mark_not_sent();
@@ -186,26 +197,34 @@
     let timeout = ntex::time::Millis(settings.timeout_ms as u32);
     let sent = ntex::time::timeout(timeout, attempt::send(client, request)).await;
     let response = sent.unwrap_or(Err(attempt::Error::Stalled))?;
-    read_response(response, settings.timeout_ms).await
+    let has_body = call.method != Method::HEAD;
+    let until = clock::now() + settings.timeout_ms * MILLISECOND;
+    let intake = Intake::new(&lifecycle.shared, MAX_RESPONSE_BYTES, until);
+    read_response(response, intake, has_body, settings.timeout_ms).await
 }
 
-/// Reads a complete response; a truncated body is an error.
+/// Reads a complete response; a truncated body is an error. The body is left at the service for as long as the memory
+/// for bodies is taken.
 async fn read_response(
     response: ClientResponse,
+    mut intake: Intake<'_>,
+    has_body: bool,
     timeout_ms: u64,
 ) -> Result<ServiceResponse, attempt::Error> {
     let content_type = response.header("content-type").and_then(|value| value.to_str().ok());
     let content_type = content_type.unwrap_or("application/octet-stream").to_string();
     let status = response.status().as_u16();
+    let length = response.header("content-length").and_then(|value| value.to_str().ok());
+    let length = length.filter(|_| has_body).and_then(|text| text.parse().ok()).unwrap_or(0);
+    intake.expect(length).await?;
     let mut payload = response.take_payload();
-    let mut body = BytesMut::new();
+    let mut body = BytesMut::with_capacity(length);
     while let Some(chunk) = attempt::next_chunk(&mut payload, timeout_ms).await? {
+        intake.receive(body.len() + chunk.len()).await?;
         body.extend_from_slice(&chunk);
-        if body.len() > MAX_RESPONSE_BYTES {
-            return Err(attempt::Error::Broken);
-        }
     }
-    Ok(ServiceResponse { status, content_type, body: body.freeze() })
+    let memory = intake.finish(body.len());
+    Ok(ServiceResponse { status, content_type, body: body.freeze(), memory })
 }
 
 fn forwarded_headers(headers: &HeaderMap) -> Vec<(&'static str, String)> {
@@ -224,5 +243,5 @@
     let status = ntex::http::StatusCode::from_u16(received.status);
     let mut response = HttpResponse::build(status.unwrap_or(ntex::http::StatusCode::BAD_GATEWAY));
     response.content_type(received.content_type.as_str());
-    response.body(received.body)
+    response.body(Pieces::new(received.body, received.memory).into_body())
 }
--- a/crates/drumusher/src/request/sse.rs
+++ b/crates/drumusher/src/request/sse.rs
@@ -5,7 +5,7 @@
 use ntex::util::{Bytes, BytesMut};
 
 /// Maximum size of an event in bytes.
-const MAX_EVENT_BYTES: usize = 1_048_576;
+pub const MAX_EVENT_BYTES: usize = 1_048_576;
 
 /// Why a stream was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +67,11 @@
         serde_json::from_str(&format!("\"{}\"", self.text)).unwrap_or_default()
     }
 
+    /// Length of the incomplete event, in bytes.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards the incomplete event of a broken attempt.
     pub fn restart(&mut self) {
         self.buffer.clear();
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -12,12 +12,15 @@
     claim::Claim,
     completion::CompletionKind,
     lifecycle::{DONE, Lifecycle},
-    sse::Scanner,
+    sse::{MAX_EVENT_BYTES, Scanner},
     trace::Span,
 };
 use crate::{
     error::{Error, Kind, Ran},
-    process::clock,
+    process::{
+        clock,
+        memory::{Reservation, Use},
+    },
     version::Backend,
 };
 
@@ -38,6 +41,8 @@
     claim: Option<Claim>,
     active: Option<ActiveAttempt>,
     ended: bool,
+    /// Memory for the incomplete event while it is large.
+    memory: Reservation,
 }
 
 /// The running attempt.
@@ -61,6 +66,7 @@
         claim: Option<Claim>,
     ) -> Self {
         let scanner = Scanner::new();
+        let memory = Reservation::new(lifecycle.shared.memory.clone(), Use::Response);
         CompletionStream {
             lifecycle,
             client,
@@ -70,6 +76,7 @@
             scanner,
             active: None,
             ended: false,
+            memory,
         }
     }
 
@@ -94,6 +101,11 @@
                         self.handle_break(active, attempt::Error::Broken)?;
                         continue;
                     };
+                    let bytes = self.scanner.incomplete_bytes();
+                    if !self.memory.hold_event(bytes, MAX_EVENT_BYTES) {
+                        self.handle_break(active, attempt::Error::NoMemory)?;
+                        continue;
+                    }
                     self.record_tokens(&mut active, events.tokens);
                     if self.scanner.done() {
                         self.finish(active).await;
@@ -293,6 +305,7 @@
         let outcome = match error {
             attempt::Error::Full => Outcome::Overloaded,
             attempt::Error::NotSent => Outcome::ConnectFailed,
+            attempt::Error::NoMemory => Outcome::Cancelled,
             _ => Outcome::Failed,
         };
         self.lifecycle.finish_attempt(outcome);
--- a/crates/drumusher/tests/fleet/main.rs
+++ b/crates/drumusher/tests/fleet/main.rs
@@ -12,6 +12,7 @@
 mod engine_pause;
 mod failover;
 mod isolation;
+mod large_responses;
 mod outage_series;
 mod refusal;
 mod shutdown;
--- a/crates/drumusher/tests/fleet/shutdown.rs
+++ b/crates/drumusher/tests/fleet/shutdown.rs
@@ -1,18 +1,12 @@
 //! A graceful shutdown breaks off no request in flight.
 
-use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpStream},
-    thread,
-    time::Duration,
-};
+use std::{io::Read, thread, time::Duration};
 
-use drumusher_bench::fleet::{key, wait_for};
+use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
-use socket2::{Domain, Socket, Type};
 
 use crate::support::{
-    SERVICE, address_of, another_instance, assert_whole, calls, dispatcher, engine_stat, fleet,
+    address_of, another_instance, assert_whole, call_slowly, calls, dispatcher, engine_stat, fleet,
     join_all, spawn_each, stream, switch,
 };
 
@@ -93,7 +87,6 @@
 
 /// Length of a large response. The buffers of the operating system don't hold it where the caller's is small.
 const RESPONSE_BYTES: usize = 7 * 1024 * 1024;
-const SMALL_BUFFER: usize = 4 * 1024;
 
 /// A shutdown waits until a caller that reads slowly has the whole response.
 #[test]
@@ -101,17 +94,7 @@
     let mut fleet = fleet(&["suva"], 1, 1, "");
     let desk = address_of(&fleet, "suva-desk");
     switch(&desk, &format!(r#"{{"pad_bytes": {RESPONSE_BYTES}}}"#));
-    let address: SocketAddr = fleet.instances[0].http.parse().expect("an address");
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
-    socket.set_recv_buffer_size(SMALL_BUFFER).expect("a small buffer");
-    socket.connect(&address.into()).expect("a connection");
-    let mut conn = TcpStream::from(socket);
-    let head = format!(
-        "GET /services/{SERVICE}/bookings HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\n\
-         drumusher-class: booking\r\nconnection: close\r\n\r\n",
-        key("vanua")
-    );
-    conn.write_all(head.as_bytes()).expect("the request is sent");
+    let mut conn = call_slowly(&fleet.instances[0].http);
     wait_for("the call has run", || !calls(&fleet, "suva").is_empty());
     fleet.instances[0].signal("TERM");
     // Longer than a shutdown takes that waits for nothing.
--- a/crates/drumusher/tests/fleet/support.rs
+++ b/crates/drumusher/tests/fleet/support.rs
@@ -1,18 +1,19 @@
 //! Helpers shared by the fleet tests.
 
 use std::{
-    io,
-    net::TcpStream,
+    io::{self, Write},
+    net::{SocketAddr, TcpStream},
     sync::Arc,
     thread::{self, JoinHandle},
 };
 
 use drumusher_bench::{
     client::{self, Response},
-    fleet::{self, Fleet},
+    fleet::{self, Fleet, key},
     stand_in::{Kind, engine, service::Call},
 };
 use serde_json::{Value, json};
+use socket2::{Domain, Socket, Type};
 
 /// Model that the engines of a test fleet serve.
 pub const MODEL: &str = "draft";
@@ -164,6 +165,25 @@
     assert!(response.body.ends_with("data: [DONE]\n\n"), "{}", response.body);
 }
 
+/// Size of the receive buffer of a caller that is slow to read, in bytes.
+const SMALL_BUFFER: usize = 4 * 1024;
+
+/// Calls the service and does not read the response, of which little is received for that reason.
+pub fn call_slowly(address: &str) -> TcpStream {
+    let address: SocketAddr = address.parse().expect("an address");
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER).expect("a small buffer");
+    socket.connect(&address.into()).expect("a connection");
+    let mut conn = TcpStream::from(socket);
+    let head = format!(
+        "GET /services/{SERVICE}/bookings HTTP/1.1\r\nhost: h\r\nauthorization: Bearer {}\r\n\
+         drumusher-class: booking\r\nconnection: close\r\n\r\n",
+        key("vanua")
+    );
+    conn.write_all(head.as_bytes()).expect("the request is sent");
+    conn
+}
+
 /// Sends a streamed request and returns its connection, for tests that close it before the response ends.
 pub fn raw_stream(address: &str, tag: &str, tokens: u32) -> TcpStream {
     client::open_stream(address, &fleet::key("vanua"), tag, tokens).expect("the instance accepts")
