stop: unfinished uploads are refused before the process ends

A caller that had sent a part of its request got a closed connection when the instance stopped: the body was only given up when its next part came, and in the product's own interface not at all. Such a request has not run, which a closed connection does not say.

Reading a body now ends after half of the time for a stop, as waiting for a backend server does, with 503, not run, and a time to come back. Both interfaces share the wait. A response that has no memory says that its request has run.

Test: planned_stop::unfinished_uploads_are_refused_before_a_stop_ends, which failed on (no response) and passes; planned_stop:: and large_bodies:: passed, one run.

--- a/crates/drumusher/src/error.rs
+++ b/crates/drumusher/src/error.rs
@@ -140,6 +140,11 @@
 /// Header that carries an arrival token in both directions.
 pub const ARRIVAL_TOKEN_HEADER: &str = "Drumusher-Place";
 
+/// Message of a refusal by an instance that is stopping.
+pub const STOPPING: &str = "this instance is stopping";
+/// Its `Retry-After` in milliseconds: on a new connection the client reaches another instance.
+pub const STOPPING_RETRY_MS: u64 = 50;
+
 impl Error {
     /// Creates an error of `kind` with a message for the client.
     pub fn new(kind: Kind, message: impl Into<String>) -> Self {
@@ -152,6 +157,11 @@
         }
     }
 
+    /// The refusal of an instance that is stopping.
+    pub fn stopping() -> Self {
+        Error::new(Kind::NotReady, STOPPING).with_retry_after(STOPPING_RETRY_MS)
+    }
+
     /// Sets the time after which to retry.
     pub fn with_retry_after(mut self, milliseconds: u64) -> Self {
         self.retry_after_ms = Some(milliseconds);
--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -4,8 +4,7 @@
 
 use ntex::{
     http::{HeaderMap, Method, StatusCode},
-    time::{Millis, timeout},
-    util::{Bytes, BytesMut},
+    util::{Bytes, BytesMut, Either, select},
     web::{self, HttpRequest, HttpResponse, types},
 };
 use serde_json::json;
@@ -14,7 +13,7 @@
     attempt,
     completion::{self, CompletionKind},
     head::Head,
-    in_flight::InFlight,
+    in_flight::{self, InFlight},
     service::{self, Call},
 };
 use crate::{
@@ -143,7 +142,7 @@
     mut receive: impl FnMut(usize) -> Result<(), Error>,
 ) -> Result<Bytes, Error> {
     let limits = &shared.settings.limits;
-    let read = timeout(Millis(limits.body_ms as u32), async {
+    let reading = async {
         let mut body = BytesMut::new();
         while let Some(chunk) = payload.recv().await {
             let broken = |_| Error::new(Kind::BadRequest, "the request body ended prematurely");
@@ -156,9 +155,11 @@
             }
         }
         Ok(body.freeze())
-    });
-    let late = Err(Error::new(Kind::BadRequest, "the request body was not received in time"));
-    read.await.unwrap_or(late)
+    };
+    match select(reading, in_flight::end_of_reading(shared)).await {
+        Either::Left(read) => read,
+        Either::Right(error) => Err(error),
+    }
 }
 
 async fn models(request: HttpRequest, worker: types::State<Worker>) -> HttpResponse {
--- a/crates/drumusher/src/request/in_flight.rs
+++ b/crates/drumusher/src/request/in_flight.rs
@@ -2,12 +2,16 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use ntex::http::HeaderMap;
+use drumusher_schedule::time::MILLISECOND;
+use ntex::{
+    http::HeaderMap,
+    time::{Millis, sleep},
+};
 
 use crate::{
     error::{Error, Kind},
     process::{
-        Shared,
+        Shared, clock,
         memory::{Reservation, Use},
     },
 };
@@ -18,6 +22,9 @@
 /// instances.
 const MEMORY_RETRY_AFTER_MS: std::ops::Range<u64> = 250..1_000;
 
+/// Interval at which a request whose body is read checks whether this instance is stopping.
+const STOP_CHECK: Millis = Millis(250);
+
 /// Guard that counts a request as in flight until it is dropped.
 pub struct InFlight {
     shared: Arc<Shared>,
@@ -103,6 +110,20 @@
     }
 }
 
+/// Waits until no more of a request body is read, because it took too long or a planned stop no longer waits for it.
+/// Returns the error to respond with.
+pub async fn end_of_reading(shared: &Shared) -> Error {
+    let until = clock::now() + shared.settings.limits.body_ms * MILLISECOND;
+    while clock::now() < until {
+        if shared.stop_refuses_waiting(None) {
+            return Error::stopping();
+        }
+        let left = until.saturating_sub(clock::now()) / MILLISECOND;
+        sleep(Millis(left.clamp(1, u64::from(STOP_CHECK.0)) as u32)).await;
+    }
+    Error::new(Kind::BadRequest, "the request body was not received in time")
+}
+
 fn memory_error() -> Error {
     let message = "the memory of this instance for request bodies is taken";
     let retry_after_ms = rand::random_range(MEMORY_RETRY_AFTER_MS);
--- a/crates/drumusher/src/request/service.rs
+++ b/crates/drumusher/src/request/service.rs
@@ -152,7 +152,7 @@
         if has_run {
             lifecycle.set_outcome(Kind::BackendFailed.code());
             let message = "this instance has no memory for the response; the call has run";
-            return Err(Error::new(Kind::BackendFailed, message));
+            return Err(Error::new(Kind::BackendFailed, message).with_ran(Ran::Yes));
         }
         let not_run = error.not_run();
         if not_run && let Some(claim) = &mut claim {
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -33,7 +33,7 @@
             }
             Failure::Broken(upstream::Error::NoMemory) => {
                 let message = "this instance has no memory for the response; the request has run";
-                Error::new(Kind::BackendFailed, message)
+                Error::new(Kind::BackendFailed, message).with_ran(Ran::Yes)
             }
             _ => {
                 let message = "the backend server failed; the request may have run";
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -8,16 +8,13 @@
 
 use super::{Exchange, RETRY_AFTER_MS};
 use crate::{
-    error::{Error, Kind as ErrorKind},
+    error::{Error, Kind as ErrorKind, STOPPING, STOPPING_RETRY_MS},
     process::{
         broker::{Attempt, Decision, Grant},
         clock,
         notices::Withheld,
     },
-    routed::{
-        digest,
-        handler::{STOPPING, STOPPING_RETRY_MS},
-    },
+    routed::digest,
     version::Backend,
 };
 
--- a/crates/drumusher/src/routed/handler.rs
+++ b/crates/drumusher/src/routed/handler.rs
@@ -6,8 +6,8 @@
 use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
     http::{self, HeaderMap, Response, error::PayloadError},
-    time::{Millis, sleep, timeout},
-    util::{Bytes, BytesMut, stream_recv},
+    time::{Millis, sleep},
+    util::{Bytes, BytesMut, Either, select, stream_recv},
 };
 
 use super::{
@@ -17,7 +17,7 @@
 use crate::{
     error::{Error, Kind},
     process::{Shared, clock},
-    request::in_flight::InFlight,
+    request::in_flight::{self, InFlight},
     version::{Denial, Routing},
 };
 
@@ -30,10 +30,6 @@
 const STARTUP_POLL: Millis = Millis(16);
 /// An instance refuses new requests this long after it began to stop: later ones could not be finished.
 const REFUSE_AFTER_STOP: Micros = 2_800 * MILLISECOND;
-/// `Retry-After` in milliseconds after that; on a new connection the client reaches another instance.
-pub const STOPPING_RETRY_MS: u64 = 50;
-/// Message of a refusal by an instance that is stopping.
-pub const STOPPING: &str = "this instance is stopping";
 /// Headers that concern a single connection and are not forwarded: hop-by-hop headers, `expect` and `content-length`.
 const HOP_BY_HOP: [&str; 11] = [
     "connection",
@@ -145,16 +141,12 @@
 fn routing(shared: &Shared) -> Result<Arc<Routing>, Error> {
     let routing = shared.routing.load_full();
     if shared.stopping_for().is_some_and(|time| routing.is_none() || time > REFUSE_AFTER_STOP) {
-        return Err(stopping_error());
+        return Err(Error::stopping());
     }
     let message = "this instance has no configuration yet";
     routing.ok_or_else(|| Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_RETRY_MS))
 }
 
-fn stopping_error() -> Error {
-    Error::new(Kind::NotReady, STOPPING).with_retry_after(STOPPING_RETRY_MS)
-}
-
 fn denial_error(denial: Denial) -> Error {
     match denial {
         Denial::NoRoute => Error::new(Kind::UnknownPath, "no route matches this host and path"),
@@ -188,7 +180,6 @@
     limits: Limits,
 ) -> Result<Bytes, Error> {
     let shared = in_flight.shared();
-    let body_ms = shared.settings.limits.body_ms;
     let mut payload = request.take_payload();
     let reading = async move {
         let mut body = BytesMut::with_capacity(in_flight.body_bytes());
@@ -200,16 +191,15 @@
                 return Err(Error::new(Kind::TooLarge, "the request body exceeds the size limit"));
             }
             in_flight.receive(body.len() + chunk.len())?;
-            if shared.stop_refuses_waiting(None) {
-                return Err(stopping_error());
-            }
             body.extend_from_slice(&chunk);
         }
         in_flight.hold_body(body.len());
         Ok(body.freeze())
     };
-    let late = |()| Error::new(Kind::BadRequest, "the request body was not received in time");
-    timeout(Millis(body_ms as u32), reading).await.map_err(late)?
+    match select(reading, in_flight::end_of_reading(&shared)).await {
+        Either::Left(read) => read,
+        Either::Right(error) => Err(error),
+    }
 }
 
 /// Returns the client headers to forward to a backend server: all but hop-by-hop headers, headers named in
--- a/crates/drumusher/tests/routes/large_bodies.rs
+++ b/crates/drumusher/tests/routes/large_bodies.rs
@@ -134,7 +134,7 @@
     let request = Request::post("/book/", "x");
     let response = deployment.send(0, &request).expect("a response");
     assert_eq!((response.status, response.complete), (502, true), "{}", response.text());
-    assert!(response.text().contains("has run"), "{}", response.text());
+    assert!(response.text().contains(r#""ran":"yes""#), "{}", response.text());
     assert_eq!(deployment.runs(&request.id), 1);
     let log = || deployment.instances[0].log();
     wait_for("the attempt is logged", || log().contains("attempt ended: no memory"));
--- a/crates/drumusher/tests/routes/planned_stop.rs
+++ b/crates/drumusher/tests/routes/planned_stop.rs
@@ -135,6 +135,26 @@
     assert!(deployment.instances[0].ended().expect("the process has ended").success());
 }
 
+/// A request whose body does not arrive is refused before the process ends, as it did not run. Guards against bodies that
+/// are awaited until the process is gone.
+#[test]
+fn unfinished_uploads_are_refused_before_a_stop_ends() {
+    let mut deployment = deploy_with_long_timeouts(1);
+    let request = Request::post("/book/", "unfinished");
+    let mut bytes = request.bytes();
+    let rest = bytes.split_off(bytes.len() - 1);
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&bytes).expect("most of the request is sent");
+    thread::sleep(SETTLE);
+    deployment.instances[0].signal("TERM");
+    let response = read_response(&mut conn).expect("a response");
+    assert_eq!((response.status, response.complete), (503, true), "{}", response.text());
+    assert!(response.text().contains(r#""ran":"no""#), "{}", response.text());
+    let _ = conn.write_all(&rest);
+    assert_eq!(deployment.runs(&request.id), 0);
+    wait_for("the process ends", || deployment.instances[0].ended().is_some());
+}
+
 /// A request that waits when its instance stops is served if a backend server accepts it in time.
 #[test]
 fn waiting_requests_are_served_during_a_stop() {
