transfer tests: bytes of the version before are not counted as those of the change

By the log of one run: an instance had version 2 in force, and 0.05 s later it had fetched the 1,026,107 bytes of version 2 once more from another instance. Version 3 came as a patch 0.19 s after that. The test counted a transfer of version 2.

It now counts from when no transfer is in progress; the bound is the same.

--- a/crates/drumusher/tests/routes/transfer.rs
+++ b/crates/drumusher/tests/routes/transfer.rs
@@ -14,6 +14,8 @@
 //! median); 87 instances logged 2,251 unreachable peers in four seconds, and no store call failed because
 //! of the store.
 
+use std::{thread, time::Duration};
+
 use drumusher_adapter_stand_in::Outage;
 use drumusher_bench::fleet::{Mode, wait_for};
 
@@ -21,6 +23,8 @@
 
 /// Bytes of filler routes in the large configuration, as with some thousands of routes.
 const CONFIGURATION_BYTES: usize = 1_000_000;
+/// Time without a transfer after which none is in progress.
+const QUIET_TIME: Duration = Duration::from_millis(500);
 /// Number of instances of which one reader cannot send a large configuration to each other one.
 const MANY: usize = 20;
 /// Rate of a slow link, on which the configuration takes four seconds: five times as long as an instance
@@ -166,6 +170,12 @@
         let relays = deployment.instances.iter().filter_map(|instance| instance.relays.as_ref());
         relays.map(|relays| relays.peers.bytes()).sum::<u64>()
     };
+    // An instance that got this version from one instance may still be fetching it from another one.
+    wait_for("the transfers of the second version end", || {
+        let then = bytes();
+        thread::sleep(QUIET_TIME);
+        bytes() - then < CONFIGURATION_BYTES as u64 / 100
+    });
     let before = bytes();
     put(3, "extra");
     let carried = bytes() - before;
