streams: all that a dispatcher grants meanwhile is kept with one call to the store

While a service has several software versions, each dispatcher made a call for each pool and version every 0.1 s. All dispatchers append to one partition, which takes one append at a time: those of a service divided into 60 cells would have asked for 1,200 calls a second, more than the store bears, and other writers share that limit. Computed, not measured; found by reading.

A call now has all streams of a batch, and the time between two calls grows with the number of dispatchers, so that they make 80 calls a second at most together. Up to eight dispatchers write as often as before.

Tests: unit stream_records::streams_are_kept_while_there_are_several_versions, directory::cells_have_the_same_size_in_a_larger_fleet (the number of dispatchers); software_versions:: passes.

--- a/crates/drumusher/src/process/catalog/streams.rs
+++ b/crates/drumusher/src/process/catalog/streams.rs
@@ -12,8 +12,12 @@
 use super::{Backoff, Catalog};
 use crate::process::{clock, streams::Granted};
 
-/// How long streams are collected for one call. The first event of a stream takes longer.
-const BATCH_DELAY: Millis = Millis(100);
+/// Shortest time for which streams are collected for one call. The first event of a stream takes longer.
+const MIN_BATCH_DELAY_MS: u64 = 100;
+/// Maximum rate of calls of all dispatchers together: the store appends one record of a topic at a time.
+const MAX_CALLS_PER_SECOND: u64 = 80;
+/// Maximum number of streams in one call, whose record the store accepts.
+const MAX_STREAMS: usize = 4_000;
 /// Maximum number of calls to read the streams. What they return lies within the retention time of the store.
 const MAX_READS: usize = 64;
 /// Maximum number of instances that all read the streams when they start; in larger deployments only dispatchers do.
@@ -25,7 +29,7 @@
     let mut is_read = false;
     let mut backoff = Backoff::new();
     loop {
-        sleep(BATCH_DELAY).await;
+        sleep(catalog.streams_delay()).await;
         if shared.store_unavailable.load(Ordering::Acquire) {
             continue;
         }
@@ -50,7 +54,17 @@
         let shared = &self.shared;
         let decides = !shared.led.load().is_empty();
         let is_small = shared.directory.load().instances.len() <= MAX_READERS;
-        (decides || is_small) && shared.streams().has_mixed_service(clock::now())
+        (decides || is_small) && shared.streams().mixed_services(clock::now()).next().is_some()
+    }
+
+    /// How long streams are collected for one call.
+    fn streams_delay(&self) -> Millis {
+        let directory = self.shared.directory.load();
+        let streams = self.shared.streams();
+        let mixed = streams.mixed_services(clock::now());
+        let dispatchers: usize = mixed.map(|pool| directory.dispatchers(pool)).sum();
+        let delay_ms = dispatchers as u64 * 1_000 / MAX_CALLS_PER_SECOND;
+        Millis(delay_ms.max(MIN_BATCH_DELAY_MS) as u32)
     }
 
     async fn read_streams(&self) -> Result<(), Error> {
@@ -60,8 +74,8 @@
             let page = self.store.read_streams(from).await?;
             let mut streams = self.shared.streams();
             for value in &page.values {
-                match serde_json::from_str::<Granted>(value) {
-                    Ok(granted) => known += streams.restore(clock::now(), &granted),
+                match serde_json::from_str::<Vec<Granted>>(value) {
+                    Ok(batch) => known += streams.restore(clock::now(), &batch),
                     Err(error) => log::error!("malformed record of streams: {error}"),
                 }
             }
@@ -75,14 +89,16 @@
     }
 
     async fn write_streams(&self) -> Result<(), Error> {
-        let batch = self.shared.streams().take_unwritten(clock::now());
-        for granted in batch {
-            let value = serde_json::to_string(&granted).expect("texts and numbers serialize");
+        loop {
+            let batch = self.shared.streams().take_unwritten(clock::now(), MAX_STREAMS);
+            if batch.is_empty() {
+                return Ok(());
+            }
+            let value = serde_json::to_string(&batch).expect("texts and numbers serialize");
             if let Err(error) = self.store.publish_streams(&value).await {
-                self.shared.streams().put_back(&granted);
+                self.shared.streams().put_back(&batch);
                 return Err(error);
             }
         }
-        Ok(())
     }
 }
--- a/crates/drumusher/src/process/streams.rs
+++ b/crates/drumusher/src/process/streams.rs
@@ -119,13 +119,13 @@
         self.record(now, key, record);
     }
 
-    /// Takes the streams that have to be written to the store, by pool and version.
-    pub fn take_unwritten(&mut self, now: Micros) -> Vec<Granted> {
+    /// Takes at most `max` of the streams that have to be written to the store, by pool and version.
+    pub fn take_unwritten(&mut self, now: Micros, max: usize) -> Vec<Granted> {
+        let records = &self.records;
+        self.unwritten.retain(|key| records.get(key).is_some_and(|record| now < record.until));
         let mut batch: BTreeMap<(String, String), Vec<(u64, u64)>> = BTreeMap::new();
-        for key in std::mem::take(&mut self.unwritten) {
-            let Some(record) = self.records.get(&key).filter(|record| now < record.until) else {
-                continue;
-            };
+        for key in self.unwritten.drain(..max.min(self.unwritten.len())) {
+            let record = &records[&key];
             let streams = batch.entry((record.pool.to_string(), record.version.to_string()));
             streams.or_default().push((key.0, (record.until - now) / MILLISECOND));
         }
@@ -134,25 +134,29 @@
     }
 
     /// Returns streams that could not be written.
-    pub fn put_back(&mut self, granted: &Granted) {
-        self.unwritten.extend(granted.streams.iter().map(|(key, _)| Key(*key)));
+    pub fn put_back(&mut self, batch: &[Granted]) {
+        let streams = batch.iter().flat_map(|granted| &granted.streams);
+        self.unwritten.extend(streams.map(|(key, _)| Key(*key)));
     }
 
     /// Adds streams that were kept in the store, in the order of their writing. What is known otherwise is newer. Returns
     /// their number.
-    pub fn restore(&mut self, now: Micros, granted: &Granted) -> usize {
-        let Some(pool) = Pool::parse(&granted.pool) else { return 0 };
-        for (key, patience) in &granted.streams {
-            self.restored += 1;
-            let record = Record {
-                pool: pool.clone(),
-                version: granted.version.as_str().into(),
-                granted_at: self.restored,
-                until: now + (patience * MILLISECOND).min(MAX_PATIENCE),
-            };
-            self.record(now, Key(*key), record);
+    pub fn restore(&mut self, now: Micros, batch: &[Granted]) -> usize {
+        let before = self.restored;
+        for granted in batch {
+            let Some(pool) = Pool::parse(&granted.pool) else { continue };
+            for (key, patience) in &granted.streams {
+                self.restored += 1;
+                let record = Record {
+                    pool: pool.clone(),
+                    version: granted.version.as_str().into(),
+                    granted_at: self.restored,
+                    until: now + (patience * MILLISECOND).min(MAX_PATIENCE),
+                };
+                self.record(now, Key(*key), record);
+            }
         }
-        granted.streams.len()
+        (self.restored - before) as usize
     }
 
     /// The software version that began a stream.
@@ -211,9 +215,10 @@
         versions.is_some_and(|versions| versions.in_service(now).len() > 1)
     }
 
-    /// Whether streams of any service may have begun at several software versions.
-    pub fn has_mixed_service(&self, now: Micros) -> bool {
-        self.services.values().any(|versions| versions.in_service(now).len() > 1)
+    /// The services whose streams may have begun at several software versions.
+    pub fn mixed_services(&self, now: Micros) -> impl Iterator<Item = &Pool> {
+        let services = self.services.iter();
+        services.filter(move |(_, v)| v.in_service(now).len() > 1).map(|(pool, _)| pool)
     }
 
     /// Sets the versions in service before this instance began to follow them.
--- a/crates/drumusher/src/version/directory.rs
+++ b/crates/drumusher/src/version/directory.rs
@@ -280,6 +280,12 @@
         Cells::of(backends)
     }
 
+    /// Returns the number of dispatchers of a pool: one in each of its cells, or in each availability zone.
+    pub fn dispatchers(&self, pool: &Pool) -> usize {
+        let cells = pool.service().and_then(|service| self.cells(service));
+        cells.map_or(self.zone_instances.len(), |cells| cells.total())
+    }
+
     /// Returns whether requests go to the cells of a pool in place of the pool itself.
     pub fn is_divided(&self, pool: &Pool) -> bool {
         matches!(pool, Pool::Service(service) if self.cells(service).is_some())
--- a/crates/drumusher/tests/unit/directory.rs
+++ b/crates/drumusher/tests/unit/directory.rs
@@ -99,6 +99,7 @@
         return assert_eq!(cells, 0);
     };
     assert_eq!(divided.total(), cells);
+    assert_eq!(directory.dispatchers(&Pool::Service(service.clone())), cells);
     let zones = ["z0", "z1", "z2", "z3"].map(Arc::<str>::from);
     let pools =
         zones.iter().flat_map(|zone| divided.of_zone(&service, zone).collect::<Vec<Pool>>());
--- a/crates/drumusher/tests/unit/stream_records.rs
+++ b/crates/drumusher/tests/unit/stream_records.rs
@@ -109,19 +109,19 @@
     let mut streams = Streams::default();
     streams.set_directory(0, &directory(&["v1"]));
     streams.grant(SECOND, Key(1), record("v1", SECOND));
-    assert!(streams.take_unwritten(SECOND).is_empty(), "a single version needs no record");
+    assert!(streams.take_unwritten(SECOND, 8).is_empty(), "a single version needs no record");
     streams.set_directory(2 * SECOND, &directory(&["v1", "v2"]));
     streams.grant(3 * SECOND, Key(2), record("v2", 3 * SECOND));
-    let kept = streams.take_unwritten(4 * SECOND);
+    let kept = streams.take_unwritten(4 * SECOND, 8);
     assert_eq!(kept.iter().map(|granted| granted.streams.len()).sum::<usize>(), 2);
-    assert!(streams.take_unwritten(4 * SECOND).is_empty());
-    streams.put_back(&kept[0]);
-    assert_eq!(streams.take_unwritten(4 * SECOND), kept[..1]);
+    assert!(streams.take_unwritten(4 * SECOND, 8).is_empty());
+    streams.put_back(&kept);
+    let parts = [(); 2].map(|()| streams.take_unwritten(4 * SECOND, 1));
+    assert_eq!(parts.concat(), kept, "calls of one stream each");
+    assert!(streams.take_unwritten(4 * SECOND, 8).is_empty());
     let mut later = Streams::default();
     later.record(SECOND, Key(1), record("v3", SECOND));
-    for granted in &kept {
-        assert_eq!(later.restore(SECOND, granted), 1);
-    }
+    assert_eq!(later.restore(SECOND, &kept), 2);
     assert_eq!(later.version(SECOND, Key(1)).as_deref(), Some("v3"), "it is newer");
     assert_eq!(later.version(SECOND, Key(2)).as_deref(), Some("v2"));
     assert_eq!(later.version(40 * SECOND, Key(2)), None, "its caller has given up");
