--- a/crates/drumusher/tests/routes/warm_up.rs
+++ b/crates/drumusher/tests/routes/warm_up.rs
@@ -52,6 +52,18 @@
     times.iter().map(within).max().unwrap_or(0)
 }
 
+/// The log lines of all instances about a server.
+fn lines_about(deployment: &Deployment, server: usize) -> String {
+    let name = format!("\"{}\"", deployment.servers[server].id);
+    let logs = deployment.instances.iter().map(|instance| instance.log());
+    let lines = logs.map(|log| {
+        let lines =
+            log.lines().filter(|line| line.contains(&name) && !line.contains("\"granted\""));
+        lines.map(String::from).collect::<Vec<String>>().join("\n")
+    });
+    lines.collect::<Vec<String>>().join("\n\n")
+}
+
 /// A server that warms up gets no more than its limit from all instances together; the others get the rest. Once it is
 /// warm, it gets its part again.
 #[test]
@@ -68,7 +80,7 @@
     let before = deployment.servers[0].arrivals().len();
     send_load(&deployment, 60, Duration::from_secs(4));
     let got = deployment.servers[0].arrivals().len() - before;
-    assert!(got >= 40, "{got} requests after the warm-up");
+    assert!(got >= 40, "{got} requests after the warm-up; {}", lines_about(&deployment, 0));
 }
 
 /// The limit holds through the loss of each instance in turn: a new dispatcher knows it too, and the old one's requests
