--- a/crates/drumusher/tests/routes/lost_paths.rs
+++ b/crates/drumusher/tests/routes/lost_paths.rs
@@ -12,10 +12,16 @@
 
 use rstest::rstest;
 
-use drumusher_adapter_stand_in::{Fault, server::events};
+use drumusher_adapter_stand_in::{
+    Fault,
+    server::{body, events},
+};
 use drumusher_bench::fleet::wait_for;
 
-use crate::support::{DESK, Deployment, Link, Links, MODEL, Request};
+use crate::{
+    soak::knows_left,
+    support::{DESK, Deployment, Link, Links, MODEL, Request},
+};
 
 /// Number of instances.
 const INSTANCES: usize = 4;
@@ -167,6 +173,29 @@
     });
 }
 
+/// A late copy of a rejection that comes through another instance is not taken for the response to a later attempt.
+#[rstest]
+fn rejection_that_comes_again_rejects_no_later_attempt_behind_the_other_instance() {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    for id in ["d1", "d2", "d3"] {
+        let entry = deployment.server(id).entry(DESK, "draining");
+        deployment.store.put("keyed.servers", id, &entry);
+        for instance in &deployment.instances {
+            wait_for("the instance logs that the server leaves", || knows_left(instance, id));
+        }
+    }
+    deployment.server("d0").set(Fault::RejectedAgain);
+    for _ in 0..6 {
+        let request = Request::post("/book/", "x");
+        let response = deployment.send(0, &request).expect("a response");
+        assert_eq!((response.status, response.text()), (200, body(&request.id)));
+        assert_eq!(deployment.runs(&request.id), 1);
+    }
+    let attempts = deployment.instances[0].log().matches("\"tunnelled\":\"true\"").count();
+    assert!(attempts >= 6, "{attempts} rejections came through the other instance");
+}
+
 #[rstest]
 #[case::may_run_once("/book/", 502)]
 #[case::stream_that_may_run_once("/draft/", 502)]
