--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -342,6 +342,13 @@
         line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
     }
 
+    /// The sum of the metrics whose name begins so, over all their labels.
+    pub fn metric_sum(&self, name: &str) -> f64 {
+        let metrics = self.metrics();
+        let lines = metrics.lines().filter(|line| line.starts_with(name));
+        lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok()).sum()
+    }
+
     /// The ID of its process.
     pub fn process(&self) -> u32 {
         self.child.id()
