memory: small responses are bounded, too

Responses of up to 64 KiB were always taken, and only the number of requests bounded them: with 2,048 requests they could come to 128 MiB beside all that is reserved, over a limit of 260 MB. Computed, not seen; found by reading.

They may now exceed the memory for bodies by a quarter of it, so that they do not wait behind large responses that nobody reads, and wait at their servers beyond that. Listed as open: a caller that never reads keeps what its response holds.

--- a/crates/drumusher/src/process/memory.rs
+++ b/crates/drumusher/src/process/memory.rs
@@ -20,6 +20,8 @@
 pub const SMALL_BYTES: usize = 64 * 1024;
 /// Share of the budget that large request bodies leave to small ones and to responses, as a divisor.
 const SPARE_DIVISOR: usize = 4;
+/// Small responses may exceed the budget by this share of it, as a divisor.
+const SMALL_RESPONSES_DIVISOR: usize = 4;
 /// Interval at which a response that waits for memory checks whether there is some.
 const POLL_INTERVAL: Millis = Millis(16);
 
@@ -56,11 +58,13 @@
         self.ceiling(purpose, self.limit)
     }
 
-    /// Number of bytes up to which all reservations may grow for a body of `bytes`. Small responses are always taken:
-    /// their requests have run, and the limit on requests in flight bounds them.
+    /// Number of bytes up to which all reservations may grow for a body of `bytes`. Small responses may exceed the limit,
+    /// so that clients that are slow to read large ones do not hold them up.
     fn ceiling(&self, purpose: Use, bytes: usize) -> usize {
         match purpose {
-            Use::Response if bytes <= SMALL_BYTES => usize::MAX,
+            Use::Response if bytes <= SMALL_BYTES => {
+                self.limit.saturating_add(self.limit / SMALL_RESPONSES_DIVISOR)
+            }
             Use::Request if bytes > SMALL_BYTES => self.limit - self.limit / SPARE_DIVISOR,
             Use::Request | Use::Response => self.limit,
         }
--- a/crates/drumusher/tests/unit/body_memory.rs
+++ b/crates/drumusher/tests/unit/body_memory.rs
@@ -49,6 +49,23 @@
     assert_eq!(budget.reserved(), 0);
 }
 
+/// Small responses exceed the budget, but not without a bound.
+#[test]
+fn small_responses_are_bounded() {
+    let budget = Arc::new(Budget::new(Some(64)));
+    let mut large = reservation(&budget, Use::Response);
+    assert!(large.extend_to(32 * MEGABYTE));
+    let mut small = Vec::new();
+    for _ in 0..8 * MEGABYTE / SMALL_BYTES {
+        let mut response = reservation(&budget, Use::Response);
+        assert!(response.extend_to(SMALL_BYTES));
+        small.push(response);
+    }
+    assert!(!reservation(&budget, Use::Response).extend_to(1));
+    small.pop();
+    assert!(reservation(&budget, Use::Response).extend_to(1));
+}
+
 #[test]
 fn largest_body_fits_when_nothing_else_is_held() {
     for purpose in [Use::Request, Use::Response] {
