stop: responses handed to the HTTP library before a stop are delivered, too

A caller that read slowly got a part of its response when the instance stopped after the whole of it had been handed to the HTTP library (2,818,048 bytes, of which the library still had the end). Cause: a stop waited for bodies that were still being passed on; what the library had taken before the stop began counted as delivered.

Each HTTP worker knows its client connections, so that a stop now waits, until its cut, while anything is left to be written on one of them, and closes as idle only those without. The own interface tracks its connections, too.

--- a/crates/drumusher/src/delivery.rs
+++ b/crates/drumusher/src/delivery.rs
@@ -19,7 +19,7 @@
     util::Bytes,
 };
 
-use crate::process::Shared;
+use crate::{client_connections::is_written, process::Shared};
 
 /// Maximum size of a piece in bytes.
 const PIECE_BYTES: usize = 32 * 1024;
@@ -119,8 +119,7 @@
 /// Waits until nothing is left in the write buffer of a connection.
 async fn wait_written(client: Option<IoRef>) {
     let Some(client) = client else { return };
-    let is_written = || client.with_write_buf(|buffer| buffer.is_empty()).unwrap_or(true);
-    while !client.is_closed() && !is_written() {
+    while !is_written(&client) {
         sleep(WRITE_POLL).await;
     }
 }
--- a/crates/drumusher/src/lib.rs
+++ b/crates/drumusher/src/lib.rs
@@ -2,12 +2,14 @@
 //!
 //! This crate is the shipped binary. Its modules are split by lifetime: [`process`] holds what lives as long as the
 //! process, [`version`] immutable snapshots of configuration and membership, [`connection`] the connections between
-//! instances, [`request`] the state of one client request, and [`delivery`] the bodies of responses on their way. If the
+//! instances, [`client_connections`] those of clients, [`request`] the state of one client request, and [`delivery`] the
+//! bodies of responses on their way. If the
 //! platform keeps the configuration in a store, [`routed`] takes the place of [`request`]: it is a reverse proxy that
 //! forwards requests along routes over the connections of [`upstream`]. [`operator`] executes the operators' query
 //! language, [`settings`] and [`options`] read the settings file and the command line, [`error`] lists the errors that
 //! clients receive, and [`explain`] and [`summary`] determine from log lines how requests ended.
 
+pub mod client_connections;
 pub mod connection;
 pub mod delivery;
 pub mod error;
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -22,12 +22,11 @@
     serve::{self, Parts},
 };
 use crate::{
+    client_connections::ClientConnections,
     error::{Error, Kind},
     operator,
     routed::{
-        Worker,
-        client_connections::ClientConnections,
-        error_response,
+        Worker, error_response,
         exchange::probe_lost_paths,
         handler::{self, Never},
     },
@@ -143,6 +142,7 @@
             client_connections: ClientConnections::new(),
         };
         rt::spawn(close_idle_callers(shared.clone(), worker.client_connections.clone()));
+        rt::spawn(worker.client_connections.clone().hold_stop(shared.clone()));
         rt::spawn(prune(worker.conns.clone()));
         let worker = Rc::new(worker);
         rt::spawn(probe_lost_paths(worker.clone()));
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -27,6 +27,7 @@
     telemetry::Telemetry,
 };
 use crate::{
+    client_connections::ClientConnections,
     request::{attempt, http},
     settings::Settings,
 };
@@ -199,8 +200,10 @@
         let shared = shared.clone();
         let client = attempt::Client::new(&shared.settings.backend).await;
         let client = client.expect("the options of the client are valid");
+        let client_connections = ClientConnections::new();
+        rt::spawn(client_connections.clone().hold_stop(shared.clone()));
         App::new()
-            .state(http::Worker { shared, client })
+            .state(http::Worker { shared, client, client_connections })
             .configure(http::routes)
             .default_service(web::route().to(http::unknown))
     });
--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -17,6 +17,7 @@
     service::{self, Call},
 };
 use crate::{
+    client_connections::ClientConnections,
     delivery::{Delivery, Undelivered},
     error::{Error, Kind},
     operator,
@@ -31,6 +32,8 @@
     pub shared: Arc<Shared>,
     /// HTTP client for backend servers.
     pub client: attempt::Client,
+    /// Open connections of clients.
+    pub client_connections: ClientConnections,
 }
 
 /// Registers the routes.
@@ -83,19 +86,21 @@
     let client = worker.client.clone();
     let served =
         completion::serve(shared.clone(), client, kind, request.headers(), body, in_flight);
-    deliver(shared, request, served.await, undelivered)
+    deliver(worker, request, served.await, undelivered)
 }
 
 /// Holds the guard until a response is delivered.
 fn deliver(
-    shared: &Arc<Shared>,
+    worker: &Worker,
     request: &HttpRequest,
     response: HttpResponse,
     undelivered: Undelivered,
 ) -> HttpResponse {
     response.map_body(|_, body| {
         let client = request.io().cloned();
-        Delivery::new(shared.clone(), client, body, undelivered).into_body().into()
+        let in_use = client.as_ref().map(|io| worker.client_connections.begin_request(io));
+        let held = (undelivered, in_use);
+        Delivery::new(worker.shared.clone(), client, body, held).into_body().into()
     })
 }
 
@@ -118,7 +123,7 @@
     let method: Method = request.method().clone();
     let call = Call { service, path: &path, method, headers: request.headers(), body };
     let served = service::serve(shared.clone(), worker.client.clone(), call, in_flight).await;
-    deliver(shared, &request, served, undelivered)
+    deliver(&worker, &request, served, undelivered)
 }
 
 /// Admits a request and reads its body.
--- a/crates/drumusher/src/routed/exchange/request.rs
+++ b/crates/drumusher/src/routed/exchange/request.rs
@@ -8,7 +8,7 @@
     util::Bytes,
 };
 
-use crate::{routed::client_connections::InUse, version::Match};
+use crate::{client_connections::InUse, version::Match};
 
 /// Initial buffer size for an encoded head; a longer head costs one more allocation.
 const HEAD_CAPACITY: usize = 1_024;
--- a/crates/drumusher/tests/routes/large_bodies.rs
+++ b/crates/drumusher/tests/routes/large_bodies.rs
@@ -1,7 +1,13 @@
 //! Memory for bodies: what does not fit is refused or left at its backend server, so that the process stays within its
 //! limit.
 
-use std::{io::Write, net::TcpStream, thread, time::Duration};
+use std::{
+    collections::VecDeque,
+    io::Write,
+    net::TcpStream,
+    thread,
+    time::{Duration, Instant},
+};
 
 use drumusher_adapter_stand_in::{
     Fault,
@@ -9,6 +15,7 @@
 };
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
+use socket2::{Domain, Socket, Type};
 
 use crate::support::{Deployment, Request, Response, configuration, read_response};
 
@@ -215,3 +222,55 @@
     assert!(response.text() == large_body(&request.id), "the body is whole");
     wait_for("the process ends", || deployment.instances[0].ended().is_some());
 }
+
+/// Step between the lengths of responses of which a part is left in the HTTP library's buffer, which is longer.
+const LENGTH_STEP: usize = 16 * 1024;
+/// How long the memory of a response is held at most that the buffers hold.
+const HAND_OVER_TIME: Duration = Duration::from_millis(300);
+/// Number of responses that are read after the stop began.
+const HANDED_OVER: usize = 12;
+
+/// A connection that receives little as long as nothing is read.
+fn connect_slowly(deployment: &Deployment) -> TcpStream {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4 * 1024).expect("a small buffer");
+    socket.connect(&deployment.instances[0].http_address.into()).expect("a connection");
+    TcpStream::from(socket)
+}
+
+/// A planned stop waits for the rest of responses that were handed to the HTTP library before it began.
+#[test]
+fn handed_over_responses_are_delivered_before_a_stop_ends() {
+    let mut deployment = deploy();
+    let mut responses = VecDeque::new();
+    // The longest responses that the buffers hold are those of which the library has a part.
+    for length in (LENGTH_STEP..RESPONSE_BYTES).step_by(LENGTH_STEP) {
+        deployment.servers.iter().for_each(|server| server.set_body_bytes(length));
+        let request = Request::post("/book/", "x");
+        let mut conn = connect_slowly(&deployment);
+        conn.write_all(&request.bytes()).expect("the request is sent");
+        wait_for("the request runs", || deployment.runs(&request.id) == 1);
+        let since = Instant::now();
+        while reserved(&deployment) > 0.0 && since.elapsed() < HAND_OVER_TIME {
+            thread::sleep(Duration::from_millis(5));
+        }
+        if reserved(&deployment) > 0.0 {
+            break;
+        }
+        responses.push_back((request, length, conn));
+        if responses.len() > HANDED_OVER {
+            responses.pop_front();
+        }
+    }
+    wait_for("all are handed over", || reserved(&deployment) == 0.0);
+    deployment.instances[0].signal("TERM");
+    // Longer than a stop takes that waits for nothing.
+    thread::sleep(Duration::from_millis(2_500));
+    for (request, length, mut conn) in responses {
+        let response = read_response(&mut conn).expect("a response");
+        assert_eq!((response.status, response.complete), (200, true), "{length} bytes");
+        assert_eq!(response.text().len(), length);
+        assert!(response.text().starts_with(&body(&request.id)));
+    }
+    wait_for("the process ends", || deployment.instances[0].ended().is_some());
+}
