relay: a stream is not broken off because its server is silent and no other takes it

A refusal, for whatever reason, ended the stream. The class: giving up what one has before there is something in its place.

The connection to the silent server is now kept until another server is granted, and read meanwhile. A refusal leaves it as it is, and the next silence asks again; the server that speaks again cancels the ask. A server that restarts, closes or is beyond the deadline ends the wait as before.

Test: streams::stream_of_a_silent_server_goes_on_if_no_other_takes_it (retry budget spent, silence of 2.5 s).

--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -358,9 +358,19 @@
 
     /// Returns whether the backend server of the latest attempt has restarted since.
     fn backend_restarted(&self) -> bool {
-        let pool = self.ticket.pool().clone();
         let directory = self.worker.shared.directory.load();
-        self.backend.as_ref().is_some_and(|backend| directory.has_restarted(&pool, backend))
+        let backend = self.backend.as_ref();
+        backend.is_some_and(|backend| directory.has_restarted(self.ticket.pool(), backend))
+    }
+
+    /// The check whether the backend server of the latest attempt has restarted, for use while another one is acquired.
+    pub fn restart_check(&self) -> impl Fn() -> bool + use<D> {
+        let (shared, pool) = (self.worker.shared.clone(), self.ticket.pool().clone());
+        let backend = self.backend.clone();
+        move || {
+            let directory = shared.directory.load();
+            backend.as_ref().is_some_and(|backend| directory.has_restarted(&pool, backend))
+        }
     }
 
     /// Returns the connection to the pool after a complete response.
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -1,7 +1,7 @@
 //! Relays an event stream: forwards only complete events, each exactly once, and resumes the stream on another backend
 //! server if the route allows it.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, pin::pin, sync::Arc};
 
 use drumusher_platform::{dialect::Dialect, routing::Kind};
 use drumusher_schedule::{
@@ -13,7 +13,7 @@
 use ntex::{
     http::{Response, body::BodyStream},
     io::IoRef,
-    util::{Bytes, BytesMut},
+    util::{Bytes, BytesMut, Either, select},
 };
 
 use super::exchange::{BackendResponse, Exchange, Failure};
@@ -88,6 +88,8 @@
     exchange: Exchange<D>,
     backend: Backend,
     conn: Option<Conn>,
+    /// Whether the silence of the current backend server was reported.
+    silence_reported: bool,
     client: Option<IoRef>,
     aborted: bool,
 }
@@ -214,6 +216,7 @@
             exchange,
             backend,
             conn: Some(conn),
+            silence_reported: false,
             client: client.clone(),
             aborted: false,
         };
@@ -243,8 +246,12 @@
             if self.aborted {
                 return Some(Err(StreamAborted));
             }
-            if let Err(error) = self.read_part().await {
-                self.handle_break(error).await;
+            match self.read_part().await {
+                Ok(()) => {}
+                Err(Error::TimedOut) if clock::now() < self.exchange.deadline => {
+                    self.replace_silent().await;
+                }
+                Err(error) => self.handle_break(error).await,
             }
         }
     }
@@ -276,26 +283,60 @@
         }
     }
 
-    /// Handles a broken attempt: resumes the stream on another backend server, or cuts it off in a way that the client
-    /// can't mistake for a regular end.
+    /// Moves the stream from a silent backend server to another one, once one is granted. Until then the silent one may go
+    /// on, since a refusal says nothing about it.
+    async fn replace_silent(&mut self) {
+        let Some(mut conn) = self.conn.take() else { return self.abort() };
+        if !std::mem::replace(&mut self.silence_reported, true) {
+            self.exchange.record_failure(&self.backend, &Failure::Broken(Error::TimedOut));
+        }
+        let (deadline, is_gone) = (self.exchange.deadline, self.exchange.restart_check());
+        let first = {
+            let granting = pin!(self.exchange.acquire_backend());
+            let reading = pin!(conn.next_part(deadline, is_gone));
+            select(granting, reading).await
+        };
+        match first {
+            Either::Left(Ok(backend)) => {
+                drop(conn);
+                match self.resume_at(backend).await {
+                    Ok(()) => {}
+                    Err(Some(failure)) => self.recover(failure).await,
+                    Err(None) => self.abort(),
+                }
+            }
+            Either::Left(Err(_)) => self.conn = Some(conn),
+            Either::Right(received) => {
+                self.exchange.ticket.finish(Outcome::Cancelled);
+                self.conn = Some(conn);
+                let pushed = received.and_then(|part| self.relay.push(&mut self.exchange, part));
+                if let Err(error) = pushed {
+                    self.handle_break(error).await;
+                }
+            }
+        }
+    }
+
+    /// Handles a broken attempt.
     async fn handle_break(&mut self, error: Error) {
         self.conn = None;
         self.relay.buffer.clear();
-        let mut failure = Failure::Broken(error);
+        self.recover(Failure::Broken(error)).await;
+    }
+
+    /// Resumes the stream on another backend server after a failed attempt, or cuts it off in a way that the client can't
+    /// mistake for a regular end.
+    async fn recover(&mut self, mut failure: Failure) {
         loop {
             self.exchange.record_failure(&self.backend, &failure);
             let resumable = self.exchange.request.route_match.kind == Kind::Resumable;
             if !resumable || !self.exchange.may_retry(&failure) {
-                self.abort();
-                return;
+                return self.abort();
             }
             match self.resume().await {
                 Ok(()) => return,
                 Err(Some(next_failure)) => failure = next_failure,
-                Err(None) => {
-                    self.abort();
-                    return;
-                }
+                Err(None) => return self.abort(),
             }
         }
     }
@@ -303,7 +344,12 @@
     /// Makes one attempt to resume the stream after the last complete event.
     async fn resume(&mut self) -> Result<(), Option<Failure>> {
         let backend = self.exchange.acquire_backend().await.map_err(|_| None)?;
+        self.resume_at(backend).await
+    }
+
+    async fn resume_at(&mut self, backend: Backend) -> Result<(), Option<Failure>> {
         self.backend = backend.clone();
+        self.silence_reported = false;
         let progress = self.relay.progress;
         let (received, conn) = self.exchange.attempt(&backend, progress).await.map_err(Some)?;
         let BackendResponse::Stream(next) = received else {
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -4,6 +4,7 @@
 use std::{
     io::{Read, Write},
     thread,
+    time::Duration,
 };
 
 use drumusher_adapter_stand_in::{
@@ -13,7 +14,7 @@
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
-use crate::support::{Deployment, Request, configuration, read_response};
+use crate::support::{DESK, Deployment, MODEL, Request, configuration, read_response};
 
 /// A resumable stream continues on another backend server after its last complete event, in the same
 /// response.
@@ -311,3 +312,34 @@
         });
     }
 }
+
+/// How long a server is silent; longer than the silence after which a stream may move to another one.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Events of a stream in whose middle its server falls silent, and the time between two.
+const LONG_EVENTS: u64 = 60;
+const LONG_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Guards against streams that are broken off because their server is silent and the retry budget is spent.
+#[test]
+fn stream_of_a_silent_server_goes_on_if_no_other_takes_it() {
+    let mut deployment = Deployment::empty(false);
+    for id in ["m1", "m2"] {
+        deployment.add_server(id, MODEL);
+        deployment.server(id).set_pace(LONG_EVENTS, LONG_INTERVAL);
+    }
+    deployment.add_server("d1", DESK);
+    let endpoint = deployment.store.endpoint().expect("the store endpoint starts");
+    deployment.add_instance_with("i0", endpoint, "[repeats]\nratio = 0.0\nslack = 0\n");
+    let routes = configuration(1, "").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":15000");
+    deployment.store.put("keyed.op", "config", &routes);
+    deployment.wait_serving();
+    let request = Request::post("/talk/", "x");
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&request.bytes()).expect("the request is sent");
+    wait_for("the request runs", || deployment.runs(&request.id) == 1);
+    deployment.servers.iter().for_each(|server| server.pause(SILENCE));
+    let response = read_response(&mut conn).expect("a response");
+    let whole: String = (1..=LONG_EVENTS).map(|number| event(&request.id, number)).collect();
+    assert_eq!((response.status, response.text(), response.complete), (200, whole, true));
+    assert_eq!(deployment.runs(&request.id), 1);
+}
