stop: a repeated SIGTERM cuts no request

Callers in flight were all cut at once when an instance that was stopping got SIGTERM again, as from two stops that overlap or a supervisor that repeats its signal. Cause: the second signal of either kind ended the process.

A later SIGTERM now changes nothing: the stop has its own end, and who wants no wait has SIGINT and SIGKILL.

--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -106,7 +106,8 @@
     }
 }
 
-/// The first SIGTERM or SIGINT starts a planned stop, the second one ends the process at once.
+/// The first SIGTERM or SIGINT starts a planned stop, and a later SIGINT ends the process at once. A later SIGTERM changes
+/// nothing: supervisors repeat it.
 fn watch_signals(shared: Arc<Shared>) -> Result<Arc<AtomicBool>, String> {
     let mut signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP])
         .map_err(|e| e.to_string())?;
@@ -116,10 +117,10 @@
         for signal in signals.forever() {
             if signal == signal::SIGHUP {
                 check_settings(&shared.settings);
-            } else if shared.stop() {
-                flag.store(true, Ordering::Release);
-            } else {
+            } else if !shared.stop() {
                 log::info!("stopping: reporting not ready, requests in flight run to completion");
+            } else if signal == signal::SIGINT {
+                flag.store(true, Ordering::Release);
             }
         }
     };
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -23,6 +23,7 @@
 mod server_entries;
 mod soak;
 mod software_versions;
+mod stop_end;
 mod streams;
 mod support;
 mod suspected_outages;
