stop: admission ends by the time at which the stop was requested, not noticed

Callers whose request was sent later than 3 s after SIGTERM got a status and a part of the answer, then a closed connection: the process had got no processor time and noticed the signal late, so that it admitted what it could not end.

Cause: the times of a stop run from when its signal is handled. The cut still counts from the handling: it must not come early after a machine that stood still.

Test: stop_end::stop_that_is_noticed_late_admits_no_more_requests, two cases: SIGTERM while the process is suspended for 0.8 s, and a stream sent 3.02 s after it.

--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -223,6 +223,7 @@
 /// second signal or because the time for the stop ran out.
 async fn wait_for_stop(shared: &Shared, forced: &AtomicBool) -> usize {
     while !shared.stopping() {
+        shared.record_running();
         sleep(POLL_INTERVAL).await;
     }
     let accept_for = shared.settings.stop_accept_ms * MILLISECOND;
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -108,6 +108,8 @@
     pub stopping: AtomicBool,
     /// Start of the planned stop on the process's clock; 0 before.
     pub stopping_since: AtomicU64,
+    /// Latest time at which the process ran and no stop had been requested. The request came no earlier.
+    running_at: AtomicU64,
     /// Memory for the bodies of requests and responses.
     pub memory: Arc<memory::Budget>,
     /// Number of requests in flight.
@@ -185,6 +187,7 @@
             configured: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
+            running_at: AtomicU64::new(0),
             memory: Arc::new(memory::Budget::new(settings.limits.memory_mb)),
             requests: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
@@ -232,6 +235,18 @@
         false
     }
 
+    /// Records that no stop has been requested so far.
+    pub fn record_running(&self) {
+        self.running_at.store(clock::now(), Ordering::Release);
+    }
+
+    /// Longest time for which a planned stop may have been requested; `None` if it has not. A process that got no
+    /// processor time notices the request late.
+    pub fn stop_requested_for(&self) -> Option<Micros> {
+        self.stopping_for()?;
+        Some(clock::now().saturating_sub(self.running_at.load(Ordering::Acquire)))
+    }
+
     /// Time since the planned stop started; `None` if it has not.
     pub fn stopping_for(&self) -> Option<Micros> {
         let since = self.stopping_since.load(Ordering::Acquire);
--- a/crates/drumusher/src/routed/handler.rs
+++ b/crates/drumusher/src/routed/handler.rs
@@ -28,7 +28,7 @@
 const STARTUP_WAIT_DIVISOR: u64 = 4;
 /// Interval at which a waiting request checks for the first configuration.
 const STARTUP_POLL: Millis = Millis(16);
-/// An instance refuses new requests this long after it began to stop: later ones could not be finished.
+/// An instance refuses new requests this long after it was told to stop: later ones could not be finished.
 const REFUSE_AFTER_STOP: Micros = 2_800 * MILLISECOND;
 /// Headers that concern a single connection and are not forwarded: hop-by-hop headers, `expect` and `content-length`.
 const HOP_BY_HOP: [&str; 11] = [
@@ -140,7 +140,8 @@
 /// Returns the active routes, or an error if the instance has no configuration yet or is about to stop.
 fn routing(shared: &Shared) -> Result<Arc<Routing>, Error> {
     let routing = shared.routing.load_full();
-    if shared.stopping_for().is_some_and(|time| routing.is_none() || time > REFUSE_AFTER_STOP) {
+    let requested_for = shared.stop_requested_for();
+    if requested_for.is_some_and(|time| routing.is_none() || time > REFUSE_AFTER_STOP) {
         return Err(Error::stopping());
     }
     let message = "this instance has no configuration yet";
--- a/crates/drumusher/tests/routes/planned_stop.rs
+++ b/crates/drumusher/tests/routes/planned_stop.rs
@@ -14,7 +14,7 @@
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
-use crate::support::{Deployment, Request, configuration, read_response};
+use crate::support::{Deployment, Request, read_response};
 
 /// Number of streams that end late in a stop, and the pause between two of them.
 const LATE_STREAMS: usize = 32;
@@ -79,23 +79,9 @@
     wait_for("the process ends", || deployment.instances[0].ended().is_some());
 }
 
-/// A deployment whose requests may outlast a stop.
-fn deploy_with_long_timeouts(instances: usize) -> Deployment {
-    let deployment = Deployment::new(instances);
-    let routes = configuration(2, "next").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":15000");
-    deployment.store.put("keyed.op", "config", &routes);
-    for at in 0..instances {
-        wait_for("the configuration is in force", || {
-            let response = deployment.send(at, &Request::get("/next/")).expect("a response");
-            response.status != 404
-        });
-    }
-    deployment
-}
-
 /// Two instances whose backend servers accept so few requests per second that further ones wait.
 fn limited_deployment(path: &str, limit: &str) -> Deployment {
-    let deployment = deploy_with_long_timeouts(2);
+    let deployment = Deployment::with_long_timeouts(2);
     deployment.servers.iter().for_each(|server| server.announce(Notice::limit(limit)));
     wait_for("a request waits until its deadline", || {
         let request = Request::post(path, "x").with("Drumusher-Deadline-Ms", "300");
@@ -139,7 +125,7 @@
 /// are awaited until the process is gone.
 #[test]
 fn unfinished_uploads_are_refused_before_a_stop_ends() {
-    let mut deployment = deploy_with_long_timeouts(1);
+    let mut deployment = Deployment::with_long_timeouts(1);
     let request = Request::post("/book/", "unfinished");
     let mut bytes = request.bytes();
     let rest = bytes.split_off(bytes.len() - 1);
@@ -171,7 +157,7 @@
 /// Streams that end after idle connections are closed arrive with their ends.
 #[test]
 fn streams_that_end_late_in_a_stop_are_whole() {
-    let deployment = deploy_with_long_timeouts(1);
+    let deployment = Deployment::with_long_timeouts(1);
     for id in ["m1", "m2"] {
         deployment.server(id).set_pace(LATE_EVENTS, LATE_INTERVAL);
     }
--- a/crates/drumusher/tests/routes/stop_end.rs
+++ b/crates/drumusher/tests/routes/stop_end.rs
@@ -3,13 +3,22 @@
 use std::{
     io::{Read, Write},
     net::TcpStream,
+    thread,
+    time::{Duration, Instant},
 };
 
 use drumusher_adapter_stand_in::Fault;
 use drumusher_bench::fleet::wait_for;
+use rstest::rstest;
 
 use crate::support::{Deployment, Request, read_response};
 
+/// Time for which an instance that stops admits requests.
+const ADMIT_TIME: Duration = Duration::from_secs(3);
+/// Events of a stream that is too long to begin late in a stop, and the time between two.
+const LONG_EVENTS: u64 = 250;
+const LONG_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Sends a request on a new connection.
 fn begin(deployment: &Deployment, request: &Request) -> TcpStream {
     let mut conn = deployment.connect(0).expect("a connection");
@@ -17,6 +26,38 @@
     conn
 }
 
+/// Guards against requests that are admitted too late to end in time, because the process noticed the signal late.
+#[rstest]
+#[case::stream("/draft/")]
+#[case::resumable_stream("/talk/")]
+fn stop_that_is_noticed_late_admits_no_more_requests(#[case] path: &str) {
+    let mut deployment = Deployment::with_long_timeouts(1);
+    for id in ["m1", "m2"] {
+        deployment.server(id).set_pace(LONG_EVENTS, LONG_INTERVAL);
+    }
+    let mut conn = begin(&deployment, &Request::get("/read/"));
+    read_response(&mut conn).expect("a response");
+    let kept = Request::post(path, "x");
+    let mut running = begin(&deployment, &kept);
+    wait_for("a request runs", || deployment.runs(&kept.id) == 1);
+    deployment.instances[0].signal("STOP");
+    let since = Instant::now();
+    deployment.instances[0].signal("TERM");
+    thread::sleep(Duration::from_millis(800));
+    deployment.instances[0].signal("CONT");
+    let late = Request::post(path, "x");
+    thread::sleep(ADMIT_TIME.saturating_sub(since.elapsed()) + Duration::from_millis(20));
+    let mut late_conn = begin(&deployment, &late);
+    let response = read_response(&mut late_conn);
+    let runs = deployment.runs(&late.id);
+    let response = response.expect("a response");
+    assert!(response.complete, "cut after {} bytes, runs: {runs}", response.text().len());
+    assert_eq!((response.status, runs), (503, 0), "{}", response.text());
+    let response = read_response(&mut running).expect("a response");
+    assert!(response.complete, "the request in flight is completed");
+    wait_for("the process ends", || deployment.instances[0].ended().is_some());
+}
+
 /// Guards against a second SIGTERM, as a supervisor may send it, that cuts what the first one lets end.
 #[test]
 fn repeated_term_signal_cuts_no_request() {
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -148,6 +148,20 @@
         deployment
     }
 
+    /// The same deployment, whose requests may outlast a stop.
+    pub fn with_long_timeouts(instances: usize) -> Self {
+        let deployment = Deployment::new(instances);
+        let routes = configuration(2, "next").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":15000");
+        deployment.store.put("keyed.op", "config", &routes);
+        for at in 0..instances {
+            wait_for("the configuration is in force", || {
+                let response = deployment.send(at, &Request::get("/next/"));
+                response.expect("a response").status != 404
+            });
+        }
+        deployment
+    }
+
     /// The same deployment before a configuration is written.
     pub fn unconfigured(instances: usize) -> Self {
         let mut deployment = Deployment::empty(false);
