stop: requests that have arrived are handled before the servers are stopped

Callers on connections that were accepted late in a stop got a reset in place of a response. Cause: a request counts as in flight once its worker has got to it. A process that was suspended, or short of processor time, saw nothing in flight and stopped its servers, which drop what they have accepted but not read. For the same reason an idle connection that was to be closed could have a request in its read buffer, which was then run for nobody.

A worker now says itself that it is idle: no request began in five of its own checks, each of which comes after what had arrived before it. It counts as active before, so that a stop of any length waits for it. Connections with something in their read buffer are not idle, and a request counts from the first look at it, also if it is refused.

--- a/crates/drumusher/src/client_connections.rs
+++ b/crates/drumusher/src/client_connections.rs
@@ -5,9 +5,15 @@
 //! arrives late on such a connection would be cut off when the process exits, so idle connections are closed some time
 //! after the stop begins.
 //!
-//! A response that the HTTP library has taken as a whole is over, although the client may have read little of it.
+//! A response that the HTTP library has taken as a whole is over, although the client may have read little of it. A request
+//! that has arrived is not in flight before its worker gets to it.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+};
 
 use ntex::{
     io::IoRef,
@@ -18,6 +24,10 @@
 
 /// Interval at which a planned stop is checked for.
 const STOP_POLL: Millis = Millis(100);
+/// Interval at which a worker checks during a planned stop whether it has something to do.
+const IDLE_POLL: Millis = Millis(20);
+/// Number of these checks without a request after which a worker has handled all that had arrived.
+const IDLE_CHECKS: u32 = 5;
 /// Closed connections are removed from the map once per this many requests.
 const PRUNE_EVERY: usize = 256;
 
@@ -25,9 +35,26 @@
 struct Inner {
     /// Number of requests in flight on each connection.
     in_flight: HashMap<IoRef, u32>,
+    /// Number of requests so far.
     entered: usize,
 }
 
+/// Guard that counts an HTTP worker as active until it is dropped.
+struct Active(Arc<Shared>);
+
+impl Active {
+    fn new(shared: Arc<Shared>) -> Self {
+        shared.active_workers.fetch_add(1, Ordering::AcqRel);
+        Active(shared)
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active_workers.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// Open client connections of one HTTP worker.
 #[derive(Clone, Debug, Default)]
 pub struct ClientConnections {
@@ -63,26 +90,38 @@
         self.inner.borrow().in_flight.keys().any(|io| !is_written(io))
     }
 
-    /// Lets a planned stop wait until all responses are written.
+    /// Lets a planned stop wait until all requests that have arrived are handled and all responses are written.
     pub async fn hold_stop(self, shared: Arc<Shared>) {
         let mut undelivered = None;
+        let mut active = Some(Active::new(shared.clone()));
+        let (mut entered, mut idle_checks) = (0, 0);
         loop {
-            sleep(STOP_POLL).await;
-            if !shared.stopping() || !self.has_unwritten() {
+            let stopping = shared.stopping();
+            sleep(if stopping { IDLE_POLL } else { STOP_POLL }).await;
+            let has_unwritten = stopping && self.has_unwritten();
+            if !has_unwritten {
                 undelivered = None;
             } else if undelivered.is_none() {
                 undelivered = Some(Undelivered::new(shared.clone()));
             }
+            let before = std::mem::replace(&mut entered, self.inner.borrow().entered);
+            let is_idle = stopping && !has_unwritten && entered == before;
+            idle_checks = if is_idle { idle_checks + 1 } else { 0 };
+            if idle_checks >= IDLE_CHECKS {
+                active = None;
+            } else if active.is_none() {
+                active = Some(Active::new(shared.clone()));
+            }
         }
     }
 
-    /// Closes all connections without a request in flight to which nothing is left to be written, and returns how many
-    /// were closed.
+    /// Closes all connections without a request in flight on which nothing is left to be read or written, and returns how
+    /// many were closed.
     pub fn close_idle(&self) -> usize {
         let mut inner = self.inner.borrow_mut();
         let before = inner.in_flight.len();
         inner.in_flight.retain(|io, requests| {
-            let is_idle = *requests == 0 && is_written(io);
+            let is_idle = *requests == 0 && is_read(io) && is_written(io);
             if is_idle {
                 io.close();
             }
@@ -100,6 +139,11 @@
     }
 }
 
+/// Whether nothing is left in the read buffer of a connection.
+fn is_read(io: &IoRef) -> bool {
+    io.with_read_buf(|buffer| buffer.is_empty())
+}
+
 /// Whether nothing is left in the write buffer of a connection.
 pub fn is_written(io: &IoRef) -> bool {
     io.is_closed() || io.with_write_buf(|buffer| buffer.is_empty()).unwrap_or(true)
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -240,7 +240,8 @@
             }
             return in_flight;
         }
-        if in_flight == 0 && elapsed >= accept_for {
+        let active = shared.active_workers.load(Ordering::Acquire) > 0;
+        if in_flight == 0 && elapsed >= accept_for && !active {
             return 0;
         }
         sleep(POLL_INTERVAL).await;
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -118,6 +118,8 @@
     pub waiting: AtomicUsize,
     /// Number of responses that are still to be delivered, besides those of requests in flight.
     pub undelivered: AtomicUsize,
+    /// Number of HTTP workers that may still have something to handle. A planned stop waits for them.
+    pub active_workers: AtomicUsize,
     /// Sender to the broker, which holds the asks owned by this instance.
     pub broker: broker::Sender,
     /// Sender to the dispatcher.
@@ -192,6 +194,7 @@
             requests: AtomicUsize::new(0),
             waiting: AtomicUsize::new(0),
             undelivered: AtomicUsize::new(0),
+            active_workers: AtomicUsize::new(0),
             broker,
             dispatch,
             peers,
--- a/crates/drumusher/src/routed/handler.rs
+++ b/crates/drumusher/src/routed/handler.rs
@@ -101,6 +101,8 @@
 ) -> Result<(InFlight, Request), Error> {
     let arrived = clock::now();
     let shared = &worker.shared;
+    let client = request.io().cloned();
+    let in_use = client.as_ref().map(|io| worker.client_connections.begin_request(io));
     let head = worker.dialect.read_head(request.headers());
     wait_for_routing(shared, head.as_ref().ok().and_then(|head| head.deadline_ms)).await;
     let routing = routing(shared)?;
@@ -114,8 +116,6 @@
     let route_match = route_match.map_err(denial_error)?;
     let in_flight = InFlight::new(shared.clone())?;
     let mut in_flight = in_flight.with_body(request.headers(), limits.body_bytes)?;
-    let client = request.io().cloned();
-    let in_use = client.as_ref().map(|io| worker.client_connections.begin_request(io));
     let body = read_body(&mut request, &mut in_flight, limits).await?;
     let headers = forwarded_headers(&worker.dialect, request.headers());
     let method = request.method().clone();
--- a/crates/drumusher/tests/routes/stop_end.rs
+++ b/crates/drumusher/tests/routes/stop_end.rs
@@ -13,6 +13,8 @@
 
 use crate::support::{Deployment, Request, read_response};
 
+/// Time for which an instance accepts requests after a stop began, by the settings of the tests.
+const ACCEPT_TIME: Duration = Duration::from_millis(300);
 /// Time for which an instance that stops admits requests.
 const ADMIT_TIME: Duration = Duration::from_secs(3);
 /// Events of a stream that is too long to begin late in a stop, and the time between two.
@@ -26,6 +28,34 @@
     conn
 }
 
+/// Number of rounds of a test whose fault depends on the order of threads.
+const ROUNDS: usize = 5;
+/// Number of connections that are opened while a process stands still.
+const NEW_CONNS: usize = 24;
+
+/// Guards against connections that are accepted, but closed without a response, because nothing is in flight yet.
+#[test]
+fn requests_that_arrive_as_a_stop_ends_are_answered() {
+    for _ in 0..ROUNDS {
+        let mut deployment = Deployment::new(1);
+        deployment.instances[0].signal("TERM");
+        deployment.instances[0].signal("STOP");
+        thread::sleep(ACCEPT_TIME);
+        let requests: Vec<Request> = (0..NEW_CONNS).map(|_| Request::post("/book/", "x")).collect();
+        let conns: Vec<TcpStream> = requests.iter().map(|r| begin(&deployment, r)).collect();
+        thread::sleep(ACCEPT_TIME);
+        deployment.instances[0].signal("CONT");
+        for (request, mut conn) in requests.iter().zip(conns) {
+            let response = read_response(&mut conn);
+            let runs = deployment.runs(&request.id);
+            let response = response.unwrap_or_else(|error| panic!("{error}, runs: {runs}"));
+            assert!(matches!(response.status, 200 | 503), "{}", response.text());
+            assert_eq!(runs, usize::from(response.status == 200), "{}", response.text());
+        }
+        wait_for("the process ends", || deployment.instances[0].ended().is_some());
+    }
+}
+
 /// Guards against requests that are admitted too late to end in time, because the process noticed the signal late.
 #[rstest]
 #[case::stream("/draft/")]
