stop: the process exits at the time limit of its stop, whatever it waits for

Cause: only the wait for requests had a bound; then the servers were stopped one after the other (0.25 s at least, 1.25 s at most each), then peers, and traces were flushed for up to 5 s.

Test: shutdown::a_shutdown_with_a_silent_collector_ends_at_its_time_limit. The instances of the fleet tests take a [stop] section from their additional settings.

--- a/crates/drumusher-bench/src/fleet/instance.rs
+++ b/crates/drumusher-bench/src/fleet/instance.rs
@@ -67,12 +67,13 @@
         let (http, peer) = addresses()?;
         let (log, list) = (Relay::new(log)?, Relay::new(list)?);
         let digest = hex::encode(Sha256::digest(OPERATOR_KEY));
+        let stop = if extra.contains("[stop]") { "" } else { "[stop]\naccept_ms = 200\n" };
         let text = format!(
             "[instance]\nname = \"{name}\"\navailability_zone = \"{zone}\"\n\
              http = \"{http}\"\npeer = \"{peer}\"\n\
              [fleet]\nsecret = \"{FLEET_SECRET}\"\n\
              [operators]\noperator = \"{digest}\"\n\
-             [stop]\naccept_ms = 200\n\
+             {stop}\
              [platform]\nlog = \"{}\"\nmembers = \"{}\"\n{intervals}\n{extra}\n",
             log.address(),
             list.address(),
--- a/crates/drumusher/src/main.rs
+++ b/crates/drumusher/src/main.rs
@@ -85,10 +85,7 @@
     };
     let code = match ran {
         Ok(0) => ExitCode::SUCCESS,
-        Ok(cut) => {
-            log::warn!("ended before all requests did; requests cut: {cut}");
-            ExitCode::FAILURE
-        }
+        Ok(_) => ExitCode::FAILURE,
         Err(error) => {
             log::error!("{error}");
             ExitCode::FAILURE
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -2,11 +2,13 @@
 
 use std::{
     net::TcpListener,
+    process,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 use drumusher_schedule::time::MILLISECOND;
@@ -14,6 +16,7 @@
     io::Io,
     rt, server,
     time::{Millis, Seconds, sleep},
+    util::join_all,
     web::{self, App, HttpServer},
 };
 use signal_hook::{consts::signal, iterator::Signals};
@@ -36,6 +39,10 @@
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(2);
 /// Interval at which shutdown checks for requests in flight.
 const POLL_INTERVAL: Millis = Millis(20);
+/// Interval at which the time limit of a stop is checked.
+const EXIT_POLL: Duration = Duration::from_millis(50);
+/// Exit code of a process whose stop reached its time limit.
+const EXIT_LATE: i32 = 1;
 
 /// Runs an instance until it is told to stop. Returns the number of requests that were cut.
 ///
@@ -119,6 +126,7 @@
                 check_settings(&shared.settings);
             } else if !shared.stop() {
                 log::info!("stopping: reporting not ready, requests in flight run to completion");
+                limit_stop(shared.clone());
             } else if signal == signal::SIGINT {
                 flag.store(true, Ordering::Release);
             }
@@ -129,6 +137,23 @@
     Ok(forced)
 }
 
+/// Ends the process once its stop has reached its time limit. Runs on a thread of its own, which nothing else delays.
+fn limit_stop(shared: Arc<Shared>) {
+    let Some(schedule) = shared.stop_schedule() else { return };
+    let wait = move || {
+        while clock::now() < schedule.exit_at {
+            thread::sleep(EXIT_POLL);
+        }
+        let in_flight = shared.requests.load(Ordering::Acquire);
+        log::error!(in_flight = in_flight; "stopping: the time limit is reached, the process exits");
+        log::logger().flush();
+        process::exit(EXIT_LATE);
+    };
+    if let Err(error) = thread::Builder::new().name("stop".into()).spawn(wait) {
+        log::error!("the time limit of the stop is not enforced: {error}");
+    }
+}
+
 fn start_platform(shared: Arc<Shared>, receiver: platform::Receiver) {
     let thread = rt::Arbiter::with_name("platform".into());
     thread.handle().spawn(async move {
@@ -151,10 +176,10 @@
     let servers = start(Parts { shared: shared.clone(), platform })?;
     log::info!("instance {} serves {}", shared.name, shared.settings.http);
     let cut = wait_for_stop(&shared, &forced).await;
-    if cut == 0 {
-        for server in servers {
-            server.stop(true).await;
-        }
+    if cut > 0 {
+        log::warn!("ended before all requests did; requests cut: {cut}");
+    } else {
+        join_all(servers.iter().map(|server| server.stop(true))).await;
     }
     peer_server.stop(false).await;
     shared.telemetry.flush();
--- a/crates/drumusher/tests/fleet/shutdown.rs
+++ b/crates/drumusher/tests/fleet/shutdown.rs
@@ -1,6 +1,6 @@
 //! A graceful shutdown breaks off no request in flight.
 
-use std::{io::Read, thread, time::Duration};
+use std::{io::Read, net::TcpListener, thread, time::Duration};
 
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
@@ -105,3 +105,22 @@
     assert!(response.ends_with(b"}"), "the body of {} bytes is whole", response.len());
     wait_for("the instance ends", || fleet.instances[0].ended().is_some());
 }
+
+/// Guards against a process that outlasts the time of its shutdown, here because a collector of traces is silent.
+#[test]
+fn a_shutdown_with_a_silent_collector_ends_at_its_time_limit() {
+    let collector = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let settings = format!(
+        "[stop]\naccept_ms = 200\nlongest_seconds = 3\n\
+         [telemetry]\nsample_every = 1\notlp = \"http://{}\"\n",
+        collector.local_addr().expect("an address")
+    );
+    let mut fleet = fleet(&["suva"], 1, 1, &settings);
+    let http = fleet.instances[0].http.clone();
+    assert_whole(&stream(&http, "urgent", "first", 3).expect("a response"), "first", 3);
+    fleet.instances[0].signal("TERM");
+    wait_for("the instance ends", || fleet.instances[0].ended().is_some());
+    let status = fleet.instances[0].ended();
+    assert!(status.is_some_and(|status| !status.success()), "{status:?}");
+    assert!(fleet.instances[0].lines().contains("the time limit is reached"));
+}
