soak: planned stops in series

Callers keep using open connections until a process is gone; stops, repeated signals, reloads, changes of the configuration, silent servers and shortages of processor time overlap. Losses are counted by the users' rule for planned work.

--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -24,6 +24,7 @@
 mod soak;
 mod software_versions;
 mod stop_end;
+mod stop_soak;
 mod streams;
 mod support;
 mod suspected_outages;
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -236,8 +236,10 @@
                 relays.as_ref().map_or(store_endpoint.address, |relays| relays.store.address());
             let advertise = relays.as_ref().map_or(peer, |relays| relays.peers.address());
             let text = instance_settings(name, [callers, status, peer], advertise, store);
-            let text =
-                format!("{text}wait_ms = {}\n{COMMON_SETTINGS}{extra_settings}", self.wait_ms);
+            let text = format!(
+                "{text}wait_ms = {}\n[stop]\n{STOP_SETTINGS}{COMMON_SETTINGS}{extra_settings}",
+                self.wait_ms
+            );
             fs::write(&settings, text).expect("the settings are written");
             let child = start(&settings, &log_file, status)?;
             Some((callers, status, relays, child))
@@ -256,6 +258,16 @@
         });
     }
 
+    /// Starts an instance again with other settings of its stop.
+    pub fn set_stop(&mut self, instance: usize, settings: &str) {
+        let instance = &mut self.instances[instance];
+        let text = fs::read_to_string(&instance.settings).expect("the settings are read");
+        let text = text.replace(STOP_SETTINGS, settings);
+        fs::write(&instance.settings, text).expect("the settings are written");
+        instance.kill();
+        instance.restart();
+    }
+
     /// Waits until every instance is ready and serves both services.
     pub fn wait_serving(&self) {
         for at in 0..self.instances.len() {
@@ -417,8 +429,9 @@
 }
 
 /// Settings that all instances share, written after the `[store]` section.
-const COMMON_SETTINGS: &str =
-    "[stop]\naccept_ms = 300\nlongest_seconds = 8\n[telemetry]\nsample_every = 0\n";
+const COMMON_SETTINGS: &str = "[telemetry]\nsample_every = 0\n";
+/// Settings of the stop of an instance, in the section of that name.
+const STOP_SETTINGS: &str = "accept_ms = 300\nlongest_seconds = 8\n";
 
 /// The settings of one instance, up to its `[store]` section.
 fn instance_settings(
