request: the product's own interface reads responses with the project's own connections

Callers of the product's own interface got a success with an empty or a short body, framed as whole, in three cases: an interim response (102) was taken for the final one; a response without a length, which ends with its connection, had an empty body; and one of HTTP/1.0 that was cut short of its length counted as whole. A stream whose engine sent an interim response ended as rejected by the engine. An interim response also left the final one on a connection that was kept for the next request.

Cause: the HTTP library's client, which hides how a body ends and knows no interim responses. The routed requests have had their own for that reason (upstream), and it holds in all these cases; now both have it.

--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -224,8 +224,8 @@
         .set_keepalive(Seconds(75));
     let server = HttpServer::new(async move || {
         let shared = shared.clone();
-        let client = attempt::Client::new(&shared.settings.backend).await;
-        let client = client.expect("the options of the client are valid");
+        let client = attempt::Client::new(&shared.settings.backend);
+        rt::spawn(client.clone().prune());
         let client_connections = ClientConnections::new();
         rt::spawn(client_connections.clone().hold_stop(shared.clone()));
         App::new()
--- a/crates/drumusher/src/request/attempt.rs
+++ b/crates/drumusher/src/request/attempt.rs
@@ -1,11 +1,10 @@
 //! Sends one attempt to a backend server over HTTP.
 
-use drumusher_platform::tcp;
+use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
-    client::{self, ClientRequest, ClientResponse, Connector, error::ClientError},
-    http::{Method, Payload},
-    time::{Millis, Seconds, timeout},
-    util::{Bytes, stream_recv},
+    http::Method,
+    time::{Millis, sleep},
+    util::{Bytes, BytesMut},
 };
 
 use super::{
@@ -13,14 +12,18 @@
     id,
     trace::TRACEPARENT,
 };
-use crate::{process::memory::Exhausted, settings::Backend as Settings};
-
-/// Maximum number of connections from one HTTP worker to one backend server.
-const MAX_CONNECTIONS: usize = 4_096;
+use crate::{
+    process::{clock, memory::Exhausted},
+    settings::Backend as Settings,
+    upstream::{
+        self, Conn, Key, Need,
+        response::{Head, Part},
+    },
+    version::Backend,
+};
 
-/// Time after which an idle connection is not reused. Many servers close theirs after 5 s, and a request that meets that
-/// moment fails.
-const IDLE_TIMEOUT: Seconds = Seconds(4);
+/// Interval at which idle connections are pruned.
+const PRUNE_INTERVAL: Millis = Millis(5_000);
 
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,49 +88,53 @@
     }
 }
 
-/// HTTP client of one HTTP worker.
+/// HTTP client of one HTTP worker, on the connections of [`upstream`].
 #[derive(Clone)]
 pub struct Client {
-    /// Reuses idle connections.
-    pooled: client::Client,
-    /// Opens a connection for each request. A backend server may close an idle connection at the moment at which it is
-    /// reused, and whether it ran the request is unknown then.
-    unpooled: client::Client,
+    /// Idle connections, used for requests that may be repeated. A backend server may close an idle connection at the
+    /// moment at which it is reused, and whether it ran the request is unknown then.
+    conns: upstream::Pool,
+    /// Connect timeout.
+    connect_timeout: Millis,
+    /// Timeout for the head of a response.
+    first_byte_time: Micros,
 }
 
 impl Client {
     /// Creates a client without connections.
-    ///
-    /// # Errors
-    ///
-    /// An error message if the library cannot create the client.
-    pub async fn new(settings: &Settings) -> Result<Client, String> {
-        let (pooled, unpooled) = (build(settings).await?, build(settings).await?);
-        Ok(Client { pooled, unpooled })
+    pub fn new(settings: &Settings) -> Client {
+        Client {
+            conns: upstream::Pool::new(),
+            connect_timeout: Millis(settings.connect_ms as u32),
+            first_byte_time: settings.first_byte_ms * MILLISECOND,
+        }
+    }
+
+    /// Closes idle connections as they grow old, as long as the worker exists.
+    pub async fn prune(self) {
+        loop {
+            sleep(PRUNE_INTERVAL).await;
+            self.conns.prune();
+        }
     }
-}
 
-async fn build(settings: &Settings) -> Result<client::Client, String> {
-    let limit = Millis(settings.connect_ms as u32);
-    let connector = Connector::new()
-        .limit(MAX_CONNECTIONS)
-        .keep_alive(IDLE_TIMEOUT)
-        .connector(tcp::connector(limit));
-    client::Client::builder()
-        .connector::<()>(connector)
-        .disable_redirects()
-        .no_default_headers()
-        .response_timeout(Millis(settings.first_byte_ms as u32))
-        .build(ntex::SharedCfg::new("backend").build())
-        .await
-        .map_err(|e| e.to_string())
+    async fn connect(&self, request: &AttemptRequest<'_>) -> Result<Conn, Error> {
+        let address = request.server.address.parse().map_err(|_| Error::NotSent)?;
+        let connected = if request.repeatable {
+            let need = Need { request: request.key(), at_most_once: false };
+            self.conns.take(request.server, address, need, self.connect_timeout).await
+        } else {
+            Conn::connect(address, self.connect_timeout).await
+        };
+        connected.map_err(|_| Error::NotSent)
+    }
 }
 
 /// A request to a backend server.
 #[derive(Clone, Debug)]
 pub struct AttemptRequest<'a> {
-    /// `ip:port`.
-    pub address: &'a str,
+    /// The backend server.
+    pub server: &'a Backend,
     /// HTTP method.
     pub method: Method,
     /// Path and query.
@@ -144,60 +151,125 @@
     pub repeatable: bool,
 }
 
-/// Sends a request and waits for the head of the response.
-///
-/// # Errors
-///
-/// Any [`Error`] but [`Error::Failed`]; the caller of this function has to check the status.
-pub async fn send(client: &Client, request: AttemptRequest<'_>) -> Result<ClientResponse, Error> {
-    let outgoing = if request.repeatable {
-        encode(&client.pooled, &request)
-    } else {
-        encode(&client.unpooled, &request).force_close()
-    };
-    let sent = outgoing.send_body(request.body).await;
-    let response = sent.map_err(|error| classify(&error))?;
-    let echoed = response.header(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
-    if echoed.is_some_and(|echoed| echoed != id::to_text(request.id)) {
-        return Err(Error::Mismatched);
+impl AttemptRequest<'_> {
+    /// Tells it from other requests on its connection.
+    fn key(&self) -> Key {
+        Key::new(&id::to_text(self.id))
     }
-    Ok(response)
-}
 
-fn encode(client: &client::Client, request: &AttemptRequest<'_>) -> ClientRequest {
-    let url = format!("http://{}{}", request.address, request.path);
-    let mut outgoing = client
-        .request(request.method.clone(), url.as_str())
-        .header(REQUEST_ID_HEADER, id::to_text(request.id).as_str())
-        .header(TRACEPARENT, request.traceparent.as_str());
-    for (name, value) in request.headers {
-        outgoing = outgoing.header(*name, value.as_str());
+    /// Encodes the head.
+    fn encode_head(&self) -> String {
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nhost: {}\r\n{REQUEST_ID_HEADER}: {}\r\n{TRACEPARENT}: {}\r\n",
+            self.method,
+            self.path,
+            self.server.address,
+            id::to_text(self.id),
+            self.traceparent
+        );
+        for (name, value) in self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        if !self.body.is_empty() || !matches!(self.method, Method::GET | Method::HEAD) {
+            head.push_str(&format!("content-length: {}\r\n", self.body.len()));
+        }
+        head.push_str(if self.repeatable { "\r\n" } else { "connection: close\r\n\r\n" });
+        head
     }
-    outgoing
 }
 
-fn classify(error: &ClientError) -> Error {
-    match error {
-        _ if tcp::is_unsent(error) => Error::NotSent,
-        ClientError::Connect(_) | ClientError::Send(_) => Error::Closed,
-        ClientError::Timeout => Error::NoResponse,
-        _ => Error::Broken,
+/// A response whose body is still to be read. Dropping it before the end of the body cancels the request.
+pub struct Response {
+    head: Head,
+    /// The connection, until the body has ended.
+    conn: Option<Conn>,
+    conns: upstream::Pool,
+    server: Backend,
+}
+
+impl Response {
+    /// Status code.
+    pub fn status(&self) -> u16 {
+        self.head.status
+    }
+
+    /// The value of a header, if it is visible ASCII.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.headers.get(name)?.to_str().ok()
+    }
+
+    /// The length of the body in bytes, if it is declared.
+    pub fn content_length(&self) -> Option<usize> {
+        self.head.content_length()
+    }
+
+    /// Returns the next chunk of the body, or `None` at its end.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Broken`] if the connection breaks, [`Error::Stalled`] if nothing is received within `longest_ms`.
+    pub async fn next_chunk(&mut self, longest_ms: u64) -> Result<Option<Bytes>, Error> {
+        let Some(conn) = &mut self.conn else { return Ok(None) };
+        match conn.next_part(clock::now() + longest_ms * MILLISECOND, || false).await {
+            Ok(Part::Data(bytes)) => Ok(Some(bytes)),
+            Ok(Part::End) => {
+                if let Some(conn) = self.conn.take() {
+                    self.conns.put(&self.server, conn);
+                }
+                Ok(None)
+            }
+            Err(upstream::Error::TimedOut) => Err(Error::Stalled),
+            Ok(Part::Head(_)) | Err(_) => Err(Error::Broken),
+        }
+    }
+
+    /// Reads the whole body of at most `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// See [`Response::next_chunk`].
+    pub async fn read_body(
+        &mut self,
+        max_bytes: usize,
+        longest_ms: u64,
+    ) -> Result<BytesMut, Error> {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = self.next_chunk(longest_ms).await? {
+            if body.len() + chunk.len() > max_bytes {
+                return Err(Error::Broken);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body)
     }
 }
 
-/// Returns the next chunk of a response body, or `None` at its end.
+/// Sends a request and waits for the head of the response.
 ///
 /// # Errors
 ///
-/// [`Error::Broken`] if the connection breaks, [`Error::Stalled`] if nothing is received within `longest_ms`.
-pub async fn next_chunk(payload: &mut Payload, longest_ms: u64) -> Result<Option<Bytes>, Error> {
-    let next = timeout(Millis(longest_ms as u32), stream_recv(payload)).await;
-    match next {
-        Ok(Some(Ok(bytes))) => Ok(Some(bytes)),
-        Ok(None) => Ok(None),
-        Ok(Some(Err(_))) => Err(Error::Broken),
-        Err(()) => Err(Error::Stalled),
+/// Any [`Error`] but [`Error::Failed`]; the caller of this function has to check the status.
+pub async fn send(client: &Client, request: AttemptRequest<'_>) -> Result<Response, Error> {
+    let mut conn = client.connect(&request).await?;
+    let is_head = request.method == Method::HEAD;
+    let head = request.encode_head();
+    let sent = conn.send(Some(request.key()), head.as_bytes(), &request.body, is_head);
+    sent.map_err(|_| Error::Closed)?;
+    let until = clock::now() + client.first_byte_time;
+    let head = match conn.next_part(until, || false).await {
+        Ok(Part::Head(head)) => head,
+        Ok(_) | Err(upstream::Error::Malformed) => return Err(Error::Broken),
+        Err(upstream::Error::TimedOut) => return Err(Error::NoResponse),
+        Err(_) => return Err(Error::Closed),
+    };
+    conn.settle();
+    let server = request.server.clone();
+    let response = Response { head, conn: Some(conn), conns: client.conns.clone(), server };
+    let echoed = response.header(REQUEST_ID_HEADER);
+    if echoed.is_some_and(|echoed| echoed != id::to_text(request.id)) {
+        return Err(Error::Mismatched);
     }
+    Ok(response)
 }
 
 /// Headers that are forwarded to plain services.
--- a/crates/drumusher/src/request/service.rs
+++ b/crates/drumusher/src/request/service.rs
@@ -5,7 +5,6 @@
 use drumusher_log::config;
 use drumusher_schedule::{ask::Outcome, time::MILLISECOND};
 use ntex::{
-    client::ClientResponse,
     http::{HeaderMap, Method},
     util::{Bytes, BytesMut},
     web::HttpResponse,
@@ -185,7 +184,7 @@
 ) -> Result<ServiceResponse, attempt::Error> {
     let headers = forwarded_headers(call.headers);
     let request = AttemptRequest {
-        address: &backend.address,
+        server: backend,
         method: call.method.clone(),
         path: call.path,
         id: lifecycle.id,
@@ -206,20 +205,18 @@
 /// Reads a complete response; a truncated body is an error. The body is left at the service for as long as the memory
 /// for bodies is taken.
 async fn read_response(
-    response: ClientResponse,
+    mut response: attempt::Response,
     mut intake: Intake<'_>,
     has_body: bool,
     timeout_ms: u64,
 ) -> Result<ServiceResponse, attempt::Error> {
-    let content_type = response.header("content-type").and_then(|value| value.to_str().ok());
-    let content_type = content_type.unwrap_or("application/octet-stream").to_string();
-    let status = response.status().as_u16();
-    let length = response.header("content-length").and_then(|value| value.to_str().ok());
-    let length = length.filter(|_| has_body).and_then(|text| text.parse().ok()).unwrap_or(0);
+    let content_type = response.header("content-type").unwrap_or("application/octet-stream");
+    let content_type = content_type.to_string();
+    let status = response.status();
+    let length = response.content_length().filter(|_| has_body).unwrap_or(0);
     intake.expect(length).await?;
-    let mut payload = response.take_payload();
     let mut body = BytesMut::with_capacity(length);
-    while let Some(chunk) = attempt::next_chunk(&mut payload, timeout_ms).await? {
+    while let Some(chunk) = response.next_chunk(timeout_ms).await? {
         intake.receive(body.len() + chunk.len()).await?;
         body.extend_from_slice(&chunk);
     }
--- a/crates/drumusher/src/request/stream.rs
+++ b/crates/drumusher/src/request/stream.rs
@@ -2,7 +2,7 @@
 
 use drumusher_schedule::ask::Outcome;
 use ntex::{
-    http::{Method, Payload},
+    http::Method,
     util::{Bytes, Either, select},
 };
 use serde_json::{Map, Value, json};
@@ -26,6 +26,8 @@
 
 /// Interval between progress reports on a running attempt, in microseconds.
 const REPORT_INTERVAL: u64 = 500_000;
+/// Maximum size of the body of an error response, in bytes.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
 /// Maximum wait for the end of a response body after its last event, in milliseconds.
 const DRAIN_MS: u64 = 20;
 
@@ -47,7 +49,7 @@
 
 /// The running attempt.
 struct ActiveAttempt {
-    payload: Payload,
+    response: attempt::Response,
     backend: Backend,
     span: Span,
     sent_at: u64,
@@ -94,7 +96,7 @@
             let backend = &self.lifecycle.shared.settings.backend;
             let longest =
                 if active.first_token.is_none() { backend.first_byte_ms } else { backend.stall_ms };
-            let next = attempt::next_chunk(&mut active.payload, longest);
+            let next = active.response.next_chunk(longest);
             match select(next, self.lifecycle.await_preemption()).await {
                 Either::Left(Ok(Some(chunk))) => {
                     let Ok(events) = self.scanner.push(&chunk) else {
@@ -145,7 +147,7 @@
         let sent = attempt::send(
             &self.client,
             AttemptRequest {
-                address: &backend.address,
+                server: &backend,
                 method: Method::POST,
                 path: self.kind.path(),
                 id: self.lifecycle.id,
@@ -162,13 +164,13 @@
                 return Ok(());
             }
         };
-        let payload = match response {
-            Ok(response) if response.status().is_success() => response.take_payload(),
+        let response = match response {
+            Ok(response) if (200..300).contains(&response.status()) => response,
             Ok(response) => return self.handle_error_status(response, &backend, &span).await,
             Err(error) => return self.handle_failure(&backend, &span, error),
         };
         self.active = Some(ActiveAttempt {
-            payload,
+            response,
             backend,
             span,
             sent_at,
@@ -192,11 +194,11 @@
     /// Handles an unsuccessful status code of the engine.
     async fn handle_error_status(
         &mut self,
-        response: ntex::client::ClientResponse,
+        mut response: attempt::Response,
         backend: &Backend,
         span: &Span,
     ) -> Result<(), Error> {
-        let status = response.status().as_u16();
+        let status = response.status();
         if status == 503 {
             return self.handle_failure(backend, span, attempt::Error::Full);
         }
@@ -209,7 +211,8 @@
         self.lifecycle.finish_attempt(Outcome::Done);
         self.ended = true;
         self.lifecycle.set_outcome(Kind::BadRequest.code());
-        let body = response.body().await.unwrap_or_default();
+        let stall_ms = self.lifecycle.shared.settings.backend.stall_ms;
+        let body = response.read_body(MAX_ERROR_BYTES, stall_ms).await.unwrap_or_default();
         let error_body = serde_json::from_slice::<Value>(&body).unwrap_or(json!(null));
         let reason = error_body.pointer("/error/message").and_then(Value::as_str);
         let message = format!("the engine rejected the request: {}", reason.unwrap_or("no reason"));
@@ -266,7 +269,7 @@
         let tokens = u64::from(self.lifecycle.produced);
         self.lifecycle.shared.telemetry.count_request(&self.lifecycle.head.class, "done", tokens);
         // Reads the body to its end, so that the connection can be reused.
-        while let Ok(Some(_)) = attempt::next_chunk(&mut active.payload, DRAIN_MS).await {}
+        while let Ok(Some(_)) = active.response.next_chunk(DRAIN_MS).await {}
     }
 
     fn preempt(&mut self, active: ActiveAttempt) {
@@ -277,7 +280,7 @@
         self.stop_attempt(&active.span);
     }
 
-    /// Stops the attempt on a preemption by the dispatcher. Dropping the payload cancels it at the engine.
+    /// Stops the attempt on a preemption by the dispatcher. Dropping the response cancels it at the engine.
     fn stop_attempt(&mut self, span: &Span) {
         span.fail("preempted");
         span.end();
@@ -287,8 +290,8 @@
     }
 
     fn handle_break(&mut self, active: ActiveAttempt, error: attempt::Error) -> Result<(), Error> {
-        let ActiveAttempt { backend, span, payload, .. } = active;
-        drop(payload);
+        let ActiveAttempt { backend, span, response, .. } = active;
+        drop(response);
         self.handle_failure(&backend, &span, error)
     }
 
--- a/crates/drumusher/tests/unit/attempt.rs
+++ b/crates/drumusher/tests/unit/attempt.rs
@@ -8,7 +8,8 @@
 
 use drumusher::{
     request::attempt::{self, AttemptRequest, Client},
-    settings::Backend,
+    settings::Backend as Settings,
+    version::Backend,
 };
 use ntex::{http::Method, util::Bytes};
 
@@ -57,18 +58,34 @@
     Some(body)
 }
 
+fn backend(address: &str) -> Backend {
+    Backend {
+        name: "e1".into(),
+        area: "z".into(),
+        address: address.into(),
+        leaving: false,
+        started_ms: None,
+        availability_zone: "z".into(),
+        version: "v1".into(),
+        spot: false,
+        warm_at: 0,
+        evacuated: false,
+        slots: 1,
+    }
+}
+
 /// Sends a request. Returns the status of the response.
 async fn send(address: &str, repeatable: bool) -> Result<u16, attempt::Error> {
-    let settings = Backend {
+    let settings = Settings {
         connect_ms: 10_000,
         first_byte_ms: 10_000,
         stall_ms: 10_000,
         attempts: 4,
         retry_share: 0.2,
     };
-    let client = Client::new(&settings).await.expect("a client");
+    let client = Client::new(&settings);
     let request = AttemptRequest {
-        address,
+        server: &backend(address),
         method: Method::POST,
         path: "/bookings",
         id: 1,
@@ -77,7 +94,7 @@
         body: Bytes::from_static(BODY),
         repeatable,
     };
-    attempt::send(&client, request).await.map(|response| response.status().as_u16())
+    attempt::send(&client, request).await.map(|response| response.status())
 }
 
 /// Guards against a connection that ends after it took a request and counts as one that was never established, so that
