stop: each request that is cut is named in the log

In the users' record no line names the lost requests: those that were in flight when the process ended logged nothing. At the cut, workers now end the connections with requests in flight, each of which logs its end as "cut by the stop" with its route, server and events; the process waits up to 0.1 s for that. A caller that leaves is logged with the server that ran its request, too.

Test: planned_stop::unfinished_requests_are_cut_and_logged, extended; it fails without this.

--- a/crates/drumusher/src/client_connections.rs
+++ b/crates/drumusher/src/client_connections.rs
@@ -98,6 +98,9 @@
         loop {
             let stopping = shared.stopping();
             sleep(if stopping { IDLE_POLL } else { STOP_POLL }).await;
+            if shared.cutting() {
+                self.terminate_in_use();
+            }
             let has_unwritten = stopping && self.has_unwritten();
             if !has_unwritten {
                 undelivered = None;
@@ -115,6 +118,20 @@
         }
     }
 
+    /// Ends all connections with a request in flight, and so the requests, each of which logs its end.
+    fn terminate_in_use(&self) {
+        let in_use: Vec<IoRef> = {
+            let inner = self.inner.borrow();
+            inner
+                .in_flight
+                .iter()
+                .filter(|(_, requests)| **requests > 0)
+                .map(|(io, _)| io.clone())
+                .collect()
+        };
+        in_use.iter().for_each(IoRef::terminate);
+    }
+
     /// Closes all connections without a request in flight on which nothing is left to be read or written, and returns how
     /// many were closed.
     pub fn close_idle(&self) -> usize {
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use drumusher_schedule::time::MILLISECOND;
+use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
     io::Io,
     rt, server,
@@ -38,6 +38,8 @@
 const SHUTDOWN_TIMEOUT: Seconds = Seconds(2);
 /// Interval at which shutdown checks for requests in flight.
 const POLL_INTERVAL: Millis = Millis(20);
+/// Longest wait for requests to end that are cut.
+const CUT_TIME: Micros = 100 * MILLISECOND;
 /// Interval at which the time limit of a stop is checked.
 const EXIT_POLL: Duration = Duration::from_millis(50);
 /// Exit code of a process whose stop reached its time limit.
@@ -260,6 +262,7 @@
             if in_flight > 0 {
                 let waiting = shared.waiting.load(Ordering::Acquire);
                 log::warn!(in_flight = in_flight, waiting = waiting; "stopping: requests in flight are cut");
+                cut_requests(shared).await;
             }
             return in_flight;
         }
@@ -270,3 +273,12 @@
         sleep(POLL_INTERVAL).await;
     }
 }
+
+/// Cuts the requests in flight, and waits until they have logged their ends.
+async fn cut_requests(shared: &Shared) {
+    shared.cut_requests();
+    let until = clock::now() + CUT_TIME;
+    while shared.requests.load(Ordering::Acquire) > 0 && clock::now() < until {
+        sleep(POLL_INTERVAL).await;
+    }
+}
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -108,6 +108,8 @@
     pub stopping: AtomicBool,
     /// Start of the planned stop on the process's clock; 0 before.
     pub stopping_since: AtomicU64,
+    /// Whether the planned stop cuts the requests that are left.
+    cutting: AtomicBool,
     /// Latest time at which the process ran and no stop had been requested. The request came no earlier.
     running_at: AtomicU64,
     /// Memory for the bodies of requests and responses.
@@ -189,6 +191,7 @@
             configured: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
+            cutting: AtomicBool::new(false),
             running_at: AtomicU64::new(0),
             memory: Arc::new(memory::Budget::new(settings.limits.memory_mb)),
             requests: AtomicUsize::new(0),
@@ -238,6 +241,16 @@
         false
     }
 
+    /// Lets the HTTP workers end the requests that are left, as the planned stop waits no longer.
+    pub fn cut_requests(&self) {
+        self.cutting.store(true, Ordering::Release);
+    }
+
+    /// Whether the planned stop cuts the requests that are left.
+    pub fn cutting(&self) -> bool {
+        self.cutting.load(Ordering::Acquire)
+    }
+
     /// Records that no stop has been requested so far.
     pub fn record_running(&self) {
         self.running_at.store(clock::now(), Ordering::Release);
--- a/crates/drumusher/src/routed/exchange/end.rs
+++ b/crates/drumusher/src/routed/exchange/end.rs
@@ -215,10 +215,12 @@
 }
 
 impl<D: Dialect> Drop for Exchange<D> {
-    /// A request that is dropped before its end was abandoned by the client.
+    /// A request that is dropped before its end was abandoned by the client, or cut by a planned stop.
     fn drop(&mut self) {
         if !self.end_logged.get() {
-            self.log_end("", "caller gone", 0);
+            let server = self.backend.as_ref().map_or("", |backend| &*backend.name).to_string();
+            let cut = self.worker.shared.cutting();
+            self.log_end(&server, if cut { "cut by the stop" } else { "caller gone" }, 0);
         }
     }
 }
--- a/crates/drumusher/tests/routes/planned_stop.rs
+++ b/crates/drumusher/tests/routes/planned_stop.rs
@@ -192,7 +192,10 @@
     wait_for("the instance is not ready", || !deployment.instances[0].ready());
     deployment.instances[0].signal("INT");
     wait_for("the process ends", || deployment.instances[0].ended().is_some());
-    assert!(deployment.instances[0].log().contains("requests cut: 1"));
+    let log = deployment.instances[0].log();
+    assert!(log.contains("requests cut: 1"));
+    let names = |line: &str| line.contains(&request.id) && line.contains("cut by the stop");
+    assert!(log.lines().any(names), "the request that is cut is named");
     assert!(read_response(&mut in_flight).is_err(), "a cut request gets no response");
 }
 
