request: a request that comes late in a stop is refused by rule, and responses close their connections then

Of the same shape as the admission of routed requests. A request to the product's own interface whose body had arrived at once was admitted until the cut; the others were refused while their bodies were read (by reading; the test, with bodies that do not come at once, passes without the change). Responses during a stop said nothing of the end of the connection.

Test: shutdown::a_shutdown_admits_no_requests_that_it_would_cut.

--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use ntex::{
-    http::{HeaderMap, Method, StatusCode},
+    http::{ConnectionType, HeaderMap, Method, StatusCode},
     util::{Bytes, BytesMut, Either, select},
     web::{self, HttpRequest, HttpResponse, types},
 };
@@ -19,7 +19,7 @@
 use crate::{
     client_connections::ClientConnections,
     delivery::{Delivery, Undelivered},
-    error::{Error, Kind},
+    error::{Error, Kind, Ran},
     operator,
     process::Shared,
     version::Pool,
@@ -81,7 +81,7 @@
     let undelivered = Undelivered::new(shared.clone());
     let (in_flight, body) = match accept(shared, request.headers(), payload).await {
         Ok(accepted) => accepted,
-        Err(error) => return error.response(),
+        Err(error) => return deliver(worker, request, error.response(), undelivered),
     };
     let client = worker.client.clone();
     let served =
@@ -93,9 +93,12 @@
 fn deliver(
     worker: &Worker,
     request: &HttpRequest,
-    response: HttpResponse,
+    mut response: HttpResponse,
     undelivered: Undelivered,
 ) -> HttpResponse {
+    if worker.shared.stopping() {
+        response.head_mut().set_connection_type(ConnectionType::Close);
+    }
     response.map_body(|_, body| {
         let client = request.io().cloned();
         let in_use = client.as_ref().map(|io| worker.client_connections.begin_request(io));
@@ -113,7 +116,7 @@
     let undelivered = Undelivered::new(shared.clone());
     let (in_flight, body) = match accept(shared, request.headers(), payload).await {
         Ok(accepted) => accepted,
-        Err(error) => return error.response(),
+        Err(error) => return deliver(&worker, &request, error.response(), undelivered),
     };
     let path_and_query = request.uri().path_and_query().map_or("", |path| path.as_str());
     let rest = path_and_query.strip_prefix("/services/").unwrap_or("");
@@ -132,6 +135,10 @@
     headers: &HeaderMap,
     payload: types::Payload,
 ) -> Result<(InFlight, Bytes), Error> {
+    // Late in a stop it could not be finished, even if it did not have to wait.
+    if shared.stop_refuses_waiting(None) {
+        return Err(Error::stopping().with_ran(Ran::No));
+    }
     let in_flight = InFlight::new(shared.clone())?;
     let mut in_flight = in_flight.with_body(headers, shared.settings.limits.body_bytes)?;
     let body = read_body(shared, payload, |received| in_flight.receive(received)).await?;
--- a/crates/drumusher/tests/fleet/shutdown.rs
+++ b/crates/drumusher/tests/fleet/shutdown.rs
@@ -124,3 +124,25 @@
     assert!(status.is_some_and(|status| !status.success()), "{status:?}");
     assert!(fleet.instances[0].lines().contains("the time limit is reached"));
 }
+
+/// Guards against requests that are admitted on open connections so late in a shutdown that they are cut.
+#[test]
+fn a_shutdown_admits_no_requests_that_it_would_cut() {
+    let settings = "[stop]\naccept_ms = 200\nlongest_seconds = 4\n";
+    let mut fleet = fleet(&["suva"], 2, 1, settings);
+    let http = fleet.instances[0].http.clone();
+    let engine = address_of(&fleet, "suva-engine-0");
+    let held = spawn_each(1, {
+        let http = http.clone();
+        move |_| stream(&http, "urgent", "held", 100_000).is_ok()
+    });
+    wait_for("the stream runs", || engine_stat(&engine, "running") == 1);
+    fleet.instances[0].signal("TERM");
+    wait_for("a request is refused", || {
+        let response = stream(&http, "urgent", "late", 5).expect("a response");
+        assert!(response.status == 503 || response.body.contains("[DONE]"), "not cut");
+        response.status == 503
+    });
+    wait_for("the instance ends", || fleet.instances[0].ended().is_some());
+    join_all(held);
+}
