--- a/crates/drumusher/src/client_connections.rs
+++ b/crates/drumusher/src/client_connections.rs
@@ -39,6 +39,23 @@
     entered: usize,
 }
 
+/// The checks in a row at which a worker had nothing to do.
+#[derive(Default)]
+struct IdleChecks {
+    count: u32,
+    /// Number of requests so far at the latest check.
+    requests: usize,
+}
+
+impl IdleChecks {
+    /// Adds a check. Returns whether the worker has had nothing to do for long enough.
+    fn add(&mut self, requests: usize, is_idle: bool) -> bool {
+        let before = std::mem::replace(&mut self.requests, requests);
+        self.count = if is_idle && before == requests { self.count + 1 } else { 0 };
+        self.count >= IDLE_CHECKS
+    }
+}
+
 /// Guard that counts an HTTP worker as active until it is dropped.
 struct Active(Arc<Shared>);
 
@@ -94,7 +111,7 @@
     pub async fn hold_stop(self, shared: Arc<Shared>) {
         let mut undelivered = None;
         let mut active = Some(Active::new(shared.clone()));
-        let (mut entered, mut idle_checks) = (0, 0);
+        let mut idle_checks = IdleChecks::default();
         loop {
             let stopping = shared.stopping();
             sleep(if stopping { IDLE_POLL } else { STOP_POLL }).await;
@@ -102,19 +119,10 @@
                 self.terminate_in_use();
             }
             let has_unwritten = stopping && self.has_unwritten();
-            if !has_unwritten {
-                undelivered = None;
-            } else if undelivered.is_none() {
-                undelivered = Some(Undelivered::new(shared.clone()));
-            }
-            let before = std::mem::replace(&mut entered, self.inner.borrow().entered);
-            let is_idle = stopping && !has_unwritten && entered == before;
-            idle_checks = if is_idle { idle_checks + 1 } else { 0 };
-            if idle_checks >= IDLE_CHECKS {
-                active = None;
-            } else if active.is_none() {
-                active = Some(Active::new(shared.clone()));
-            }
+            hold(&mut undelivered, has_unwritten, || Undelivered::new(shared.clone()));
+            let requests = self.inner.borrow().entered;
+            let is_idle = idle_checks.add(requests, stopping && !has_unwritten);
+            hold(&mut active, !is_idle, || Active::new(shared.clone()));
         }
     }
 
@@ -156,6 +164,15 @@
     }
 }
 
+/// Creates or drops a guard, unless it is as needed.
+fn hold<G>(guard: &mut Option<G>, is_needed: bool, create: impl FnOnce() -> G) {
+    if !is_needed {
+        *guard = None;
+    } else if guard.is_none() {
+        *guard = Some(create());
+    }
+}
+
 /// Whether nothing is left in the read buffer of a connection.
 fn is_read(io: &IoRef) -> bool {
     io.with_read_buf(|buffer| buffer.is_empty())
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -37,8 +37,6 @@
 /// Keep-alive timeout of callers' connections. Longer than the idle timeout of the platform's callers, so
 /// that no request is sent on a connection that is being closed.
 const KEEP_ALIVE: Seconds = Seconds(60);
-/// Timeout of the servers' shutdown once no request is in flight.
-const SHUTDOWN_TIMEOUT: Seconds = Seconds(1);
 /// Time after the start of a planned stop at which idle connections are closed: the load balancer probes each
 /// second and sends no new ones after two failed probes.
 const CLOSE_IDLE_AFTER: Micros = 2_200 * MILLISECOND;
@@ -121,7 +119,7 @@
 
 /// A server with one worker, which leaves signals to the process.
 fn server_builder(name: &str) -> server::ServerBuilder {
-    server::build().name(name).workers(1).disable_signals().shutdown_timeout(SHUTDOWN_TIMEOUT)
+    server::build().name(name).workers(1).disable_signals()
 }
 
 fn serve_callers<D: Dialect + Sync>(
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -34,8 +34,6 @@
     settings::Settings,
 };
 
-/// Timeout of the HTTP server's graceful shutdown once no request is in flight.
-const SHUTDOWN_TIMEOUT: Seconds = Seconds(2);
 /// Interval at which shutdown checks for requests in flight.
 const POLL_INTERVAL: Millis = Millis(20);
 /// Longest wait for requests to end that are cut.
@@ -236,7 +234,6 @@
     let server = server
         .workers(settings.workers)
         .disable_signals()
-        .shutdown_timeout(SHUTDOWN_TIMEOUT)
         .config(ntex::SharedCfg::new("http").add(config).build())
         .listen(listener)
         .map_err(|e| e.to_string())?;
