stop: a process that stood still dates the request for a stop from before it did

Cause: after a process stood still, its main loop may run before the thread that handles signals, and recorded that no stop had been requested so far. It records the time of its check before now, and nothing once the handler of the signal ran, which is before any thread acts on it.

--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -18,7 +18,7 @@
     time::{Millis, Seconds, sleep},
     web::{self, App, HttpServer},
 };
-use signal_hook::{consts::signal, iterator::Signals};
+use signal_hook::{consts::signal, flag, iterator::Signals};
 
 use super::{
     Shared, clock, dispatch,
@@ -117,8 +117,11 @@
 fn watch_signals(shared: Arc<Shared>) -> Result<Arc<AtomicBool>, String> {
     let mut signals = Signals::new([signal::SIGTERM, signal::SIGINT, signal::SIGHUP])
         .map_err(|e| e.to_string())?;
+    for signal in [signal::SIGTERM, signal::SIGINT] {
+        flag::register(signal, shared.stop_signalled.clone()).map_err(|e| e.to_string())?;
+    }
     let forced = Arc::new(AtomicBool::new(false));
-    let flag = forced.clone();
+    let force = forced.clone();
     let watch = move || {
         for signal in signals.forever() {
             if signal == signal::SIGHUP {
@@ -127,7 +130,7 @@
                 log::info!("stopping: reporting not ready, requests in flight run to completion");
                 limit_stop(shared.clone());
             } else if signal == signal::SIGINT {
-                flag.store(true, Ordering::Release);
+                force.store(true, Ordering::Release);
             }
         }
     };
@@ -244,8 +247,11 @@
 /// them, and then waits until none is in flight. Returns the number of requests that were cut because of a
 /// second signal or because the time for the stop ran out.
 async fn wait_for_stop(shared: &Shared, forced: &AtomicBool) -> usize {
+    // A process that stood still may get here before the signal is handled, so the time of the check before counts.
+    let mut before = clock::now();
     while !shared.stopping() {
-        shared.record_running();
+        shared.record_running(before);
+        before = clock::now();
         sleep(POLL_INTERVAL).await;
     }
     let accept_for = shared.settings.stop_accept_ms * MILLISECOND;
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -110,6 +110,8 @@
     pub stopping_since: AtomicU64,
     /// Whether the planned stop cuts the requests that are left.
     cutting: AtomicBool,
+    /// Set by the handler of a signal that requests a stop, before any thread has acted on it.
+    pub stop_signalled: Arc<AtomicBool>,
     /// Latest time at which the process ran and no stop had been requested. The request came no earlier.
     running_at: AtomicU64,
     /// Memory for the bodies of requests and responses.
@@ -192,6 +194,7 @@
             stopping: AtomicBool::new(false),
             stopping_since: AtomicU64::new(0),
             cutting: AtomicBool::new(false),
+            stop_signalled: Arc::default(),
             running_at: AtomicU64::new(0),
             memory: Arc::new(memory::Budget::new(settings.limits.memory_mb)),
             requests: AtomicUsize::new(0),
@@ -251,9 +254,11 @@
         self.cutting.load(Ordering::Acquire)
     }
 
-    /// Records that no stop has been requested so far.
-    pub fn record_running(&self) {
-        self.running_at.store(clock::now(), Ordering::Release);
+    /// Records that no stop had been requested at `time`, unless one has been since.
+    pub fn record_running(&self, time: Micros) {
+        if !self.stop_signalled.load(Ordering::Acquire) {
+            self.running_at.store(time, Ordering::Release);
+        }
     }
 
     /// Longest time for which a planned stop may have been requested; `None` if it has not. A process that got no
