soak: a request that reached the timeout of its route is not counted as lost around a stop

The users' rule does not count these ("the deadline or the route's timeout was reached"). All else of the check is as before.

--- a/crates/drumusher/tests/routes/stop_soak/record.rs
+++ b/crates/drumusher/tests/routes/stop_soak/record.rs
@@ -16,6 +16,8 @@
 const LAST_SENT: Duration = Duration::from_secs(3);
 /// A request that no server ran and whose connection ended this soon crossed the close.
 const CROSSING: Duration = Duration::from_millis(200);
+/// Timeout of the routes, less the time that an instance reserves for its final response.
+const REQUEST_TIME: Duration = Duration::from_millis(14_950);
 /// A stop is judged until this long after its time is over.
 const AFTERMATH: Duration = Duration::from_secs(1);
 
@@ -106,6 +108,9 @@
     if matches!(record.ending, Ending::Answered(_)) || record.ended > since + GRACE + AFTERMATH {
         return false;
     }
+    if record.ended >= record.sent + REQUEST_TIME {
+        return false;
+    }
     let works: Vec<(Instant, Instant)> =
         servers.iter().flat_map(|server| server.works(&record.request)).collect();
     let Some(last_work) = works.iter().map(|(_, ended)| *ended).max() else {
