streams: one that waits is bound to its version before another one is added

Callers that took a stream up could get events of two software versions. A stream whose version no record tells may go on while its service has a single version. That was checked when the ask came, and the ask was then admitted at any version. While it waited for a free server, a release added servers of another version, and the stream was given to one of them. The entry accepted that, since the dispatcher names the version of the server that it grants.

The ask is now bound to the single version by name, so that it holds for as long as the request waits.

The new test has one server of v1 without a free slot and adds one of v1.1 while the stream waits. The unit tests follow the renamed function, which returns the version; what they check is the same.

--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -70,14 +70,11 @@
         let (now, streams) = (clock::now(), self.shared.streams());
         let known = ask.version.as_deref().map(Arc::from);
         let known = known.or_else(|| streams.version(now, Key(ask.stream? as u64)));
-        match known {
-            Some(version) => {
-                let hosted = self.pools.get(pool).ok_or(Refused::NoServer)?;
-                hosted.version_key(&version).map(version::Set::Only).ok_or(Refused::NoServer)
-            }
-            None if streams.has_single_version(now, pool) => Ok(version::Set::All),
-            None => Err(Refused::UnknownVersion),
-        }
+        // Another version may be added while the request waits.
+        let known = known.or_else(|| streams.single_version(now, pool));
+        let version = known.ok_or(Refused::UnknownVersion)?;
+        let hosted = self.pools.get(pool).ok_or(Refused::NoServer)?;
+        hosted.version_key(&version).map(version::Set::Only).ok_or(Refused::NoServer)
     }
 
     /// Notes the stream of an ask, to record it with its grant.
--- a/crates/drumusher/src/process/streams.rs
+++ b/crates/drumusher/src/process/streams.rs
@@ -240,13 +240,15 @@
         services.map(|(pool, versions)| (pool.clone(), versions.in_service(now))).collect()
     }
 
-    /// Whether the backend servers of a service have had the same software version for longer than a stream may be taken
-    /// up. A stream may have begun before this instance started.
-    pub fn has_single_version(&self, now: Micros, pool: &Pool) -> bool {
-        let Some(versions) = self.services.get(&pool.whole()) else { return false };
+    /// The software version of a service's backend servers, if they have had the same one for longer than a stream may be
+    /// taken up. A stream may have begun before this instance started.
+    pub fn single_version(&self, now: Micros, pool: &Pool) -> Option<Arc<str>> {
+        let versions = self.services.get(&pool.whole())?;
         let is_followed = self.since.is_some_and(|since| now >= since + MEMORY);
-        let is_single = !versions.listed.is_empty() && versions.in_service(now).len() == 1;
-        is_single && (self.knows_history || is_followed)
+        if versions.in_service(now).len() != 1 || !(self.knows_history || is_followed) {
+            return None;
+        }
+        versions.listed.first().cloned()
     }
 
     /// Encodes the streams of a pool for another instance.
--- a/crates/drumusher/src/routed/exchange/stream.rs
+++ b/crates/drumusher/src/routed/exchange/stream.rs
@@ -42,7 +42,8 @@
             Some(version) => *version == backend.version,
             None => {
                 let streams = self.worker.shared.streams();
-                streams.has_single_version(clock::now(), self.ticket.pool())
+                let single = streams.single_version(clock::now(), self.ticket.pool());
+                single.as_ref() == Some(&backend.version)
             }
         }
     }
--- a/crates/drumusher/tests/routes/software_versions.rs
+++ b/crates/drumusher/tests/routes/software_versions.rs
@@ -285,6 +285,46 @@
     assert_eq!(whole, STREAMS, "{trouble:?}");
 }
 
+/// A stream that waits for a backend server is not given to one of a version that was added meanwhile.
+#[test]
+fn stream_that_waits_during_a_release_goes_on_at_the_version_that_began_it() {
+    let mut deployment = Deployment::empty(false);
+    let servers = VERSIONS.map(|version| {
+        let server = Server::start(&format!("m-{version}")).expect("the server starts");
+        server.set_version(version);
+        server.set_pace(EVENTS, EVENT_INTERVAL);
+        server
+    });
+    let list = |deployment: &Deployment, server: &Server| {
+        let entry = server.entry(MODEL, "ready").replace("\"Slots\":8", "\"Slots\":1");
+        deployment.store.put("keyed.servers", &server.id, &entry);
+    };
+    list(&deployment, &servers[0]);
+    let store_endpoint = deployment.store.endpoint().expect("the store endpoint starts");
+    deployment.add_instance_with("i0", store_endpoint, OPERATOR);
+    let routes = configuration(1, "").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":12000");
+    deployment.store.put("keyed.op", "config", &routes);
+    wait_for("the instance is ready", || deployment.instances[0].ready());
+    let stream = |path: &str| Request::get(path).without("Drumusher-Prompt-Prefix");
+    let runs_at = |server: &Server, path: &str| {
+        server.runs().iter().filter(|run| run.request.path() == path).count()
+    };
+    thread::scope(|scope| {
+        let deployment = &deployment;
+        scope.spawn(|| deployment.send(0, &stream("/talk/running")).expect("a response"));
+        wait_for("the server is full", || runs_at(&servers[0], "/talk/running") == 1);
+        let resumed = stream("/talk/resumed").with("Last-Event-Id", "5");
+        let resumed = scope.spawn(move || deployment.send(0, &resumed).expect("a response"));
+        wait_for("the stream waits", || {
+            operator_query(&deployment.instances[0], "show waiting").contains("model")
+        });
+        list(deployment, &servers[1]);
+        let response = resumed.join().expect("a response");
+        assert_eq!(response.status, 200, "{}", response.text());
+    });
+    assert_eq!(servers.each_ref().map(|server| runs_at(server, "/talk/resumed")), [1, 0]);
+}
+
 /// A stream whose version is not known does not run, and the answer says so and when to come back.
 #[rstest]
 #[case::of_an_unknown_attempt(Some("ffffffffffffffff"))]
--- a/crates/drumusher/tests/unit/stream_records.rs
+++ b/crates/drumusher/tests/unit/stream_records.rs
@@ -68,13 +68,13 @@
 fn a_replaced_version_is_remembered() {
     let mut streams = Streams::default();
     streams.set_directory(0, &directory(&["v1", "v1"]));
-    assert!(!streams.has_single_version(SECOND, &pool()), "a stream may have begun before");
-    assert!(streams.has_single_version(61 * SECOND, &pool()));
+    assert_eq!(streams.single_version(SECOND, &pool()), None, "a stream may have begun before");
+    assert!(streams.single_version(61 * SECOND, &pool()).is_some());
     streams.set_directory(100 * SECOND, &directory(&["v1", "v2"]));
-    assert!(!streams.has_single_version(100 * SECOND, &pool()));
+    assert_eq!(streams.single_version(100 * SECOND, &pool()), None);
     streams.set_directory(101 * SECOND, &directory(&["v2"]));
-    assert!(!streams.has_single_version(160 * SECOND, &pool()));
-    assert!(streams.has_single_version(162 * SECOND, &pool()));
+    assert_eq!(streams.single_version(160 * SECOND, &pool()), None);
+    assert!(streams.single_version(162 * SECOND, &pool()).is_some());
 }
 
 /// A starting instance takes over the versions in service before it, and knows a single one at once.
@@ -96,11 +96,11 @@
     }
     streams.set_directory(0, &directory(&["v2"]));
     if !history_first {
-        assert!(!streams.has_single_version(0, &pool()));
+        assert_eq!(streams.single_version(0, &pool()), None);
         streams.set_history(0, &earlier);
     }
-    assert_eq!(streams.has_single_version(SECOND, &pool()), single);
-    assert!(streams.has_single_version(61 * SECOND, &pool()));
+    assert_eq!(streams.single_version(SECOND, &pool()).is_some(), single);
+    assert!(streams.single_version(61 * SECOND, &pool()).is_some());
 }
 
 /// Streams are kept in the store while there are several versions, also those that were granted before.
