upstream: the end of a connection ends a response only if its server lives

Callers got streams that ended as complete before their last event. A response without a length ends with its connection. When the process of a backend server is killed, its host closes its connections, without a reset if no bytes are unread, and between two events this was taken for the end of the stream.

Such an end is now passed on only if the server was leaving, is no longer listed, or still accepts a connection. If its host refuses the connection, the attempt is broken, so that the stream goes on elsewhere or is cut. The connection that the probe opens is kept for the next request.

The new test kills a server between two events of a stream without a length.

--- a/crates/drumusher/src/routed/exchange.rs
+++ b/crates/drumusher/src/routed/exchange.rs
@@ -353,7 +353,21 @@
             self.received_at.set(clock::now());
             self.record_heard();
         }
-        part
+        self.check_end(conn, part?).await
+    }
+
+    /// Checks the end of a response that has no other end than that of its connection: the host of a backend server that
+    /// crashed closes its connections, too.
+    ///
+    /// # Errors
+    ///
+    /// [`upstream::Error::Closed`] if the backend server crashed.
+    pub async fn check_end(&self, conn: &Conn, part: Part) -> Result<Part, upstream::Error> {
+        let is_end = matches!(part, Part::End) && conn.ended_by_close();
+        if is_end && self.has_crashed().await {
+            return Err(upstream::Error::Closed);
+        }
+        Ok(part)
     }
 
     /// Returns whether the backend server of the latest attempt has restarted since.
--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -110,6 +110,27 @@
         }
     }
 
+    /// Whether the backend server of the latest attempt has crashed by now. One that leaves may end after its last response.
+    pub(super) async fn has_crashed(&self) -> bool {
+        let Some(backend) = &self.backend else { return false };
+        let is_listed = {
+            let directory = self.worker.shared.directory.load();
+            directory.backend(self.ticket.pool(), &backend.name).is_some()
+        };
+        if !is_listed || self.is_departing(backend) {
+            return false;
+        }
+        let Ok(address) = backend.address.parse() else { return false };
+        match upstream::probe(address, PROBE_TIMEOUT).await {
+            Probe::Refused => true,
+            Probe::Connected(conn) => {
+                self.return_conn(backend, conn);
+                self.backend_restarted()
+            }
+            Probe::Inconclusive => self.backend_restarted(),
+        }
+    }
+
     /// Whether a backend server said that it leaves, so that its end is planned.
     fn is_departing(&self, backend: &Backend) -> bool {
         let directory = self.worker.shared.directory.load();
--- a/crates/drumusher/src/routed/relay.rs
+++ b/crates/drumusher/src/routed/relay.rs
@@ -308,6 +308,10 @@
             Either::Left(Err(_)) => self.conn = Some(conn),
             Either::Right(received) => {
                 self.exchange.ticket.finish(Outcome::Cancelled);
+                let received = match received {
+                    Ok(part) => self.exchange.check_end(&conn, part).await,
+                    Err(error) => Err(error),
+                };
                 self.conn = Some(conn);
                 let pushed = received.and_then(|part| self.relay.push(&mut self.exchange, part));
                 if let Err(error) = pushed {
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -90,6 +90,8 @@
     latest: Option<Key>,
     /// Whether such a response may have no ID.
     may_owe_unnamed: bool,
+    /// Whether the latest response ended with the connection.
+    ended_by_close: bool,
 }
 
 impl Conn {
@@ -120,6 +122,7 @@
             idle_since,
             latest: None,
             may_owe_unnamed: false,
+            ended_by_close: false,
         }
     }
 
@@ -241,7 +244,7 @@
             Err(()) => Err(Error::TimedOut),
             Ok(Ok(Some(part))) => Ok(part),
             Ok(Ok(None)) if self.ends_with_connection() && self.closed_cleanly() => {
-                self.reusable = false;
+                (self.reusable, self.ended_by_close) = (false, true);
                 Ok(Part::End)
             }
             Ok(Ok(None)) => Err(self.close_reason()),
@@ -257,6 +260,11 @@
         part
     }
 
+    /// Whether the latest response has no other end than that of the connection.
+    pub fn ended_by_close(&self) -> bool {
+        self.ended_by_close
+    }
+
     /// Returns whether closing the connection now would end the response. The end of a tunnel says nothing about it.
     fn ends_with_connection(&self) -> bool {
         !self.is_tunnel() && self.codec.response.ends_with_connection()
--- a/crates/drumusher/tests/routes/streams.rs
+++ b/crates/drumusher/tests/routes/streams.rs
@@ -8,7 +8,7 @@
 };
 
 use drumusher_adapter_stand_in::{
-    Fault,
+    Crash, Ending, Fault, Server,
     server::{event, events},
 };
 use drumusher_bench::fleet::wait_for;
@@ -16,6 +16,10 @@
 
 use crate::support::{DESK, Deployment, MODEL, Request, configuration, read_response};
 
+/// Events of a stream whose server is killed, and the time between two.
+const KILLED_EVENTS: u64 = 8;
+const KILLED_INTERVAL: Duration = Duration::from_millis(200);
+
 /// A resumable stream continues on another backend server after its last complete event, in the same
 /// response.
 #[test]
@@ -58,6 +62,50 @@
     assert!(resumed_unframed > 0, "some streams were resumed at the server without framing");
 }
 
+/// The end of a connection is no end of a stream whose server was killed between two events.
+#[rstest]
+#[case::resumed_elsewhere("/talk/", true)]
+#[case::resumable_without_another_server("/talk/", false)]
+#[case::not_resumable("/draft/", false)]
+fn stream_whose_server_is_killed_between_two_events_does_not_end_as_complete(
+    #[case] path: &str,
+    #[case] continues: bool,
+) {
+    let deployment = Deployment::new(1);
+    let servers = ["m1", "m2"].map(|id| deployment.server(id));
+    for server in servers {
+        server.set(Fault::UnframedStream);
+        server.set_pace(KILLED_EVENTS, KILLED_INTERVAL);
+    }
+    let request = Request::post(path, "x").without("Drumusher-Prompt-Prefix");
+    let crash = Crash {
+        path: "/".into(),
+        part: None,
+        events: 0,
+        after: Duration::ZERO,
+        ending: Ending::Closed,
+        down: KILLED_INTERVAL * KILLED_EVENTS as u32,
+        renamed: false,
+        service: MODEL.into(),
+        store: deployment.store.clone(),
+    };
+    let runs_at = |server: &Server| server.runs().iter().any(|run| run.id == request.id);
+    let response = thread::scope(|scope| {
+        let response = scope.spawn(|| deployment.send(0, &request).expect("a response"));
+        wait_for("the stream begins", || servers.iter().any(|server| runs_at(server)));
+        thread::sleep(KILLED_INTERVAL * 3 / 2);
+        let (killed, other) =
+            if runs_at(servers[0]) { (servers[0], servers[1]) } else { (servers[1], servers[0]) };
+        other.set(if continues { Fault::None } else { Fault::Overloaded });
+        scope.spawn(|| killed.crash(&crash));
+        response.join().expect("no caller panics")
+    });
+    let whole: String = (1..=KILLED_EVENTS).map(|number| event(&request.id, number)).collect();
+    assert!(whole.starts_with(&response.text()), "{}", response.text());
+    assert_eq!(response.complete, response.text() == whole);
+    assert_eq!(response.complete, continues);
+}
+
 /// A resumed stream counts once among the times to the first event.
 #[test]
 fn first_event_of_a_resumed_stream_is_measured_once() {
