schedule: a declared request moves to the server where it runs

A dispatcher that stalls for longer than an entry waits may grant an ask that another dispatcher has granted meanwhile. When the entry later declares to it at which server the request runs, the dispatcher only noted the entry's connection and kept the request at the server of its own, unused grant. One server then counted a request that it did not have, and another one lacked it, so that it was given one too many.

A declaration for a request that is held at another server now ends that grant and tracks the request where it runs.

The new test grants a request at one of two servers with one slot each and declares it at the other.

--- a/crates/drumusher-schedule/src/pool/track.rs
+++ b/crates/drumusher-schedule/src/pool/track.rs
@@ -13,12 +13,15 @@
     /// Restores a running grant that an earlier dispatcher gave.
     pub(super) fn restore(&mut self, now: Micros, ask: Ask, server: server::Key) {
         if let Some(key) = self.keys.get(&ask.id).copied() {
-            if self.waiting_at(key).is_none() {
-                self.rebind(key, &ask);
-                return;
+            match self.running_request(ask.id).map(|running| running.server) {
+                Some(granted) if granted == server => {
+                    self.rebind(key, &ask);
+                    return;
+                }
+                // The grant of another dispatcher is used, not this one.
+                Some(_) => self.finish(now, ask.id, Outcome::Cancelled, 0),
+                None => drop(self.remove_waiting(key)),
             }
-            // Another dispatcher has granted it since.
-            self.remove_waiting(key);
         }
         self.take_over(now, &ask);
         let waiting = Waiting {
--- a/crates/drumusher-schedule/tests/schedule/pool.rs
+++ b/crates/drumusher-schedule/tests/schedule/pool.rs
@@ -520,3 +520,16 @@
     let now = harness.now;
     assert_eq!(granted(&harness.handle(report(now, None))), [(2, 0)]);
 }
+
+/// Guards against a request that counts at the server of an unused grant: its slot was taken there, and free where it ran.
+#[test]
+fn a_declared_request_counts_at_the_server_where_it_runs() {
+    let mut harness = Harness::new(policy(), 2, 1);
+    let now = harness.now;
+    let granted_at = granted(&harness.ask(ask(1, URGENT, now)))[0].1;
+    let other = 1 - granted_at;
+    harness.handle(Event::Declare(ask(1, URGENT, now), Key(other)));
+    assert_eq!(granted(&harness.ask(ask(2, URGENT, now))), [(2, granted_at)]);
+    assert_eq!(granted(&harness.ask(ask(3, URGENT, now))), []);
+    assert_eq!(granted(&harness.finish(1, Outcome::Done)), [(3, other)]);
+}
