streams: the log tells what bound a stream that goes on, and at which version

Streams of two software versions could not be traced: the log named the version at which a caller's stream went on, but not what told it (its entry, a record, or that the service has had no other version), and nothing when an instance went on with a stream within its response.

--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -67,16 +67,25 @@
         if ask.resumed.is_none() {
             return Ok(version::Set::All);
         }
-        let (now, streams) = (clock::now(), self.shared.streams());
-        let known = ask.version.as_deref().map(Arc::from);
-        let known = known.or_else(|| streams.version(now, Key(ask.stream? as u64)));
-        // Another version may be added while the request waits.
-        let known = known.or_else(|| streams.single_version(now, pool));
-        let version = known.ok_or(Refused::UnknownVersion)?;
+        let (version, bound_by) = self.bind(ask, pool).ok_or(Refused::UnknownVersion)?;
+        log::info!(
+            pool = pool.to_string().as_str(), stream = ask.stream.unwrap_or(0), version = &*version,
+            bound_by:? = bound_by; "a stream is bound to a version"
+        );
         let hosted = self.pools.get(pool).ok_or(Refused::NoServer)?;
         hosted.version_key(&version).map(version::Set::Only).ok_or(Refused::NoServer)
     }
 
+    /// The software version at which a stream goes on, and what tells it.
+    fn bind(&self, ask: &peer::Ask, pool: &Pool) -> Option<(Arc<str>, Binding)> {
+        let (now, streams) = (clock::now(), self.shared.streams());
+        let entry = ask.version.as_deref().map(|version| (version.into(), Binding::Entry));
+        let record = || Some((streams.version(now, Key(ask.stream? as u64))?, Binding::Record));
+        // Another version may be added while the request waits.
+        let single = || Some((streams.single_version(now, pool)?, Binding::SingleVersion));
+        entry.or_else(record).or_else(single)
+    }
+
     /// Notes the stream of an ask, to record it with its grant.
     pub(super) fn note_stream(&mut self, ask: &peer::Ask, id: Id, pool: &Pool) {
         let Some(hosted) = self.pools.get_mut(pool) else { return };
@@ -177,6 +186,17 @@
     }
 }
 
+/// What tells the software version at which a stream goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Binding {
+    /// Its entry.
+    Entry,
+    /// A record of its grant.
+    Record,
+    /// Its service has had no other one.
+    SingleVersion,
+}
+
 /// Why a request that goes on with a stream is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Refused {
--- a/crates/drumusher/src/routed/exchange/grant.rs
+++ b/crates/drumusher/src/routed/exchange/grant.rs
@@ -152,9 +152,7 @@
                 request = self.request.head.id.as_str(), server = &*server,
                 dispatcher = self.dispatcher.as_deref().unwrap_or(""); "granted"
             );
-            if self.attempts_sent == 0 {
-                self.log_taken_up(&backend);
-            }
+            self.log_resumed(&backend);
             return Ok(backend);
         }
         self.avoid = Some(server);
--- a/crates/drumusher/src/routed/exchange/stream.rs
+++ b/crates/drumusher/src/routed/exchange/stream.rs
@@ -48,10 +48,16 @@
         }
     }
 
-    /// Logs that the caller takes a stream up at a granted backend server.
-    pub(super) fn log_taken_up(&self, backend: &Backend) {
+    /// Logs that a stream goes on at a granted backend server, by its caller or within the response.
+    pub(super) fn log_resumed(&self, backend: &Backend) {
         let Some(stream) = self.ticket.stream().filter(|stream| stream.resumed) else { return };
         let head = &self.request.head;
+        if self.attempts_sent > 0 {
+            return log::info!(
+                request = head.id.as_str(), server = &*backend.name, version = &*backend.version;
+                "a stream goes on within its response"
+            );
+        }
         log::info!(
             request = head.id.as_str(), began = head.resumes.as_deref().unwrap_or(""),
             last_event = head.last_event.unwrap_or(0), server = &*backend.name, version = &*backend.version,
