streams: a single version counts only after a check with the store

Callers that took a stream up at an instance which had been cut off got events of two software versions. A stream whose version no record tells may go on while its service has a single version. An instance took its own list of servers for the present one, whatever its age: while it was cut off, servers of another version joined, streams began at them through other instances, and it went on with them at the version that it knew. The class: knowledge without its age.

The dispatcher now keeps such an ask until the store has answered a call that began after the ask came. The stream began before, so that the answer covers its version, however long the instance was cut off or paused. The versions that left meanwhile are read with it. If the store does not answer, the ask is refused: 503, not run, with Retry-After. Streams with a record, and those that the entry itself began, need no check; deployments without a store are served as before.

The new test has five instances, one of which is cut off, cut off from the store or the others alone, or paused, while a version is added and stays or leaves; callers take streams up there before and just after the end.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -14,6 +14,7 @@
 
 mod apply;
 mod backoff;
+mod check;
 mod contacts;
 pub mod engine_cache;
 mod entries;
@@ -88,6 +89,8 @@
     stale_table: Cell<Option<(Table, Position, Position)>>,
     /// The latest era of the store that was read or relayed.
     era: Cell<Option<Era>>,
+    /// The check of the software versions that the dispatch thread requests.
+    check: Cell<check::State>,
     /// Wakes the tasks that poll tables when the store turns out to have been restored from a backup.
     restores: RefCell<Vec<async_channel::Sender<()>>>,
     state: RefCell<State>,
@@ -135,6 +138,7 @@
         probing: Cell::new(false),
         stale_table: Cell::new(None),
         era: Cell::new(None),
+        check: Cell::default(),
         restores: RefCell::default(),
         state: RefCell::new(State { entries, ..State::default() }),
     });
@@ -152,6 +156,7 @@
             }
             platform::Input::Register(name, entry) => catalog.register(name, entry),
             platform::Input::Quarantine(digests) => catalog.queue_quarantine(digests),
+            platform::Input::CheckVersions => check::request(&catalog),
             // The other inputs occur only with a log service instead of a store.
             _ => {}
         }
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -218,7 +218,8 @@
     ) -> Result<Outcome, Error> {
         // Discards the notice of a restore after which the table was already read.
         let _ = restored.try_recv();
-        match select(pin!(self.read_changes(table)), pin!(restored.recv())).await {
+        let read = self.read_changes(table, self.wait_ms(table));
+        match select(pin!(read), pin!(restored.recv())).await {
             Either::Left((read, _)) => read,
             Either::Right(_) => Ok(Outcome::Dropped),
         }
@@ -232,11 +233,14 @@
         }
     }
 
-    /// Reads and applies the changes of a table since its known end.
-    async fn read_changes(self: &Rc<Self>, table: Table) -> Result<Outcome, Error> {
+    /// Reads and applies the changes of a table since its known end. Waits for one for at most `wait_ms` milliseconds.
+    pub(super) async fn read_changes(
+        self: &Rc<Self>,
+        table: Table,
+        wait_ms: u64,
+    ) -> Result<Outcome, Error> {
         let from = self.shared.records().end(table);
-        let wait = self.wait_ms(table);
-        let changes = self.store.changes(table, from, wait).await?;
+        let changes = self.store.changes(table, from, wait_ms).await?;
         self.note_answer(from.era);
         match changes {
             Changes::ResyncRequired => Ok(Outcome::Dropped),
--- a/crates/drumusher/src/process/catalog/versions.rs
+++ b/crates/drumusher/src/process/catalog/versions.rs
@@ -46,9 +46,15 @@
 
 /// Takes over the versions from before this instance started.
 pub(super) fn restore(shared: &Shared, records: &[Record]) {
+    let services = merge(shared, records);
+    log::info!(services = services; "software versions from before this start are known");
+}
+
+/// Takes over the versions that this instance does not know. Returns the number of services.
+pub(super) fn merge(shared: &Shared, records: &[Record]) -> usize {
     let earlier: InService = records.iter().filter_map(read).collect();
-    log::info!(services = earlier.len(); "software versions from before this start are known");
     shared.streams().set_history(clock::now(), &earlier);
+    earlier.len()
 }
 
 /// Keeps the versions in the store, as the first reader.
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -97,6 +97,8 @@
     Disconnected(Entry),
     /// The configuration or the directory of backend servers changed.
     Changed,
+    /// The software versions of the backend servers were checked with the store, or could not be.
+    VersionsChecked,
     /// A load report of a backend server.
     Load {
         /// The pool.
@@ -176,6 +178,8 @@
     undecided: VecDeque<crashes::Undecided>,
     /// Connections of other instances, and those of them that follow this one as dispatchers.
     successors: streams::Successors,
+    /// Asks that wait for a check of the software versions.
+    unchecked: VecDeque<streams::Unchecked>,
     orders: Vec<Order>,
     unsent: VecDeque<(Entry, Message)>,
 }
@@ -195,6 +199,7 @@
         excused: Excused::default(),
         undecided: VecDeque::new(),
         successors: streams::Successors::default(),
+        unchecked: VecDeque::new(),
         orders,
         unsent,
     };
@@ -216,6 +221,7 @@
             Input::Connected(entry, name) => self.share_streams(entry, name),
             Input::Disconnected(entry) => self.entry_disconnected(entry),
             Input::Changed => self.configuration_changed(),
+            Input::VersionsChecked => self.admit_checked(),
             Input::Load { pool, server, report } => self.load_report(&pool, &server, report),
             Input::Unreachable { pool, server } => self.unreachable(&pool, &server),
             Input::CachedParts { pool, server, parts } => self.cached_parts(&pool, &server, parts),
@@ -236,6 +242,7 @@
         match message {
             Message::Ask(ask) => self.handle_ask(entry, ask),
             Message::Withdraw(withdraw) => {
+                self.unchecked.retain(|unchecked| unchecked.ask.id != withdraw.id);
                 let Some(id) = id::from_wire(&withdraw.id) else { return };
                 self.handle_named(&withdraw.pool, Event::Withdraw(id));
                 if let Some(pool) = Pool::parse(&withdraw.pool) {
@@ -254,6 +261,7 @@
 
     fn entry_disconnected(&mut self, entry: Entry) {
         self.successors.disconnected(entry);
+        self.unchecked.retain(|unchecked| unchecked.entry != entry);
         let now = clock::now();
         let directory = self.shared.directory.load();
         for (pool, hosted) in &mut self.pools {
@@ -336,6 +344,7 @@
         self.decide_crashes();
         self.breaks.expire(clock::now());
         self.expire_streams();
+        self.admit_checked();
         self.handle_all(|_| Event::Tick);
         self.record_load();
         self.record_waiting();
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -35,13 +35,17 @@
         }
     }
 
-    /// Submits an ask, refuses it, or queues it for a trial run. Returns whether it was queued. Also used for asks that
-    /// were queued before.
+    /// Submits an ask, refuses it, or queues it for a trial run or a check of the software versions. Returns whether it
+    /// was queued. Also used for asks that were queued for a trial run before.
     pub(super) fn admit_or_queue(&mut self, entry: Entry, message: peer::Ask) -> bool {
         let Some(pool) = Pool::parse(&message.pool) else {
             return false;
         };
         match self.check_quarantine(&message, &pool) {
+            Admission::Run if self.needs_check(&message, &pool) => {
+                self.await_check(entry, message);
+                return true;
+            }
             Admission::Run => self.submit(entry, &message, &pool),
             Admission::Refuse => self.refuse_quarantined(entry, message.id),
             Admission::Postpone => self.refuse_undecided(entry, message.id),
@@ -54,7 +58,7 @@
     }
 
     /// Submits an ask to the scheduler.
-    fn submit(&mut self, entry: Entry, message: &peer::Ask, pool: &Pool) {
+    pub(super) fn submit(&mut self, entry: Entry, message: &peer::Ask, pool: &Pool) {
         let versions = match self.versions(message, pool) {
             Ok(versions) => versions,
             Err(refused) => return self.refuse_stream(entry, message, pool, refused),
@@ -122,7 +126,7 @@
     }
 
     /// Refuses a request that goes on with a stream.
-    fn refuse_stream(
+    pub(super) fn refuse_stream(
         &mut self,
         entry: Entry,
         message: &peer::Ask,
--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -1,6 +1,9 @@
 //! Streams that callers may take up again: the software version to which each is bound, and the instances that know it.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
 
 use drumusher_schedule::{
     ask::{Entry, Id},
@@ -14,7 +17,7 @@
 use super::Dispatcher;
 use crate::{
     process::{
-        clock,
+        clock, platform,
         streams::{Key, Record},
     },
     version::Pool,
@@ -25,6 +28,17 @@
 /// Interval at which streams that nobody waits for are forgotten.
 const EXPIRY_INTERVAL: Micros = SECOND;
 
+/// Longest time for which an ask waits for a check of the software versions.
+const MAX_CHECK_TIME: Micros = SECOND;
+
+/// An ask that goes on with a stream if a check shows that its service has a single software version.
+#[derive(Debug)]
+pub(super) struct Unchecked {
+    pub(super) entry: Entry,
+    pub(super) ask: peer::Ask,
+    since: Micros,
+}
+
 /// A granted stream.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stream {
@@ -86,6 +100,44 @@
         entry.or_else(record).or_else(single)
     }
 
+    /// Whether an ask goes on with a stream only because its service is known to have a single software version. With a
+    /// store, this instance may lack servers that are listed there.
+    pub(super) fn needs_check(&self, ask: &peer::Ask, pool: &Pool) -> bool {
+        let resumes = ask.resumed.is_some() && ask.server.is_none();
+        let has_store = self.shared.settings.store.is_some();
+        let is_single = || matches!(self.bind(ask, pool), Some((_, Binding::SingleVersion)));
+        resumes && has_store && is_single()
+    }
+
+    /// Keeps an ask until the software versions are checked.
+    pub(super) fn await_check(&mut self, entry: Entry, ask: peer::Ask) {
+        self.unchecked.retain(|unchecked| unchecked.ask.id != ask.id);
+        self.unchecked.push_back(Unchecked { entry, ask, since: clock::now() });
+        if self.shared.platform.try_send(platform::Input::CheckVersions).is_err() {
+            log::warn!("platform queue full; software versions are not checked");
+        }
+    }
+
+    /// Submits the asks whose software versions were checked, and refuses those for which that failed.
+    pub(super) fn admit_checked(&mut self) {
+        let now = clock::now();
+        let unchecked: VecDeque<Unchecked> = std::mem::take(&mut self.unchecked);
+        for Unchecked { entry, ask, since } in unchecked {
+            let Some(pool) = Pool::parse(&ask.pool) else { continue };
+            let check = self.shared.streams().check_since(since);
+            match check {
+                None if now < since + MAX_CHECK_TIME => {
+                    self.unchecked.push_back(Unchecked { entry, ask, since });
+                }
+                Some(true) => {
+                    self.ensure_pool(&pool);
+                    self.submit(entry, &ask, &pool);
+                }
+                _ => self.refuse_stream(entry, &ask, &pool, Refused::UnknownVersion),
+            }
+        }
+    }
+
     /// Notes the stream of an ask, to record it with its grant.
     pub(super) fn note_stream(&mut self, ask: &peer::Ask, id: Id, pool: &Pool) {
         let Some(hosted) = self.pools.get_mut(pool) else { return };
--- a/crates/drumusher/src/process/platform/mod.rs
+++ b/crates/drumusher/src/process/platform/mod.rs
@@ -57,6 +57,8 @@
     Register(String, String),
     /// The quarantine of these requests changed and is to be written to the store.
     Quarantine(Vec<Digest>),
+    /// Check with the store that the known software versions of the backend servers are the present ones.
+    CheckVersions,
 }
 
 /// Sending end of the platform thread's input queue.
@@ -120,6 +122,6 @@
         Input::Records(records) => configuration::relayed(context, records),
         Input::State(_, snapshot) => configuration::offered(context, &snapshot),
         // Only sent with a store, where `catalog::run` reads this queue instead.
-        Input::Register(..) | Input::Quarantine(_) => {}
+        Input::Register(..) | Input::Quarantine(_) | Input::CheckVersions => {}
     }
 }
--- a/crates/drumusher/src/process/streams.rs
+++ b/crates/drumusher/src/process/streams.rs
@@ -91,6 +91,8 @@
     since: Option<Micros>,
     /// Whether the versions from before that time are known.
     knows_history: bool,
+    /// When the latest check with the store began, and whether it shows that the known versions are the present ones.
+    check: Option<(Micros, bool)>,
 }
 
 impl Streams {
@@ -221,14 +223,27 @@
         services.filter(move |(_, v)| v.in_service(now).len() > 1).map(|(pool, _)| pool)
     }
 
-    /// Sets the versions in service before this instance began to follow them.
+    /// Adds versions in service that this instance may not have seen listed: from before it began to follow them, or
+    /// while it was out of step.
     pub fn set_history(&mut self, now: Micros, earlier: &InService) {
         for (pool, versions) in earlier {
-            self.services.entry(pool.clone()).or_default().retire(now, versions.iter().cloned());
+            let known = self.services.entry(pool.clone()).or_default();
+            let in_service = known.in_service(now);
+            known.retire(now, versions.difference(&in_service).cloned());
         }
         self.knows_history = true;
     }
 
+    /// Records a check with the store that began at `began`: whether the known versions are the present ones.
+    pub fn record_check(&mut self, began: Micros, is_current: bool) {
+        self.check = Some((began, is_current));
+    }
+
+    /// What the latest check showed, if it began at `time` or later.
+    pub fn check_since(&self, time: Micros) -> Option<bool> {
+        self.check.filter(|(began, _)| *began >= time).map(|(_, is_current)| is_current)
+    }
+
     /// Whether the versions from before this instance began to follow them are known.
     pub fn knows_history(&self) -> bool {
         self.knows_history
--- a/crates/drumusher/tests/routes/software_versions.rs
+++ b/crates/drumusher/tests/routes/software_versions.rs
@@ -3,8 +3,9 @@
 
 use std::{
     collections::BTreeSet,
-    io::Write,
+    io::{Read, Write},
     net::{SocketAddr, TcpStream},
+    sync::atomic::{AtomicBool, Ordering},
     thread,
     time::{Duration, Instant},
 };
@@ -30,6 +31,10 @@
 /// How long a caller goes on taking its stream up, and the pause between two tries.
 const CALLER_TIME: Duration = Duration::from_secs(8);
 const CALLER_PAUSE: Duration = Duration::from_millis(150);
+/// Minimum number of streams that an instance out of step is asked to take up.
+const RESUMED: usize = 6;
+/// How long callers turn to an instance before, and after, it is in step again.
+const OUT_OF_STEP: Duration = Duration::from_millis(1_200);
 /// Pause after the restart of an instance.
 const RESTART_PAUSE: Duration = Duration::from_millis(700);
 
@@ -344,3 +349,160 @@
     let runs = deployment.servers.iter().flat_map(Server::runs);
     assert_eq!(runs.filter(|run| run.request.path() == "/talk/unknown").count(), 0);
 }
+
+/// How an instance falls out of step with the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    /// It reaches neither the store nor the others.
+    CutOff,
+    /// It does not reach the store.
+    CutOffFromStore,
+    /// It does not reach the others.
+    CutOffFromPeers,
+    /// Its process is paused.
+    Paused,
+}
+
+impl Fault {
+    fn begin(self, deployment: &Deployment, at: usize) {
+        self.set(deployment, at, Mode::Stalled, "STOP");
+    }
+
+    fn end(self, deployment: &Deployment, at: usize) {
+        self.set(deployment, at, Mode::Open, "CONT");
+    }
+
+    fn set(self, deployment: &Deployment, at: usize, mode: Mode, signal: &str) {
+        let instance = &deployment.instances[at];
+        if self == Fault::Paused {
+            return instance.signal(signal);
+        }
+        if self != Fault::CutOffFromStore {
+            // A connection of two instances goes through the relay of the one that accepts it.
+            deployment.instances.iter().for_each(|i| relays(i).peers.set(mode));
+        }
+        if self != Fault::CutOffFromPeers {
+            relays(instance).store.set(mode);
+        }
+    }
+}
+
+/// What happens to the added version while the instance is out of step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Added {
+    /// Its engines stay.
+    Stays,
+    /// Its engines are no longer listed.
+    Leaves,
+}
+
+/// Begins a stream. Returns its connection, if its first events come from an engine of this version.
+fn begin(address: SocketAddr, request: &Request, version: &str) -> Option<TcpStream> {
+    let mut conn = TcpStream::connect(address).ok()?;
+    conn.set_read_timeout(Some(CALLER_TIME)).ok()?;
+    conn.write_all(&request.bytes()).ok()?;
+    let (mut received, mut buffer) = (Vec::new(), [0; 4096]);
+    while !String::from_utf8_lossy(&received).contains("id: 3\n") {
+        let length = conn.read(&mut buffer).ok().filter(|length| *length > 0)?;
+        received.extend_from_slice(&buffer[..length]);
+    }
+    String::from_utf8_lossy(&received).contains(&format!(" {version}")).then_some(conn)
+}
+
+/// Begins streams at an added version through the other instances.
+fn begin_at_added(deployment: &Deployment) -> Vec<(Request, TcpStream)> {
+    let mut begun = Vec::new();
+    let mut number = 0;
+    wait_for("streams begin at the added version", || {
+        let callers: Vec<_> = (1..deployment.instances.len())
+            .map(|at| {
+                number += 1;
+                let request = Request::get(&format!("/talk/{number}"));
+                let request = request.without("Drumusher-Prompt-Prefix");
+                let address = deployment.instances[at].http_address;
+                thread::spawn(move || {
+                    begin(address, &request, VERSIONS[1]).map(|conn| (request, conn))
+                })
+            })
+            .collect();
+        begun.extend(callers.into_iter().filter_map(|caller| caller.join().expect("a stream")));
+        begun.len() >= RESUMED
+    });
+    begun
+}
+
+/// Guards against streams that an instance out of step takes up at the only version that it knows.
+#[rstest]
+#[case::cut_off(Fault::CutOff, Added::Stays)]
+#[case::cut_off(Fault::CutOff, Added::Leaves)]
+#[case::cut_off_from_store(Fault::CutOffFromStore, Added::Stays)]
+#[case::cut_off_from_store(Fault::CutOffFromStore, Added::Leaves)]
+#[case::cut_off_from_peers(Fault::CutOffFromPeers, Added::Stays)]
+#[case::cut_off_from_peers(Fault::CutOffFromPeers, Added::Leaves)]
+#[case::paused(Fault::Paused, Added::Stays)]
+#[case::paused(Fault::Paused, Added::Leaves)]
+fn instance_out_of_step_does_not_join_streams_of_an_added_version(
+    #[case] fault: Fault,
+    #[case] added: Added,
+    #[values(true, false)] names_attempt: bool,
+) {
+    let mut deployment = deploy(5, &VERSIONS[..1]);
+    fault.begin(&deployment, 0);
+    for number in 0..ENGINES {
+        let server = Server::start(&format!("m1{number}")).expect("the server starts");
+        server.set_version(VERSIONS[1]);
+        server.set_pace(EVENTS, EVENT_INTERVAL);
+        deployment.store.put("keyed.servers", &server.id, &server.entry(MODEL, "ready"));
+        deployment.servers.push(server);
+    }
+    let begun = begin_at_added(&deployment);
+    if added == Added::Leaves {
+        let servers = deployment.servers[ENGINES..].iter();
+        servers.for_each(|server| deployment.store.remove("keyed.servers", &server.id));
+    }
+    let healed = AtomicBool::new(false);
+    let answers: Vec<Response> = thread::scope(|scope| {
+        let (address, healed) = (deployment.instances[0].http_address, &healed);
+        let callers: Vec<_> = begun
+            .iter()
+            .map(|(first, _)| {
+                scope.spawn(move || {
+                    let mut answers = Vec::new();
+                    loop {
+                        let last_try = healed.load(Ordering::Acquire);
+                        let mut request = first.with_new_id().with("Last-Event-Id", "3");
+                        if names_attempt {
+                            request = request.with("Resumes", &first.id);
+                        }
+                        answers.extend(send(address, &request));
+                        if last_try || answers.last().is_some_and(|answer| answer.status == 200) {
+                            return answers;
+                        }
+                        thread::sleep(CALLER_PAUSE);
+                    }
+                })
+            })
+            .collect();
+        thread::sleep(OUT_OF_STEP);
+        fault.end(&deployment, 0);
+        thread::sleep(OUT_OF_STEP);
+        healed.store(true, Ordering::Release);
+        callers.into_iter().flat_map(|caller| caller.join().expect("answers")).collect()
+    });
+    let count = |status| answers.iter().filter(|answer| answer.status == status).count();
+    let mut joined = 0;
+    for answer in &answers {
+        let mut received = Received::default();
+        if answer.status == 200 {
+            received.add(&answer.text());
+        }
+        joined += usize::from(received.versions.contains(VERSIONS[0]));
+    }
+    println!("{} answers, {} taken up, {joined} joined", answers.len(), count(200));
+    assert_eq!(joined, 0, "{fault:?}, {added:?}: streams of two versions");
+    for answer in answers.iter().filter(|answer| answer.status != 200) {
+        assert_eq!(answer.status, 503, "{}", answer.text());
+        assert!(answer.text().contains(r#""ran":"no""#), "{}", answer.text());
+        assert!(answer.header("retry-after").is_some());
+    }
+}
--- a/crates/drumusher/tests/unit/stream_records.rs
+++ b/crates/drumusher/tests/unit/stream_records.rs
@@ -140,3 +140,30 @@
     assert_eq!(in_service(&streams, 2 * SECOND), ["v1", "v2"]);
     assert_eq!(in_service(&streams, 62 * SECOND), ["v2"]);
 }
+
+/// A check that began before a caller came does not cover the versions that were added meanwhile.
+#[test]
+fn a_check_counts_for_what_came_before_it() {
+    let mut streams = Streams::default();
+    assert_eq!(streams.check_since(0), None);
+    streams.record_check(SECOND, true);
+    assert_eq!(streams.check_since(SECOND), Some(true));
+    assert_eq!(streams.check_since(SECOND + 1), None);
+    streams.record_check(2 * SECOND, false);
+    assert_eq!(streams.check_since(SECOND + 1), Some(false));
+}
+
+/// A version that came and went while the instance was out of step is learnt from the store, and read again it does not
+/// count for longer.
+#[test]
+fn versions_of_the_time_out_of_step_count() {
+    let mut streams = Streams::default();
+    streams.set_history(0, &BTreeMap::new());
+    streams.set_directory(SECOND, &directory(&["v1"]));
+    assert_eq!(streams.single_version(2 * SECOND, &pool()).as_deref(), Some("v1"));
+    let versions = BTreeMap::from([(pool(), ["v1", "v1.1"].map(Arc::from).into())]);
+    streams.set_history(3 * SECOND, &versions);
+    streams.set_history(50 * SECOND, &versions);
+    assert_eq!(streams.single_version(62 * SECOND, &pool()), None);
+    assert_eq!(streams.single_version(63 * SECOND, &pool()).as_deref(), Some("v1"));
+}
