streams: asks outlast the longest interval between checks of the versions

With more than 40 dispatchers, checks were further apart than asks wait for one, so that streams without a record would have been refused. Found by reading, not run with that many. The interval is at most a second, and asks wait for three; a store that does not answer refuses them sooner, as each call ends after 0.7 s.

--- a/crates/drumusher/src/process/catalog/check.rs
+++ b/crates/drumusher/src/process/catalog/check.rs
@@ -21,7 +21,9 @@
 
 /// Shortest time between two checks. One check serves all asks that came before it.
 const MIN_INTERVAL_MS: u64 = 100;
-/// Maximum rate of checks of all dispatchers together. Each makes two calls.
+/// Longest time between two checks, well within the time for which asks wait for one.
+const MAX_INTERVAL_MS: u64 = 1_000;
+/// Maximum rate of checks of all dispatchers together, as far as the intervals allow. Each makes two calls.
 const MAX_CHECKS_PER_SECOND: u64 = 40;
 /// Maximum number of reads of the table of servers in one check: others may write to it meanwhile.
 const MAX_READS: usize = 4;
@@ -94,6 +96,6 @@
         let dispatchers: usize =
             directory.pools.keys().map(|pool| directory.dispatchers(pool)).sum();
         let interval_ms = dispatchers as u64 * 1_000 / MAX_CHECKS_PER_SECOND;
-        Millis(interval_ms.max(MIN_INTERVAL_MS) as u32)
+        Millis(interval_ms.clamp(MIN_INTERVAL_MS, MAX_INTERVAL_MS) as u32)
     }
 }
--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -28,8 +28,9 @@
 /// Interval at which streams that nobody waits for are forgotten.
 const EXPIRY_INTERVAL: Micros = SECOND;
 
-/// Longest time for which an ask waits for a check of the software versions.
-const MAX_CHECK_TIME: Micros = SECOND;
+/// Longest time for which an ask waits for a check of the software versions: one that is under way, the pause after it, and
+/// its own.
+const MAX_CHECK_TIME: Micros = 3 * SECOND;
 
 /// An ask that goes on with a stream if a check shows that its service has a single software version.
 #[derive(Debug)]
--- a/crates/drumusher/tests/routes/software_versions.rs
+++ b/crates/drumusher/tests/routes/software_versions.rs
@@ -47,6 +47,8 @@
     AllEnginesOfOne,
     /// One instance is killed.
     OneInstance,
+    /// No instance reaches the store, and one is killed.
+    StoreAndOneInstance,
     /// Three of four instances are killed.
     ThreeInstances,
     /// One instance reaches neither the store nor the others, and another one is killed.
@@ -178,6 +180,10 @@
         Trouble::OneEngineOfEach => end_engines(deployment, |id| id.ends_with('0')),
         Trouble::AllEnginesOfOne => end_engines(deployment, |id| id.starts_with("m0")),
         Trouble::OneInstance => deployment.instances[1].kill(),
+        Trouble::StoreAndOneInstance => {
+            deployment.instances.iter().for_each(|i| relays(i).store.set(Mode::Stalled));
+            deployment.instances[1].kill();
+        }
         Trouble::ThreeInstances => deployment.instances[1..].iter_mut().for_each(Instance::kill),
         Trouble::CutOffAndKill => {
             deployment.instances.iter().for_each(|i| relays(i).peers.set(Mode::Stalled));
@@ -280,6 +286,7 @@
 #[case(Trouble::OneEngineOfEach)]
 #[case(Trouble::OneInstance)]
 #[case(Trouble::AllInstances)]
+#[case(Trouble::StoreAndOneInstance)]
 fn all_streams_of_a_single_version_go_on(
     #[case] trouble: Trouble,
     #[values(true, false)] names_attempt: bool,
