dispatch: a request at an unlisted server gets no other one

Callers that took a stream up, with its attempt named, could get events of two software versions. When a dispatcher ends, each instance reports its running requests to the next one, with the server of each. A server that was no longer listed there, but still served, made that report an ask: the next dispatcher granted another server, told the others that the stream was bound to that one's version, and held a slot until the request ended. The entry dropped the grant, and the record stayed, newer than the true one.

A request that runs at a server which is not listed is left alone now.

Before the fix, take-ups at a server that an uncertain instance still uses made a first form of the test fail, which asked for a refusal; it now asks that no event is of v1.1.

--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -57,8 +57,13 @@
         false
     }
 
-    /// Submits an ask to the scheduler.
+    /// Submits an ask to the scheduler. A request that runs at a server which is not listed here is left alone.
     pub(super) fn submit(&mut self, entry: Entry, message: &peer::Ask, pool: &Pool) {
+        let key = |name: &str| self.pools.get(pool)?.keys.get(name).copied();
+        let declared = message.server.as_deref().and_then(key);
+        if message.server.is_some() && declared.is_none() {
+            return self.record_requester(entry, pool);
+        }
         let versions = match self.versions(message, pool) {
             Ok(versions) => versions,
             Err(refused) => return self.refuse_stream(entry, message, pool, refused),
@@ -74,10 +79,6 @@
             return;
         };
         self.note_stream(message, ask.id, pool);
-        let declared = message
-            .server
-            .as_deref()
-            .and_then(|name| self.pools.get(pool)?.keys.get(name).copied());
         if let Some((hosted, server)) = self.pools.get_mut(pool).zip(declared) {
             hosted.trials.grant(ask.id, server);
             let name = hosted.names[usize::from(server.0)].clone();
--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -145,11 +145,7 @@
         if ask.resumed.is_some() {
             hosted.resumed.insert(id);
         }
-        // The entry of a request that runs already uses no grant of another server.
-        let runs_unlisted =
-            ask.server.as_ref().is_some_and(|name| !hosted.keys.contains_key(name.as_str()));
-        let key = ask.stream.filter(|_| ask.resumed.is_none() && !runs_unlisted);
-        let Some(key) = key else {
+        let (Some(key), None) = (ask.stream, ask.resumed) else {
             hosted.streams.remove(&id);
             return;
         };
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -15,6 +15,7 @@
 mod lost_paths;
 mod mass_restart;
 mod membership;
+mod moved_streams;
 mod notices;
 mod planned_stop;
 mod quarantine;
--- /dev/null
+++ b/crates/drumusher/tests/routes/moved_streams.rs
@@ -0,0 +1,122 @@
+//! Streams that run while their dispatcher changes.
+
+use std::{
+    io::{BufRead, BufReader, Write},
+    net::TcpStream,
+    time::Duration,
+};
+
+use drumusher_adapter_stand_in::Server;
+use drumusher_bench::fleet::wait_for;
+
+use crate::support::{Deployment, MODEL, Request, configuration};
+
+/// Number of events of a stream, and the time between two. A stream outlasts what happens meanwhile.
+const EVENTS: u64 = 200;
+const EVENT_INTERVAL: Duration = Duration::from_millis(40);
+const INSTANCES: usize = 4;
+
+/// A deployment whose streams outlast what happens meanwhile.
+fn deploy(servers: &[(&str, &str)]) -> Deployment {
+    let mut deployment = Deployment::empty(false);
+    servers.iter().for_each(|(id, version)| add_server(&mut deployment, id, version));
+    for number in 0..INSTANCES {
+        deployment.add_instance(&format!("i{number}"));
+    }
+    let routes = configuration(1, "").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":12000");
+    deployment.store.put("keyed.op", "config", &routes);
+    for instance in &deployment.instances {
+        wait_for("the instance is ready", || instance.ready());
+    }
+    deployment
+}
+
+fn add_server(deployment: &mut Deployment, id: &str, version: &str) {
+    let server = Server::start(id).expect("the server starts");
+    server.set_version(version);
+    server.set_pace(EVENTS, EVENT_INTERVAL);
+    deployment.store.put("keyed.servers", id, &server.entry(MODEL, "ready"));
+    deployment.servers.push(server);
+}
+
+fn stream(path: &str) -> Request {
+    Request::get(path).without("Drumusher-Prompt-Prefix")
+}
+
+/// Waits until an instance has logged a line that fits.
+fn wait_logged(deployment: &Deployment, instance: usize, fits: impl Fn(&str) -> bool) -> String {
+    let mut found = None;
+    wait_for(&format!("instance {instance} logs it"), || {
+        let log = deployment.instances[instance].log();
+        found = log.lines().find(|line| fits(line)).map(str::to_string);
+        found.is_some()
+    });
+    found.expect("the line was found")
+}
+
+/// Whether a line says that a server is no longer in use. An instance that is not certain of it keeps the server for a while.
+fn is_removal(line: &str, id: &str) -> bool {
+    let ended = line.contains("server's entry ended") && line.contains("\"held\":\"false\"");
+    let removed = ended || line.contains("removed servers that are still missing");
+    removed && line.contains(&format!("\"{id}\""))
+}
+
+/// The instance whose dispatcher grants a stream that a caller begins at an instance. Its earlier messages to that one have
+/// arrived by then.
+fn dispatcher(deployment: &Deployment, entry: usize) -> usize {
+    let (request, mut lines) = begin(deployment, entry, "/draft/");
+    assert!(lines.any(|line| line == "id: 1"), "the stream begins");
+    drop(lines);
+    let line = wait_logged(deployment, entry, |line| {
+        line.contains("request ended") && line.contains(&request.id)
+    });
+    let granted = (0..INSTANCES).find(|at| line.contains(&format!("\"dispatcher\":\"i{at}\"")));
+    granted.unwrap_or_else(|| panic!("no dispatcher in {line}"))
+}
+
+type Lines = std::iter::MapWhile<
+    std::io::Lines<BufReader<TcpStream>>,
+    fn(std::io::Result<String>) -> Option<String>,
+>;
+
+/// Begins a stream at an instance. Returns its request and the lines of the response.
+fn begin(deployment: &Deployment, entry: usize, path: &str) -> (Request, Lines) {
+    let request = stream(path);
+    let mut conn = deployment.connect(entry).expect("a connection");
+    conn.write_all(&request.bytes()).expect("the request is sent");
+    (request, BufReader::new(conn).lines().map_while(Result::ok))
+}
+
+/// The dispatcher of all instances, once they agree on it.
+fn common_dispatcher(deployment: &Deployment) -> usize {
+    let mut found = Vec::new();
+    wait_for("the instances have the same dispatcher", || {
+        found = (0..INSTANCES).map(|at| dispatcher(deployment, at)).collect();
+        found.iter().all(|at| *at == found[0])
+    });
+    found[0]
+}
+
+/// A stream that runs at a server which is no longer listed is not granted another one by its next dispatcher, whose record
+/// would name a version that sent nothing.
+#[test]
+fn stream_of_an_unlisted_server_stays_bound_to_its_version_when_its_dispatcher_ends() {
+    let mut deployment = deploy(&[("m-v1", "v1")]);
+    let first = common_dispatcher(&deployment);
+    let entry = (first + 1) % INSTANCES;
+    let (running, mut lines) = begin(&deployment, entry, "/talk/");
+    assert!(lines.any(|line| line == "id: 1"), "the stream begins");
+    add_server(&mut deployment, "m-v1.1", "v1.1");
+    deployment.store.remove("keyed.servers", "m-v1");
+    for at in 0..INSTANCES {
+        wait_logged(&deployment, at, |line| line.contains("entry") && line.contains("m-v1.1"));
+        wait_logged(&deployment, at, |line| is_removal(line, "m-v1"));
+    }
+    deployment.instances[first].kill();
+    wait_for("the stream has another dispatcher", || dispatcher(&deployment, entry) != first);
+    for at in (0..INSTANCES).filter(|at| *at != first) {
+        let resumed = stream("/talk/").with("Last-Event-Id", "1").with("Resumes", &running.id);
+        let response = deployment.send(at, &resumed).expect("a response");
+        assert!(!response.text().contains("v1.1"), "instance {at}: {}", response.text());
+    }
+}
