dispatch: a stream is recorded at its first event, not with its grant

Callers that took a stream up, with its attempt named, could get events of two software versions. The record that binds a stream to a version was made with each grant, passed on at once, and the newest one won. A dispatcher that stood still grants asks that have been moved to another one since; an instance that is short of processor time knows a first grant, which led to nothing, and not the second.

A dispatcher records a stream and passes it on when its entry reports the first event, or reports it as running after that. From then on the stream goes on only at that version, so all records of a stream name the same one, and none can be outdated.

--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -59,7 +59,7 @@
 use crossbeam_channel::RecvTimeoutError;
 use drumusher_platform::routing;
 use drumusher_schedule::{
-    ask::{Entry, Outcome},
+    ask::{Entry, Id, Outcome},
     engine,
     event::{Changes, Event, Load},
     order::Order,
@@ -282,6 +282,9 @@
         let outcome = wire::outcome(finish.outcome);
         if finish.first_token.is_some() {
             self.count_started(&finish.pool, id);
+            if let Some(pool) = Pool::parse(&finish.pool) {
+                self.streams_began(&pool, [id]);
+            }
         } else {
             self.count_ended(&finish.pool, id, outcome);
         }
@@ -297,6 +300,10 @@
     }
 
     fn handle_progress(&mut self, batch: &peer::ProgressBatch) {
+        if let Some(pool) = Pool::parse(&batch.pool) {
+            let began = batch.reports.iter().filter(|report| report.first_token.is_some());
+            self.streams_began(&pool, began.filter_map(|report| id::from_wire(&report.id)));
+        }
         for report in &batch.reports {
             let Some(id) = id::from_wire(&report.id) else {
                 continue;
@@ -311,6 +318,21 @@
         }
     }
 
+    /// Records streams whose first event has arrived, and passes them on. A grant alone binds no stream, as its entry may
+    /// have another one by then.
+    fn streams_began(&mut self, pool: &Pool, ids: impl IntoIterator<Item = Id>) {
+        let Some(hosted) = self.pools.get(pool) else { return };
+        let server = |id| {
+            let running = hosted.scheduler.running_request(id)?;
+            Some(&hosted.names[usize::from(running.server.0)])
+        };
+        let began = ids.into_iter().filter_map(|id| self.record_stream(pool, id, server(id)?));
+        let keys: Vec<_> = began.collect();
+        let copies = self.copies(pool, &keys);
+        self.unsent.extend(copies);
+        self.flush();
+    }
+
     fn handle_named(&mut self, pool: &str, event: Event) {
         if let Some(pool) = Pool::parse(pool) {
             self.handle(&pool, event);
--- a/crates/drumusher/src/process/dispatch/asks.rs
+++ b/crates/drumusher/src/process/dispatch/asks.rs
@@ -81,14 +81,16 @@
         self.note_stream(message, ask.id, pool);
         if let Some((hosted, server)) = self.pools.get_mut(pool).zip(declared) {
             hosted.trials.grant(ask.id, server);
-            let name = hosted.names[usize::from(server.0)].clone();
-            self.record_stream(pool, ask.id, &name);
         }
+        let (id, has_begun) = (ask.id, ask.produced > 0);
         let event = match declared {
             Some(server) => Event::Declare(ask, server),
             None => Event::Ask(ask),
         };
         self.handle(pool, event);
+        if declared.is_some() && has_begun {
+            self.streams_began(pool, [id]);
+        }
         self.record_requester(entry, pool);
         self.acknowledge(entry, message, pool);
     }
--- a/crates/drumusher/src/process/dispatch/orders.rs
+++ b/crates/drumusher/src/process/dispatch/orders.rs
@@ -8,7 +8,7 @@
 
 use super::{Dispatcher, SPENT_SCALE, wire};
 use crate::{
-    process::{clock, notices::KnownLimit, streams::Key},
+    process::{clock, notices::KnownLimit},
     request::id,
     version::Pool,
 };
@@ -22,15 +22,9 @@
         let mut orders = std::mem::take(&mut self.orders);
         let instances = self.shared.directory.load().requesters(pool);
         let mut revoked = Vec::new();
-        let mut streams = Vec::new();
-        let queued = self.unsent.len();
         for order in &orders {
             self.shared.telemetry.count_order(order);
-            revoked.extend(self.execute(pool, order, instances, &mut streams));
-        }
-        // Others know a stream before it begins.
-        for copy in self.copies(pool, &streams) {
-            self.unsent.insert(queued, copy);
+            revoked.extend(self.execute(pool, order, instances));
         }
         orders.clear();
         self.orders = orders;
@@ -44,13 +38,7 @@
 
     /// Queues the message of one order. Returns the entry and request of a grant that is revoked instead, since it is
     /// for a retry that the budget no longer allows.
-    fn execute(
-        &mut self,
-        pool: &Pool,
-        order: &Order,
-        instances: usize,
-        streams: &mut Vec<Key>,
-    ) -> Option<(Entry, Id)> {
+    fn execute(&mut self, pool: &Pool, order: &Order, instances: usize) -> Option<(Entry, Id)> {
         let hosted = self.pools.get_mut(pool)?;
         let now = clock::now();
         let (mut alone, mut known_limit, mut version) = (None, KnownLimit::default(), None);
@@ -63,7 +51,6 @@
                 let name = hosted.names[usize::from(server.0)].clone();
                 known_limit = hosted.notices.known_limit(&name);
                 version = self.bound_version(pool, id, server);
-                streams.extend(self.record_stream(pool, id, &name));
             }
             Order::Refuse { id, refusal, .. } => {
                 hosted.release_retry(id);
--- a/crates/drumusher/tests/routes/moved_streams.rs
+++ b/crates/drumusher/tests/routes/moved_streams.rs
@@ -15,6 +15,8 @@
 const EVENTS: u64 = 200;
 const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 const INSTANCES: usize = 4;
+/// Streams that run at the same time.
+const STREAMS: usize = 16;
 
 /// A deployment whose streams outlast what happens meanwhile.
 fn deploy(servers: &[(&str, &str)]) -> Deployment {
@@ -120,3 +122,37 @@
         assert!(!response.text().contains("v1.1"), "instance {at}: {}", response.text());
     }
 }
+
+/// A dispatcher that stood still grants streams that run elsewhere by then. What it granted binds none of them.
+#[test]
+fn late_grant_of_a_paused_dispatcher_binds_no_stream() {
+    let servers = [("m0", "v1"), ("m1", "v1.1"), ("m2", "v1"), ("m3", "v1.1")];
+    let deployment = deploy(&servers);
+    let first = common_dispatcher(&deployment);
+    let (entry, other) = ((first + 1) % INSTANCES, (first + 2) % INSTANCES);
+    deployment.instances[first].signal("STOP");
+    let begun: Vec<_> = (0..STREAMS).map(|_| begin(&deployment, entry, "/talk/")).collect();
+    let versions: Vec<_> = begun
+        .into_iter()
+        .map(|(request, mut lines)| {
+            let event = lines.find(|line| line.starts_with("data: ")).expect("an event");
+            (request, event.contains("v1.1"), lines)
+        })
+        .collect();
+    deployment.instances[first].signal("CONT");
+    for at in [entry, other] {
+        wait_for("it dispatches again", || dispatcher(&deployment, at) == first);
+    }
+    let joined: Vec<&str> = versions
+        .iter()
+        .filter_map(|(request, is_second, _)| {
+            let last = (EVENTS - 1).to_string();
+            let resumed = stream("/talk/").with("Last-Event-Id", &last);
+            let resumed = resumed.with("Resumes", &request.id);
+            let response = deployment.send(other, &resumed).expect("a response");
+            let joins = response.status == 200 && response.text().contains("v1.1") != *is_second;
+            joins.then_some(&*request.id)
+        })
+        .collect();
+    assert!(joined.is_empty(), "{} of {STREAMS} streams are of two versions", joined.len());
+}
