upstream: a server that is being killed may still accept a connection

The end of a response without a length was believed if its server accepted another connection.

For a stream the new connection now has to stay open for 20 ms.

--- a/crates/drumusher/src/routed/exchange/crash.rs
+++ b/crates/drumusher/src/routed/exchange/crash.rs
@@ -27,6 +27,8 @@
 /// Timeout of a probe's connect. The host of a crashed server refuses the connection within one round trip; a host that
 /// stays silent for longer than a connect may take proves nothing.
 const PROBE_TIMEOUT: Millis = Millis(200);
+/// Time within which the host of a killed process closes all of its sockets.
+const EXIT_TIME: Millis = Millis(20);
 /// Interval at which the directory is checked for a restart.
 const WATCH_INTERVAL: Millis = Millis(100);
 /// Pause before the second probe, doubled up to [`MAX_PROBE_PAUSE`].
@@ -120,14 +122,28 @@
         if !is_listed || self.is_departing(backend) {
             return false;
         }
+        self.backend_restarted() || self.is_refused(backend).await
+    }
+
+    /// Whether connections to a backend server are refused. One that is accepted is kept for another request.
+    async fn is_refused(&self, backend: &Backend) -> bool {
+        if self.tunnelled {
+            let connected = tunnel::connect(&self.worker.shared, self.ticket.pool(), backend).await;
+            return matches!(connected, Err(tunnel::Error::Refused));
+        }
         let Ok(address) = backend.address.parse() else { return false };
         match upstream::probe(address, PROBE_TIMEOUT).await {
             Probe::Refused => true,
             Probe::Connected(conn) => {
-                self.return_conn(backend, conn);
-                self.backend_restarted()
+                // Whoever waits for a body that is no stream waits for this, too.
+                let is_stream = self.request.route_match.kind.streams();
+                let is_closed = is_stream && conn.is_closed_within(EXIT_TIME).await;
+                if !is_closed {
+                    self.return_conn(backend, conn);
+                }
+                is_closed
             }
-            Probe::Inconclusive => self.backend_restarted(),
+            Probe::Inconclusive => false,
         }
     }
 
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -152,7 +152,7 @@
     }
 
     /// Whether the backend server closes it within `limit`, although no request was sent on it.
-    pub async fn is_closed_within(self, limit: Millis) -> bool {
+    pub async fn is_closed_within(&self, limit: Millis) -> bool {
         let received = timeout(limit, self.io.recv(&self.codec)).await;
         matches!(received, Ok(Ok(None) | Err(Either::Right(_))))
     }
@@ -252,6 +252,8 @@
             Ok(Err(Either::Right(error))) if is_unreachable(&error) => Err(Error::Lost),
             Ok(Err(Either::Right(_))) => Err(Error::Closed),
         };
+        let tunnel_ended = || self.codec.deframer.as_ref().and_then(Deframer::ending);
+        self.ended_by_close |= tunnel_ended() == Some(Ending::Closed);
         match &part {
             Ok(Part::Head(head)) => self.update_keep_alive(head),
             Ok(_) => {}
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -11,6 +11,7 @@
 mod engine_caches;
 mod evacuation;
 mod forwarding;
+mod killed_servers;
 mod large_bodies;
 mod lost_paths;
 mod mass_restart;
--- a/crates/drumusher/tests/routes/support/response.rs
+++ b/crates/drumusher/tests/routes/support/response.rs
@@ -1,9 +1,6 @@
 //! Reads HTTP/1.1 responses from a connection, whether complete or cut off.
 
-use std::{
-    io::{self, Read},
-    net::TcpStream,
-};
+use std::io::{self, Read};
 
 /// A response as a caller receives it.
 #[derive(Clone, Debug)]
@@ -35,7 +32,7 @@
 /// # Errors
 ///
 /// Any I/O error before the head is complete.
-pub fn read_response(conn: &mut TcpStream) -> io::Result<Response> {
+pub fn read_response(conn: &mut impl Read) -> io::Result<Response> {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4_096];
     let length = loop {
