soak: streams that are taken up, while routes stay and while they move

Callers take streams up after a break, while the first run goes on and at two instances at once, on kept and new connections, with and without naming the attempt. Meanwhile servers of new versions join and old ones leave, also in place under new IDs; instances are killed, stopped, paused, short of processor time and told to read their settings; connections are reset and stalled; servers crash, pause and cut streams, framed by chunks, by a length and by the end of the connection; and, in the second case, a route moves to another service. Each response and each chain of responses is judged: numbers, request, software version, service, and no end before the last event.

--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod moved_streams;
 mod notices;
+mod order_soak;
 mod planned_stop;
 mod quarantine;
 mod regions;
