routes: failing tests of streams whose route moves to another service

A caller that takes its stream up after a configuration moved its route gets events of the new service: if it names no attempt, whatever the versions, and if it names it, where both services have a version of that name.

--- a/crates/drumusher/tests/routes/moved_streams.rs
+++ b/crates/drumusher/tests/routes/moved_streams.rs
@@ -8,6 +8,7 @@
 
 use drumusher_adapter_stand_in::Server;
 use drumusher_bench::fleet::wait_for;
+use rstest::rstest;
 
 use crate::support::{Deployment, MODEL, Request, configuration};
 
@@ -156,3 +157,38 @@
         .collect();
     assert!(joined.is_empty(), "{} of {STREAMS} streams are of two versions", joined.len());
 }
+
+/// A stream whose route moves to another service is not joined with what a server of that one writes.
+#[rstest]
+fn stream_of_a_route_that_moved_is_not_joined_with_another_service(
+    #[values(true, false)] names_attempt: bool,
+    #[values("v1", "v2")] other_version: &str,
+) {
+    let mut deployment = deploy(&[("m-v1", "v1")]);
+    let server = Server::start("other").expect("the server starts");
+    server.set_version(other_version);
+    server.set_pace(EVENTS, EVENT_INTERVAL);
+    deployment.store.put("keyed.servers", "other", &server.entry("other", "ready"));
+    deployment.servers.push(server);
+    common_dispatcher(&deployment);
+    let (running, mut lines) = begin(&deployment, 0, "/talk/");
+    assert!(lines.any(|line| line == "id: 1"), "the stream begins");
+    let model = format!(r#"{{"Name":"{MODEL}","MaxConns":50,"Engine":{{"Slots":8}}}}"#);
+    let moved = configuration(2, "moved")
+        .replace(&model, &format!("{model},{}", model.replace(MODEL, "other")))
+        .replace(&format!("\"Service\":\"{MODEL}\""), "\"Service\":\"other\"");
+    deployment.store.put("keyed.op", "config", &moved);
+    for at in 0..INSTANCES {
+        wait_for("the route has moved", || {
+            deployment
+                .send(at, &Request::get("/moved/"))
+                .is_ok_and(|response| response.status != 404)
+        });
+        let mut resumed = stream("/talk/").with("Last-Event-Id", "190");
+        if names_attempt {
+            resumed = resumed.with("Resumes", &running.id);
+        }
+        let response = deployment.send(at, &resumed).expect("a response");
+        assert_eq!(response.status, 503, "instance {at}: {}", response.text());
+    }
+}
