catalog: bounds on the size, the start and the log lines of entries of other writers

Sizes. 80 entries of 262,000 bytes make the table of servers longer than an update between instances may be (16 MiB). Those that do not read the store rejected it and fetched it again, and never knew the servers. Before, server_entries::huge_entries_…: "timed out waiting until the instance knows the servers"; in the logs of the seven instances 888 times "an update of (or …56) bytes exceeds the limit; it will be fetched again" in 46 s. A value over 4 KiB, other than the configuration, is now replaced by an unreadable one when it is read: it describes no object either way, and the table stays short.

An entry that names a start in the far future stayed for good: all later ones are of an earlier start. Before, server_entries::an_entry_with_a_start_in_the_future_…: "timed out waiting until the right entries are used". A start more than an hour ahead of this instance's time is unknown now, so that such an entry never replaces one with a known start.

Each change of a malformed entry had a line; once 1,024 were known, all were logged again at each read of the table of instances; those of the quarantine and of contacts at each read. Before, server_entries::malformed_entries_do_not_flood_the_log: 18009 lines.

Of the contacts, only names are removed, which can be written as they were read, and 256 in a call.

Not faults, by tests that passed before too: thousands of odd entries in all tables, entries at addresses where nothing listens or of a server that is listed already. Entries at addresses of other processes: not run on the code before.

The gauge drumusher_servers_listed is new: the tests need to know which servers an instance knows.

--- a/crates/drumusher/src/process/catalog.rs
+++ b/crates/drumusher/src/process/catalog.rs
@@ -297,6 +297,7 @@
                 None => state.directory.remove_server(&id),
             }
         }
+        self.shared.telemetry.gauge("drumusher.servers.listed", state.entries.len() as u64);
         self.shared.publish_directory(state.directory.clone());
     }
 
--- a/crates/drumusher/src/process/catalog/apply.rs
+++ b/crates/drumusher/src/process/catalog/apply.rs
@@ -15,7 +15,10 @@
 use crate::process::clock;
 
 /// The key of the configuration in its table.
-const CONFIGURATION_KEY: &str = "config";
+pub(super) const CONFIGURATION_KEY: &str = "config";
+/// A backend server whose start is later than this beyond the time of this instance has an unknown start, in
+/// milliseconds: no entry that names the right one would replace it.
+const MAX_CLOCK_DIFFERENCE_MS: u64 = 3_600_000;
 /// Of an update with more entries of backend servers, only their number is logged at the usual level.
 const MAX_LOGGED_ENTRIES: usize = 64;
 
@@ -159,7 +162,8 @@
             let held = entries.remove(&record.key, end);
             let recovered_ms = entries.health().recovered_for(now).map(|time| time / MILLISECOND);
             let (reported_ms, reader_ms) = self.report_ages(now);
-            log::info!(
+            log::log!(
+                level,
                 server = record.key.as_str(), held = held, teller = source, end:% = end,
                 confirmed:% = entries.confirmed(), away = entries.health().is_down(),
                 recovered_ms:? = recovered_ms, reported_ms = reported_ms, reader_ms = reader_ms,
@@ -170,6 +174,9 @@
         };
         match self.store.server(&record.key, &value) {
             Ok(server) => {
+                let latest_start_ms = clock::unix_ms().saturating_add(MAX_CLOCK_DIFFERENCE_MS);
+                let started_ms = server.started_ms.filter(|at| *at <= latest_start_ms);
+                let server = Server { started_ms, ..server };
                 let (service, leaving) = (server.service.clone(), server.leaving);
                 let (born, warm_up_ms) = (server.started_ms, server.warm_up_ms);
                 let entries = &mut self.state.borrow_mut().entries;
@@ -192,14 +199,16 @@
         }
     }
 
-    /// Skips a malformed entry, and logs it once.
-    fn skip(&self, table: Table, key: &str, value: &str, error: &Error) {
-        if self.state.borrow_mut().skipped.record(table, key, value) {
-            self.shared
-                .telemetry
-                .count("drumusher.entries.passed_over", &[("table", table.word())]);
+    /// Skips a malformed entry, and logs it once unless there are many.
+    pub(super) fn skip(&self, table: Table, key: &str, value: &str, error: &Error) {
+        let skipped = &mut self.state.borrow_mut().skipped;
+        if !skipped.record(table, key, value) {
+            return;
+        }
+        self.shared.telemetry.count("drumusher.entries.passed_over", &[("table", table.word())]);
+        if let Some(unlogged) = skipped.log_line(clock::now()) {
             log::error!(
-                table = table.word(), key = key, bytes = value.len();
+                table = table.word(), key = key, bytes = value.len(), unlogged = unlogged;
                 "an entry was passed over: {error}"
             );
         }
--- a/crates/drumusher/src/process/catalog/contacts.rs
+++ b/crates/drumusher/src/process/catalog/contacts.rs
@@ -18,12 +18,14 @@
 use ntex::time::{Millis, sleep};
 
 use super::{Backoff, Catalog, membership::Instance, versions};
-use crate::process::clock;
+use crate::{process::clock, settings};
 
 /// The list is kept where at least this many instances are listed. A shorter table of instances is one short page.
 const MIN_INSTANCES: usize = 32;
 /// Maximum length of the list.
 const MAX_CONTACTS: usize = 8;
+/// Maximum number of entries removed from it in one call.
+const MAX_REMOVALS: usize = 256;
 /// How long an instance has to be a reader before it is added to the list.
 const MIN_READER_TIME: Micros = 2 * SECOND;
 /// Interval between checks whether this instance has to be added.
@@ -140,7 +142,7 @@
                     contacts.insert(record.key.clone(), instance);
                     tried.push(record);
                 }
-                Err(error) => log::error!(key = record.key.as_str(); "malformed contact: {error}"),
+                Err(error) => self.skip(Table::Instances, &record.key, value, &error),
             }
         }
         if tried.is_empty() {
@@ -183,7 +185,8 @@
     /// Adds this instance to the list, and removes those that are gone and those beyond the maximum.
     async fn add_contact(&self) -> Result<(), Error> {
         let mut known = self.store.start_records().await?;
-        known.retain(|record| !versions::is_version_record(record));
+        // The key of another writer may have replaced bytes, under which it cannot be removed.
+        known.retain(|record| settings::is_name(&record.key));
         let own = self.own_contact();
         let is_listed = known.contains(&own);
         let mut records = {
@@ -193,6 +196,7 @@
                 others.partition(|contact| state.instances.contains_key(&contact.key));
             let surplus = (listed.len() + 1).saturating_sub(MAX_CONTACTS);
             let removed = gone.into_iter().chain(listed.into_iter().take(surplus));
+            let removed = removed.take(MAX_REMOVALS);
             removed.map(|contact| Record { value: None, ..contact }).collect::<Vec<Record>>()
         };
         let removed = records.len();
--- a/crates/drumusher/src/process/catalog/entries.rs
+++ b/crates/drumusher/src/process/catalog/entries.rs
@@ -69,6 +69,16 @@
         self.servers.values()
     }
 
+    /// The number of backend servers that count as present.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no backend server counts as present.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
     /// A backend server that counts as present.
     pub fn server(&self, id: &str) -> Option<&Server> {
         self.servers.get(id)
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -5,13 +5,13 @@
 use drumusher_log::position::{Era, Position};
 use drumusher_platform::{
     Error,
-    catalog::{Changes, Store, Table},
+    catalog::{Changes, Record, Store, Table, UNREADABLE},
 };
 use drumusher_schedule::time::{MILLISECOND, Micros};
 use futures_util::future::{Either, select};
 use ntex::time::{Millis, sleep};
 
-use super::{Backoff, Catalog, Reports, TableUpdate};
+use super::{Backoff, Catalog, Reports, TableUpdate, apply::CONFIGURATION_KEY};
 use crate::process::clock;
 
 /// Delay after a change, so that changes close together are read in one call. The first reader relays them with its
@@ -38,6 +38,9 @@
 const STARTUP_TIME: Micros = 2_000 * MILLISECOND;
 /// Number of failed reads of the table of instances after which the other tables are read all the same.
 const MAX_WAITED_FAILURES: u32 = 3;
+/// Longest value of an entry other than the configuration, in bytes. Entries of servers and instances have some
+/// hundred, and those of quarantined requests some six hundred.
+const MAX_ENTRY_BYTES: usize = 4 * 1024;
 /// Source name of what this instance reads itself.
 const OWN_SOURCE: &str = "";
 /// Interval between checks whether this instance has to poll.
@@ -111,6 +114,18 @@
     matches!(table, Table::Instances | Table::Quarantine)
 }
 
+/// Replaces the values that are too long for an entry, so that the table stays short enough to be kept and relayed.
+fn without_huge_values(table: Table, mut records: Vec<Record>) -> Vec<Record> {
+    for record in &mut records {
+        let is_configuration = table == Table::Configuration && record.key == CONFIGURATION_KEY;
+        if !is_configuration {
+            let huge = record.value.as_mut().filter(|value| value.len() > MAX_ENTRY_BYTES);
+            huge.into_iter().for_each(|value| *value = UNREADABLE.into());
+        }
+    }
+    records
+}
+
 /// Outcome of a read of a table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Outcome {
@@ -204,7 +219,8 @@
             return Ok(Outcome::Stale);
         }
         self.record_read(table, page.end);
-        let update = self.shared.records().replace(table, page.records, page.end);
+        let records = without_huge_values(table, page.records);
+        let update = self.shared.records().replace(table, records, page.end);
         self.apply(update, OWN_SOURCE);
         Ok(Outcome::Changed)
     }
@@ -251,6 +267,7 @@
             }
             Changes::Records(records, end) => {
                 self.record_read(table, end);
+                let records = without_huge_values(table, records);
                 // Later changes may have been relayed meanwhile.
                 if self.shared.records().end(table) == from {
                     self.shared.records().append(table, &records, end);
--- a/crates/drumusher/src/process/catalog/quarantine.rs
+++ b/crates/drumusher/src/process/catalog/quarantine.rs
@@ -7,7 +7,10 @@
 use std::{collections::BTreeSet, rc::Rc, sync::atomic::Ordering};
 
 use drumusher_log::quarantine::{self, Digest};
-use drumusher_platform::catalog::{Record, Store, Table};
+use drumusher_platform::{
+    Error,
+    catalog::{Record, Store, Table},
+};
 use ntex::time::{Millis, sleep};
 
 use super::{Backoff, Catalog, TableUpdate};
@@ -52,16 +55,18 @@
             TableUpdate::Changes(_, records) => records,
         };
         for record in records {
+            let malformed = |reason: String| {
+                let value = record.value.as_deref().unwrap_or_default();
+                self.skip(Table::Quarantine, &record.key, value, &Error::Malformed(reason));
+            };
             let Some(digest) = Digest::parse(&record.key) else {
-                log::error!(key = record.key.as_str(); "quarantine record skipped: its key is not a digest");
+                malformed("its key is not a digest".into());
                 continue;
             };
             let read = record.value.as_deref().map(serde_json::from_str::<quarantine::Record>);
             match read {
                 Some(Ok(record)) => table.merge(digest, record),
-                Some(Err(error)) => {
-                    log::error!(digest = record.key.as_str(); "malformed quarantine record: {error}");
-                }
+                Some(Err(error)) => malformed(error.to_string()),
                 None => table.remove(digest),
             }
         }
