streams: one that began at another service does not go on

A caller took its stream up after a change of the configuration had moved the route to another service, and got events of that one: the record of a stream was looked up without regard to the service, and both had servers of the same version. The class: a key that is looked up without its scope.

The dispatcher, and the entry when it checks a grant, refuse a stream that a record shows to have begun at another service: 503, not run. Cells of a service count as the same.

The new test moves the route while the stream runs and takes it up at both instances.

--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -94,6 +94,9 @@
     /// The software version at which a stream goes on, and what tells it.
     fn bind(&self, ask: &peer::Ask, pool: &Pool) -> Option<(Arc<str>, Binding)> {
         let (now, streams) = (clock::now(), self.shared.streams());
+        if ask.stream.is_some_and(|key| streams.is_of_other_service(now, Key(key as u64), pool)) {
+            return None;
+        }
         let entry = ask.version.as_deref().map(|version| (version.into(), Binding::Entry));
         let record = || Some((streams.version(now, Key(ask.stream? as u64))?, Binding::Record));
         // Another version may be added while the request waits.
--- a/crates/drumusher/src/process/streams.rs
+++ b/crates/drumusher/src/process/streams.rs
@@ -167,6 +167,12 @@
         Some(record.version.clone())
     }
 
+    /// Whether a stream is known to have begun at another service than that of `pool`.
+    pub fn is_of_other_service(&self, now: Micros, key: Key, pool: &Pool) -> bool {
+        let record = self.records.get(&key).filter(|record| now < record.until);
+        record.is_some_and(|record| record.pool.whole() != pool.whole())
+    }
+
     /// Number of streams.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/drumusher/src/routed/exchange/stream.rs
+++ b/crates/drumusher/src/routed/exchange/stream.rs
@@ -32,12 +32,17 @@
 }
 
 impl<D: Dialect> Exchange<D> {
-    /// Whether a granted backend server may go on with the stream: it has the software version that began it. The grant
-    /// of a dispatcher of an earlier release names none.
+    /// Whether a granted backend server may go on with the stream: it has the software version that began it, and the
+    /// stream is not known to have begun at another service, from which its route was moved. The grant of a dispatcher of an earlier release names none.
     pub(super) fn may_continue(&self, grant: &Grant, backend: &Backend) -> bool {
         let Some(stream) = self.ticket.stream().filter(|stream| stream.resumed) else {
             return true;
         };
+        let (now, pool) = (clock::now(), self.ticket.pool());
+        let key = stream.key;
+        if self.worker.shared.streams().is_of_other_service(now, key, pool) {
+            return false;
+        }
         match stream.version.as_ref().or(grant.version.as_ref()) {
             Some(version) => *version == backend.version,
             None => {
--- a/crates/drumusher/tests/routes/software_versions.rs
+++ b/crates/drumusher/tests/routes/software_versions.rs
@@ -513,3 +513,35 @@
         assert!(answer.header("retry-after").is_some());
     }
 }
+
+/// Guards against a stream that goes on at another service, to which its route was moved, since that has the same version.
+#[test]
+fn stream_does_not_go_on_at_another_service() {
+    const OTHER: &str = "other";
+    let deployment = deploy(2, &VERSIONS[..1]);
+    let server = Server::start("other").expect("the server starts");
+    server.set_pace(EVENTS, EVENT_INTERVAL);
+    deployment.store.put("keyed.servers", &server.id, &server.entry(OTHER, "ready"));
+    let talk = |path: &str| Request::get(path).without("Drumusher-Prompt-Prefix");
+    let first = talk("/talk/begun");
+    let begun = begin(deployment.instances[0].http_address, &first, "token");
+    assert!(begun.is_some(), "the stream begins");
+    let routes = configuration(2, "").replace("\"TimeoutMs\":3000", "\"TimeoutMs\":12000");
+    let (before, after) = routes.split_once("\"Name\":\"talk\"").expect("the route");
+    let after = after.replacen("\"Service\":\"model\"", "\"Service\":\"other\"", 1);
+    let service = r#""Services":[{"Name":"other","MaxConns":50,"Engine":{"Slots":8}},"#;
+    let after = after.replace("\"Services\":[", service);
+    deployment.store.put("keyed.op", "config", &format!("{before}\"Name\":\"talk\"{after}"));
+    let runs = |path: &str| server.runs().iter().filter(|run| run.request.path() == path).count();
+    for at in 0..2 {
+        wait_for("the route is moved", || {
+            let path = format!("/talk/new{at}");
+            let _ = begin(deployment.instances[at].http_address, &talk(&path), "token");
+            runs(&path) > 0
+        });
+        let resumed = first.with_new_id().with("Last-Event-Id", "3").with("Resumes", &first.id);
+        let response = deployment.send(at, &resumed).expect("a response");
+        assert_eq!(runs("/talk/begun"), 0, "{}", response.status);
+        assert_eq!(response.status, 503, "{}", response.text());
+    }
+}
