streams: a record names when the stream began, and its tests name the version

Records were made with grants, and are made with the first event now: the field and its comment say so.

--- a/crates/drumusher/src/process/dispatch/streams.rs
+++ b/crates/drumusher/src/process/dispatch/streams.rs
@@ -178,7 +178,7 @@
         let directory = self.shared.directory.load();
         let version = directory.backend(pool, server)?.version.clone();
         let now = clock::now();
-        let record = Record { pool: pool.clone(), version, granted_at: now, until };
+        let record = Record { pool: pool.clone(), version, began_at: now, until };
         self.shared.streams().grant(now, key, record);
         Some(key)
     }
--- a/crates/drumusher/src/process/streams.rs
+++ b/crates/drumusher/src/process/streams.rs
@@ -2,8 +2,8 @@
 //!
 //! Versions of the software of a service's backend servers have no order, and what two of them write does not fit together.
 //! An instance knows the streams that it sent as their entry, those that it granted as their dispatcher, and those of
-//! dispatchers that it may follow: a dispatcher passes its records on before its grants. So a caller can take its stream
-//! up at another instance after its entry and its dispatcher ended together.
+//! dispatchers that it may follow: a dispatcher passes its records on when the first event is reported. So a caller can
+//! take its stream up at another instance after its entry and its dispatcher ended together.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
@@ -36,8 +36,8 @@
     pub pool: Pool,
     /// The software version that began it.
     pub version: Arc<str>,
-    /// When it was granted. A grant that began nothing is replaced by a later one.
-    pub granted_at: Micros,
+    /// When its first event was reported.
+    pub began_at: Micros,
     /// Until when its caller waits.
     pub until: Micros,
 }
@@ -106,7 +106,7 @@
             }
         }
         let known = self.records.get(&key);
-        if known.is_none_or(|known| known.granted_at <= record.granted_at) {
+        if known.is_none_or(|known| known.began_at <= record.began_at) {
             let until = record.until.min(now + MAX_PATIENCE);
             self.records.insert(key, Record { until, ..record });
         }
@@ -152,7 +152,7 @@
                 let record = Record {
                     pool: pool.clone(),
                     version: granted.version.as_str().into(),
-                    granted_at: self.restored,
+                    began_at: self.restored,
                     until: now + (patience * MILLISECOND).min(MAX_PATIENCE),
                 };
                 self.record(now, Key(*key), record);
@@ -296,7 +296,7 @@
             let record = Record {
                 pool: pool.clone(),
                 version: version.clone(),
-                granted_at: now.saturating_sub(time(stream.age)),
+                began_at: now.saturating_sub(time(stream.age)),
                 until: now + time(stream.patience).min(MAX_PATIENCE),
             };
             self.record(now, Key(stream.key as u64), record);
@@ -316,7 +316,7 @@
         peer::Stream {
             key: key.0 as i64,
             version: version as i16,
-            age: milliseconds(now.saturating_sub(record.granted_at)),
+            age: milliseconds(now.saturating_sub(record.began_at)),
             patience: milliseconds(record.until.saturating_sub(now)),
         }
     });
--- a/crates/drumusher/src/routed/exchange/stream.rs
+++ b/crates/drumusher/src/routed/exchange/stream.rs
@@ -78,7 +78,7 @@
         if let Some(stream) = self.ticket.stream().filter(|stream| stream.version.is_none()) {
             let (now, pool) = (clock::now(), self.ticket.pool().clone());
             let (version, until) = (version.clone(), stream.until);
-            let record = Record { pool, version, granted_at: now, until };
+            let record = Record { pool, version, began_at: now, until };
             self.worker.shared.streams().record(now, stream.key, record);
         }
         self.ticket.bind_stream(version);
--- a/crates/drumusher/tests/routes/software_versions.rs
+++ b/crates/drumusher/tests/routes/software_versions.rs
@@ -331,6 +331,8 @@
             operator_query(&deployment.instances[0], "show waiting").contains("model")
         });
         list(deployment, &servers[1]);
+        scope.spawn(|| deployment.send(0, &stream("/talk/new")).expect("a response"));
+        wait_for("the added server is in use", || runs_at(&servers[1], "/talk/new") == 1);
         let response = resumed.join().expect("a response");
         assert_eq!(response.status, 200, "{}", response.text());
     });
--- a/crates/drumusher/tests/unit/stream_records.rs
+++ b/crates/drumusher/tests/unit/stream_records.rs
@@ -14,8 +14,8 @@
     Pool::Service("model".into())
 }
 
-fn record(version: &str, granted_at: u64) -> Record {
-    Record { pool: pool(), version: version.into(), granted_at, until: 20 * SECOND }
+fn record(version: &str, began_at: u64) -> Record {
+    Record { pool: pool(), version: version.into(), began_at, until: 20 * SECOND }
 }
 
 fn directory(versions: &[&str]) -> Directory {
@@ -69,12 +69,12 @@
     let mut streams = Streams::default();
     streams.set_directory(0, &directory(&["v1", "v1"]));
     assert_eq!(streams.single_version(SECOND, &pool()), None, "a stream may have begun before");
-    assert!(streams.single_version(61 * SECOND, &pool()).is_some());
+    assert_eq!(streams.single_version(61 * SECOND, &pool()).as_deref(), Some("v1"));
     streams.set_directory(100 * SECOND, &directory(&["v1", "v2"]));
     assert_eq!(streams.single_version(100 * SECOND, &pool()), None);
     streams.set_directory(101 * SECOND, &directory(&["v2"]));
     assert_eq!(streams.single_version(160 * SECOND, &pool()), None);
-    assert!(streams.single_version(162 * SECOND, &pool()).is_some());
+    assert_eq!(streams.single_version(162 * SECOND, &pool()).as_deref(), Some("v2"));
 }
 
 /// A starting instance takes over the versions in service before it, and knows a single one at once.
@@ -99,8 +99,9 @@
         assert_eq!(streams.single_version(0, &pool()), None);
         streams.set_history(0, &earlier);
     }
-    assert_eq!(streams.single_version(SECOND, &pool()).is_some(), single);
-    assert!(streams.single_version(61 * SECOND, &pool()).is_some());
+    let known = streams.single_version(SECOND, &pool());
+    assert_eq!(known.as_deref(), single.then_some("v2"));
+    assert_eq!(streams.single_version(61 * SECOND, &pool()).as_deref(), Some("v2"));
 }
 
 /// Streams are kept in the store while there are several versions, also those that were granted before.
