--- a/review/stand-ins-2/src/deployment.rs
+++ b/review/stand-ins-2/src/deployment.rs
@@ -114,12 +114,24 @@
 
     /// Registers a worker with the store.
     pub fn register(&self, worker: &Server, service: &str, state: &str, born: Option<u64>) {
+        self.register_at(&worker.id, worker.address, service, state, born);
+    }
+
+    /// Registers a worker at an address with the store.
+    pub fn register_at(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        service: &str,
+        state: &str,
+        born: Option<u64>,
+    ) {
         let born = born.map_or(String::new(), |born| format!(r#","born":{born}"#));
         let entry = format!(
             r#"{{"Service":"{service}","Address":"{}","Zone":"suva-hall","Version":"v1","Slots":48,"State":"{state}","WarmupLeftMs":0,"Sequence":1{born}}}"#,
-            worker.address
+            address
         );
-        self.store.put("keyed.servers", &worker.id, &entry);
+        self.store.put("keyed.servers", id, &entry);
     }
 }
 
@@ -290,6 +302,66 @@
         self.read()
     }
 
+    /// Sends a POST request for a stream, and reads its answer until it ends. Returns its status, whether it came to its
+    /// end in the protocol, and the bytes of its body.
+    ///
+    /// # Errors
+    ///
+    /// Any I/O error before the body.
+    pub fn stream(
+        &mut self,
+        path: &str,
+        id: &str,
+        deadline_ms: u64,
+    ) -> io::Result<(u16, bool, Vec<u8>)> {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: host.example\r\nDrumusher-Attempt-Id: {id}\r\n\
+             Drumusher-Deadline-Ms: {deadline_ms}\r\nApi-Key: {KEY}\r\nContent-Length: 1\r\n\r\nx"
+        );
+        self.stream.get_mut().write_all(head.as_bytes())?;
+        let (mut status, mut chunked, mut length) = (0, false, None);
+        loop {
+            let mut line = String::new();
+            if self.stream.read_line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let line = line.trim_end().to_ascii_lowercase();
+            if line.is_empty() {
+                break;
+            }
+            if line.starts_with("http/1.1 ") {
+                status = line.get(9..12).and_then(|text| text.parse().ok()).unwrap_or(0);
+            }
+            chunked |= line == "transfer-encoding: chunked";
+            if let Some(value) = line.strip_prefix("content-length:") {
+                length = value.trim().parse::<usize>().ok();
+            }
+        }
+        let mut body = Vec::new();
+        if !chunked {
+            body.resize(length.unwrap_or(0), 0);
+            let complete = length.is_some() && self.stream.read_exact(&mut body).is_ok();
+            return Ok((status, complete, body));
+        }
+        loop {
+            let mut line = String::new();
+            if self.stream.read_line(&mut line).unwrap_or(0) == 0 {
+                return Ok((status, false, body));
+            }
+            let Ok(size) = usize::from_str_radix(line.trim(), 16) else {
+                return Ok((status, false, body));
+            };
+            let mut chunk = vec![0; size + 2];
+            if self.stream.read_exact(&mut chunk).is_err() {
+                return Ok((status, false, body));
+            }
+            if size == 0 {
+                return Ok((status, true, body));
+            }
+            body.extend_from_slice(&chunk[..size]);
+        }
+    }
+
     fn read(&mut self) -> io::Result<Answer> {
         let (mut status, mut length) = (0, 0);
         loop {
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,9 +5,11 @@
 mod deployment;
 mod drain_after_clock_step;
 mod drain_after_herd_kill;
+mod early_end;
 mod record;
 mod relay;
 mod stale_after_cuts;
+mod worker;
 
 use std::{env, path::PathBuf, process::ExitCode};
 
@@ -27,6 +29,9 @@
         eprintln!("usage: review-cases CASE RECORD");
         return ExitCode::from(2);
     };
+    if case == "worker" {
+        return worker::run(&record).map_or(ExitCode::from(2), |()| ExitCode::SUCCESS);
+    }
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     let mut record = match Record::create(&PathBuf::from(record)) {
         Ok(record) => record,
@@ -38,6 +43,7 @@
     let played = match case.as_str() {
         "drain-after-herd-kill" => drain_after_herd_kill::play(trouble, &mut record),
         "drain-after-clock-step" => drain_after_clock_step::play(trouble, &mut record),
+        "early-end" => early_end::play(trouble, &mut record),
         "stale-after-cuts" => stale_after_cuts::play(trouble, &mut record),
         other => Err(format!("no case {other}")),
     };
