--- a/review/stand-ins-2/src/stale_after_cuts.rs
+++ b/review/stand-ins-2/src/stale_after_cuts.rs
@@ -45,7 +45,7 @@
     let services: Vec<String> = SERVICES.map(String::from).to_vec();
     let deployment = Deployment::start(&configuration(7, &services[..1]))?;
     let mut workers = Vec::new();
-    for (id, service) in [("i-1", 0), ("i-2", 0), ("i-3", 1)] {
+    for (id, service) in [("i-1", 0), ("i-2", 0), ("i-3", 0), ("i-4", 0), ("i-5", 1)] {
         let worker = Server::start(id).map_err(|error| error.to_string())?;
         deployment.register(&worker, SERVICES[service], "ready", None);
         workers.push(worker);
