--- a/review/stand-ins-2/src/drain_after_herd_kill.rs
+++ b/review/stand-ins-2/src/drain_after_herd_kill.rs
@@ -19,7 +19,7 @@
     record::Record,
 };
 
-/// Number of services; each has two workers.
+/// Number of services; each has four workers, of which one leaves: the largest share of `scale_in` in the site file.
 const SERVICES: usize = 12;
 /// Pause of a client between two requests.
 const PAUSE: Duration = Duration::from_millis(5);
@@ -46,14 +46,14 @@
     let mut deployment = Deployment::start(&configuration(7, &services))?;
     let (mut leaving, mut staying) = (Vec::new(), Vec::new());
     for service in &services {
-        for (name, workers) in [("a", &mut leaving), ("b", &mut staying)] {
+        for name in ["a", "b", "c", "d"] {
             let worker =
                 Server::start(&format!("i-{service}-{name}")).map_err(|e| e.to_string())?;
             deployment.register(&worker, service, "ready", None);
-            workers.push(worker);
+            if name == "a" { leaving.push(worker) } else { staying.push(worker) }
         }
     }
-    record.now("9 machines and 24 workers of 12 services run");
+    record.now("9 machines and 48 workers of 12 services run");
     let readers = || -> Vec<usize> {
         let all = 0..deployment.instances.len();
         all.filter(|at| deployment.instances[*at].reads_store()).collect()
