New readers continue what lost readers observed of the store

Cause: a removal is confirmed to others by a reader that the store has answered for two seconds. New readers began these two seconds at their own first call, although they had heard until then that the store answers.

Change: a reader whose first call is answered within 1.5 s of the last report of a steady reader continues its observation, unless an outage was reported or one of its own calls failed. Nothing is passed on.

--- a/crates/drumusher/src/process/catalog/health.rs
+++ b/crates/drumusher/src/process/catalog/health.rs
@@ -7,6 +7,9 @@
 /// Entries that expired during an outage are written again by their owners within this time after the store's
 /// return, as its operator specifies.
 pub const RECOVERY_GRACE: Micros = 2_000 * MILLISECOND;
+/// Longest time without a word from a steady reader after which a new reader still takes over that the store is
+/// stable. Covers the time until a silent reader counts as unreachable, and a heartbeat.
+const TAKEOVER_TIME: Micros = 1_500 * MILLISECOND;
 /// A failed call that lasted this long may have met an outage that is long over: calls for the configuration and
 /// the servers wait for three seconds, and their answers take up to 0.7 s more. Short calls find out whether the
 /// store is unavailable now. The reader that feeds this instance detects an outage within the same time. Rounded
@@ -104,6 +107,16 @@
         }
     }
 
+    /// Lets the call answered at `now` continue what a reader observed that reported until `steady_heard` that the store
+    /// answers it, if it is the first one and nothing points to an outage in between. Otherwise new readers would hold
+    /// removals for [`RECOVERY_GRACE`] whenever all former ones are lost at once.
+    pub fn take_over(&mut self, now: Micros, steady_heard: Micros) {
+        let is_recent = steady_heard > 0 && now < steady_heard + TAKEOVER_TIME;
+        if is_recent && self.healthy_since == Some(now) && !self.is_uncertain(now) {
+            self.healthy_since = Some(now.saturating_sub(RECOVERY_GRACE));
+        }
+    }
+
     /// Records a failed call that began at `began`. Returns whether the failure makes removals uncertain. Calls for
     /// the instances wait for twenty seconds, and may fail that long after an outage.
     pub fn record_failure(&mut self, began: Micros, now: Micros) -> bool {
--- a/crates/drumusher/src/process/catalog/poll.rs
+++ b/crates/drumusher/src/process/catalog/poll.rs
@@ -362,6 +362,8 @@
                 "the store answers again"
             );
         }
+        let steady_heard = self.shared.store_steady_heard.load(Ordering::Acquire);
+        self.state.borrow_mut().entries.health_mut().take_over(now, steady_heard);
         self.publish_stability();
         self.shared.store_unavailable.store(false, Ordering::Release);
     }
--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -222,6 +222,7 @@
         let steady_by = &mut self.inner.borrow_mut().steady;
         if steady {
             steady_by.insert(instance.clone(), now);
+            self.shared.store_steady_heard.store(now, Ordering::Release);
         } else {
             steady_by.remove(instance);
         }
--- a/crates/drumusher/src/process/shared.rs
+++ b/crates/drumusher/src/process/shared.rs
@@ -86,6 +86,8 @@
     /// Time of the latest report of a reader that the store has answered all its calls for long enough, unless that
     /// reader said otherwise since or became unreachable; 0 if there is none.
     pub store_steady_seen: AtomicU64,
+    /// The same, also if that reader became unreachable or is no reader any more.
+    pub store_steady_heard: AtomicU64,
     /// Time from which on this instance's own calls show the store to be stable; 0 if they don't.
     pub store_stable_since: AtomicU64,
     /// Whether the latest call to the store failed.
@@ -187,6 +189,7 @@
             store_answered_at: AtomicU64::new(0),
             store_outage_reported: AtomicU64::new(0),
             store_steady_seen: AtomicU64::new(0),
+            store_steady_heard: AtomicU64::new(0),
             store_stable_since: AtomicU64::new(0),
             store_unavailable: AtomicBool::new(true),
             store_era: AtomicU64::new(0),
--- a/crates/drumusher/tests/routes/lost_readers.rs
+++ b/crates/drumusher/tests/routes/lost_readers.rs
@@ -1,9 +1,11 @@
 //! The loss of all instances that read the store, at the same moment.
 
+use std::{thread::sleep, time::Duration};
+
 use drumusher_bench::fleet::{Mode, wait_for};
 
 use crate::{
-    membership::{expected_readers, readers},
+    membership::{expected_readers, expected_readers_among, readers, readers_among},
     support::{DESK, Deployment, Instance, MODEL, configuration},
 };
 
@@ -62,3 +64,35 @@
         assert!(lasted_ms < WAIT_MS, "a call of i{at} ended first: {lasted_ms} ms");
     }
 }
+
+/// Nine instances, whose four readers are killed at once. The others accept a removal right after it: the former readers
+/// had the store, and the new ones have it. Guards against new requests for a server that has left, for as long as no new
+/// reader has had the store for two seconds.
+#[test]
+fn removal_is_accepted_after_all_readers_are_killed() {
+    const INSTANCES: usize = 9;
+    let deployment = Deployment::new(INSTANCES);
+    let killed = expected_readers_among(INSTANCES);
+    wait_for("four instances read the store", || readers_among(&deployment, INSTANCES) == killed);
+    for at in &killed {
+        wait_for("the reader has had the store for long enough", || {
+            deployment.instances[*at].metric(&["store_steady"]) >= 1.0
+        });
+    }
+    // Several heartbeats later the others know that it has.
+    sleep(Duration::from_secs(1));
+    for at in &killed {
+        deployment.instances[*at].signal("KILL");
+    }
+    deployment.store.remove("keyed.servers", "d2");
+    for at in (0..INSTANCES).filter(|at| !killed.contains(at)) {
+        let ended = || {
+            let log = deployment.instances[at].log();
+            let line = log.lines().find(|line| line.contains("server's entry ended"));
+            line.map(str::to_string)
+        };
+        wait_for("the removal is logged", || ended().is_some());
+        let line = ended().expect("the line");
+        assert!(line.contains("\"held\":\"false\""), "i{at}: {line}");
+    }
+}
--- a/crates/drumusher/tests/routes/membership.rs
+++ b/crates/drumusher/tests/routes/membership.rs
@@ -179,16 +179,26 @@
 
 /// Indexes of those of the six instances that are readers now.
 pub fn readers(deployment: &Deployment) -> Vec<usize> {
+    readers_among(deployment, 6)
+}
+
+/// Indexes of those of the first `count` instances that are readers now.
+pub fn readers_among(deployment: &Deployment, count: usize) -> Vec<usize> {
     let reads = |at: &usize| {
         let line = last_of(&deployment.instances[*at].log(), "reads the store for others");
         line.contains("\"reads\":\"true\"")
     };
-    (0..6).filter(reads).collect()
+    (0..count).filter(reads).collect()
 }
 
 /// Indexes of the four of six instances that are the readers once all are listed.
 pub fn expected_readers() -> Vec<usize> {
-    let names: Vec<String> = (0..6).map(|at| format!("i{at}")).collect();
+    expected_readers_among(6)
+}
+
+/// Indexes of the four of `count` instances that are the readers once all are listed.
+pub fn expected_readers_among(count: usize) -> Vec<usize> {
+    let names: Vec<String> = (0..count).map(|at| format!("i{at}")).collect();
     let candidates = names.iter().map(|name| Candidate { name, capacity: DEFAULT_CAPACITY });
     let ranked = rank::order("store", candidates);
     let first = ranked.into_iter().take(4);
--- a/crates/drumusher/tests/unit/catalog.rs
+++ b/crates/drumusher/tests/unit/catalog.rs
@@ -261,6 +261,43 @@
     assert!(health.is_stable(11_100_000 + RECOVERY_GRACE));
 }
 
+/// A new reader whose first call is answered soon after the last report of a steady one confirms removals at once, also
+/// if that one is gone. Guards against removals that are held for two seconds because all readers were killed together.
+#[rstest]
+#[case::just_heard(10_000_000, true)]
+#[case::heard_within_the_limit(8_500_001, true)]
+#[case::heard_too_long_ago(8_500_000, false)]
+#[case::never_heard(0, false)]
+fn a_new_reader_continues_what_a_lost_one_observed(#[case] heard: u64, #[case] stable: bool) {
+    const NOW: u64 = 10_000_000;
+    let mut health = Health::new();
+    health.record_success(NOW, false);
+    health.take_over(NOW, heard);
+    assert_eq!(health.is_stable(NOW), stable);
+    assert!(health.is_stable(NOW + RECOVERY_GRACE));
+}
+
+/// Only the first call continues it, and only without any sign of an outage.
+#[rstest]
+#[case::suspected_outage(None, true, 2_000_000)]
+#[case::own_failure(Some(1_500_000), false, 2_000_000)]
+#[case::later_call(None, false, 1_000_000)]
+fn stability_is_not_taken_over_after_an_outage(
+    #[case] failed_at: Option<u64>,
+    #[case] suspected: bool,
+    #[case] first_answer: u64,
+) {
+    const NOW: u64 = 2_000_000;
+    let mut health = Health::new();
+    if let Some(failed_at) = failed_at {
+        health.record_failure(failed_at, failed_at);
+    }
+    health.record_success(first_answer, suspected);
+    health.record_success(NOW, suspected);
+    health.take_over(NOW, NOW);
+    assert!(!health.is_stable(NOW));
+}
+
 /// A suspected outage was none if a reader then reports that it has had the store. Guards against removals that are
 /// held for two seconds beside such a reader, and against entries dropped on a report of before.
 #[test]
