Responses with a damaged status, length or coding are refused

Cause: the decoder took any status, parsed lengths more liberally than HTTP does, trusted a declared length whatever followed, and read a head without a known framing up to the close.

A body that ends with its connection is whole only if the request was sent completely, also in a tunnel through another instance; that part was found by reading.

--- a/crates/drumusher/src/process/peers/tunnel.rs
+++ b/crates/drumusher/src/process/peers/tunnel.rs
@@ -163,7 +163,7 @@
                     return;
                 }
             }
-            Ok(None) if matches!(socket.take_error(), Ok(None)) => {
+            Ok(None) if is_closed_cleanly(client, server, socket) => {
                 // An error shows that the other side is gone already.
                 let _ = client.send(Frame::End, &tunnel::Codec).await;
                 return;
@@ -173,6 +173,14 @@
     }
 }
 
+/// Whether a backend server closed its connection properly: without a reset, and not before it was sent all of the
+/// request that has arrived.
+fn is_closed_cleanly(client: &Io, server: &Io, socket: &std::net::TcpStream) -> bool {
+    let is_sent = server.with_write_dst_buf(|buffer| buffer.is_empty())
+        && client.with_read_buf(|buffer| buffer.is_empty());
+    is_sent && matches!(socket.take_error(), Ok(None))
+}
+
 /// Connects to a backend server.
 async fn connect(backend: &Backend) -> (Outcome, Option<(Io, std::net::TcpStream)>) {
     let Ok(address) = backend.address.parse() else { return (Outcome::NoPath, None) };
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -92,6 +92,8 @@
     may_owe_unnamed: bool,
     /// Whether the latest response ended with the connection.
     ended_by_close: bool,
+    /// Whether the body of the latest response has no other end.
+    until_close: bool,
 }
 
 impl Conn {
@@ -123,6 +125,7 @@
             latest: None,
             may_owe_unnamed: false,
             ended_by_close: false,
+            until_close: false,
         }
     }
 
@@ -242,20 +245,25 @@
         };
         let part = match received {
             Err(()) => Err(Error::TimedOut),
+            Ok(Ok(Some(Part::End))) if self.tunnel_closed() && self.until_close => {
+                self.end_by_close()
+            }
             Ok(Ok(Some(part))) => Ok(part),
             Ok(Ok(None)) if self.ends_with_connection() && self.closed_cleanly() => {
                 (self.reusable, self.ended_by_close) = (false, true);
-                Ok(Part::End)
+                self.end_by_close()
             }
             Ok(Ok(None)) => Err(self.close_reason()),
             Ok(Err(Either::Left(error))) => Err(error),
             Ok(Err(Either::Right(error))) if is_unreachable(&error) => Err(Error::Lost),
             Ok(Err(Either::Right(_))) => Err(Error::Closed),
         };
-        let tunnel_ended = || self.codec.deframer.as_ref().and_then(Deframer::ending);
-        self.ended_by_close |= tunnel_ended() == Some(Ending::Closed);
+        self.ended_by_close |= self.tunnel_closed();
         match &part {
-            Ok(Part::Head(head)) => self.update_keep_alive(head),
+            Ok(Part::Head(head)) => {
+                self.until_close = head.until_close;
+                self.update_keep_alive(head);
+            }
             Ok(_) => {}
             Err(_) => self.reusable = false,
         }
@@ -272,6 +280,19 @@
         !self.is_tunnel() && self.codec.response.ends_with_connection()
     }
 
+    /// Returns whether the backend server closed its connection at the other end of the tunnel.
+    fn tunnel_closed(&self) -> bool {
+        let ending = self.codec.deframer.as_ref().and_then(Deframer::ending);
+        ending == Some(Ending::Closed)
+    }
+
+    /// Ends a body that ends with its connection. A backend server that closed the connection before the request was
+    /// sent completely broke off: the error of a reset may have been reported to the failed write alone.
+    fn end_by_close(&self) -> Result<Part, Error> {
+        let is_sent = self.io.with_write_dst_buf(|buffer| buffer.is_empty());
+        if is_sent { Ok(Part::End) } else { Err(Error::Closed) }
+    }
+
     /// Returns whether the peer closed the connection rather than reset it.
     fn closed_cleanly(&self) -> bool {
         matches!(self.socket.take_error(), Ok(None))
--- a/crates/drumusher/src/upstream/response.rs
+++ b/crates/drumusher/src/upstream/response.rs
@@ -1,6 +1,6 @@
 //! Decoder for HTTP/1.1 responses. Performs no I/O.
 
-use std::cell::Cell;
+use std::{cell::Cell, ops::RangeInclusive};
 
 use ntex::{
     codec::Decoder,
@@ -21,6 +21,10 @@
 const MAX_CHUNK_SIZE_LINE: usize = 64;
 /// Line terminator.
 const CRLF: &[u8] = b"\r\n";
+/// Start of every response.
+const VERSION_PREFIX: &[u8] = b"HTTP/1.";
+/// Status codes with a meaning (RFC 9110, section 15).
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
 
 /// A part of a response.
 #[derive(Clone, Debug)]
@@ -49,7 +53,7 @@
 impl Head {
     /// The length of the body in bytes, if it is declared.
     pub fn content_length(&self) -> Option<usize> {
-        self.headers.get("content-length")?.to_str().ok()?.trim().parse().ok()
+        parse_length(self.headers.get("content-length")?.as_bytes()).map(|length| length as usize)
     }
 }
 
@@ -145,21 +149,33 @@
         if self.is_head.get() || matches!(head.status, 204 | 304) {
             return Ok(State::Length(0));
         }
-        if let Some(encoding) = head.headers.get("transfer-encoding") {
-            let chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
-            return if chunked { Ok(State::ChunkSize) } else { Err(Error::Malformed) };
-        }
+        let mut encodings = head.headers.get_all("transfer-encoding");
         let mut lengths = head.headers.get_all("content-length");
-        match (lengths.next(), lengths.next()) {
-            (None, _) => Ok(State::UntilClose),
-            (Some(length), None) => {
-                let length = length.to_str().ok().and_then(|text| text.trim().parse().ok());
-                length.map(State::Length).ok_or(Error::Malformed)
+        match (encodings.next(), encodings.next(), lengths.next(), lengths.next()) {
+            (Some(encoding), None, None, _) if is_chunked(encoding) => Ok(State::ChunkSize),
+            (None, _, Some(length), None) => {
+                parse_length(length.as_bytes()).map(State::Length).ok_or(Error::Malformed)
+            }
+            // The name of the field that says it may be damaged.
+            (None, _, None, _) if head.headers.iter().any(|(_, value)| is_chunked(value)) => {
+                Err(Error::Malformed)
             }
+            (None, _, None, _) => Ok(State::UntilClose),
             _ => Err(Error::Malformed),
         }
     }
 
+    /// Ends a body with a declared length. Other bytes than those of a further response are taken for the rest of the
+    /// body, of which a damaged length tells too little.
+    fn end_length(&self, source: &[u8]) -> Result<Part, Error> {
+        let common = source.len().min(VERSION_PREFIX.len());
+        if source[..common] != VERSION_PREFIX[..common] {
+            return Err(Error::Malformed);
+        }
+        self.state.set(State::Idle);
+        Ok(Part::End)
+    }
+
     /// Returns the next slice of a body, or of a chunk, of which `remaining` bytes are left. `next_state` gives the
     /// state for the bytes left after it.
     fn take_data(
@@ -197,10 +213,7 @@
             match self.state.get() {
                 State::Idle => return Ok(None),
                 State::Head => return self.decode_head(source),
-                State::Length(0) => {
-                    self.state.set(State::Idle);
-                    return Ok(Some(Part::End));
-                }
+                State::Length(0) => return self.end_length(source).map(Some),
                 State::Length(remaining) => {
                     return Ok(self.take_data(source, remaining, State::Length));
                 }
@@ -236,6 +249,9 @@
                         self.state.set(State::Idle);
                         return Ok(Some(Part::End));
                     }
+                    if !is_field(&line) {
+                        return Err(Error::Malformed);
+                    }
                     self.skip(line.len() + CRLF.len())?;
                 }
             }
@@ -243,6 +259,22 @@
     }
 }
 
+/// Parses a `Content-Length`: digits alone (RFC 9110, section 8.6).
+fn parse_length(value: &[u8]) -> Option<u64> {
+    let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+    digits.then(|| std::str::from_utf8(value).ok()?.parse().ok())?
+}
+
+fn is_chunked(value: &HeaderValue) -> bool {
+    value.as_bytes().eq_ignore_ascii_case(b"chunked")
+}
+
+/// Whether a line is a field: a name and a colon.
+fn is_field(line: &[u8]) -> bool {
+    let colon = line.iter().position(|byte| *byte == b':');
+    colon.is_some_and(|at| HeaderName::from_bytes(&line[..at]).is_ok())
+}
+
 fn chunk_size(line: &[u8]) -> Option<u64> {
     let size = line.split(|byte| *byte == b';').next()?;
     let size = std::str::from_utf8(size).ok()?.trim();
@@ -265,7 +297,8 @@
         let value = HeaderValue::from_bytes(field.value).map_err(|_| Error::Malformed)?;
         headers.append(name, value);
     }
-    let status = response.code.ok_or(Error::Malformed)?;
+    let status = response.code.filter(|code| STATUS_CODES.contains(code));
+    let status = status.ok_or(Error::Malformed)?;
     let keep_alive = response.version == Some(1) && !has_connection_close(&headers);
     Ok(Some((Head { status, headers, until_close: false, keep_alive }, length)))
 }
--- a/crates/drumusher/tests/cut_responses.rs
+++ b/crates/drumusher/tests/cut_responses.rs
@@ -2,7 +2,9 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    ops::RangeInclusive,
+    sync::mpsc,
     thread,
     time::Duration,
 };
@@ -32,7 +34,7 @@
 const BODY: &[u8] = b"whole";
 
 /// How a server ends a connection.
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ending {
     Close,
     Reset,
@@ -171,11 +173,50 @@
     }
 }
 
+/// Guards against a response without a length that is passed on as whole although its server ended the connection, with or
+/// without a reset, while the request was still being sent.
+async fn check_unsent_request(ending: Ending) {
+    for size in LONG_BODY_BYTES.step_by(LONG_BODY_STEP) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("the address of the listener");
+        let (finish, finished) = mpsc::channel::<()>();
+        let server = thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            read_request(&mut stream);
+            stream.write_all(UNFRAMED.as_bytes()).expect("the response is sent");
+            if ending == Ending::Reset {
+                let linger = Some(Duration::ZERO);
+                SockRef::from(&stream).set_linger(linger).expect("an option is set");
+                return 0;
+            }
+            stream.shutdown(Shutdown::Write).expect("one side is closed");
+            let _ = finished.recv();
+            let (mut received, mut buffer) = (0, vec![0; 1 << 16]);
+            while let Ok(count @ 1..) = stream.read(&mut buffer) {
+                received += count;
+            }
+            received
+        });
+        let mut conn = Conn::connect(address, Millis(10_000)).await.expect("a connection");
+        let body = Bytes::from(vec![b'x'; size]);
+        conn.send(Some(Key::new("a")), REQUEST, &body, false).expect("sent");
+        let response = read(&mut conn).await;
+        drop(conn);
+        drop(finish);
+        let received = server.join().expect("the server does not panic");
+        match response {
+            Ok(_) => assert_eq!(received, size, "a whole response to a part of the request"),
+            Err(error) => assert_eq!(error, Error::Closed),
+        }
+    }
+}
+
 /// All cases in one runtime: one that ends shuts down descriptors by their numbers, which another may have by then.
 #[test]
 fn cut_responses_are_not_whole() {
     run(async {
         for ending in [Ending::Close, Ending::Reset] {
+            check_unsent_request(ending).await;
             for response in [SIZED, CHUNKED, UNFRAMED, SIZED_1_0] {
                 for before in ["", INTERIM, EARLIER] {
                     for byte_by_byte in [false, true] {
@@ -192,6 +233,10 @@
     });
 }
 
+/// Sizes of request bodies, in bytes. Of some of them the last bytes are left when the buffers of both sides are full.
+const LONG_BODY_BYTES: RangeInclusive<usize> = 64 * 1024..=7 * 1024 * 1024;
+const LONG_BODY_STEP: usize = 48 * 1024;
+
 fn settings() -> Settings {
     Settings {
         connect_ms: 10_000,
--- a/crates/drumusher/tests/unit/response.rs
+++ b/crates/drumusher/tests/unit/response.rs
@@ -87,6 +87,31 @@
 #[case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n")]
 #[case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n")]
 #[case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc")]
+#[case::status_000(b"HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\na")]
+#[case::status_099(b"HTTP/1.1 099 OK\r\nContent-Length: 1\r\n\r\na")]
+#[case::status_600(b"HTTP/1.1 600 OK\r\nContent-Length: 1\r\n\r\na")]
+#[case::status_999(b"HTTP/1.1 999 OK\r\nContent-Length: 1\r\n\r\na")]
+#[case::signed_length(b"HTTP/1.1 200 OK\r\nContent-Length: +1\r\n\r\na")]
+#[case::length_with_a_blank(b"HTTP/1.1 200 OK\r\nContent-Length: 1 1\r\n\r\na")]
+#[case::empty_length(b"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\na")]
+#[case::length_lower_than_the_body(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nabc")]
+#[case::length_zero_before_a_body(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nabc")]
+#[case::length_and_chunks(
+    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+)]
+#[case::two_codings(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n"
+)]
+#[case::name_of_the_coding(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encodinh: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"
+)]
+#[case::size_of_a_chunk(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nabc\r\n0\r\n\r\n"
+)]
+#[case::blank_in_a_name(b"HTTP/1.1 200 OK\r\nX Own: kept\r\nContent-Length: 1\r\n\r\na")]
+#[case::control_byte_in_a_name(b"HTTP/1.1 200 OK\r\nX\x01Own: kept\r\nContent-Length: 1\r\n\r\na")]
+#[case::no_field(b"HTTP/1.1 200 OK\r\nContent-Length 1\r\n\r\na")]
+#[case::folded_line(b"HTTP/1.1 200 OK\r\nContent-Length:\r\n 1\r\n\r\na")]
 fn invalid_responses_are_refused(#[case] bytes: &[u8]) {
     assert_eq!(decode(bytes, 1_000), None);
 }
