A request that a stop could cut is refused until it is passed on

Cause: only the time of the head was compared with the time for which a stopping instance takes requests. Bodies were awaited until half of the stop.

Change: after that time, a request whose body is not complete is refused if its deadline is later than the cut. Others are read on.

--- a/crates/drumusher/src/process/stop.rs
+++ b/crates/drumusher/src/process/stop.rs
@@ -33,9 +33,14 @@
         }
     }
 
+    /// Whether a request with this deadline may still be in flight at the cut.
+    pub fn may_cut(&self, deadline: Micros) -> bool {
+        deadline > self.cut_at
+    }
+
     /// Whether a request is refused at `now` that still waits for a backend server. One whose caller waits no longer than
     /// until the cut loses nothing by waiting on.
     pub fn refuses_waiting(&self, now: Micros, deadline: Option<Micros>) -> bool {
-        now >= self.refuse_waiting_at && deadline.is_none_or(|deadline| deadline > self.cut_at)
+        now >= self.refuse_waiting_at && deadline.is_none_or(|deadline| self.may_cut(deadline))
     }
 }
--- a/crates/drumusher/src/request/http.rs
+++ b/crates/drumusher/src/request/http.rs
@@ -168,7 +168,9 @@
         }
         Ok(body.freeze())
     };
-    match select(reading, in_flight::end_of_reading(shared)).await {
+    match select(reading, in_flight::end_of_reading(shared, || shared.stop_refuses_waiting(None)))
+        .await
+    {
         Either::Left(read) => read,
         Either::Right(error) => Err(error),
     }
--- a/crates/drumusher/src/request/in_flight.rs
+++ b/crates/drumusher/src/request/in_flight.rs
@@ -110,12 +110,12 @@
     }
 }
 
-/// Waits until no more of a request body is read, because it took too long or a planned stop no longer waits for it.
-/// Returns the error to respond with.
-pub async fn end_of_reading(shared: &Shared) -> Error {
+/// Waits until no more of a request body is read, because it took too long or a planned stop no longer waits for it,
+/// which `is_refused` tells. Returns the error to respond with.
+pub async fn end_of_reading(shared: &Shared, is_refused: impl Fn() -> bool) -> Error {
     let until = clock::now() + shared.settings.limits.body_ms * MILLISECOND;
     while clock::now() < until {
-        if shared.stop_refuses_waiting(None) {
+        if is_refused() {
             return Error::stopping();
         }
         let left = until.saturating_sub(clock::now()) / MILLISECOND;
--- a/crates/drumusher/src/routed/handler.rs
+++ b/crates/drumusher/src/routed/handler.rs
@@ -116,7 +116,13 @@
     let route_match = route_match.map_err(denial_error)?;
     let in_flight = InFlight::new(shared.clone())?;
     let mut in_flight = in_flight.with_body(request.headers(), limits.body_bytes)?;
-    let body = read_body(&mut request, &mut in_flight, limits).await?;
+    let timeout_ms = head.deadline_ms.unwrap_or(u64::MAX).min(route_match.timeout_ms);
+    let is_refused = || is_too_late(shared, arrived + timeout_ms * MILLISECOND);
+    let body = read_body(&mut request, &mut in_flight, limits, is_refused).await?;
+    // A body may be complete just before the next check.
+    if is_refused() {
+        return Err(Error::stopping());
+    }
     let headers = forwarded_headers(&worker.dialect, request.headers());
     let method = request.method().clone();
     Ok((
@@ -148,6 +154,15 @@
     routing.ok_or_else(|| Error::new(Kind::NotReady, message).with_retry_after(NOT_READY_RETRY_MS))
 }
 
+/// Whether a request whose body is not read yet is refused because of a planned stop, which could cut it before its
+/// `deadline`.
+fn is_too_late(shared: &Shared, deadline: Micros) -> bool {
+    let requested_for = shared.stop_requested_for();
+    let is_late = requested_for.is_some_and(|time| time > REFUSE_AFTER_STOP);
+    let may_be_cut = shared.stop_schedule().is_some_and(|schedule| schedule.may_cut(deadline));
+    is_late && may_be_cut || shared.stop_refuses_waiting(None)
+}
+
 fn denial_error(denial: Denial) -> Error {
     match denial {
         Denial::NoRoute => Error::new(Kind::UnknownPath, "no route matches this host and path"),
@@ -179,6 +194,7 @@
     request: &mut http::Request,
     in_flight: &mut InFlight,
     limits: Limits,
+    is_refused: impl Fn() -> bool,
 ) -> Result<Bytes, Error> {
     let shared = in_flight.shared();
     let mut payload = request.take_payload();
@@ -197,7 +213,7 @@
         in_flight.hold_body(body.len());
         Ok(body.freeze())
     };
-    match select(reading, in_flight::end_of_reading(&shared)).await {
+    match select(reading, in_flight::end_of_reading(&shared, is_refused)).await {
         Either::Left(read) => read,
         Either::Right(error) => Err(error),
     }
--- a/crates/drumusher/tests/routes/stop_end.rs
+++ b/crates/drumusher/tests/routes/stop_end.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use drumusher_adapter_stand_in::Fault;
+use drumusher_adapter_stand_in::{Fault, server::body};
 use drumusher_bench::fleet::wait_for;
 use rstest::rstest;
 
@@ -107,3 +107,45 @@
     wait_for("the process ends", || deployment.instances[0].ended().is_some());
     assert!(deployment.instances[0].ended().expect("the process has ended").success());
 }
+
+/// Guards against a request whose body is complete only late in a stop, which is passed on and cut without a response: its
+/// server works on it until the stop ends.
+#[rstest]
+#[case::booking("/book/")]
+#[case::repeatable("/read/")]
+#[case::stream("/draft/")]
+fn request_that_is_complete_late_in_a_stop_is_refused(#[case] path: &str) {
+    let mut deployment = Deployment::with_long_timeouts(1);
+    deployment.servers.iter().for_each(|server| server.set(Fault::Hang));
+    let request = Request::post(path, "unfinished");
+    let mut bytes = request.bytes();
+    let rest = bytes.split_off(bytes.len() - 1);
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&bytes).expect("most of the request is sent");
+    deployment.instances[0].signal("TERM");
+    thread::sleep(ADMIT_TIME + ACCEPT_TIME);
+    // It may be refused already.
+    let _ = conn.write_all(&rest);
+    let response = read_response(&mut conn).expect("a response");
+    assert_eq!((response.status, response.complete), (503, true), "{}", response.text());
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(deployment.runs(&request.id), 0);
+    wait_for("the process ends", || deployment.instances[0].ended().is_some());
+}
+
+/// A request that is complete late in a stop is served if it ends before the stop does, at its deadline at the latest.
+#[test]
+fn request_with_a_short_deadline_is_served_late_in_a_stop() {
+    let mut deployment = Deployment::with_long_timeouts(1);
+    let request = Request::post("/book/", "late").with("Drumusher-Deadline-Ms", "5000");
+    let mut bytes = request.bytes();
+    let rest = bytes.split_off(bytes.len() - 1);
+    let mut conn = deployment.connect(0).expect("a connection");
+    conn.write_all(&bytes).expect("most of the request is sent");
+    deployment.instances[0].signal("TERM");
+    thread::sleep(ADMIT_TIME + ACCEPT_TIME);
+    conn.write_all(&rest).expect("the rest of the request is sent");
+    let response = read_response(&mut conn).expect("a response");
+    assert_eq!((response.status, response.text()), (200, body(&request.id)));
+    wait_for("the process ends", || deployment.instances[0].ended().is_some());
+}
