A connection on which bytes come that belong to no response is given up

Callers at an instance that runs out of memory lose all their requests. While an instance waits to see whether an engine or a backend server closes a connection, it kept everything that arrived on it.

Cause: the decoder asked for more bytes as long as no response was expected.

Change: more than a head may have is an error there.

--- a/crates/drumusher/src/upstream/response.rs
+++ b/crates/drumusher/src/upstream/response.rs
@@ -211,6 +211,9 @@
     fn decode(&self, source: &mut BytesMut) -> Result<Option<Part>, Error> {
         loop {
             match self.state.get() {
+                // Bytes that belong to no response are left for the caller, who does not reuse the connection. Their end
+                // is not awaited.
+                State::Idle if source.len() > MAX_HEAD_BYTES => return Err(Error::Malformed),
                 State::Idle => return Ok(None),
                 State::Head => return self.decode_head(source),
                 State::Length(0) => return self.end_length(source).map(Some),
--- a/crates/drumusher/tests/cut_responses.rs
+++ b/crates/drumusher/tests/cut_responses.rs
@@ -211,10 +211,39 @@
     }
 }
 
+/// Maximum number of bytes that a server without end sends before its connection ends: what is read before it is given up,
+/// and what the buffers of both sides hold.
+const MAX_ENDLESS_BYTES: usize = 16 * 1024 * 1024;
+/// Time for which a connection is watched, in milliseconds. At the speed of the loopback interface, a server sends many
+/// times the maximum in it.
+const WATCHED_MS: u32 = 2_000;
+
+/// Guards against a server that sends bytes without end to nobody, all of which are kept until the connection ends.
+async fn check_endless_bytes_without_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("the address of the listener");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let (block, mut sent) = ([b'x'; 1 << 16], 0);
+        while let Ok(count) = stream.write(&block) {
+            sent += count;
+        }
+        sent
+    });
+    let conn = Conn::connect(address, Millis(10_000)).await.expect("a connection");
+    assert!(!conn.is_closed_within(Millis(WATCHED_MS)).await);
+    drop(conn);
+    // The runtime closes the connection.
+    let sent = rt::spawn_blocking(move || server.join()).await.expect("the thread pool runs");
+    let sent = sent.expect("the server does not panic");
+    assert!(sent <= MAX_ENDLESS_BYTES, "{sent} bytes");
+}
+
 /// All cases in one runtime: one that ends shuts down descriptors by their numbers, which another may have by then.
 #[test]
 fn cut_responses_are_not_whole() {
     run(async {
+        check_endless_bytes_without_request().await;
         for ending in [Ending::Close, Ending::Reset] {
             check_unsent_request(ending).await;
             for response in [SIZED, CHUNKED, UNFRAMED, SIZED_1_0] {
