--- a/crates/drumusher/src/process/peers/store.rs
+++ b/crates/drumusher/src/process/peers/store.rs
@@ -191,9 +191,9 @@
         }
     }
 
-    /// Notes what another instance reports about the store. A source that receives none is replaced by another one that may: when it remained the
-    /// only source, four instances read the store themselves just after its return, and dropped all entries that had
-    /// expired meanwhile.
+    /// Notes what another instance reports about the store. A source whose records are not current is replaced by another
+    /// one that may have answers: when it remained the only source, four instances read the store themselves just after
+    /// its return, and dropped all entries that had expired meanwhile.
     fn note_report(&self, instance: &Arc<str>, report: &Report) {
         let now = clock::now();
         let current = report.is_current(now);
