A connection ends that holds more than can be parsed

One caller, without a valid API key, could make an instance run out of memory, and so end the requests of all others; an answer of the store could do the same.

Cause: the HTTP library waits for the end of a chunk-size line of any length, and parses it from its start after each read. The limits on heads and bodies do not count it.

Change: above 256 KiB of unparsed bytes a connection is terminated, and a warning logged: callers of routes, the own interface, the status server, calls to the store.

--- a/crates/drumusher-bench/src/client.rs
+++ b/crates/drumusher-bench/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{self, Read, Write},
-    net::TcpStream,
+    net::{TcpStream, ToSocketAddrs},
     time::Duration,
 };
 
@@ -133,3 +133,26 @@
     connection.write_all(body.as_bytes())?;
     Ok(connection)
 }
+
+/// Keeps [`send_without_end`] from hanging if the server neither reads nor closes.
+const ENDLESS_WRITE_TIMEOUT: Duration = Duration::from_secs(45);
+/// Size of the writes of [`send_without_end`], in bytes.
+const ENDLESS_WRITE_BYTES: usize = 64 * 1024;
+
+/// Sends `head`, and then `block` until the server closes the connection. Returns the number of bytes that were sent after
+/// the head.
+///
+/// # Errors
+///
+/// Any error of connecting.
+pub fn send_without_end(address: impl ToSocketAddrs, head: &str, block: &str) -> io::Result<usize> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_write_timeout(Some(ENDLESS_WRITE_TIMEOUT))?;
+    // An error shows with the next write too.
+    let _ = stream.write_all(head.as_bytes());
+    let (block, mut sent) = (block.repeat(ENDLESS_WRITE_BYTES / block.len()), 0);
+    while let Ok(count) = stream.write(block.as_bytes()) {
+        sent += count;
+    }
+    Ok(sent)
+}
--- a/crates/drumusher-platform/src/lib.rs
+++ b/crates/drumusher-platform/src/lib.rs
@@ -3,7 +3,7 @@
 //! [`log`] is the platform's append-only log, [`members`] its list of instances and backend servers, [`load`]
 //! the load report of a backend server. A change of one of these protocols is a change of one of these files.
 //! [`clock`] is the clock of the process, [`Http`] the HTTP client, [`tcp`] and [`once`] are its connections
-//! and calls without retries. [`catalog`], [`routing`], [`engine`], [`duty`] and [`dialect`] are the traits
+//! and calls without retries, [`unread`] limits what a connection holds. [`catalog`], [`routing`], [`engine`], [`duty`] and [`dialect`] are the traits
 //! and values of a platform that keeps configuration and servers in one store; the crate in `platform/`
 //! implements them. Unknown JSON fields are ignored; missing ones are an [`Error::Malformed`].
 //!
@@ -21,6 +21,7 @@
 pub mod once;
 pub mod routing;
 pub mod tcp;
+pub mod unread;
 
 pub use http::{Http, Response};
 
--- a/crates/drumusher-platform/src/tcp.rs
+++ b/crates/drumusher-platform/src/tcp.rs
@@ -21,6 +21,8 @@
     time::Millis,
 };
 
+use crate::unread;
+
 /// Connects to `address` within `limit`.
 ///
 /// # Errors
@@ -80,7 +82,8 @@
                 let address = request.host().trim_matches(['[', ']']).parse();
                 let address = address.map_err(|_| ConnectError::Unresolved)?;
                 let address = SocketAddr::new(address, request.port());
-                connect(address, limit, config).await.map_err(ConnectError::Io)
+                let connected = connect(address, limit, config).await;
+                connected.map(unread::limit).map_err(ConnectError::Io)
             }
         }))
     })
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -11,12 +11,16 @@
     time::Duration,
 };
 
+use drumusher_platform::unread;
 use drumusher_schedule::time::{MILLISECOND, Micros};
 use ntex::{
+    SharedCfg,
+    http::HttpService,
     io::Io,
     rt, server,
+    service::{ServiceFactory, chain_factory, fn_service},
     time::{Millis, Seconds, sleep},
-    web::{self, App, HttpServer},
+    web::{self, App},
 };
 use signal_hook::{consts::signal, flag, iterator::Signals};
 
@@ -223,24 +227,32 @@
     let config = ntex::http::HttpServiceConfig::new()
         .set_headers_read_rate(header, header, 16)
         .set_keepalive(Seconds(75));
-    let server = HttpServer::new(async move || {
+    let server = server::build().name("http").workers(settings.workers).disable_signals();
+    let listening = server.listen("http", listener, async move |_| {
         let shared = shared.clone();
         let client = attempt::Client::new(&shared.settings.backend);
         rt::spawn(client.clone().prune());
         let client_connections = ClientConnections::new();
         rt::spawn(client_connections.clone().hold_stop(shared.clone()));
-        App::new()
+        let app = App::new()
             .state(http::Worker { shared, client, client_connections })
             .configure(http::routes)
-            .default_service(web::route().to(http::unknown))
+            .default_service(web::route().to(http::unknown));
+        limited(HttpService::new(app))
     });
-    let server = server
-        .workers(settings.workers)
-        .disable_signals()
-        .config(ntex::SharedCfg::new("http").add(config).build())
-        .listen(listener)
-        .map_err(|e| e.to_string())?;
-    Ok(server.run())
+    let builder = listening.map_err(|e| e.to_string())?;
+    Ok(builder.config("http", SharedCfg::new("http").add(config)).run())
+}
+
+/// A service for the connections of callers, each of which ends if it holds too many bytes that can't be parsed.
+pub fn limited<S>(
+    service: S,
+) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = S::Error, InitError = ()>
+where
+    S: ServiceFactory<Io, SharedCfg, Response = (), InitError = ()>,
+{
+    let limit = async |io: Io| Ok(unread::limit(io));
+    chain_factory(fn_service(limit)).and_then(service)
 }
 
 /// Waits until a stop is requested, keeps accepting requests for as long as the load balancer may still send
--- a/crates/drumusher/tests/fleet/bad_input.rs
+++ b/crates/drumusher/tests/fleet/bad_input.rs
@@ -98,3 +98,23 @@
     assert!(whole || response.is_empty(), "a partial response: {response}");
     assert_whole(&stream(http, "urgent", "after", 3).expect("a response"), "after", 3);
 }
+
+/// Maximum number of bytes that a request may cost: a few limits of the instance, and what the buffers of both sides hold.
+const MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Guards against a caller that makes an instance run out of memory by a chunk-size line without end.
+#[rstest]
+#[case::completion("/v1/completions")]
+#[case::service("/services/desk/x")]
+#[case::statement("/operator/query")]
+#[case::unknown_path("/no/such/path")]
+fn endless_chunk_extension_is_given_up(#[case] path: &str) {
+    let fleet = fleet(&["suva"], 1, 1, "");
+    let http = &fleet.instances[0].http;
+    let head = format!("POST {path} HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n4;");
+    let sent = client::send_without_end(http, &head, "e").expect("a connection");
+    assert!(sent <= MAX_BYTES, "{sent} bytes");
+    let body = format!("{{\"model\": \"{MODEL}\", \"prompt\": \"x\"}}");
+    let response = send(http, "/v1/completions", "urgent", &[], &body);
+    assert_eq!(response.expect("a response").status, 200);
+}
--- a/crates/drumusher/tests/routes/main.rs
+++ b/crates/drumusher/tests/routes/main.rs
@@ -8,6 +8,7 @@
 mod crash_endings;
 mod crashing_part;
 mod duties;
+mod endless_requests;
 mod engine_caches;
 mod evacuation;
 mod forwarding;
