once: a damaged status is no decision of the platform

A holder of duties took any text in the place of the status for a number. A report whose answer was damaged counted as rejected ("000", "600", "102") or as accepted ("NONSENSE 200"); in truth it is not known which.

Cause: the bytes 9 to 12 of the head were parsed, whatever stood before and behind them.

Change: the line has to begin as HTTP does, with a final status of three digits, 200 to 599; anything else is an unknown outcome.

--- a/crates/drumusher-platform/src/once.rs
+++ b/crates/drumusher-platform/src/once.rs
@@ -7,6 +7,7 @@
 use std::{
     io::{self, Read, Write},
     net::{SocketAddr, TcpStream},
+    ops::RangeInclusive,
     time::Duration,
 };
 
@@ -22,8 +23,10 @@
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// End of the head of a response.
 const HEAD_END: &[u8] = b"\r\n\r\n";
-/// Position of the status code in the status line of a response: "HTTP/1.1 200 …".
-const STATUS_CODE: std::ops::Range<usize> = 9..12;
+/// Start of a response, before the digit of its version.
+const VERSION_PREFIX: &[u8] = b"HTTP/1.";
+/// Status codes of final responses with a meaning (RFC 9110, section 15).
+const FINAL_STATUS_CODES: RangeInclusive<u16> = 200..=599;
 
 /// A POST request.
 #[derive(Clone, Debug)]
@@ -88,9 +91,17 @@
         }
         head.extend_from_slice(&chunk[..count]);
     }
-    let status = head.get(STATUS_CODE).and_then(|text| std::str::from_utf8(text).ok());
-    let status = status.and_then(|text| text.parse().ok());
-    status.ok_or_else(|| Error::Malformed("a response without a status code".into()))
+    parse_status(&head).ok_or_else(|| Error::Malformed("a response without a status code".into()))
+}
+
+/// The status code in the head of a final response: "HTTP/1.1 200 OK".
+fn parse_status(head: &[u8]) -> Option<u16> {
+    let [b'0'..=b'9', b' ', code @ ..] = head.strip_prefix(VERSION_PREFIX)? else { return None };
+    let [a @ b'0'..=b'9', b @ b'0'..=b'9', c @ b'0'..=b'9', b' ' | b'\r', ..] = code else {
+        return None;
+    };
+    let status = [a, b, c].iter().fold(0, |code, digit| code * 10 + u16::from(**digit - b'0'));
+    FINAL_STATUS_CODES.contains(&status).then_some(status)
 }
 
 /// The time left until `end`, or a timeout error.
