A response without a length is whole only if its server received the request

Cause: a close was believed as soon as it was read. What the kernel had taken of the request counted as sent. The reset follows the close by a round trip or more, and was not seen any more.

Change: after such a close of a connection with a long request, this side is closed too. The response is whole once the peer has confirmed that, and so all of the request; it is broken after a reset, or if nothing is confirmed within 500 ms. An instance that passes a request on for another one makes the same check.

The sizes of check_unsent_requests are tried eight at a time, since each unread one now takes half a second.

--- a/crates/drumusher-platform/src/tcp.rs
+++ b/crates/drumusher-platform/src/tcp.rs
@@ -6,7 +6,7 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpStream},
+    net::{Shutdown, SocketAddr, TcpStream},
     time::Duration,
 };
 
@@ -18,10 +18,13 @@
     io::Io,
     rt,
     service::{Service, ServiceFactory, fn_factory_with_config, fn_service},
-    time::Millis,
+    time::{Millis, sleep},
 };
 
-use crate::unread;
+use crate::{
+    clock::{self, Micros},
+    unread,
+};
 
 /// Connects to `address` within `limit`.
 ///
@@ -58,6 +61,33 @@
     connecting.await.map_err(|_| io::Error::other("the thread pool is closed"))?
 }
 
+/// Number of bytes that arrive together at the start of a connection (RFC 6928).
+pub const INITIAL_WINDOW_BYTES: usize = 14_600;
+/// Longest wait for the peer to confirm what was sent to it.
+const CONFIRM_TIMEOUT: Micros = 500_000;
+/// Interval at which it is checked whether the peer has.
+const CONFIRM_INTERVAL: Millis = Millis(2);
+
+/// Returns whether the peer has received everything that was sent to it, on a connection of which it has closed its side;
+/// `false` if that is not known at `until`. Ends the connection: once the peer confirms our end of it, it has confirmed all
+/// before. A peer that has closed the socket resets the connection when more of the request arrives.
+pub async fn is_received(socket: &TcpStream, until: Micros) -> bool {
+    // It may be closed already.
+    let _ = socket.shutdown(Shutdown::Write);
+    let until = until.min(clock::now() + CONFIRM_TIMEOUT);
+    loop {
+        // The order matters: a reset ends the connection too.
+        let is_ended = socket.peer_addr().is_err();
+        if !matches!(socket.take_error(), Ok(None)) {
+            return false;
+        }
+        if is_ended || clock::now() > until {
+            return is_ended;
+        }
+        sleep(CONFIRM_INTERVAL).await;
+    }
+}
+
 /// Whether a request certainly was not sent. The library reports a connection that ends after the request was written
 /// as a failure to connect without a cause.
 pub fn is_unsent(error: &ClientError) -> bool {
--- a/crates/drumusher/src/process/peers/tunnel.rs
+++ b/crates/drumusher/src/process/peers/tunnel.rs
@@ -1,9 +1,9 @@
 //! Tunnels: passes the bytes between another instance, which does not reach a backend server, and that server.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use drumusher_platform::tcp;
-use drumusher_schedule::time::MILLISECOND;
+use drumusher_schedule::time::{MILLISECOND, Micros};
 use drumusher_wire::peer;
 use futures_util::future::{Either, select};
 use ntex::{
@@ -39,6 +39,8 @@
     /// Counts the request in progress, so that a planned stop waits for it.
     in_progress: RefCell<Option<InFlight>>,
     idle_since: RefCell<u64>,
+    /// Length of the request in progress as far as it has arrived, in bytes.
+    request_bytes: Cell<usize>,
 }
 
 /// Counts an open tunnel until it is dropped.
@@ -95,10 +97,13 @@
     }
 
     async fn pass_on(&self, client: &Io, server: &Io, socket: &std::net::TcpStream) {
-        let state =
-            State { in_progress: RefCell::new(None), idle_since: RefCell::new(clock::now()) };
+        let state = State {
+            in_progress: RefCell::new(None),
+            idle_since: RefCell::new(clock::now()),
+            request_bytes: Cell::new(0),
+        };
         let requests = self.pass_requests(client, server, &state);
-        let responses = pass_responses(client, server, socket);
+        let responses = pass_responses(client, server, socket, &state);
         let ended = select(Box::pin(requests), Box::pin(responses));
         let idle = self.wait_idle(&state);
         if let Either::Right(_) = select(ended, Box::pin(idle)).await {
@@ -117,12 +122,14 @@
                         let _ = client.send(Frame::Unforwarded, &tunnel::Codec).await;
                         return;
                     }
+                    state.request_bytes.update(|bytes| bytes + data.len());
                     if server.send(data, &BytesCodec).await.is_err() {
                         return;
                     }
                 }
                 Frame::End => {
                     state.in_progress.borrow_mut().take();
+                    state.request_bytes.set(0);
                     *state.idle_since.borrow_mut() = clock::now();
                 }
                 Frame::Unforwarded => return,
@@ -155,7 +162,7 @@
 
 /// Passes responses on to the other instance. The end of a connection that the backend server did not close properly
 /// ends the tunnel without [`Frame::End`].
-async fn pass_responses(client: &Io, server: &Io, socket: &std::net::TcpStream) {
+async fn pass_responses(client: &Io, server: &Io, socket: &std::net::TcpStream, state: &State) {
     loop {
         match server.recv(&BytesCodec).await {
             Ok(Some(data)) => {
@@ -163,7 +170,7 @@
                     return;
                 }
             }
-            Ok(None) if is_closed_cleanly(client, server, socket) => {
+            Ok(None) if is_closed_cleanly(client, server, socket, state).await => {
                 // An error shows that the other side is gone already.
                 let _ = client.send(Frame::End, &tunnel::Codec).await;
                 return;
@@ -173,12 +180,22 @@
     }
 }
 
-/// Whether a backend server closed its connection properly: without a reset, and not before it was sent all of the
-/// request that has arrived.
-fn is_closed_cleanly(client: &Io, server: &Io, socket: &std::net::TcpStream) -> bool {
-    let is_sent = server.with_write_dst_buf(|buffer| buffer.is_empty())
+/// Whether a backend server closed its connection properly: without a reset, and not before it received all of the request
+/// that has arrived.
+async fn is_closed_cleanly(
+    client: &Io,
+    server: &Io,
+    socket: &std::net::TcpStream,
+    state: &State,
+) -> bool {
+    let is_written = server.with_write_dst_buf(|buffer| buffer.is_empty())
         && client.with_read_buf(|buffer| buffer.is_empty());
-    is_sent && matches!(socket.take_error(), Ok(None))
+    if !is_written || !matches!(socket.take_error(), Ok(None)) {
+        return false;
+    }
+    // The other instance ends the tunnel at the deadline.
+    let is_short = state.request_bytes.get() <= tcp::INITIAL_WINDOW_BYTES;
+    is_short || tcp::is_received(socket, Micros::MAX).await
 }
 
 /// Connects to a backend server.
--- a/crates/drumusher/src/upstream/conn.rs
+++ b/crates/drumusher/src/upstream/conn.rs
@@ -94,6 +94,8 @@
     ended_by_close: bool,
     /// Whether the body of the latest response has no other end.
     until_close: bool,
+    /// Length of the latest request, in bytes.
+    request_bytes: usize,
 }
 
 impl Conn {
@@ -126,6 +128,7 @@
             may_owe_unnamed: false,
             ended_by_close: false,
             until_close: false,
+            request_bytes: 0,
         }
     }
 
@@ -190,6 +193,7 @@
         is_head: bool,
     ) -> Result<(), Error> {
         self.latest = request;
+        self.request_bytes = head.len() + body.len();
         self.may_owe_unnamed |= request.is_none();
         self.codec.response.expect(is_head);
         self.write(head)?;
@@ -246,12 +250,12 @@
         let part = match received {
             Err(()) => Err(Error::TimedOut),
             Ok(Ok(Some(Part::End))) if self.tunnel_closed() && self.until_close => {
-                self.end_by_close()
+                self.end_by_close(until).await
             }
             Ok(Ok(Some(part))) => Ok(part),
             Ok(Ok(None)) if self.ends_with_connection() && self.closed_cleanly() => {
                 (self.reusable, self.ended_by_close) = (false, true);
-                self.end_by_close()
+                self.end_by_close(until).await
             }
             Ok(Ok(None)) => Err(self.close_reason()),
             Ok(Err(Either::Left(error))) => Err(error),
@@ -286,11 +290,14 @@
         ending == Some(Ending::Closed)
     }
 
-    /// Ends a body that ends with its connection. A backend server that closed the connection before the request was
-    /// sent completely broke off: the error of a reset may have been reported to the failed write alone.
-    fn end_by_close(&self) -> Result<Part, Error> {
-        let is_sent = self.io.with_write_dst_buf(|buffer| buffer.is_empty());
-        if is_sent { Ok(Part::End) } else { Err(Error::Closed) }
+    /// Ends a body that ends with its connection. A backend server that closed the connection before it had received the whole
+    /// request broke off. It resets the connection, but perhaps only later, or the failed write alone got the error.
+    async fn end_by_close(&self, until: Micros) -> Result<Part, Error> {
+        let is_written = self.io.with_write_dst_buf(|buffer| buffer.is_empty());
+        // At the other end of a tunnel, the other instance checks it.
+        let is_short = self.is_tunnel() || self.request_bytes <= tcp::INITIAL_WINDOW_BYTES;
+        let is_received = is_written && (is_short || tcp::is_received(&self.socket, until).await);
+        if is_received { Ok(Part::End) } else { Err(Error::Closed) }
     }
 
     /// Returns whether the peer closed the connection rather than reset it.
--- a/crates/drumusher/tests/cut_responses.rs
+++ b/crates/drumusher/tests/cut_responses.rs
@@ -16,6 +16,7 @@
     upstream::{Conn, Error, Key, response::Part},
     version::Backend,
 };
+use futures_util::future::join_all;
 use ntex::{http::Method, rt, time::Millis, util::Bytes};
 use socket2::SockRef;
 
@@ -175,42 +176,91 @@
 
 /// Guards against a response without a length that is passed on as whole although its server ended the connection, with or
 /// without a reset, while the request was still being sent.
-async fn check_unsent_request(ending: Ending) {
-    for size in LONG_BODY_BYTES.step_by(LONG_BODY_STEP) {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let address = listener.local_addr().expect("the address of the listener");
-        let (finish, finished) = mpsc::channel::<()>();
-        let server = thread::spawn(move || {
-            let (mut stream, _) = listener.accept().expect("a connection");
-            read_request(&mut stream);
-            stream.write_all(UNFRAMED.as_bytes()).expect("the response is sent");
-            if ending == Ending::Reset {
-                let linger = Some(Duration::ZERO);
-                SockRef::from(&stream).set_linger(linger).expect("an option is set");
-                return 0;
-            }
-            stream.shutdown(Shutdown::Write).expect("one side is closed");
-            let _ = finished.recv();
-            let (mut received, mut buffer) = (0, vec![0; 1 << 16]);
-            while let Ok(count @ 1..) = stream.read(&mut buffer) {
-                received += count;
-            }
-            received
-        });
-        let mut conn = Conn::connect(address, Millis(10_000)).await.expect("a connection");
-        let body = Bytes::from(vec![b'x'; size]);
-        conn.send(Some(Key::new("a")), REQUEST, &body, false).expect("sent");
-        let response = read(&mut conn).await;
-        drop(conn);
-        drop(finish);
-        let received = server.join().expect("the server does not panic");
-        match response {
-            Ok(_) => assert_eq!(received, size, "a whole response to a part of the request"),
-            Err(error) => assert_eq!(error, Error::Closed),
+async fn check_unsent_requests(ending: Ending) {
+    let sizes: Vec<usize> = LONG_BODY_BYTES.step_by(LONG_BODY_STEP).collect();
+    for sizes in sizes.chunks(CONCURRENT_UPLOADS) {
+        join_all(sizes.iter().map(|size| check_unsent_request(*size, ending))).await;
+    }
+}
+
+async fn check_unsent_request(size: usize, ending: Ending) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("the address of the listener");
+    let (finish, finished) = mpsc::channel::<()>();
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        stream.write_all(UNFRAMED.as_bytes()).expect("the response is sent");
+        if ending == Ending::Reset {
+            let linger = Some(Duration::ZERO);
+            SockRef::from(&stream).set_linger(linger).expect("an option is set");
+            return 0;
+        }
+        stream.shutdown(Shutdown::Write).expect("one side is closed");
+        let _ = finished.recv();
+        let (mut received, mut buffer) = (0, vec![0; 1 << 16]);
+        while let Ok(count @ 1..) = stream.read(&mut buffer) {
+            received += count;
         }
+        received
+    });
+    let mut conn = Conn::connect(address, Millis(10_000)).await.expect("a connection");
+    let body = Bytes::from(vec![b'x'; size]);
+    conn.send(Some(Key::new("a")), REQUEST, &body, false).expect("sent");
+    let response = read(&mut conn).await;
+    drop(conn);
+    drop(finish);
+    // The runtime closes the connection.
+    let received = rt::spawn_blocking(move || server.join()).await.expect("the thread pool runs");
+    let received = received.expect("the server does not panic");
+    match response {
+        Ok(_) => assert_eq!(received, size, "a whole response to a part of the request"),
+        Err(error) => assert_eq!(error, Error::Closed),
     }
 }
 
+/// Length of a request body that the buffers of a connection hold, while its server reads nothing, in bytes.
+const HELD_BODY_BYTES: usize = 1024 * 1024;
+/// Time after its last byte in which a server resets the connection, in milliseconds. The first one is with the close.
+const RESET_DELAYS_MS: [u64; 4] = [0, 2, 20, 200];
+
+/// Guards against a response without a length that is passed on as whole because its server closed its side of the connection
+/// first, and reset it only when it had not read the rest of the request.
+async fn check_reset_after_close(delay_ms: u64) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("the address of the listener");
+    let server = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        stream.write_all(UNFRAMED.as_bytes()).expect("the response is sent");
+        stream.shutdown(Shutdown::Write).expect("one side is closed");
+        thread::sleep(Duration::from_millis(delay_ms));
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option is set");
+    });
+    let mut conn = Conn::connect(address, Millis(10_000)).await.expect("a connection");
+    let body = Bytes::from(vec![b'x'; HELD_BODY_BYTES]);
+    conn.send(Some(Key::new("a")), REQUEST, &body, false).expect("sent");
+    let response = read(&mut conn).await;
+    server.join().expect("the server does not panic");
+    assert_eq!(response, Err(Error::Closed), "reset after {delay_ms} ms");
+}
+
+/// A response without a length is whole if its server read a long request first.
+async fn check_close_after_long_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("the address of the listener");
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        read_request(&mut stream);
+        stream.read_exact(&mut vec![0; HELD_BODY_BYTES]).expect("the body arrives");
+        stream.write_all(UNFRAMED.as_bytes()).expect("the response is sent");
+    });
+    let mut conn = Conn::connect(address, Millis(10_000)).await.expect("a connection");
+    let body = Bytes::from(vec![b'x'; HELD_BODY_BYTES]);
+    conn.send(Some(Key::new("a")), REQUEST, &body, false).expect("sent");
+    assert_eq!(read(&mut conn).await.as_deref(), Ok(BODY));
+}
+
 /// Maximum number of bytes that a server without end sends before its connection ends: what is read before it is given up,
 /// and what the buffers of both sides hold.
 const MAX_ENDLESS_BYTES: usize = 16 * 1024 * 1024;
@@ -244,8 +294,12 @@
 fn cut_responses_are_not_whole() {
     run(async {
         check_endless_bytes_without_request().await;
+        check_close_after_long_request().await;
+        for delay_ms in RESET_DELAYS_MS {
+            check_reset_after_close(delay_ms).await;
+        }
         for ending in [Ending::Close, Ending::Reset] {
-            check_unsent_request(ending).await;
+            check_unsent_requests(ending).await;
             for response in [SIZED, CHUNKED, UNFRAMED, SIZED_1_0] {
                 for before in ["", INTERIM, EARLIER] {
                     for byte_by_byte in [false, true] {
@@ -265,6 +319,8 @@
 /// Sizes of request bodies, in bytes. Of some of them the last bytes are left when the buffers of both sides are full.
 const LONG_BODY_BYTES: RangeInclusive<usize> = 64 * 1024..=7 * 1024 * 1024;
 const LONG_BODY_STEP: usize = 48 * 1024;
+/// Number of these requests at the same time.
+const CONCURRENT_UPLOADS: usize = 8;
 
 fn settings() -> Settings {
     Settings {
--- a/crates/drumusher/tests/routes/lost_paths.rs
+++ b/crates/drumusher/tests/routes/lost_paths.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     soak::knows_left,
-    support::{DESK, Deployment, Link, Links, MODEL, Request},
+    support::{DESK, Deployment, Link, Links, MODEL, Request, early},
 };
 
 /// Number of instances.
@@ -283,6 +283,53 @@
     assert_eq!(response.status, status);
 }
 
+/// Guards against a damaged response that is passed on behind another instance.
+#[rstest]
+#[case::status(Fault::InvalidStatus)]
+#[case::length(Fault::ShortLength)]
+#[case::coding(Fault::UnnamedChunks)]
+fn damaged_response_is_refused_behind_the_other_instance(#[case] fault: Fault) {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    deployment.servers.iter().for_each(|server| server.set(fault));
+    let request = Request::get("/book/");
+    let response = deployment.send(0, &request).expect("a response");
+    assert_eq!((response.status, deployment.runs(&request.id)), (502, 1));
+    assert_eq!(response.header("drumusher-response-seal"), None);
+}
+
+/// Guards against a part of a response that is passed on as whole behind another instance: its server closed its side of the
+/// connection before it had read the request, and reset the connection only later.
+#[rstest]
+fn early_response_that_is_reset_later_is_not_whole_behind_the_other_instance() {
+    const BODY_BYTES: usize = 1024 * 1024;
+    let _running = run_alone();
+    let (deployment, links) = deploy(2);
+    let limit = format!("\"MaxBodyBytes\":{}", 2 * BODY_BYTES);
+    let routes = crate::support::configuration(2, "").replace("\"MaxBodyBytes\":5000", &limit);
+    deployment.store.put("keyed.op", "config", &routes);
+    let address = links.server(early::respond).expect("the server starts").to_string();
+    let sound = deployment.server("d0");
+    let entry = sound.entry(DESK, "ready").replace(&sound.address.to_string(), &address);
+    deployment.store.put("keyed.servers", "e0", &entry);
+    for id in ["d0", "d1", "d2", "d3"] {
+        deployment.store.put("keyed.servers", id, &deployment.server(id).entry(DESK, "draining"));
+        for instance in &deployment.instances {
+            wait_for("the instance logs that the server leaves", || knows_left(instance, id));
+        }
+    }
+    links.set(deployment.instances[0].process(), Link::Reset);
+    let body = "x".repeat(BODY_BYTES);
+    wait_for("a response comes through the other instance", || {
+        let request = Request::post("/book/", &body);
+        let response = deployment.send(0, &request).expect("a response");
+        assert_ne!(response.status, 200, "{}", response.text());
+        let log = deployment.instances[0].log();
+        let ended = |line: &str| line.contains(&request.id) && line.contains("attempt ended");
+        log.lines().any(|line| ended(line) && line.contains("\"tunnelled\":\"true\""))
+    });
+}
+
 #[rstest]
 fn lost_paths_are_no_crashes_of_backend_servers() {
     let _running = run_alone();
--- a/crates/drumusher/tests/routes/support.rs
+++ b/crates/drumusher/tests/routes/support.rs
@@ -1,5 +1,6 @@
 //! A deployment on the loopback network: a store, backend servers and instances.
 
+pub mod early;
 mod gateway;
 mod request;
 mod response;
--- a/crates/drumusher/tests/routes/support/gateway.rs
+++ b/crates/drumusher/tests/routes/support/gateway.rs
@@ -101,6 +101,31 @@
         Ok(address)
     }
 
+    /// Starts a server that handles each connection with `serve`, but resets those of instances without a link. Returns its
+    /// address.
+    ///
+    /// # Errors
+    ///
+    /// Any I/O error of binding the listener.
+    pub fn server(&self, serve: fn(TcpStream) -> io::Result<()>) -> io::Result<SocketAddr> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let address = listener.local_addr()?;
+        let links = self.clone();
+        thread::spawn(move || {
+            for client in listener.incoming().flatten() {
+                let links = links.clone();
+                thread::spawn(move || match links.get(links.process_of(&client)) {
+                    Link::Open => serve(client),
+                    _ => {
+                        reset(&client);
+                        Ok(())
+                    }
+                });
+            }
+        });
+        Ok(address)
+    }
+
     fn forward(&self, client: TcpStream, target: SocketAddr) -> io::Result<()> {
         let process = self.process_of(&client);
         let server = TcpStream::connect(target)?;
