Test: responses without an end are given up behind another instance

The report on bytes without end was tried on direct connections only; through a tunnel it was by reading. The two cases pass, with the limit of bytes for two connections in place of one; the product is not changed.

--- a/crates/drumusher/tests/routes/lost_paths.rs
+++ b/crates/drumusher/tests/routes/lost_paths.rs
@@ -283,6 +283,25 @@
     assert_eq!(response.status, status);
 }
 
+/// Bytes that a response without end may cost behind another instance: what both instances read before they give it up, and
+/// the buffers of two connections.
+const MAX_ENDLESS_BYTES: usize = 16 * 1024 * 1024;
+
+/// Guards against an instance that passes bytes on without end for another one.
+#[rstest]
+#[case::interim(Fault::EndlessInterim)]
+#[case::trailers(Fault::EndlessTrailers)]
+fn response_without_end_is_given_up_behind_the_other_instance(#[case] fault: Fault) {
+    let _running = run_alone();
+    let deployment = deploy_relayed();
+    deployment.servers.iter().for_each(|server| server.set(fault));
+    let request = Request::get("/book/");
+    let response = deployment.send(0, &request).expect("a response");
+    assert_eq!((response.status, deployment.runs(&request.id)), (502, 1));
+    let sent: usize = deployment.servers.iter().map(|server| server.endless_bytes()).sum();
+    assert!(sent > 0 && sent <= MAX_ENDLESS_BYTES, "{sent} bytes");
+}
+
 /// Guards against a damaged response that is passed on behind another instance.
 #[rstest]
 #[case::status(Fault::InvalidStatus)]
