What killed processes spent of the retry budget is not spent again

Cause: instances know what was spent of their shares of the fixed allowance only from the grants that they get. A process that starts again knew of nothing, an instance that had not asked lately knew too little, and the spending of a dispatcher was not counted any more once its process had started again under its name.

Change: what can't be known counts as spent for one window: the share of a process that has just started, the allowance at a dispatcher that has, and the share that a lost dispatcher had; what a dispatcher spent before a new connection counts as spent elsewhere. No message is changed, nothing is written to the store.

--- a/crates/drumusher/src/process/broker/delegation.rs
+++ b/crates/drumusher/src/process/broker/delegation.rs
@@ -32,6 +32,8 @@
     has_counts: bool,
     /// What each dispatcher spent of the share.
     shares: HashMap<Arc<str>, Share>,
+    /// What they spent before their latest connections, which their processes may not know any more.
+    former_shares: Vec<Share>,
     counts: Counts,
 }
 
@@ -49,11 +51,13 @@
 pub struct Delegations {
     delegations: HashMap<Pool, Delegation>,
     window: Micros,
+    /// Time from which on nothing counts any more that this instance sent before its start.
+    known_from: Micros,
 }
 
 impl Default for Delegations {
     fn default() -> Self {
-        Delegations { delegations: HashMap::new(), window: WINDOW }
+        Delegations { delegations: HashMap::new(), window: WINDOW, known_from: 0 }
     }
 }
 
@@ -69,6 +73,13 @@
         self
     }
 
+    /// Sets the time at which the process started. It doesn't know what was spent of its share before, so for one window the
+    /// whole share counts as spent.
+    pub fn with_start(mut self, started: Micros) -> Self {
+        self.known_from = started + self.window;
+        self
+    }
+
     /// Delegates the share for a pool to the dispatcher `to`, and counts a request if `first` is set, that is if the
     /// ask is the first one for its request. Returns what the ask is to tell the dispatcher.
     pub fn delegate(
@@ -82,17 +93,21 @@
             to: to.clone(),
             has_counts: false,
             shares: HashMap::new(),
+            former_shares: Vec::new(),
             counts: Counts::new(self.window),
         });
         if delegation.to != *to {
             (delegation.to, delegation.has_counts) = (to.clone(), false);
         }
         delegation.shares.retain(|_, share| now <= share.until);
+        delegation.former_shares.retain(|share| now <= share.until);
         let sent = (!delegation.has_counts).then(|| delegation.counts.recent(now).collect());
         if first {
             delegation.counts.add_request(now);
         }
-        BudgetReport { spent: delegation.spent_elsewhere(), sent }
+        let is_known = now >= self.known_from;
+        let spent = if is_known { delegation.spent_elsewhere() } else { SPENT_SCALE as i16 };
+        BudgetReport { spent, sent }
     }
 
     /// The dispatcher that was last used for a pool.
@@ -124,12 +139,24 @@
         }
     }
 
-    /// Records a new connection with an instance. Its process may have restarted, so it is told the counts again.
+    /// Records that an instance became unreachable. What was last heard of the spending of a dispatcher may be outdated, and
+    /// who else knows it may have ended too, so for one window the whole share counts as spent there.
+    pub fn lost(&mut self, now: Micros, instance: &Arc<str>) {
+        let share = Share { spent: SPENT_SCALE as i16, until: now + self.window };
+        for delegation in self.delegations.values_mut() {
+            let is_used = delegation.to == *instance;
+            if delegation.shares.remove(instance).is_some() || is_used {
+                delegation.former_shares.push(share);
+            }
+        }
+    }
+
+    /// Records a new connection with an instance. Its process may have restarted, so it is told the counts again, and what it
+    /// spent so far counts as spent elsewhere.
     pub fn connected(&mut self, instance: &Arc<str>) {
-        for delegation in
-            self.delegations.values_mut().filter(|delegation| delegation.to == *instance)
-        {
-            delegation.has_counts = false;
+        for delegation in self.delegations.values_mut() {
+            delegation.former_shares.extend(delegation.shares.remove(instance));
+            delegation.has_counts &= delegation.to != *instance;
         }
     }
 }
@@ -138,7 +165,8 @@
     /// How much of the share was spent by dispatchers other than the current one, in thousandths.
     fn spent_elsewhere(&self) -> i16 {
         let others = self.shares.iter().filter(|(name, _)| **name != self.to);
-        let sum: i32 = others.map(|(_, share)| i32::from(share.spent)).sum();
+        let shares = others.map(|(_, share)| share).chain(&self.former_shares);
+        let sum: i32 = shares.map(|share| i32::from(share.spent)).sum();
         sum.min(SPENT_SCALE) as i16
     }
 }
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -73,9 +73,9 @@
         }
     }
 
-    /// Sets the window of the retry budget, in microseconds.
+    /// Sets the window of the retry budget, in microseconds. The process starts now.
     pub fn with_window(mut self, window: Micros) -> Self {
-        self.delegations = self.delegations.with_window(window);
+        self.delegations = self.delegations.with_window(window).with_start(clock::now());
         self
     }
 
@@ -306,10 +306,12 @@
         reachable: bool,
         sends: &mut Vec<Outgoing>,
     ) {
-        if reachable {
-            self.delegations.connected(instance);
+        let now = clock::now();
+        match reachable {
+            true => self.delegations.connected(instance),
+            false => self.delegations.lost(now, instance),
         }
-        if self.view.set_reachable(clock::now(), instance, reachable) {
+        if self.view.set_reachable(now, instance, reachable) {
             self.reassign(sends);
         }
     }
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -169,6 +169,8 @@
 struct Dispatcher {
     shared: Arc<Shared>,
     replies: Replies,
+    /// When the process started.
+    started: u64,
     pools: HashMap<Pool, HostedPool>,
     divisor: Divisor,
     answered: Answered,
@@ -191,6 +193,7 @@
     let mut dispatcher = Dispatcher {
         shared,
         replies,
+        started: clock::now(),
         pools,
         divisor: 1,
         answered: Answered::default(),
@@ -440,6 +443,7 @@
         }
         let policy = self.shared.version.load().policy.clone();
         let hosted = HostedPool::new(policy, clock::now(), self.bound(pool));
+        let hosted = hosted.with_start(self.started);
         self.pools.insert(pool.clone(), hosted);
         self.publish_hosted();
         self.refresh_servers(pool);
--- a/crates/drumusher/src/process/dispatch/budget.rs
+++ b/crates/drumusher/src/process/dispatch/budget.rs
@@ -75,6 +75,8 @@
 #[derive(Debug)]
 pub struct Budget {
     bound: Bound,
+    /// Time from which on nothing counts any more that a former dispatcher granted before this process started.
+    known_from: Micros,
     accounts: HashMap<Entry, Account>,
     /// Requests that arrived at this dispatcher, and retries that it granted.
     local: Counts,
@@ -89,7 +91,15 @@
     /// Creates a budget that no instance uses yet.
     pub fn new(bound: Bound) -> Self {
         let (local, departed) = (Counts::new(bound.window), Counts::new(bound.window));
-        Budget { bound, accounts: HashMap::new(), local, departed, reserved: 0, sums: None }
+        let accounts = HashMap::new();
+        Budget { bound, known_from: 0, accounts, local, departed, reserved: 0, sums: None }
+    }
+
+    /// Sets the time at which the process started. It doesn't know what instances that ended had spent of the fixed allowance
+    /// before, so for one window it grants the ratio alone.
+    pub fn with_start(mut self, started: Micros) -> Self {
+        self.known_from = started + self.bound.window;
+        self
     }
 
     /// Records that an instance delegates its share, of which the fraction `spent` (0 to 1) is spent elsewhere.
@@ -207,8 +217,10 @@
         let ratio = self.bound.ratio;
         let sums = self.sums(now);
         let (left, total, sent) = (sums.left, sums.total, sums.counts.excess(now, ratio));
-        let by_all = self.allowance(total, instances) - sent;
-        let by_local = self.allowance(left, instances) - self.local.excess(now, ratio);
+        let is_known = now >= self.known_from;
+        let allowance = |shares| if is_known { self.allowance(shares, instances) } else { 0.0 };
+        let by_all = allowance(total) - sent;
+        let by_local = allowance(left) - self.local.excess(now, ratio);
         by_all.min(by_local)
     }
 
