budget: a dispatcher that handed its role over is not taken for lost

Instances counted the whole share as spent also for a dispatcher that had handed its role over in a planned stop, as soon as its connection ended: up to ten seconds without the fixed allowance for nothing. Only the dispatcher that an instance uses now counts so; of others, what they reported counts on.

--- a/crates/drumusher-platform/src/tcp.rs
+++ b/crates/drumusher-platform/src/tcp.rs
@@ -61,7 +61,7 @@
     connecting.await.map_err(|_| io::Error::other("the thread pool is closed"))?
 }
 
-/// Number of bytes that arrive together at the start of a connection (RFC 6928).
+/// Number of bytes that are sent at the start of a connection before the peer confirms any: ten segments (RFC 6928).
 pub const INITIAL_WINDOW_BYTES: usize = 14_600;
 /// Longest wait for the peer to confirm what was sent to it.
 const CONFIRM_TIMEOUT: Micros = 500_000;
--- a/crates/drumusher-platform/src/unread.rs
+++ b/crates/drumusher-platform/src/unread.rs
@@ -30,7 +30,7 @@
         log::warn!(
             "a connection is closed: more than {MAX_UNREAD_BYTES} bytes could not be parsed"
         );
-        // During this call, the library does not find those that wait for the end of the connection.
+        // The library has taken the list of tasks that wait for the end of the connection, and would not wake them.
         let io = io.clone();
         rt::spawn(async move { io.terminate() });
     }
--- a/crates/drumusher/src/process/broker/delegation.rs
+++ b/crates/drumusher/src/process/broker/delegation.rs
@@ -1,6 +1,7 @@
 //! Delegation of this instance's share of the retry budget to the dispatchers that it uses. Without I/O.
 //!
-//! A dispatcher is told what this instance sent, and how much of its share was spent by other dispatchers.
+//! A dispatcher is told what this instance sent, and how much of its share was spent by other dispatchers. What can't be known,
+//! since a process ended that knew it, counts as spent.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -14,7 +15,7 @@
 /// Default window of the retry budget.
 const WINDOW: Micros = 10 * SECOND;
 /// A whole share, in thousandths as in peer messages.
-const SPENT_SCALE: i32 = 1_000;
+const SPENT_SCALE: i16 = 1_000;
 
 /// How much of this instance's share a dispatcher spent, in thousandths, and until when that counts.
 #[derive(Clone, Copy, Debug)]
@@ -106,7 +107,7 @@
             delegation.counts.add_request(now);
         }
         let is_known = now >= self.known_from;
-        let spent = if is_known { delegation.spent_elsewhere() } else { SPENT_SCALE as i16 };
+        let spent = if is_known { delegation.spent_elsewhere() } else { SPENT_SCALE };
         BudgetReport { spent, sent }
     }
 
@@ -133,21 +134,20 @@
             delegation.counts.add_retries(now, 1);
         }
         if delegation.to == *from {
-            let left = (SPENT_SCALE - i32::from(delegation.spent_elsewhere())).max(0);
-            let spent = (i32::from(spent) * left / SPENT_SCALE) as i16;
+            let left = i32::from((SPENT_SCALE - delegation.spent_elsewhere()).max(0));
+            let spent = (i32::from(spent) * left / i32::from(SPENT_SCALE)) as i16;
             delegation.shares.insert(from.clone(), Share { spent, until: now + self.window });
         }
     }
 
-    /// Records that an instance became unreachable. What was last heard of the spending of a dispatcher may be outdated, and
-    /// who else knows it may have ended too, so for one window the whole share counts as spent there.
-    pub fn lost(&mut self, now: Micros, instance: &Arc<str>) {
-        let share = Share { spent: SPENT_SCALE as i16, until: now + self.window };
+    /// Records that an instance became unreachable. What was last heard of the spending of the current dispatcher may be
+    /// outdated, and who else knows it may have ended too, so for one window the whole share counts as spent there.
+    pub fn disconnected(&mut self, now: Micros, instance: &Arc<str>) {
+        let whole = Share { spent: SPENT_SCALE, until: now + self.window };
         for delegation in self.delegations.values_mut() {
-            let is_used = delegation.to == *instance;
-            if delegation.shares.remove(instance).is_some() || is_used {
-                delegation.former_shares.push(share);
-            }
+            let known = delegation.shares.remove(instance);
+            let is_current = delegation.to == *instance;
+            delegation.former_shares.extend(if is_current { Some(whole) } else { known });
         }
     }
 
@@ -167,6 +167,6 @@
         let others = self.shares.iter().filter(|(name, _)| **name != self.to);
         let shares = others.map(|(_, share)| share).chain(&self.former_shares);
         let sum: i32 = shares.map(|share| i32::from(share.spent)).sum();
-        sum.min(SPENT_SCALE) as i16
+        sum.min(i32::from(SPENT_SCALE)) as i16
     }
 }
--- a/crates/drumusher/src/process/broker/table.rs
+++ b/crates/drumusher/src/process/broker/table.rs
@@ -309,7 +309,7 @@
         let now = clock::now();
         match reachable {
             true => self.delegations.connected(instance),
-            false => self.delegations.lost(now, instance),
+            false => self.delegations.disconnected(now, instance),
         }
         if self.view.set_reachable(now, instance, reachable) {
             self.reassign(sends);
--- a/crates/drumusher/src/process/dispatch.rs
+++ b/crates/drumusher/src/process/dispatch.rs
@@ -442,8 +442,8 @@
             return;
         }
         let policy = self.shared.version.load().policy.clone();
-        let hosted = HostedPool::new(policy, clock::now(), self.bound(pool));
-        let hosted = hosted.with_start(self.started);
+        let hosted =
+            HostedPool::new(policy, clock::now(), self.bound(pool)).with_start(self.started);
         self.pools.insert(pool.clone(), hosted);
         self.publish_hosted();
         self.refresh_servers(pool);
--- a/crates/drumusher/src/process/dispatch/budget.rs
+++ b/crates/drumusher/src/process/dispatch/budget.rs
@@ -13,6 +13,9 @@
 //! dispatcher reports with each grant how much of the delegated shares is spent. An instance that changes its
 //! dispatcher tells the new one how much of its share was spent elsewhere, until that spending leaves the window.
 //!
+//! What nobody knows any more, since the processes that sent or granted it ended, counts as spent: the share of a process
+//! that has just started, and the allowance at a dispatcher that has.
+//!
 //! Equal shares that are not pooled are too small: of 630 retries in 10 s, each of 295 instances has two, including
 //! those that need none. Pooled, one instance may use 504 (see the tests in `unit::budget`).
 
--- a/crates/drumusher/src/process/routes.rs
+++ b/crates/drumusher/src/process/routes.rs
@@ -144,7 +144,7 @@
         rt::spawn(prune(worker.conns.clone()));
         let worker = Rc::new(worker);
         rt::spawn(probe_lost_paths(worker.clone()));
-        serve::limited(HttpService::h1(ntex::fn_service(move |request: http::Request| {
+        serve::limit_unread(HttpService::h1(ntex::fn_service(move |request: http::Request| {
             handler::serve(worker.clone(), request)
         })))
     });
@@ -177,7 +177,7 @@
 fn serve_status(shared: Arc<Shared>, listener: TcpListener) -> Result<server::Server, String> {
     let builder = server_builder("status").listen("status", listener, async move |_| {
         let shared = shared.clone();
-        serve::limited(HttpService::h1(ntex::fn_service(move |request: http::Request| {
+        serve::limit_unread(HttpService::h1(ntex::fn_service(move |request: http::Request| {
             let shared = shared.clone();
             async move { Ok::<Response, Never>(answer_status(shared, request).await) }
         })))
--- a/crates/drumusher/src/process/serve.rs
+++ b/crates/drumusher/src/process/serve.rs
@@ -238,14 +238,14 @@
             .state(http::Worker { shared, client, client_connections })
             .configure(http::routes)
             .default_service(web::route().to(http::unknown));
-        limited(HttpService::new(app))
+        limit_unread(HttpService::new(app))
     });
     let builder = listening.map_err(|e| e.to_string())?;
     Ok(builder.config("http", SharedCfg::new("http").add(config)).run())
 }
 
-/// A service for the connections of callers, each of which ends if it holds too many bytes that can't be parsed.
-pub fn limited<S>(
+/// Wraps a service for connections, so that each of them ends if it holds too many bytes that can't be parsed.
+pub fn limit_unread<S>(
     service: S,
 ) -> impl ServiceFactory<Io, SharedCfg, Response = (), Error = S::Error, InitError = ()>
 where
--- a/crates/drumusher/tests/unit/budget.rs
+++ b/crates/drumusher/tests/unit/budget.rs
@@ -149,7 +149,7 @@
             *budget = Budget::new(BOUND).with_start(now);
             for delegations in &mut self.delegations {
                 if is_noticed {
-                    delegations.lost(now, name);
+                    delegations.disconnected(now, name);
                 }
                 delegations.connected(name);
             }
